Lay out the workspace and fix the boundaries between crates

Cause: three matters (path, decisions, operators' moves) are built side by side and meet only at interfaces. No behaviour yet. Conclusion: work on the parts can start; a module that only says 'Not yet written' is unbuilt.

--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,72 @@
+//! Identifiers that cross process boundaries.
+//!
+//! A process draws an [`Incarnation`] when it starts, so that a restart on the
+//! same address is told apart from the process before it. An [`Attempt`] names
+//! one dispatch of one request to one endpoint, and for a model route it is the
+//! identity of the generation as well: tokens of two attempts are never mixed.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// One life of a process: its start, in microseconds since the epoch.
+///
+/// A later incarnation of the same process compares greater.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+/// One dispatch of one request to one endpoint: 128 random bits.
+///
+/// The bits are unguessable, because a caller who presents them may resume the
+/// stream that they name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Attempt(pub u128);
+
+impl Attempt {
+    /// Returns the wire form, 16 bytes in network order.
+    pub const fn to_bytes(self) -> [u8; 16] {
+        self.0.to_be_bytes()
+    }
+
+    /// Reads the wire form, or returns `None` where it is not 16 bytes long.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Attempt> {
+        let bytes: [u8; 16] = bytes.try_into().ok()?;
+        Some(Attempt(u128::from_be_bytes(bytes)))
+    }
+}
+
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for Attempt {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Attempt, Self::Err> {
+        u128::from_str_radix(text, 16).map(Attempt)
+    }
+}
+
+impl Serialize for Attempt {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Attempt {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Attempt, D::Error> {
+        let text = std::borrow::Cow::<'de, str>::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Not yet written.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,12 @@
+//! Adapters to the systems around cactusroad.
+//!
+//! Each outside system is reached only through one small trait: [`store::Store`]
+//! for the platform's object API, [`roster::Roster`] for its list of VMs,
+//! [`engine::Engine`] for a model engine and [`service::Service`] for a plain
+//! service. Callers are generic over the trait, so a new protocol is one new
+//! file beside the HTTP adapter, and no call goes through a virtual table.
+
+pub mod engine;
+pub mod roster;
+pub mod service;
+pub mod store;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The `cactusroad` program.
+fn main() {}
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,1 @@
+//! Integration tests with real processes.
