Add the HTTP stand-ins and the adapters that reach them

Cause: the request path, the operators' tools and every failure test need a store, a roster, an engine and a service that can be told to fail.

Change: crates/standin gains engine, service, store and roster, each a Config and a spawn on a bound listener, on a small server that holds its connections so that it can drop them, go down and come back on the same address, drain or be killed. role::run runs one as a process. crates/platform gains an Address and one HTTP adapter per trait; a refused connection is kept apart from one that broke after sending. Trait change: a deleted object in a store's Change has version 0 (documented).

The adapter tests stand in tests/integration/adapters.rs, because the stand-in crate has no dependency on the adapters and should not gain one.

Conclusion: lost requests, lost answers, crashes, fencing, cold capacity and outages can be brought about on purpose, and the adapters report each as their traits promise.

--- /dev/null
+++ b/crates/platform/src/engine/http.rs
@@ -0,0 +1,164 @@
+//! A model engine over HTTP, JSON and server-sent events, as
+//! `docs/PROTOCOL.md` describes it.
+
+use std::{
+    fmt,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use eventsource_stream::{EventStream, Eventsource};
+use futures_util::Stream;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyDataStream, BodyExt};
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+
+use cactusroad_core::id::Attempt;
+
+use super::{CacheEvent, Engine, Error, Event, Load, Order, Prompt};
+use crate::{
+    address::Address,
+    transport::{Answer, Failure, Transport, read_json},
+};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// A client of an engine that speaks HTTP.
+#[derive(Clone, Debug)]
+pub struct Client {
+    transport: Transport,
+}
+
+impl Client {
+    /// Returns a client of the engine at this address.
+    pub fn new(address: &Address) -> Client {
+        Client {
+            transport: Transport::new(address),
+        }
+    }
+
+    async fn open(&self, request: Request<Bytes>) -> Result<Tokens, Error> {
+        let answer = self.transport.send(request).await.map_err(error)?;
+        check(answer.status())?;
+        Ok(Tokens {
+            events: answer.into_body().into_data_stream().eventsource(),
+            state: State::Open,
+        })
+    }
+
+    async fn call(&self, request: Request<Bytes>) -> Result<Answer, Error> {
+        let call = self
+            .transport
+            .call_within(request, MAX_ANSWER_BYTES, CALL_TIMEOUT);
+        call.await.map_err(error)
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let answer = self.call(self.transport.request(Method::GET, path)).await?;
+        check(answer.status())?;
+        read_json(&answer).ok_or(Error::Malformed)
+    }
+}
+
+/// The tokens of one generation, read from server-sent events.
+///
+/// The stream ends after [`Event::End`] or after its first error.
+pub struct Tokens {
+    events: EventStream<BodyDataStream<Incoming>>,
+    state: State,
+}
+
+impl fmt::Debug for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut tokens = f.debug_struct("Tokens");
+        tokens.field("state", &self.state).finish_non_exhaustive()
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Open,
+    Closed,
+}
+
+impl Stream for Tokens {
+    type Item = Result<Event, Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.state == State::Closed {
+            return Poll::Ready(None);
+        }
+        let item = match ready!(Pin::new(&mut self.events).poll_next(cx)) {
+            Some(Ok(event)) => serde_json::from_str(&event.data).map_err(|_| Error::Malformed),
+            Some(Err(eventsource_stream::EventStreamError::Transport(_))) | None => {
+                Err(Error::Broken)
+            }
+            Some(Err(_)) => Err(Error::Malformed),
+        };
+        if !matches!(item, Ok(Event::Token { .. })) {
+            self.state = State::Closed;
+        }
+        Poll::Ready(Some(item))
+    }
+}
+
+impl Engine for Client {
+    type Tokens = Tokens;
+
+    async fn generate(&self, prompt: &Prompt) -> Result<Tokens, Error> {
+        let request = self.transport.json(Method::POST, "/v1/generate", prompt);
+        self.open(request).await
+    }
+
+    async fn resume(&self, generation: Attempt, index: u64) -> Result<Tokens, Error> {
+        let path = format!("/v1/generations/{generation}?from={index}");
+        self.open(self.transport.request(Method::GET, &path)).await
+    }
+
+    async fn cancel(&self, generation: Attempt) -> Result<(), Error> {
+        let path = format!("/v1/generations/{generation}");
+        let answer = self
+            .call(self.transport.request(Method::DELETE, &path))
+            .await?;
+        match answer.status() {
+            StatusCode::NOT_FOUND => Ok(()),
+            status => check(status),
+        }
+    }
+
+    async fn load(&self) -> Result<Load, Error> {
+        self.read("/v1/load").await
+    }
+
+    async fn cache_events(&self, after: u64) -> Result<Vec<CacheEvent>, Error> {
+        self.read(&format!("/v1/cache-events?after={after}")).await
+    }
+
+    async fn order(&self, order: &Order) -> Result<(), Error> {
+        let request = self.transport.json(Method::POST, "/v1/orders", order);
+        check(self.call(request).await?.status())
+    }
+}
+
+fn error(failure: Failure) -> Error {
+    match failure {
+        Failure::Unreachable => Error::Unreachable,
+        Failure::Broken => Error::Broken,
+        Failure::TooLarge => Error::Malformed,
+    }
+}
+
+/// Reads a status; only those by which an engine says that it did nothing count as refused.
+fn check(status: StatusCode) -> Result<(), Error> {
+    match status {
+        StatusCode::PRECONDITION_FAILED => Err(Error::Fenced),
+        StatusCode::SERVICE_UNAVAILABLE => Err(Error::Refused),
+        status if status.is_success() => Ok(()),
+        status if status.is_client_error() => Err(Error::Refused),
+        _ => Err(Error::Broken),
+    }
+}
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -1,5 +1,7 @@
 //! A model engine: generations, load, cache events and orders.
 
+pub mod http;
+
 use std::{future::Future, sync::Arc};
 
 use futures_util::Stream;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,8 +5,22 @@
 //! [`engine::Engine`] for a model engine and [`service::Service`] for a plain
 //! service. Callers are generic over the trait, so a new protocol is one new
 //! file beside the HTTP adapter, and no call goes through a virtual table.
+//!
+//! # Examples
+//!
+//! ```
+//! use cactusroad_platform::{address::Address, engine, store};
+//!
+//! let address: Address = "http://127.0.0.1:8700".parse()?;
+//! let engine = engine::http::Client::new(&address);
+//! let store = store::http::Client::new(&address);
+//! # let _ = (engine, store);
+//! # Ok::<(), cactusroad_platform::address::Error>(())
+//! ```
 
+pub mod address;
 pub mod engine;
 pub mod roster;
 pub mod service;
 pub mod store;
+mod transport;
--- /dev/null
+++ b/crates/platform/src/roster/http.rs
@@ -0,0 +1,45 @@
+//! The list of VMs over HTTP, as `docs/PROTOCOL.md` describes it.
+
+use std::time::Duration;
+
+use http::Method;
+
+use super::{Error, Roster, Vm};
+use crate::{
+    address::Address,
+    transport::{Transport, read_json},
+};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// A client of a list of VMs that speaks HTTP.
+#[derive(Clone, Debug)]
+pub struct Client {
+    transport: Transport,
+}
+
+impl Client {
+    /// Returns a client of the list at this address.
+    pub fn new(address: &Address) -> Client {
+        Client {
+            transport: Transport::new(address),
+        }
+    }
+}
+
+impl Roster for Client {
+    async fn vms(&self) -> Result<Vec<Vm>, Error> {
+        let request = self.transport.request(Method::GET, "/v1/vms");
+        let call = self
+            .transport
+            .call_within(request, MAX_ANSWER_BYTES, CALL_TIMEOUT);
+        let answer = call.await.map_err(|_| Error::Unavailable)?;
+        if answer.status().is_server_error() {
+            return Err(Error::Unavailable);
+        }
+        let mut vms: Vec<Vm> = read_json(&answer).ok_or(Error::Malformed)?;
+        vms.sort_by(|a, b| a.name.cmp(&b.name));
+        Ok(vms)
+    }
+}
--- a/crates/platform/src/roster/mod.rs
+++ b/crates/platform/src/roster/mod.rs
@@ -1,5 +1,7 @@
 //! The platform's list of live and leaving VMs, which lags behind the truth.
 
+pub mod http;
+
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/platform/src/service/http.rs
@@ -0,0 +1,75 @@
+//! A plain service over HTTP: the request goes on as it came.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Request, Response, header};
+
+use super::{Error, Service};
+use crate::{
+    address::Address,
+    transport::{Failure, Transport},
+};
+
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::HOST,
+    header::CONTENT_LENGTH,
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A client of a plain service.
+#[derive(Clone, Debug)]
+pub struct Client {
+    transport: Transport,
+    max_answer_bytes: usize,
+}
+
+impl Client {
+    /// Returns a client of the service at this address.
+    pub fn new(address: &Address) -> Client {
+        Client {
+            transport: Transport::new(address),
+            max_answer_bytes: MAX_ANSWER_BYTES,
+        }
+    }
+
+    /// Sets the size of the largest answer that is read, in bytes.
+    #[must_use]
+    pub fn with_max_answer_bytes(mut self, bytes: usize) -> Client {
+        self.max_answer_bytes = bytes;
+        self
+    }
+}
+
+impl Service for Client {
+    async fn call(&self, mut request: Request<Bytes>) -> Result<Response<Bytes>, Error> {
+        let path = request
+            .uri()
+            .path_and_query()
+            .map_or("/", |path| path.as_str());
+        let uri = self.transport.uri(path).ok_or(Error::Unreachable)?;
+        *request.uri_mut() = uri;
+        *request.version_mut() = http::Version::HTTP_11;
+        strip_hop_headers(request.headers_mut());
+        let call = self.transport.call(request, self.max_answer_bytes);
+        let mut answer = call.await.map_err(|failure| match failure {
+            Failure::Unreachable => Error::Unreachable,
+            Failure::Broken => Error::Broken,
+            Failure::TooLarge => Error::TooLarge,
+        })?;
+        strip_hop_headers(answer.headers_mut());
+        Ok(answer)
+    }
+}
+
+fn strip_hop_headers(headers: &mut HeaderMap) {
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+}
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -1,9 +1,11 @@
 //! A plain service: one HTTP request, one answer.
 
+pub mod http;
+
 use std::future::Future;
 
+use ::http::{Request, Response};
 use bytes::Bytes;
-use http::{Request, Response};
 
 /// Why a call to a service failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/platform/src/store/mod.rs
+++ b/crates/platform/src/store/mod.rs
@@ -1,5 +1,7 @@
 //! The platform's object API: versions, conditional updates and watches.
 
+pub mod http;
+
 use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -33,7 +35,8 @@
 pub struct Change {
     /// The position to watch from next.
     pub position: u64,
-    /// The names and versions of the objects that changed, sorted by name.
+    /// The names and versions of the objects that changed, sorted by name; a deleted one
+    /// has version 0.
     pub objects: Vec<(Arc<str>, Version)>,
 }
 
--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,95 @@
+//! The prefix cache of an engine, as its events tell of it.
+
+use std::{collections::VecDeque, time::Duration};
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::message::CacheEvent;
+
+/// The length of one block of a prompt, in bytes.
+pub const PREFIX_BLOCK_BYTES: usize = 256;
+const MAX_EVENTS: usize = 4_096;
+
+/// Returns the hashes of the leading whole blocks of a prompt, shortest first.
+pub fn prefixes(text: &str) -> impl Iterator<Item = u64> {
+    let blocks = text.len() / PREFIX_BLOCK_BYTES;
+    (1..=blocks).map(move |block| xxh3_64(&text.as_bytes()[..block * PREFIX_BLOCK_BYTES]))
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Cache {
+    capacity: usize,
+    /// The prefixes in the cache, the oldest first.
+    held: VecDeque<u64>,
+    /// The events that were not lost, each with the time from which it is told.
+    events: VecDeque<(Instant, CacheEvent)>,
+    sequence: u64,
+    lag: Duration,
+    lose: u32,
+}
+
+impl Cache {
+    pub(super) fn new(capacity: usize) -> Cache {
+        Cache {
+            capacity,
+            ..Cache::default()
+        }
+    }
+
+    pub(super) fn set_lag(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
+    /// Loses the next events.
+    pub(super) fn lose(&mut self, count: u32) {
+        self.lose = count;
+    }
+
+    /// Empties the cache without an event, as a restart does.
+    pub(super) fn clear(&mut self) {
+        self.held.clear();
+        self.events.clear();
+    }
+
+    pub(super) fn hold(&mut self, text: &str) {
+        for prefix in prefixes(text) {
+            if self.held.contains(&prefix) {
+                continue;
+            }
+            self.held.push_back(prefix);
+            self.publish(prefix, true);
+            if self.held.len() > self.capacity {
+                let evicted = self.held.pop_front();
+                evicted
+                    .into_iter()
+                    .for_each(|prefix| self.publish(prefix, false));
+            }
+        }
+    }
+
+    pub(super) fn after(&self, sequence: u64) -> Vec<CacheEvent> {
+        let now = Instant::now();
+        let due = self.events.iter().filter(|(at, _)| *at <= now);
+        due.map(|(_, event)| *event)
+            .filter(|event| event.sequence > sequence)
+            .collect()
+    }
+
+    fn publish(&mut self, prefix: u64, held: bool) {
+        self.sequence += 1;
+        if self.lose > 0 {
+            self.lose -= 1;
+            return;
+        }
+        let event = CacheEvent {
+            sequence: self.sequence,
+            prefix,
+            held,
+        };
+        self.events.push_back((Instant::now() + self.lag, event));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/roster.rs
@@ -0,0 +1,167 @@
+//! The stand-in of the platform's list of VMs.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use axum::{
+    Json, Router,
+    extract::State,
+    http::StatusCode,
+    middleware,
+    routing::{get, put},
+};
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, time::Instant};
+
+use crate::{
+    fault::{self, Injector, lock},
+    server,
+};
+
+/// A VM, as the list gives it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// The name of the VM.
+    pub name: Arc<str>,
+    /// `entry` or `endpoint`.
+    pub role: Arc<str>,
+    /// The UDP address of the process of cactusroad on it.
+    pub address: SocketAddr,
+    /// The data centre that holds it.
+    pub data_centre: Arc<str>,
+    /// Whether the VM is announced to go.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// What a list holds at its start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// The VMs; none by default.
+    pub vms: Vec<Vm>,
+    /// How long a change takes to show, in milliseconds; 0 by default.
+    pub stale_ms: u64,
+}
+
+/// A command; what it leaves out stays as it is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Command {
+    /// The new list.
+    pub vms: Option<Vec<Vm>>,
+    /// How long a later change takes to show, in milliseconds.
+    pub stale_ms: Option<u64>,
+    /// The faults.
+    pub faults: fault::Command,
+}
+
+/// What a list has served.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Reads of the list.
+    pub reads: u64,
+}
+
+/// A running list.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    state: Arc<Mutex<Inner>>,
+    injector: Injector,
+    server: server::Handle,
+}
+
+#[derive(Debug)]
+struct Inner {
+    shown: Vec<Vm>,
+    /// The next list and when it shows.
+    pending: Option<(Instant, Vec<Vm>)>,
+    stale: Duration,
+    seen: Seen,
+}
+
+impl Handle {
+    /// Returns the server, to stop it or to take it down.
+    pub fn server(&self) -> &server::Handle {
+        &self.server
+    }
+
+    /// Puts a command in force.
+    pub fn control(&self, command: Command) {
+        let mut state = lock(&self.state);
+        state.stale = command.stale_ms.map_or(state.stale, Duration::from_millis);
+        if let Some(vms) = command.vms {
+            state.pending = Some((Instant::now() + state.stale, vms));
+        }
+        drop(state);
+        self.injector.apply(&command.faults);
+    }
+
+    /// Sets the list of VMs, which shows once the lag of the list is over.
+    pub fn set(&self, vms: Vec<Vm>) {
+        self.control(Command {
+            vms: Some(vms),
+            ..Command::default()
+        });
+    }
+
+    /// Returns the counts of the calls so far.
+    pub fn seen(&self) -> Seen {
+        lock(&self.state).seen.clone()
+    }
+}
+
+/// Starts a list on a listener.
+///
+/// # Errors
+///
+/// Fails where the listener has no address.
+pub fn spawn(config: Config, listener: TcpListener) -> io::Result<Handle> {
+    let state = Arc::new(Mutex::new(Inner {
+        shown: config.vms,
+        pending: None,
+        stale: Duration::from_millis(config.stale_ms),
+        seen: Seen::default(),
+    }));
+    server::spawn(listener, |server| {
+        let handle = Handle {
+            state,
+            injector: Injector::new(server.clone()),
+            server,
+        };
+        (router(handle.clone()), handle)
+    })
+}
+
+fn router(handle: Handle) -> Router {
+    let faults = handle.injector.clone();
+    let vms = get(vms).layer(middleware::from_fn_with_state(faults, fault::read));
+    Router::new()
+        .route("/v1/vms", vms)
+        .route("/control", put(control))
+        .route("/control/seen", get(seen))
+        .with_state(handle)
+}
+
+async fn vms(State(handle): State<Handle>) -> Json<Vec<Vm>> {
+    let mut state = lock(&handle.state);
+    state.seen.reads += 1;
+    let due = state.pending.take_if(|(at, _)| *at <= Instant::now());
+    if let Some((_, vms)) = due {
+        state.shown = vms;
+    }
+    Json(state.shown.clone())
+}
+
+async fn control(State(handle): State<Handle>, Json(command): Json<Command>) -> StatusCode {
+    handle.control(command);
+    StatusCode::NO_CONTENT
+}
+
+async fn seen(State(handle): State<Handle>) -> Json<Seen> {
+    Json(handle.seen())
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,241 @@
+//! An HTTP server that can fail in the ways that a stand-in needs.
+//!
+//! The library's own server hides its connections; here each one is held, so
+//! that it can be dropped in the middle of an answer, and the listener can be
+//! closed and bound again on the same address.
+
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::Router;
+use hyper::{Request, body::Incoming, server::conn::http1, service::Service};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    service::TowerToHyperService,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::Instant,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// How long to wait before the address is bound again after a failure.
+const REBIND_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What a server does with its listener and its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    Up,
+    /// Refuses connections and has dropped all that it had; without a time, until told.
+    Down(Option<Instant>),
+    /// Takes no new connection and finishes the requests in hand.
+    Draining,
+    /// As [`Mode::Down`], for good.
+    Killed,
+}
+
+/// The commands to a running server; clones command the same server.
+///
+/// Dropping every clone leaves the server running until its runtime ends.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    address: SocketAddr,
+    mode: Arc<watch::Sender<Mode>>,
+    killed: CancellationToken,
+    tasks: TaskTracker,
+}
+
+/// The connection that carries a request, as a request extension.
+#[derive(Clone, Debug)]
+pub(crate) struct Connection {
+    cut: CancellationToken,
+}
+
+impl Connection {
+    /// Drops the connection without an answer; never returns to the handler.
+    pub(crate) async fn cut(&self) -> Infallible {
+        self.cut.cancel();
+        std::future::pending().await
+    }
+}
+
+impl Handle {
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the base of the server's HTTP interface.
+    pub fn base(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Drops every connection and refuses new ones until [`Handle::up`].
+    pub fn down(&self) {
+        self.change(Mode::Down(None));
+    }
+
+    /// Drops every connection and refuses new ones for a while.
+    pub fn down_for(&self, span: Duration) {
+        self.change(Mode::Down(Some(Instant::now() + span)));
+    }
+
+    /// Accepts connections again.
+    pub fn up(&self) {
+        self.change(Mode::Up);
+    }
+
+    /// Refuses new connections, finishes the requests in hand and returns when all are done.
+    pub async fn stop(&self) {
+        self.change(Mode::Draining);
+        self.tasks.wait().await;
+    }
+
+    /// Drops every connection, refuses new ones for good and returns when all are dropped.
+    pub async fn kill(&self) {
+        self.killed.cancel();
+        self.change(Mode::Killed);
+        self.tasks.wait().await;
+    }
+
+    fn change(&self, mode: Mode) {
+        self.mode.send_if_modified(|now| {
+            let open = !matches!(now, Mode::Killed) && *now != mode;
+            if open {
+                *now = mode;
+            }
+            open
+        });
+    }
+}
+
+/// Serves what `build` returns, on a listener that is bound already.
+///
+/// `build` is given the commands to the server, because a stand-in may take
+/// itself down, and returns the handle of the stand-in beside its routes.
+///
+/// # Errors
+///
+/// Fails where the listener has no address.
+pub(crate) fn spawn<T>(
+    listener: TcpListener,
+    build: impl FnOnce(Handle) -> (Router, T),
+) -> io::Result<T> {
+    let (mode, changes) = watch::channel(Mode::Up);
+    let handle = Handle {
+        address: listener.local_addr()?,
+        mode: Arc::new(mode),
+        killed: CancellationToken::new(),
+        tasks: TaskTracker::new(),
+    };
+    let (router, built) = build(handle.clone());
+    let server = Server {
+        address: handle.address,
+        router,
+        mode: changes,
+        killed: handle.killed.clone(),
+        draining: CancellationToken::new(),
+        tasks: handle.tasks.clone(),
+    };
+    handle.tasks.spawn(server.run(listener));
+    handle.tasks.close();
+    Ok(built)
+}
+
+struct Server {
+    address: SocketAddr,
+    router: Router,
+    mode: watch::Receiver<Mode>,
+    killed: CancellationToken,
+    draining: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Server {
+    async fn run(mut self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        let mut connections = self.killed.child_token();
+        loop {
+            let mode = *self.mode.borrow_and_update();
+            match mode {
+                Mode::Up => self.accept(&mut listener, &connections).await,
+                Mode::Down(until) => {
+                    listener = None;
+                    connections.cancel();
+                    connections = self.killed.child_token();
+                    if self.sleep(until).await {
+                        self.accept(&mut listener, &connections).await;
+                    }
+                }
+                Mode::Draining => {
+                    self.draining.cancel();
+                    return;
+                }
+                Mode::Killed => return,
+            }
+        }
+    }
+
+    /// Accepts connections until the mode changes.
+    async fn accept(&mut self, slot: &mut Option<TcpListener>, connections: &CancellationToken) {
+        loop {
+            let Some(listener) = slot else {
+                *slot = TcpListener::bind(self.address).await.ok();
+                if slot.is_none() && !self.sleep(Some(Instant::now() + REBIND_INTERVAL)).await {
+                    return;
+                }
+                continue;
+            };
+            tokio::select! {
+                _ = self.mode.changed() => return,
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    let cut = connections.child_token();
+                    let router = self.router.clone();
+                    let draining = self.draining.clone();
+                    self.tasks.spawn(serve(stream, router, cut, draining));
+                }
+            }
+        }
+    }
+
+    /// Sleeps until a time, and returns whether it was reached before the mode changed.
+    async fn sleep(&mut self, until: Option<Instant>) -> bool {
+        let Some(until) = until else {
+            let _ = self.mode.changed().await;
+            return false;
+        };
+        tokio::select! {
+            () = tokio::time::sleep_until(until) => true,
+            _ = self.mode.changed() => false,
+        }
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    router: Router,
+    cut: CancellationToken,
+    draining: CancellationToken,
+) {
+    let _ = stream.set_nodelay(true);
+    let connection = Connection { cut: cut.clone() };
+    let router = TowerToHyperService::new(router);
+    let service = hyper::service::service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(connection.clone());
+        router.call(request)
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(serving);
+    tokio::select! {
+        () = cut.cancelled() => return,
+        _ = serving.as_mut() => return,
+        () = draining.cancelled() => serving.as_mut().graceful_shutdown(),
+    }
+    tokio::select! {
+        () = cut.cancelled() => {}
+        _ = serving => {}
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/object.rs
@@ -0,0 +1,132 @@
+//! The objects of a store and the order of their changes.
+
+use std::sync::Arc;
+
+use axum::body::Bytes;
+use serde::Serialize;
+
+/// What a write expects to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Expect {
+    Absent,
+    At(u64),
+}
+
+/// The expectation of a write did not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Conflict;
+
+/// Names and versions, and the position up to which they are complete.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct Listing {
+    pub(super) position: u64,
+    pub(super) objects: Vec<Listed>,
+}
+
+/// An object in a listing; a deleted one has version 0.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct Listed {
+    key: Arc<str>,
+    version: u64,
+}
+
+#[derive(Debug)]
+struct Record {
+    key: Arc<str>,
+    /// The position of the last change, which is the version as well.
+    changed: u64,
+    /// Nothing where the object was deleted.
+    value: Option<Bytes>,
+}
+
+impl Record {
+    fn version(&self) -> u64 {
+        match self.value {
+            Some(_) => self.changed,
+            None => 0,
+        }
+    }
+
+    fn listed(&self) -> Listed {
+        Listed {
+            key: self.key.clone(),
+            version: self.version(),
+        }
+    }
+}
+
+/// All objects, sorted by key; deleted ones stay, so that a watch can tell of them.
+#[derive(Debug, Default)]
+pub(super) struct Objects {
+    records: Vec<Record>,
+    position: u64,
+}
+
+impl Objects {
+    pub(super) fn get(&self, key: &str) -> Option<(u64, Bytes)> {
+        let record = &self.records[self.find(key).ok()?];
+        let value = record.value.clone()?;
+        Some((record.changed, value))
+    }
+
+    pub(super) fn put(&mut self, key: &str, expect: Expect, value: Bytes) -> Result<u64, Conflict> {
+        self.check(key, expect)?;
+        self.position += 1;
+        let record = Record {
+            key: key.into(),
+            changed: self.position,
+            value: Some(value),
+        };
+        match self.find(key) {
+            Ok(at) => self.records[at] = record,
+            Err(at) => self.records.insert(at, record),
+        }
+        Ok(self.position)
+    }
+
+    pub(super) fn delete(&mut self, key: &str, expect: Expect) -> Result<u64, Conflict> {
+        self.check(key, expect)?;
+        let at = self.find(key).map_err(|_| Conflict)?;
+        self.position += 1;
+        self.records[at].changed = self.position;
+        self.records[at].value = None;
+        Ok(self.position)
+    }
+
+    pub(super) fn list(&self, prefix: &str) -> Listing {
+        let live = self.under(prefix).filter(|record| record.value.is_some());
+        self.listing(live)
+    }
+
+    pub(super) fn changed(&self, prefix: &str, after: u64) -> Listing {
+        let later = self.under(prefix).filter(|record| record.changed > after);
+        self.listing(later)
+    }
+
+    fn listing<'a>(&self, records: impl Iterator<Item = &'a Record>) -> Listing {
+        Listing {
+            position: self.position,
+            objects: records.map(Record::listed).collect(),
+        }
+    }
+
+    fn under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Record> {
+        let from = self.records.partition_point(|record| *record.key < *prefix);
+        let rest = self.records[from..].iter();
+        rest.take_while(move |record| record.key.starts_with(prefix))
+    }
+
+    fn check(&self, key: &str, expect: Expect) -> Result<(), Conflict> {
+        let found = self.get(key).map(|(version, _)| version);
+        match (expect, found) {
+            (Expect::Absent, None) => Ok(()),
+            (Expect::At(wanted), Some(version)) if wanted == version => Ok(()),
+            _ => Err(Conflict),
+        }
+    }
+
+    fn find(&self, key: &str) -> Result<usize, usize> {
+        self.records
+            .binary_search_by(|record| (*record.key).cmp(key))
+    }
+}
--- /dev/null
+++ b/tests/integration/adapters.rs
@@ -0,0 +1,467 @@
+//! The HTTP adapters of `cactusroad-platform` against the stand-ins.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::Request;
+use tokio::net::TcpListener;
+
+use cactusroad_core::id::Attempt;
+use cactusroad_platform::{
+    address::Address,
+    engine::{self, Action, Engine as _, Event, Order, Prompt},
+    roster::{self, Roster as _},
+    service::{self, Service as _},
+    store::{self, Expect, Store as _},
+};
+use cactusroad_standin as standin;
+
+const WAIT: Duration = Duration::from_secs(20);
+
+async fn listen() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    listener.expect("loopback has a free port")
+}
+
+fn address(server: &standin::server::Handle) -> Address {
+    server.address().into()
+}
+
+async fn store() -> (standin::store::Handle, store::http::Client) {
+    let stood = standin::store::spawn(standin::store::Config::default(), listen().await).unwrap();
+    let client = store::http::Client::new(&address(stood.server()));
+    (stood, client)
+}
+
+async fn engine(
+    config: standin::engine::Config,
+) -> (standin::engine::Handle, engine::http::Client) {
+    let stood = standin::engine::spawn(config, listen().await).unwrap();
+    let client = engine::http::Client::new(&address(stood.server()));
+    (stood, client)
+}
+
+async fn service() -> (standin::service::Handle, service::http::Client) {
+    let stood =
+        standin::service::spawn(standin::service::Config::default(), listen().await).unwrap();
+    let client = service::http::Client::new(&address(stood.server()));
+    (stood, client)
+}
+
+fn prompt(number: u128, text: &str) -> Prompt {
+    Prompt {
+        generation: Attempt(number),
+        version: "v1".into(),
+        text: text.into(),
+        max_tokens: 1_000,
+        priority: 0,
+    }
+}
+
+async fn read_all(tokens: engine::http::Tokens) -> Vec<Result<Event, engine::Error>> {
+    let reading = tokens.collect();
+    tokio::time::timeout(WAIT, reading)
+        .await
+        .expect("the stream ends")
+}
+
+/// Returns the events of the whole answer from an index on.
+fn whole(prompt: &Prompt, from: u64) -> Vec<Result<Event, engine::Error>> {
+    let all = standin::engine::text::tokens(&prompt.text, prompt.max_tokens);
+    let generation = prompt.generation;
+    let tokens = (0..)
+        .zip(&all)
+        .skip(from as usize)
+        .map(|(index, text)| Event::Token {
+            generation,
+            index,
+            text: text.as_str().into(),
+        });
+    let end = Event::End {
+        generation,
+        count: all.len() as u64,
+        reason: "stop".into(),
+    };
+    tokens.chain([end]).map(Ok).collect()
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(WAIT, waiting)
+        .await
+        .expect("the condition comes to hold");
+}
+
+async fn take_down(server: &standin::server::Handle) {
+    server.down();
+    until(|| std::net::TcpStream::connect(server.address()).is_err()).await;
+}
+
+async fn bring_up(server: &standin::server::Handle) {
+    server.up();
+    until(|| std::net::TcpStream::connect(server.address()).is_ok()).await;
+}
+
+#[tokio::test]
+async fn store_conditional_updates() {
+    let (stood, client) = store().await;
+    let key = "ledger/part 0/a?b#c%";
+    let first = client
+        .put(key, Expect::Absent, Bytes::from("one"))
+        .await
+        .unwrap();
+    let again = client.put(key, Expect::Absent, Bytes::from("two")).await;
+    assert_eq!(again, Err(store::Error::Conflict));
+    let second = client
+        .put(key, Expect::At(first), Bytes::from("two"))
+        .await
+        .unwrap();
+    let stale = client
+        .put(key, Expect::At(first), Bytes::from("three"))
+        .await;
+    assert_eq!(stale, Err(store::Error::Conflict));
+    let read = client.get(key).await.unwrap().expect("the object is there");
+    assert_eq!((read.version, &*read.value), (second, &b"two"[..]));
+    assert_eq!(client.delete(key, first).await, Err(store::Error::Conflict));
+    client.delete(key, second).await.unwrap();
+    assert_eq!(client.get(key).await, Ok(None));
+    let seen = stood.seen();
+    assert_eq!((seen.reads, seen.writes, seen.conflicts), (2, 6, 3));
+}
+
+#[tokio::test]
+async fn store_oversized_value() {
+    let (_stood, client) = store().await;
+    for (bytes, fits) in [
+        (1024 * 1024, true),
+        (1024 * 1024 + 1, false),
+        (3 << 20, false),
+    ] {
+        let written = client
+            .put("a", Expect::Absent, Bytes::from(vec![7; bytes]))
+            .await;
+        match fits {
+            true => client.delete("a", written.unwrap()).await.unwrap(),
+            false => assert_eq!(written, Err(store::Error::TooLarge)),
+        }
+    }
+}
+
+#[tokio::test]
+async fn store_lost_answer() {
+    let (stood, client) = store().await;
+    stood.control(&standin::fault::Command {
+        drop_answers: Some(1),
+        ..Default::default()
+    });
+    let lost = client
+        .put("claim", Expect::Absent, Bytes::from("mine"))
+        .await;
+    assert_eq!(lost, Err(store::Error::Unanswered));
+    let read = client
+        .get("claim")
+        .await
+        .unwrap()
+        .expect("the write took effect");
+    assert_eq!(&*read.value, b"mine");
+    stood.control(&standin::fault::Command {
+        drop_requests: Some(1),
+        ..Default::default()
+    });
+    let lost = client
+        .put("other", Expect::Absent, Bytes::from("mine"))
+        .await;
+    assert_eq!(lost, Err(store::Error::Unanswered));
+    assert_eq!(client.get("other").await, Ok(None));
+}
+
+#[tokio::test]
+async fn store_outage_keeps_objects() {
+    let (stood, client) = store().await;
+    let version = client
+        .put("a", Expect::Absent, Bytes::from("1"))
+        .await
+        .unwrap();
+    take_down(stood.server()).await;
+    let refused = client.put("a", Expect::At(version), Bytes::from("2")).await;
+    assert_eq!(refused, Err(store::Error::Unavailable));
+    bring_up(stood.server()).await;
+    let read = client
+        .get("a")
+        .await
+        .unwrap()
+        .expect("the object outlasts the outage");
+    assert_eq!((read.version, &*read.value), (version, &b"1"[..]));
+}
+
+#[tokio::test]
+async fn store_slow_answer_times_out() {
+    let (stood, client) = store().await;
+    stood.control(&standin::fault::Command {
+        lag_ms: Some(60_000),
+        ..Default::default()
+    });
+    let client = client.with_timeout(Duration::from_millis(50));
+    assert_eq!(client.get("a").await, Err(store::Error::Unanswered));
+}
+
+#[tokio::test]
+async fn store_watch() {
+    let (stood, client) = store().await;
+    let before = client.list("config/").await.unwrap();
+    assert_eq!(before, store::Change::default());
+    let watcher = client.clone();
+    let watch = tokio::spawn(async move { watcher.watch("config/", before.position, WAIT).await });
+    until(|| stood.seen().waiting == 1).await;
+    client
+        .put("other", Expect::Absent, Bytes::new())
+        .await
+        .unwrap();
+    let version = client
+        .put("config/a", Expect::Absent, Bytes::new())
+        .await
+        .unwrap();
+    let change = watch.await.unwrap().unwrap();
+    assert_eq!(change.objects, [("config/a".into(), version)]);
+    until(|| stood.seen().waiting == 0).await;
+    client.delete("config/a", version).await.unwrap();
+    let deleted = client
+        .watch("config/", change.position, WAIT)
+        .await
+        .unwrap();
+    assert_eq!(deleted.objects, [("config/a".into(), store::Version(0))]);
+    let quiet = client
+        .watch("config/", deleted.position, Duration::ZERO)
+        .await
+        .unwrap();
+    assert_eq!(quiet.objects, []);
+}
+
+#[tokio::test]
+async fn engine_whole_answer() {
+    let (stood, client) = engine(Default::default()).await;
+    let prompt = prompt(1, "a catalogue [len=40]");
+    let tokens = client.generate(&prompt).await.unwrap();
+    assert_eq!(read_all(tokens).await, whole(&prompt, 0));
+    let repeated = client.generate(&prompt).await;
+    assert_eq!(repeated.err(), Some(engine::Error::Refused));
+    let seen = stood.seen();
+    assert_eq!(seen.generations.len(), 1);
+    assert_eq!(
+        (seen.generations[0].starts, seen.generations[0].sent),
+        (2, 40)
+    );
+    assert!(seen.generations[0].ended);
+}
+
+#[tokio::test]
+async fn engine_resume_and_cancel() {
+    let (stood, client) = engine(Default::default()).await;
+    let short = prompt(1, "short [len=50]");
+    let mut tokens = client.generate(&short).await.unwrap();
+    for _ in 0..7 {
+        tokens.next().await.unwrap().unwrap();
+    }
+    drop(tokens);
+    let rest = client.resume(short.generation, 7).await.unwrap();
+    assert_eq!(read_all(rest).await, whole(&short, 7));
+
+    let long = prompt(2, "long [len=1000]");
+    let mut tokens = client.generate(&long).await.unwrap();
+    tokens.next().await.unwrap().unwrap();
+    client.cancel(long.generation).await.unwrap();
+    let events = read_all(tokens).await;
+    assert_eq!(events.last(), Some(&Err(engine::Error::Broken)));
+    client.cancel(Attempt(99)).await.unwrap();
+    let unknown = client.resume(Attempt(99), 0).await;
+    assert_eq!(unknown.err(), Some(engine::Error::Refused));
+    let seen = stood.seen();
+    assert_eq!(
+        (seen.generations[1].cancels, seen.generations[1].ended),
+        (1, false)
+    );
+}
+
+#[tokio::test]
+async fn engine_crash_marker() {
+    let config = standin::engine::Config {
+        crash_after_tokens: 3,
+        ..Default::default()
+    };
+    let (stood, client) = engine(config).await;
+    let before = client.load().await.unwrap().incarnation;
+    let innocent = client
+        .generate(&prompt(1, "beside it [len=900]"))
+        .await
+        .unwrap();
+    let marked = client
+        .generate(&prompt(2, "[crash] [len=9]"))
+        .await
+        .unwrap();
+    let events = read_all(marked).await;
+    assert_eq!(events.last(), Some(&Err(engine::Error::Broken)));
+    let events = read_all(innocent).await;
+    assert_eq!(events.last(), Some(&Err(engine::Error::Broken)));
+    take_down(stood.server()).await;
+    assert_eq!(client.load().await, Err(engine::Error::Unreachable));
+    bring_up(stood.server()).await;
+    assert!(client.load().await.unwrap().incarnation > before);
+    let lost = client.resume(Attempt(1), 0).await;
+    assert_eq!(lost.err(), Some(engine::Error::Refused));
+    assert_eq!(stood.seen().crashes, 1);
+}
+
+#[tokio::test]
+async fn engine_fencing() {
+    let (stood, client) = engine(Default::default()).await;
+    let order = |number| Order {
+        number,
+        action: Action::Load {
+            version: "v2".into(),
+        },
+    };
+    assert_eq!(client.order(&order(5)).await, Ok(()));
+    assert_eq!(client.order(&order(4)).await, Err(engine::Error::Fenced));
+    stood.control(&standin::engine::Command {
+        ignore_fencing: Some(true),
+        ..Default::default()
+    });
+    assert_eq!(client.order(&order(3)).await, Ok(()));
+    assert_eq!(client.load().await.unwrap().versions, ["v2".into()]);
+    assert_eq!(stood.seen().fenced, 1);
+}
+
+#[tokio::test]
+async fn engine_lost_cache_events() {
+    let (stood, client) = engine(Default::default()).await;
+    let text = "x".repeat(3 * standin::engine::PREFIX_BLOCK_BYTES) + "[len=1]";
+    stood.control(&standin::engine::Command {
+        lose_cache_events: Some(2),
+        ..Default::default()
+    });
+    let tokens = client.generate(&prompt(1, &text)).await.unwrap();
+    read_all(tokens).await;
+    let events = client.cache_events(0).await.unwrap();
+    let numbers: Vec<u64> = events.iter().map(|event| event.sequence).collect();
+    assert_eq!(numbers, [3]);
+    assert_eq!(client.cache_events(3).await.unwrap(), []);
+}
+
+#[tokio::test]
+async fn engine_cold_queue() {
+    let config = standin::engine::Config {
+        cold: true,
+        cold_capacity: 1,
+        ..Default::default()
+    };
+    let (stood, client) = engine(config).await;
+    let first = client.generate(&prompt(1, "[len=1000]")).await.unwrap();
+    until(|| stood.seen().most_held == 1).await;
+    let second = prompt(2, "[len=3]");
+    let waiting = client.generate(&second).await.unwrap();
+    until(|| stood.seen().most_held == 2).await;
+    let load = client.load().await.unwrap();
+    assert_eq!((load.running, load.waiting), (1, 1));
+    assert_eq!(stood.seen().overloads, 1);
+    client.cancel(Attempt(1)).await.unwrap();
+    assert_eq!(read_all(waiting).await, whole(&second, 0));
+    drop(first);
+}
+
+#[tokio::test]
+async fn service_counts_runs() {
+    let (stood, client) = service().await;
+    let call = |body: &'static str| {
+        Request::post("/orders?x=1")
+            .header("idempotency-key", "k1")
+            .header("x-request-id", "r1")
+            .body(Bytes::from(body))
+            .unwrap()
+    };
+    let answer = client.call(call("{}")).await.unwrap();
+    assert_eq!(answer.headers()["x-request-id"], "r1");
+    let body: standin::service::Answer = serde_json::from_slice(answer.body()).unwrap();
+    assert_eq!(
+        (&*body.method, &*body.path, body.run),
+        ("POST", "/orders?x=1", 1)
+    );
+    stood.control(&standin::service::Command {
+        faults: standin::fault::Command {
+            drop_answers: Some(1),
+            ..Default::default()
+        },
+        ..Default::default()
+    });
+    assert_eq!(
+        client.call(call("{}")).await.err(),
+        Some(service::Error::Broken)
+    );
+    assert_eq!(stood.seen().runs_of("k1"), 2);
+    assert_eq!(
+        client.call(call("[crash]")).await.err(),
+        Some(service::Error::Broken)
+    );
+    take_down(stood.server()).await;
+    assert_eq!(
+        client.call(call("{}")).await.err(),
+        Some(service::Error::Unreachable)
+    );
+    assert_eq!((stood.seen().total, stood.seen().crashes), (3, 1));
+}
+
+#[tokio::test]
+async fn service_oversized_answer() {
+    let (_stood, client) = service().await;
+    let client = client.with_max_answer_bytes(16);
+    let call = Request::get("/").body(Bytes::new()).unwrap();
+    assert_eq!(
+        client.call(call).await.err(),
+        Some(service::Error::TooLarge)
+    );
+}
+
+#[tokio::test]
+async fn roster_sorted_and_refused() {
+    let stood = standin::roster::spawn(Default::default(), listen().await).unwrap();
+    let client = roster::http::Client::new(&address(stood.server()));
+    let vm = |name: &str| standin::roster::Vm {
+        name: name.into(),
+        role: "endpoint".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "sfax".into(),
+        leaving: name == "b",
+    };
+    stood.set(vec![vm("b"), vm("a")]);
+    let vms = client.vms().await.unwrap();
+    let names: Vec<(&str, bool)> = vms.iter().map(|vm| (&*vm.name, vm.leaving)).collect();
+    assert_eq!(names, [("a", false), ("b", true)]);
+    stood.server().kill().await;
+    assert_eq!(client.vms().await, Err(roster::Error::Unavailable));
+}
+
+#[tokio::test]
+async fn role_stops_after_requests_in_hand() {
+    let (tell, told) = tokio::sync::oneshot::channel();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let any = "127.0.0.1:0".parse().unwrap();
+    let config = r#"{"token_interval_ms": 1}"#;
+    let running = tokio::spawn(standin::role::run(
+        standin::role::Role::Engine,
+        any,
+        config,
+        |address| tell.send(address).unwrap(),
+        async { stopped.await.unwrap() },
+    ));
+    let client = engine::http::Client::new(&told.await.unwrap().into());
+    let prompt = prompt(1, "[len=60]");
+    let tokens = client.generate(&prompt).await.unwrap();
+    stop.send(()).unwrap();
+    assert_eq!(read_all(tokens).await, whole(&prompt, 0));
+    running.await.unwrap().unwrap();
+    assert_eq!(client.load().await, Err(engine::Error::Unreachable));
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,1 +1,3 @@
 //! Integration tests with real processes.
+
+mod adapters;
