Model one engine in virtual time

Cause: admission, cold start and placement can only be measured against an engine that batches, fills its memory and preempts, and no library gives one. Change: cactusroad_standin::model holds iteration steps, block memory with a prefix cache, step times, preemption by recompute, priorities, cold start, lagging reports and cache events with gaps; seeded, in virtual time.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Small stand-ins for the systems around cactusroad.
+
+pub mod model;
--- /dev/null
+++ b/crates/standin/src/model/engine.rs
@@ -0,0 +1,524 @@
+use cactusroad_core::{Time, id::Attempt};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use strum::{Display, IntoStaticStr};
+
+use super::{
+    Config,
+    memory::Memory,
+    report::{CacheEvent, Load, Publisher},
+};
+
+/// A generation to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// The identity of the generation.
+    pub generation: Attempt,
+    /// The length of the prompt.
+    pub prompt_tokens: u32,
+    /// Hashes of the leading whole blocks of the prompt that may be shared,
+    /// shortest prefix first.
+    pub prefixes: Vec<u64>,
+    /// The number of tokens that will be generated, at least 1.
+    pub output_tokens: u32,
+    /// The priority; higher goes first.
+    pub priority: u8,
+}
+
+impl Default for Job {
+    fn default() -> Job {
+        Job {
+            generation: Attempt(0),
+            prompt_tokens: 1,
+            prefixes: Vec::new(),
+            output_tokens: 1,
+            priority: 0,
+        }
+    }
+}
+
+/// Why a generation ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// It is complete.
+    Stop,
+    /// It alone fills the memory of the engine.
+    Length,
+}
+
+/// What the engine gives out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// One token.
+    Token {
+        /// The generation that the token belongs to.
+        generation: Attempt,
+        /// The position of the token, from 0.
+        index: u32,
+    },
+    /// The end of a generation.
+    End {
+        /// The generation that ended.
+        generation: Attempt,
+        /// The number of tokens that it has.
+        count: u32,
+        /// Why it ended.
+        reason: Reason,
+    },
+    /// A generation lost its memory; its next token comes after a recompute.
+    ///
+    /// A real engine tells this to nobody; it is for measurements only.
+    Preempted {
+        /// The generation.
+        generation: Attempt,
+    },
+}
+
+/// An output and its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Emission {
+    /// When the output appeared.
+    pub at: Time,
+    /// The output.
+    pub output: Output,
+}
+
+/// Why a generation was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The prompt does not fit into the memory.
+    #[error("the prompt is larger than the engine's memory; shorten it")]
+    TooLarge,
+}
+
+/// A generation inside the engine.
+#[derive(Clone, Debug)]
+struct Sequence {
+    job: Job,
+    arrival: u64,
+    emitted: u32,
+    private_blocks: u32,
+}
+
+impl Sequence {
+    fn context(&self) -> u32 {
+        self.job.prompt_tokens + self.emitted
+    }
+
+    /// The order of service: higher priority first, then earlier arrival.
+    fn rank(&self) -> (u8, u64) {
+        (u8::MAX - self.job.priority, self.arrival)
+    }
+}
+
+/// The step that is under way.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The last `0` of the running generations compute their prompts.
+    Prefill(usize),
+    /// All running generations decode a token.
+    Decode,
+}
+
+/// The share of memory that stays free when a prompt is taken in, as a divisor.
+const WATERMARK_DIVISOR: u32 = 100;
+
+/// A model of one engine; see the [module](super).
+#[derive(Clone, Debug)]
+pub struct Engine {
+    config: Config,
+    memory: Memory,
+    publisher: Publisher,
+    /// In the order of admission to the batch.
+    running: Vec<Sequence>,
+    /// Sorted by rank.
+    waiting: Vec<Sequence>,
+    step: Option<(Time, Step)>,
+    arrivals: u64,
+    incarnation: u64,
+    preemptions: u64,
+    work_tokens: u64,
+    overloads: u64,
+}
+
+impl Engine {
+    /// Returns an idle engine, which is cold where the configuration has a cold start.
+    pub fn new(config: Config, now: Time) -> Engine {
+        let rng = ChaCha8Rng::seed_from_u64(config.seed);
+        let publisher = Publisher::new(rng, now, Load::default());
+        let mut engine = Engine {
+            memory: Memory::new(config.blocks),
+            publisher,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            step: None,
+            arrivals: 0,
+            incarnation: 1,
+            preemptions: 0,
+            work_tokens: 0,
+            overloads: 0,
+            config,
+        };
+        engine.resize();
+        engine.publisher = Publisher::new(
+            ChaCha8Rng::seed_from_u64(engine.config.seed),
+            now,
+            engine.snapshot(),
+        );
+        engine
+    }
+
+    /// Takes a generation into the queue.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the prompt alone is larger than the memory.
+    pub fn submit(&mut self, now: Time, mut job: Job) -> Result<(), Error> {
+        let blocks = job.prompt_tokens / self.config.block_tokens + 1;
+        if blocks > self.config.blocks {
+            return Err(Error::TooLarge);
+        }
+        job.output_tokens = job.output_tokens.max(1);
+        let shareable = (job.prompt_tokens / self.config.block_tokens) as usize;
+        job.prefixes.truncate(shareable);
+        self.arrivals += 1;
+        let sequence = Sequence {
+            job,
+            arrival: self.arrivals,
+            emitted: 0,
+            private_blocks: 0,
+        };
+        self.enqueue(sequence);
+        self.start(now);
+        Ok(())
+    }
+
+    /// Cancels a generation and frees its memory; an unknown one is ignored.
+    pub fn cancel(&mut self, now: Time, generation: Attempt) {
+        self.waiting
+            .retain(|sequence| sequence.job.generation != generation);
+        let found = self
+            .running
+            .iter()
+            .position(|sequence| sequence.job.generation == generation);
+        let Some(at) = found else { return };
+        if let Some((_, Step::Prefill(count))) = &mut self.step
+            && at >= self.running.len() - *count
+        {
+            *count -= 1;
+        }
+        let sequence = self.running.remove(at);
+        self.free(now, &sequence);
+    }
+
+    /// Returns when the engine next gives something out, or `None` while it idles.
+    pub fn next_at(&self) -> Option<Time> {
+        self.step.as_ref().map(|(at, _)| *at)
+    }
+
+    /// Runs the engine up to `now` and appends what it gives out.
+    pub fn advance(&mut self, now: Time, outputs: &mut Vec<Emission>) {
+        while let Some((at, step)) = self.step.take_if(|(at, _)| at.is_past(now)) {
+            self.finish(at, &step, outputs);
+            self.plan(at, outputs);
+            self.publish(at);
+        }
+        self.publish(now);
+    }
+
+    /// Returns the latest report that can be read at `now`.
+    pub fn load(&self, now: Time) -> Load {
+        self.publisher.load(now)
+    }
+
+    /// Returns the load as it is, without the lag, for measurements only.
+    pub fn snapshot(&self) -> Load {
+        Load {
+            incarnation: self.incarnation,
+            blocks_total: u64::from(self.memory.total()),
+            blocks_used: u64::from(self.memory.used()),
+            block_tokens: u64::from(self.config.block_tokens),
+            running: self.running.len() as u64,
+            waiting: self.waiting.len() as u64,
+            preemptions: self.preemptions,
+        }
+    }
+
+    /// Returns the cache events after a sequence number that can be read at `now`.
+    pub fn cache_events(&self, now: Time, after: u64) -> Vec<CacheEvent> {
+        self.publisher.events(now, after)
+    }
+
+    /// Returns the generations that the engine bears at present.
+    pub fn bears(&self) -> u32 {
+        let Some(cold) = &self.config.cold else {
+            return self.config.batch_max;
+        };
+        let room = f64::from(self.config.batch_max.saturating_sub(cold.bears));
+        cold.bears + (room * self.warmth()) as u32
+    }
+
+    /// Returns how warm the engine is, from 0 to 1.
+    pub fn warmth(&self) -> f64 {
+        match &self.config.cold {
+            Some(cold) if cold.work_tokens > 0 => {
+                (self.work_tokens as f64 / cold.work_tokens as f64).min(1.0)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Returns the steps that ran with more generations than the engine bore.
+    pub const fn overloads(&self) -> u64 {
+        self.overloads
+    }
+
+    /// Turns the engine cold without a restart.
+    pub fn turn_cold(&mut self) {
+        self.work_tokens = 0;
+        self.resize();
+    }
+
+    /// Restarts the engine and returns the generations that it lost.
+    pub fn restart(&mut self, now: Time) -> Vec<Attempt> {
+        let lost = self
+            .running
+            .drain(..)
+            .chain(self.waiting.drain(..))
+            .map(|sequence| sequence.job.generation)
+            .collect();
+        self.memory = Memory::new(self.config.blocks);
+        self.step = None;
+        self.incarnation += 1;
+        self.preemptions = 0;
+        self.turn_cold();
+        self.publish(now);
+        lost
+    }
+
+    fn enqueue(&mut self, sequence: Sequence) {
+        let rank = sequence.rank();
+        let at = self.waiting.partition_point(|other| other.rank() <= rank);
+        self.waiting.insert(at, sequence);
+    }
+
+    fn start(&mut self, now: Time) {
+        if self.step.is_none() {
+            // A plan with nothing running preempts nothing, so it gives nothing out.
+            self.plan(now, &mut Vec::new());
+        }
+        self.publish(now);
+    }
+
+    fn plan(&mut self, now: Time, outputs: &mut Vec<Emission>) {
+        let (count, tokens) = self.take_prompts(now);
+        if count > 0 {
+            let micros = self.config.step_micros + self.config.prefill_micros * tokens as f64;
+            self.step = Some((self.step_end(now, micros), Step::Prefill(count)));
+            return;
+        }
+        self.grow(now, outputs);
+        if self.running.is_empty() {
+            if !self.waiting.is_empty() {
+                self.plan(now, outputs);
+            }
+            return;
+        }
+        let context: u64 = self.running.iter().map(|s| u64::from(s.context())).sum();
+        let micros = self.config.step_micros
+            + self.config.sequence_micros * self.running.len() as f64
+            + self.config.context_micros * context as f64;
+        self.step = Some((self.step_end(now, micros), Step::Decode));
+    }
+
+    fn step_end(&mut self, now: Time, micros: f64) -> Time {
+        let mut slowdown = 1.0;
+        if let Some(cold) = &self.config.cold {
+            slowdown += (cold.slowdown - 1.0) * (1.0 - self.warmth());
+            if self.running.len() > self.bears() as usize {
+                slowdown *= cold.overload_slowdown;
+                self.overloads += 1;
+            }
+        }
+        Time::from_micros(now.as_micros() + ((micros * slowdown) as u64).max(1))
+    }
+
+    /// Moves waiting generations into the batch; returns their number and the
+    /// prompt tokens to compute.
+    fn take_prompts(&mut self, now: Time) -> (usize, u64) {
+        let mut count = 0;
+        let mut tokens = 0;
+        while let Some(head) = self.waiting.first() {
+            let context = head.context();
+            let prefixes = &head.job.prefixes;
+            let cached = self.memory.held(prefixes) * self.config.block_tokens;
+            let compute = u64::from(context.saturating_sub(cached).max(1));
+            let over = tokens + compute > u64::from(self.config.prefill_tokens_max);
+            if self.running.len() >= self.config.batch_max as usize || (count > 0 && over) {
+                break;
+            }
+            let private = context / self.config.block_tokens + 1 - prefixes.len() as u32;
+            let need = private + self.memory.unreferenced(prefixes);
+            let idle = self.running.is_empty();
+            let watermark = if idle {
+                0
+            } else {
+                self.memory.total() / WATERMARK_DIVISOR
+            };
+            if self.memory.available() < need + watermark {
+                if idle && need > self.memory.total() {
+                    // It cannot run again before the memory grows; see `grow`.
+                    self.memory.resize(self.config.blocks);
+                    continue;
+                }
+                break;
+            }
+            let mut sequence = self.waiting.remove(0);
+            self.memory.reference(now, &sequence.job.prefixes);
+            let taken = self.memory.take(private);
+            debug_assert!(taken, "the room was checked before");
+            sequence.private_blocks = private;
+            self.running.push(sequence);
+            count += 1;
+            tokens += compute;
+        }
+        (count, tokens)
+    }
+
+    /// Gives each running generation the block that its next token needs.
+    fn grow(&mut self, now: Time, outputs: &mut Vec<Emission>) {
+        let mut at = 0;
+        while at < self.running.len() {
+            if !self.needs_block(at) || self.memory.take(1) {
+                let grown = u32::from(self.needs_block(at));
+                self.running[at].private_blocks += grown;
+                at += 1;
+                continue;
+            }
+            let victim = self.victim();
+            if self.running.len() == 1 {
+                if self.memory.total() < self.config.blocks {
+                    // A cold engine lends a lone generation the memory of a warm one.
+                    self.memory.resize(self.config.blocks);
+                    continue;
+                }
+                self.truncate(now, outputs);
+                return;
+            }
+            if victim < at {
+                at -= 1;
+            }
+            self.preempt(now, victim, outputs);
+        }
+        while self.memory.used() > self.memory.total() && self.running.len() > 1 {
+            let victim = self.victim();
+            self.preempt(now, victim, outputs);
+        }
+    }
+
+    fn needs_block(&self, at: usize) -> bool {
+        let sequence = &self.running[at];
+        let blocks = sequence.private_blocks + sequence.job.prefixes.len() as u32;
+        sequence.context() / self.config.block_tokens + 1 > blocks
+    }
+
+    fn victim(&self) -> usize {
+        (0..self.running.len())
+            .max_by_key(|&at| self.running[at].rank())
+            .unwrap_or_default()
+    }
+
+    fn preempt(&mut self, now: Time, at: usize, outputs: &mut Vec<Emission>) {
+        let mut sequence = self.running.remove(at);
+        self.free(now, &sequence);
+        sequence.private_blocks = 0;
+        self.preemptions += 1;
+        let generation = sequence.job.generation;
+        outputs.push(Emission {
+            at: now,
+            output: Output::Preempted { generation },
+        });
+        self.enqueue(sequence);
+    }
+
+    /// Ends the only running generation, which fills the whole memory.
+    fn truncate(&mut self, now: Time, outputs: &mut Vec<Emission>) {
+        for sequence in std::mem::take(&mut self.running) {
+            self.free(now, &sequence);
+            outputs.push(end(now, &sequence, Reason::Length));
+        }
+    }
+
+    fn free(&mut self, now: Time, sequence: &Sequence) {
+        self.memory.give(sequence.private_blocks);
+        self.memory.release(now, &sequence.job.prefixes);
+    }
+
+    fn finish(&mut self, now: Time, step: &Step, outputs: &mut Vec<Emission>) {
+        let first = match step {
+            Step::Prefill(count) => self.running.len() - count,
+            Step::Decode => 0,
+        };
+        for sequence in &mut self.running[first..] {
+            let output = Output::Token {
+                generation: sequence.job.generation,
+                index: sequence.emitted,
+            };
+            outputs.push(Emission { at: now, output });
+            sequence.emitted += 1;
+            self.work_tokens += 1;
+        }
+        self.remove_complete(now, outputs);
+        if self.config.cold.is_some() {
+            self.resize();
+        }
+    }
+
+    fn remove_complete(&mut self, now: Time, outputs: &mut Vec<Emission>) {
+        let mut at = 0;
+        while at < self.running.len() {
+            if self.running[at].emitted < self.running[at].job.output_tokens {
+                at += 1;
+                continue;
+            }
+            let sequence = self.running.remove(at);
+            self.free(now, &sequence);
+            outputs.push(end(now, &sequence, Reason::Stop));
+        }
+    }
+
+    fn resize(&mut self) {
+        let share = self.config.cold.as_ref().map_or(1.0, |cold| {
+            cold.memory_share + (1.0 - cold.memory_share) * self.warmth()
+        });
+        let blocks = (f64::from(self.config.blocks) * share) as u32;
+        if blocks != self.memory.total() {
+            self.memory.resize(blocks.max(1));
+        }
+    }
+
+    fn publish(&mut self, now: Time) {
+        let load = self.snapshot();
+        let lag = (self.config.report_lag_min, self.config.report_lag_max);
+        self.publisher
+            .record(now, load, self.config.report_interval, lag);
+        let mut changes = Vec::new();
+        self.memory.drain_changes(&mut changes);
+        self.publisher.record_changes(
+            now,
+            &mut changes,
+            self.config.event_lag,
+            self.config.event_loss,
+        );
+    }
+}
+
+fn end(now: Time, sequence: &Sequence, reason: Reason) -> Emission {
+    let output = Output::End {
+        generation: sequence.job.generation,
+        count: sequence.emitted,
+        reason,
+    };
+    Emission { at: now, output }
+}
