Read the operators' folder, report every fault at once, split into parts

Cause: the entry and the spreading of configurations need a schema that fits the store (values of a megabyte) at 37,000 workspaces, and operators need all faults of their folder at once with file, field and remedy.

Change: config gains plans, settings, a folder reader (RFC 7386 merge in the order of names, duplicate keys, unknown fields, dangling names, impossible plans), and content-addressed parts under a small manifest.

Conclusion: a serde error stops at the first field, so each field is tried alone in an otherwise valid sample of its type; this needs no second schema.

--- /dev/null
+++ b/crates/core/src/config/check.rs
@@ -0,0 +1,182 @@
+//! The rules that span several objects of a configuration.
+//!
+//! [`check`] returns every violation with the path of its field, and knows
+//! nothing of files.
+
+use std::time::Duration;
+
+use super::{DataCentre, Plan, Route, Snapshot, WHOLE_SHARE, Workspace, fault::Kind, parts};
+
+/// The shortest time in which a step can be proven, in milliseconds.
+pub const MIN_STEP_MS: u64 = 30_000;
+
+const DIGEST_DIGITS: usize = 64;
+
+/// The path of a field, from its section inwards.
+pub type Path = Vec<String>;
+
+/// Returns the path and kind of each violation.
+pub fn check(snapshot: &Snapshot) -> Vec<(Path, Kind)> {
+    let mut found = Found::default();
+    for route in &snapshot.routes {
+        check_route(snapshot, route, &mut found);
+    }
+    for workspace in &snapshot.workspaces {
+        check_workspace(workspace, &mut found);
+    }
+    for plan in &snapshot.plans {
+        check_plan(snapshot, plan, &mut found);
+    }
+    check_data_centres(&snapshot.data_centres, &mut found);
+    check_limits(snapshot, &mut found);
+    let bytes = parts::base_bytes(snapshot);
+    if bytes > parts::MAX_PART_BYTES {
+        found.add(&[], Kind::TooLarge(bytes));
+    }
+    found.0
+}
+
+#[derive(Default)]
+struct Found(Vec<(Path, Kind)>);
+
+impl Found {
+    fn add(&mut self, path: &[&str], kind: Kind) {
+        let path = path.iter().map(|&name| name.to_owned()).collect();
+        self.0.push((path, kind));
+    }
+}
+
+fn check_route(snapshot: &Snapshot, route: &Route, found: &mut Found) {
+    let Route { name, version, .. } = route;
+    if snapshot.version(version).is_none() {
+        let kind = dangling("versions", version);
+        found.add(&["routes", name, "version"], kind);
+    }
+    if route.timeout_ms == 0 {
+        found.add(&["routes", name, "timeout_ms"], Kind::Zero);
+    }
+}
+
+fn check_workspace(workspace: &Workspace, found: &mut Found) {
+    let name = &workspace.name;
+    if workspace.weight == 0 {
+        found.add(&["workspaces", name, "weight"], Kind::Zero);
+    }
+    if workspace.tokens_per_second == Some(0) {
+        found.add(&["workspaces", name, "tokens_per_second"], Kind::Zero);
+    }
+    for (at, digest) in workspace.key_digests.iter().enumerate() {
+        if !is_digest(digest) {
+            let path = ["workspaces", name, "key_digests", &at.to_string()];
+            found.add(&path, Kind::BadDigest(digest.clone()));
+        }
+    }
+}
+
+fn check_data_centres(data_centres: &[DataCentre], found: &mut Found) {
+    if data_centres.is_empty() {
+        found.add(&["data_centres"], Kind::NoDataCentre);
+    } else if data_centres.iter().all(|data_centre| data_centre.out) {
+        found.add(&["data_centres"], Kind::AllOut);
+    }
+}
+
+fn check_limits(snapshot: &Snapshot, found: &mut Found) {
+    let limits = &snapshot.settings.limits;
+    if limits.max_body_bytes == 0 {
+        found.add(&["settings", "limits", "max_body_bytes"], Kind::Zero);
+    }
+    if limits.max_tokens == 0 {
+        found.add(&["settings", "limits", "max_tokens"], Kind::Zero);
+    }
+}
+
+fn check_plan(snapshot: &Snapshot, plan: &Plan, found: &mut Found) {
+    let name = &*plan.name;
+    for (field, version) in [("from", &plan.from), ("to", &plan.to)] {
+        if snapshot.version(version).is_none() {
+            found.add(&["plans", name, field], dangling("versions", version));
+        }
+    }
+    if plan.from == plan.to {
+        let kind = Kind::SameVersion(plan.to.clone());
+        found.add(&["plans", name, "to"], kind);
+    }
+    match snapshot.route(&plan.route) {
+        None => found.add(&["plans", name, "route"], dangling("routes", &plan.route)),
+        Some(route) if route.version != plan.from && route.version != plan.to => {
+            let kind = Kind::OtherVersion {
+                route: route.name.clone(),
+                version: route.version.clone(),
+            };
+            found.add(&["plans", name, "from"], kind);
+        }
+        Some(_) => {}
+    }
+    if let Some(first) = snapshot.plan_of(&plan.route)
+        && first.name != plan.name
+    {
+        let kind = Kind::SameRoute(first.name.clone());
+        found.add(&["plans", name, "route"], kind);
+    }
+    if plan.unproven_share == 0 || plan.unproven_share > WHOLE_SHARE {
+        let kind = Kind::BadShare(plan.unproven_share);
+        found.add(&["plans", name, "unproven_share"], kind);
+    }
+    check_steps(plan, found);
+}
+
+fn check_steps(plan: &Plan, found: &mut Found) {
+    let name = &*plan.name;
+    let Some(last) = plan.steps.last() else {
+        return found.add(&["plans", name, "steps"], Kind::NoSteps);
+    };
+    for (at, step) in plan.steps.iter().enumerate() {
+        let at = at.to_string();
+        if step.share == 0 || step.share > WHOLE_SHARE {
+            let kind = Kind::BadShare(step.share);
+            found.add(&["plans", name, "steps", &at, "share"], kind);
+        }
+    }
+    for (at, pair) in plan.steps.windows(2).enumerate() {
+        let at = (at + 1).to_string();
+        let [before, step] = [pair[0], pair[1]];
+        if step.share <= before.share {
+            let kind = Kind::ShareNotRising {
+                share: step.share,
+                before: before.share,
+            };
+            found.add(&["plans", name, "steps", &at, "share"], kind);
+        }
+        let gap = step.not_before.since(before.not_before);
+        if gap < Duration::from_millis(MIN_STEP_MS) {
+            let gap_ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+            let kind = Kind::StepTooEarly { gap_ms };
+            found.add(&["plans", name, "steps", &at, "not_before"], kind);
+        }
+    }
+    if last.share < WHOLE_SHARE {
+        let kind = Kind::StepsStopShort(last.share);
+        found.add(&["plans", name, "steps"], kind);
+    }
+    let possible = last.not_before + Duration::from_millis(MIN_STEP_MS);
+    if plan.deadline < possible {
+        let kind = Kind::DeadlineTooEarly {
+            deadline: plan.deadline,
+            possible,
+        };
+        found.add(&["plans", name, "deadline"], kind);
+    }
+}
+
+fn dangling(section: &'static str, name: &std::sync::Arc<str>) -> Kind {
+    Kind::DanglingName {
+        section,
+        name: name.clone(),
+    }
+}
+
+fn is_digest(text: &str) -> bool {
+    let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    text.len() == DIGEST_DIGITS && text.bytes().all(is_digit)
+}
--- /dev/null
+++ b/crates/core/src/config/folder.rs
@@ -0,0 +1,455 @@
+//! The folder that operators write.
+//!
+//! Each file is named `NN-name.json` and holds some of the sections `routes`,
+//! `versions`, `data_centres`, `workspaces`, `plans` and `settings`. Files are
+//! merged in the order of their names by the rules of RFC 7386: a later file
+//! overrides single fields of an earlier one, and `null` removes. Whoever reads
+//! the files from first to last therefore knows what will be in force.
+//!
+//! [`read`] reports every fault at once rather than the first. A single
+//! deserialisation stops at its first error, so each field is tried alone in an
+//! otherwise valid object of its type.
+//!
+//! # Examples
+//!
+//! ```
+//! use cactusroad_core::config::folder::{self, File};
+//!
+//! let file = File {
+//!     name: "10-site.json".into(),
+//!     content: br#"{"data_centres": {"sfax": {"region": "sahel"}}}"#[..].into(),
+//! };
+//! let folder = folder::read(vec![file], &|_| None).expect("the file has no fault");
+//! assert!(folder.snapshot.data_centre("sfax").is_some());
+//! ```
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Map, Value};
+
+use super::{
+    DataCentre, Kind as RouteKind, Limits, Plan, Policy, Route, Settings, Snapshot, Step, Version,
+    WHOLE_SHARE, Workspace, check, document,
+    fault::{Fault, Kind},
+};
+use crate::Time;
+
+const MAX_NAME_BYTES: usize = 256;
+
+/// A file as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct File {
+    /// The name without its directory.
+    pub name: Arc<str>,
+    /// The bytes.
+    pub content: Bytes,
+}
+
+/// A folder without fault.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Folder {
+    /// What would be in force, of generation 0.
+    pub snapshot: Snapshot,
+    /// The merged document, in which every time is in microseconds.
+    pub document: Value,
+}
+
+/// Merges files and checks the whole.
+///
+/// `time` reads the text of a time; a driver passes a library's parser.
+///
+/// # Errors
+///
+/// Returns every fault, sorted by file and field.
+pub fn read(
+    mut files: Vec<File>,
+    time: &impl Fn(&str) -> Option<Time>,
+) -> Result<Folder, Vec<Fault>> {
+    files.sort_by(|a, b| a.name.cmp(&b.name));
+    let mut reader = Reader::default();
+    for file in &files {
+        reader.add(file);
+    }
+    reader.convert_times(time);
+    let snapshot = reader.snapshot();
+    let found = check::check(&snapshot);
+    for (path, kind) in found {
+        reader.report(&path, kind);
+    }
+    reader
+        .faults
+        .sort_by(|a, b| (&a.file, &a.field).cmp(&(&b.file, &b.field)));
+    reader.faults.dedup();
+    if !reader.faults.is_empty() {
+        return Err(reader.faults);
+    }
+    Ok(Folder {
+        snapshot,
+        document: reader.merged,
+    })
+}
+
+/// Something with a name in a section of the folder.
+trait Item: Serialize + DeserializeOwned {
+    const SECTION: &'static str;
+
+    /// A valid item with every field, against which single fields are tried.
+    fn sample() -> Self;
+
+    fn set_name(&mut self, name: Arc<str>);
+}
+
+#[derive(Default)]
+struct Reader {
+    documents: Vec<(Arc<str>, Value)>,
+    merged: Value,
+    faults: Vec<Fault>,
+}
+
+impl Reader {
+    fn add(&mut self, file: &File) {
+        if !has_place(&file.name) {
+            self.report_in(&file.name, &[], Kind::FileName);
+        }
+        let (value, duplicates) = match document::parse(&file.content) {
+            Ok(read) => read,
+            Err(error) => {
+                self.report_in(&file.name, &[], Kind::NotJson(error.to_string()));
+                return;
+            }
+        };
+        for path in duplicates {
+            self.report_in(&file.name, &path, Kind::DuplicateKey);
+        }
+        if !value.is_object() {
+            let kind = Kind::NotObject(document::type_name(&value));
+            self.report_in(&file.name, &[], kind);
+            return;
+        }
+        document::merge(&mut self.merged, value.clone());
+        self.documents.push((file.name.clone(), value));
+    }
+
+    /// Reports a fault in the last file that set the field or the nearest object around it.
+    fn report(&mut self, path: &[String], kind: Kind) {
+        let mut depth = path.len();
+        loop {
+            let part = &path[..depth];
+            let setter = self
+                .documents
+                .iter()
+                .rev()
+                .find(|(_, document)| holds(document, part));
+            if let Some((file, _)) = setter {
+                let file = file.clone();
+                return self.report_in(&file, path, kind);
+            }
+            if depth == 0 {
+                return self.report_in(&Arc::from("the folder"), path, kind);
+            }
+            depth -= 1;
+        }
+    }
+
+    fn report_in(&mut self, file: &Arc<str>, path: &[String], kind: Kind) {
+        self.faults.push(Fault {
+            file: file.clone(),
+            field: path.join(".").into(),
+            kind,
+        });
+    }
+
+    fn convert_times(&mut self, time: &impl Fn(&str) -> Option<Time>) {
+        let mut bad = Vec::new();
+        for (section, field) in [("data_centres", "back_at"), ("plans", "deadline")] {
+            for (name, item) in objects(&mut self.merged, section) {
+                convert(item, field, time, &[section, name], &mut bad);
+            }
+        }
+        for (name, plan) in objects(&mut self.merged, "plans") {
+            let Some(Value::Array(steps)) = plan.get_mut("steps") else {
+                continue;
+            };
+            for (at, step) in steps.iter_mut().enumerate() {
+                let at = at.to_string();
+                if let Value::Object(step) = step {
+                    let path = ["plans", name, "steps", &at];
+                    convert(step, "not_before", time, &path, &mut bad);
+                }
+            }
+        }
+        for (path, text) in bad {
+            self.report(&path, Kind::BadTime(text));
+        }
+    }
+
+    fn snapshot(&mut self) -> Snapshot {
+        let sections = match std::mem::take(&mut self.merged) {
+            Value::Object(sections) => sections,
+            _ => Map::new(),
+        };
+        for name in sections.keys() {
+            if !SECTIONS.contains(&name.as_str()) {
+                self.report(std::slice::from_ref(name), Kind::UnknownSection);
+            }
+        }
+        let snapshot = Snapshot {
+            routes: self.section(&sections),
+            versions: self.section(&sections),
+            data_centres: self.section(&sections),
+            workspaces: self.section(&sections),
+            plans: self.section(&sections),
+            settings: self.settings(&sections),
+            ..Snapshot::default()
+        };
+        self.merged = Value::Object(sections);
+        snapshot
+    }
+
+    fn section<T: Item>(&mut self, sections: &Map<String, Value>) -> Vec<T> {
+        let Some(section) = sections.get(T::SECTION) else {
+            return Vec::new();
+        };
+        let Value::Object(section) = section else {
+            let kind = Kind::NotObject(document::type_name(section));
+            self.report(&[T::SECTION.to_owned()], kind);
+            return Vec::new();
+        };
+        let mut items = Vec::with_capacity(section.len());
+        for (name, value) in section {
+            let path = [T::SECTION.to_owned(), name.clone()];
+            if !is_name(name) {
+                self.report(&path, Kind::BadName);
+            }
+            if let Some(mut item) = self.item::<T>(&path, value, &T::sample()) {
+                item.set_name(name.as_str().into());
+                items.push(item);
+            }
+        }
+        items
+    }
+
+    fn settings(&mut self, sections: &Map<String, Value>) -> Settings {
+        let Some(value) = sections.get("settings") else {
+            return Settings::default();
+        };
+        let path = ["settings".to_owned()];
+        if let Ok(settings) = serde_json::from_value(value.clone()) {
+            return settings;
+        }
+        let Value::Object(groups) = value else {
+            self.report(&path, Kind::NotObject(document::type_name(value)));
+            return Settings::default();
+        };
+        for (name, group) in groups {
+            let path = ["settings".to_owned(), name.clone()];
+            match name.as_str() {
+                "policy" => drop(self.item(&path, group, &Policy::default())),
+                "limits" => drop(self.item(&path, group, &Limits::default())),
+                _ => self.report(&path, Kind::BadValue("the schema has no such field".into())),
+            }
+        }
+        Settings::default()
+    }
+
+    /// Reads one item, or reports each of its faults.
+    fn item<T: Serialize + DeserializeOwned>(
+        &mut self,
+        path: &[String],
+        value: &Value,
+        sample: &T,
+    ) -> Option<T> {
+        if let Ok(item) = T::deserialize(value) {
+            return Some(item);
+        }
+        let Value::Object(fields) = value else {
+            self.report(path, Kind::NotObject(document::type_name(value)));
+            return None;
+        };
+        let Ok(Value::Object(sample)) = serde_json::to_value(sample) else {
+            return None;
+        };
+        let tried = |changed: Map<String, Value>| T::deserialize(Value::Object(changed));
+        for (name, value) in fields {
+            let mut changed = sample.clone();
+            changed.insert(name.clone(), value.clone());
+            if let Err(error) = tried(changed) {
+                let mut path = path.to_vec();
+                path.push(name.clone());
+                self.report(&path, Kind::BadValue(error.to_string()));
+            }
+        }
+        for name in sample.keys().filter(|name| !fields.contains_key(*name)) {
+            let mut changed = sample.clone();
+            changed.remove(name);
+            if tried(changed).is_err() {
+                let mut path = path.to_vec();
+                path.push(name.clone());
+                self.report(&path, Kind::MissingField);
+            }
+        }
+        None
+    }
+}
+
+const SECTIONS: [&str; 6] = [
+    "routes",
+    "versions",
+    "data_centres",
+    "workspaces",
+    "plans",
+    "settings",
+];
+
+/// Tells whether a file name sets a place in the order.
+fn has_place(name: &str) -> bool {
+    let bytes = name.as_bytes();
+    let digits = bytes.len() > 8 && bytes[..2].iter().all(u8::is_ascii_digit);
+    digits && bytes[2] == b'-' && name.ends_with(".json")
+}
+
+fn is_name(name: &str) -> bool {
+    !name.is_empty() && name.len() <= MAX_NAME_BYTES && !name.chars().any(char::is_control)
+}
+
+fn holds(document: &Value, path: &[String]) -> bool {
+    let mut at = document;
+    for name in path {
+        let next = match at {
+            Value::Object(map) => map.get(name),
+            Value::Array(list) => name.parse().ok().and_then(|at: usize| list.get(at)),
+            _ => None,
+        };
+        match next {
+            Some(next) => at = next,
+            None => return false,
+        }
+    }
+    true
+}
+
+fn objects<'a>(
+    document: &'a mut Value,
+    section: &str,
+) -> impl Iterator<Item = (&'a str, &'a mut Map<String, Value>)> {
+    let items = document.get_mut(section).and_then(Value::as_object_mut);
+    items
+        .into_iter()
+        .flatten()
+        .filter_map(|(name, item)| Some((name.as_str(), item.as_object_mut()?)))
+}
+
+fn convert(
+    object: &mut Map<String, Value>,
+    field: &str,
+    time: &impl Fn(&str) -> Option<Time>,
+    path: &[&str],
+    bad: &mut Vec<(Vec<String>, String)>,
+) {
+    let Some(Value::String(text)) = object.get(field) else {
+        return;
+    };
+    let micros = match time(text) {
+        Some(time) => time.as_micros(),
+        None => {
+            let mut path: Vec<String> = path.iter().map(|&name| name.to_owned()).collect();
+            path.push(field.to_owned());
+            bad.push((path, text.clone()));
+            0
+        }
+    };
+    object.insert(field.to_owned(), micros.into());
+}
+
+impl Item for Route {
+    const SECTION: &'static str = "routes";
+
+    fn sample() -> Route {
+        Route {
+            name: Arc::default(),
+            kind: RouteKind::Model,
+            version: Arc::default(),
+            idempotent: true,
+            timeout_ms: 1,
+            priority: 0,
+        }
+    }
+
+    fn set_name(&mut self, name: Arc<str>) {
+        self.name = name;
+    }
+}
+
+impl Item for Version {
+    const SECTION: &'static str = "versions";
+
+    fn sample() -> Version {
+        Version {
+            name: Arc::default(),
+            artifact: Arc::default(),
+        }
+    }
+
+    fn set_name(&mut self, name: Arc<str>) {
+        self.name = name;
+    }
+}
+
+impl Item for DataCentre {
+    const SECTION: &'static str = "data_centres";
+
+    fn sample() -> DataCentre {
+        DataCentre {
+            name: Arc::default(),
+            region: Arc::default(),
+            out: false,
+            back_at: None,
+        }
+    }
+
+    fn set_name(&mut self, name: Arc<str>) {
+        self.name = name;
+    }
+}
+
+impl Item for Workspace {
+    const SECTION: &'static str = "workspaces";
+
+    fn sample() -> Workspace {
+        Workspace {
+            name: Arc::default(),
+            weight: 1,
+            key_digests: Vec::new(),
+            tokens_per_second: None,
+        }
+    }
+
+    fn set_name(&mut self, name: Arc<str>) {
+        self.name = name;
+    }
+}
+
+impl Item for Plan {
+    const SECTION: &'static str = "plans";
+
+    fn sample() -> Plan {
+        Plan {
+            name: Arc::default(),
+            route: Arc::default(),
+            from: Arc::default(),
+            to: Arc::default(),
+            steps: vec![Step {
+                share: WHOLE_SHARE,
+                not_before: Time::ZERO,
+            }],
+            deadline: Time::ZERO,
+            unproven_share: 1,
+        }
+    }
+
+    fn set_name(&mut self, name: Arc<str>) {
+        self.name = name;
+    }
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,9 +1,16 @@
 //! The schema of what operators write: routes, versions, data centres,
-//! workspaces and rollout plans.
+//! workspaces, rollout plans and settings.
+//!
+//! Operators keep one folder of small JSON files. [`folder`] merges them in the
+//! order of their names and reports every fault at once; [`check`] holds the
+//! rules that span several objects. [`parts`] splits an accepted configuration
+//! into values that the store takes, and puts it together again.
 //!
 //! A [`Snapshot`] is one accepted configuration, numbered by its
 //! [`Generation`]. Generations are totally ordered and a process only moves
-//! forward.
+//! forward. A snapshot may hold only some of the workspaces: there are tens of
+//! thousands of them, and one process meets few. [`Snapshot::lookup`] therefore
+//! tells a workspace that does not exist from one that is not held.
 
 use std::sync::Arc;
 
@@ -11,6 +18,18 @@
 
 use crate::Time;
 
+pub mod check;
+mod document;
+pub mod fault;
+pub mod folder;
+pub mod parts;
+mod settings;
+
+pub use settings::{Limits, Objective, Policy, Settings};
+
+/// A whole share of traffic, in thousandths.
+pub const WHOLE_SHARE: u16 = 1_000;
+
 /// The number of an accepted configuration; each is one more than the last.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -112,6 +131,55 @@
     }
 }
 
+/// A move of a route's traffic from one version to another by a set time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// The name that `status` shows; a plan that was reversed is repeated under a new name.
+    #[serde(skip)]
+    pub name: Arc<str>,
+    /// The route whose traffic moves.
+    pub route: Arc<str>,
+    /// The version that the route leaves, which stays loaded until the plan is done.
+    pub from: Arc<str>,
+    /// The version that the route moves to.
+    pub to: Arc<str>,
+    /// The shares of the new version, rising, each with its earliest time.
+    pub steps: Vec<Step>,
+    /// The time by which the move is done or taken back.
+    pub deadline: Time,
+    /// The largest share while no step is proven, in thousandths.
+    #[serde(default = "Plan::default_unproven_share")]
+    pub unproven_share: u16,
+}
+
+impl Plan {
+    const fn default_unproven_share() -> u16 {
+        50
+    }
+}
+
+/// One step of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// The share of the new version, in thousandths.
+    pub share: u16,
+    /// The earliest time of the step.
+    pub not_before: Time,
+}
+
+/// What is known of a workspace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lookup<'a> {
+    /// The workspace is in force.
+    Found(&'a Workspace),
+    /// No such workspace is in force.
+    Absent,
+    /// The bucket of this number is not held; fetch its part from the store or a peer.
+    NotHeld(usize),
+}
+
 /// One accepted configuration, each list sorted by name.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Snapshot {
@@ -125,6 +193,14 @@
     pub data_centres: Vec<DataCentre>,
     /// The workspaces that this process holds.
     pub workspaces: Vec<Workspace>,
+    /// The rollout plans.
+    pub plans: Vec<Plan>,
+    /// The settings of the whole site.
+    pub settings: Settings,
+    /// The number of hash buckets of workspaces; zero where all workspaces are held.
+    pub buckets: usize,
+    /// The buckets that this process does not hold, sorted.
+    pub not_held: Vec<usize>,
 }
 
 impl Snapshot {
@@ -138,6 +214,33 @@
         find(&self.workspaces, name, |workspace| &workspace.name)
     }
 
+    /// Finds a workspace, or tells which bucket must be fetched to know.
+    pub fn lookup(&self, name: &str) -> Lookup<'_> {
+        if let Some(workspace) = self.workspace(name) {
+            return Lookup::Found(workspace);
+        }
+        let bucket = parts::bucket(name, self.buckets);
+        match self.not_held.binary_search(&bucket) {
+            Ok(_) => Lookup::NotHeld(bucket),
+            Err(_) => Lookup::Absent,
+        }
+    }
+
+    /// Finds a version by its name.
+    pub fn version(&self, name: &str) -> Option<&Version> {
+        find(&self.versions, name, |version| &version.name)
+    }
+
+    /// Finds a plan by its name.
+    pub fn plan(&self, name: &str) -> Option<&Plan> {
+        find(&self.plans, name, |plan| &plan.name)
+    }
+
+    /// Finds the plan that moves a route; at most one does.
+    pub fn plan_of(&self, route: &str) -> Option<&Plan> {
+        self.plans.iter().find(|plan| &*plan.route == route)
+    }
+
     /// Finds a data centre by its name.
     pub fn data_centre(&self, name: &str) -> Option<&DataCentre> {
         find(&self.data_centres, name, |data_centre| &data_centre.name)
