--- /dev/null
+++ b/benches/ledger.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the first measurement lands.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/transport/dialer.rs
@@ -0,0 +1,173 @@
+//! Keeps at most one link to each peer, and accepts those of others.
+
+use std::{
+    net::{Ipv4Addr, Ipv6Addr, SocketAddr},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use quinn::{ClientConfig, Endpoint};
+use tokio::{sync::Mutex as AsyncMutex, time};
+
+use super::{
+    Error, Identity,
+    link::{self, Finish, Link},
+};
+
+/// How long a handshake may take, in milliseconds.
+const DIAL_TIMEOUT_MS: u64 = 1_000;
+
+/// Keeps at most one link to each peer.
+///
+/// Links are dialled when they are first needed and closed when they are no
+/// longer used, so the number of open ones follows the number of peers that a
+/// process calls and not the size of the fleet.
+#[derive(Clone, Debug)]
+pub struct Dialer(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    process: Arc<str>,
+    client: ClientConfig,
+    socket: Mutex<Option<Endpoint>>,
+    peers: Mutex<Vec<Arc<Peer>>>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    name: Arc<str>,
+    link: AsyncMutex<Option<Arc<Link>>>,
+}
+
+impl Dialer {
+    /// Returns a dialer without links; `process` is the name that peers are told.
+    pub fn new(process: Arc<str>, identity: &Identity) -> Dialer {
+        Dialer(Arc::new(Inner {
+            process,
+            client: identity.client.clone(),
+            socket: Mutex::new(None),
+            peers: Mutex::new(Vec::new()),
+        }))
+    }
+
+    /// Returns an open link to a peer, which must hold a certificate for its name.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no handshake succeeds in time; nothing was sent then.
+    pub async fn link(&self, name: &str, address: SocketAddr) -> Result<Arc<Link>, Error> {
+        let peer = self.0.peer(name);
+        let mut slot = peer.link.lock().await;
+        if let Some(link) = slot.as_ref().filter(|link| !link.is_closed()) {
+            return Ok(link.clone());
+        }
+        *slot = None;
+        let link = self.0.dial(&peer.name, address).await?;
+        *slot = Some(link.clone());
+        tokio::spawn(watch(Arc::downgrade(&self.0), peer.clone(), link.clone()));
+        Ok(link)
+    }
+
+    /// Returns the number of peers with a link, open or being dialled.
+    pub fn peers(&self) -> usize {
+        self.0.peers.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+}
+
+/// Follows the heartbeat of a link and forgets the link when it ends.
+async fn watch(dialer: std::sync::Weak<Inner>, peer: Arc<Peer>, link: Arc<Link>) {
+    let beat = link::heartbeat(Arc::downgrade(&link));
+    drop(link);
+    let finish = beat.await;
+    let Some(dialer) = dialer.upgrade() else {
+        return;
+    };
+    if finish == Finish::Silent {
+        dialer.renew_socket();
+    }
+    dialer.forget(&peer).await;
+}
+
+impl Inner {
+    fn peer(&self, name: &str) -> Arc<Peer> {
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        match peers.binary_search_by(|peer| (*peer.name).cmp(name)) {
+            Ok(at) => peers[at].clone(),
+            Err(at) => {
+                let peer = Arc::new(Peer {
+                    name: name.into(),
+                    link: AsyncMutex::new(None),
+                });
+                peers.insert(at, peer.clone());
+                peer
+            }
+        }
+    }
+
+    async fn dial(&self, name: &Arc<str>, address: SocketAddr) -> Result<Arc<Link>, Error> {
+        let unreachable = |cause: String| Error::Unreachable {
+            peer: name.to_string(),
+            cause,
+        };
+        let socket = self
+            .socket(address)
+            .map_err(|cause| unreachable(cause.to_string()))?;
+        let connecting = socket
+            .connect_with(self.client.clone(), address, name)
+            .map_err(|cause| unreachable(cause.to_string()))?;
+        let timeout = Duration::from_millis(DIAL_TIMEOUT_MS);
+        match time::timeout(timeout, connecting).await {
+            Ok(Ok(connection)) => Ok(Link::new(connection, self.process.clone())),
+            Ok(Err(cause)) => Err(unreachable(cause.to_string())),
+            Err(_) => {
+                self.renew_socket();
+                Err(unreachable("no answer to the handshake".to_owned()))
+            }
+        }
+    }
+
+    fn socket(&self, peer: SocketAddr) -> std::io::Result<Endpoint> {
+        let mut socket = self.socket.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(endpoint) = socket.as_ref() {
+            return Ok(endpoint.clone());
+        }
+        let local: SocketAddr = match peer {
+            SocketAddr::V4(_) => (Ipv4Addr::UNSPECIFIED, 0).into(),
+            SocketAddr::V6(_) => (Ipv6Addr::UNSPECIFIED, 0).into(),
+        };
+        let endpoint = Endpoint::client(local)?;
+        *socket = Some(endpoint.clone());
+        Ok(endpoint)
+    }
+
+    /// Lets the next link come from a fresh socket.
+    fn renew_socket(&self) {
+        *self.socket.lock().unwrap_or_else(PoisonError::into_inner) = None;
+    }
+
+    async fn forget(&self, peer: &Arc<Peer>) {
+        let mut slot = peer.link.lock().await;
+        if slot.as_ref().is_some_and(|link| !link.is_closed()) {
+            return;
+        }
+        *slot = None;
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Ok(at) = peers.binary_search_by(|other| other.name.cmp(&peer.name))
+            && Arc::ptr_eq(&peers[at], peer)
+        {
+            peers.remove(at);
+        }
+    }
+}
+
+/// Binds the socket on which a process accepts the links of its peers.
+///
+/// # Errors
+///
+/// Fails where the address cannot be bound.
+pub(crate) fn listen(identity: &Identity, address: SocketAddr) -> Result<Endpoint, Error> {
+    Endpoint::server(identity.server.clone(), address).map_err(|cause| Error::Bind {
+        address: address.to_string(),
+        cause: cause.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/transport/tls.rs
@@ -0,0 +1,130 @@
+//! Certificates and the settings of QUIC.
+
+use std::{path::Path, sync::Arc, time::Duration};
+
+use quinn::{
+    ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt,
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+};
+use rustls::{RootCertStore, server::WebPkiClientVerifier};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject};
+use serde::{Deserialize, Serialize};
+
+use super::Error;
+
+/// The name of the protocol, offered in the TLS handshake.
+const PROTOCOL: &[u8] = b"cactusroad/1";
+/// A connection that carries nothing for this long is closed, in milliseconds.
+const IDLE_TIMEOUT_MS: u32 = 15_000;
+/// Streams that a peer may have open on one connection.
+const MAX_STREAMS: u32 = 4_096;
+/// Bytes that one stream may have in flight.
+const STREAM_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+/// Bytes that one connection may have in flight.
+const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
+
+/// The PEM files that prove who a process is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Files {
+    /// The certificate of the site's authority.
+    pub ca: String,
+    /// The certificate of this process, issued to its name.
+    pub certificate: String,
+    /// The private key of this process.
+    pub key: String,
+}
+
+/// What a process proves to its peers, and what it asks of them.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    pub(super) server: ServerConfig,
+    pub(super) client: ClientConfig,
+}
+
+impl Identity {
+    /// Reads the certificates and the key.
+    ///
+    /// # Errors
+    ///
+    /// Names the first file that cannot be used.
+    pub fn read(files: &Files) -> Result<Identity, Error> {
+        let authority = certificates(&files.ca)?;
+        let chain = certificates(&files.certificate)?;
+        let key = PrivateKeyDer::from_pem_file(Path::new(&files.key))
+            .map_err(|cause| keys(&files.key, cause))?;
+        let mut roots = RootCertStore::empty();
+        for certificate in authority {
+            roots
+                .add(certificate)
+                .map_err(|cause| keys(&files.ca, cause))?;
+        }
+        let roots = Arc::new(roots);
+        Ok(Identity {
+            server: server(&roots, &chain, &key).map_err(|cause| keys(&files.certificate, cause))?,
+            client: client(&roots, chain, key).map_err(|cause| keys(&files.certificate, cause))?,
+        })
+    }
+}
+
+fn certificates(file: &str) -> Result<Vec<CertificateDer<'static>>, Error> {
+    CertificateDer::pem_file_iter(Path::new(file))
+        .and_then(Iterator::collect)
+        .map_err(|cause| keys(file, cause))
+}
+
+fn keys(file: &str, cause: impl std::fmt::Display) -> Error {
+    Error::Keys {
+        file: file.to_owned(),
+        cause: cause.to_string(),
+    }
+}
+
+type Cause = Box<dyn std::error::Error + Send + Sync>;
+
+fn server(
+    roots: &Arc<RootCertStore>,
+    chain: &[CertificateDer<'static>],
+    key: &PrivateKeyDer<'static>,
+) -> Result<ServerConfig, Cause> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let verifier =
+        WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone()).build()?;
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain.to_vec(), key.clone_key())?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let mut config = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
+    config.transport_config(Arc::new(transport()));
+    Ok(config)
+}
+
+fn client(
+    roots: &Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<ClientConfig, Cause> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_root_certificates(roots.clone())
+        .with_client_auth_cert(chain, key)?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let mut config = ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
+    config.transport_config(Arc::new(transport()));
+    Ok(config)
+}
+
+fn transport() -> TransportConfig {
+    let mut config = TransportConfig::default();
+    config
+        .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
+        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+        .max_concurrent_uni_streams(VarInt::from_u32(0))
+        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW_BYTES))
+        .receive_window(VarInt::from_u32(CONNECTION_WINDOW_BYTES))
+        .send_window(u64::from(CONNECTION_WINDOW_BYTES))
+        .initial_rtt(Duration::from_millis(20));
+    config
+}
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -163,6 +163,9 @@
 /// Asks what became of an attempt, and bars it where it was not dispatched.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Settle {
+    /// Microseconds since the Unix epoch; after it the attempt is refused anyway.
+    #[prost(uint64, tag = "3")]
+    pub deadline_micros: u64,
     #[prost(bytes = "bytes", tag = "1")]
     pub attempt: ::prost::bytes::Bytes,
     #[prost(uint64, tag = "2")]
