Choose endpoints by bounded subset, prefix affinity and headroom

Cause: an entry has to place each request over up to 600 endpoints whose load it learns late, without a global index and with few open connections.

Change: placement::Table keeps a pool for each version, in ring order, computed only when membership changes; an entry uses the arc of the ring that its rank among the entries gives it; the leading prefix hashes pick an endpoint of the arc by rendezvous hashing within a bound on load, else the least loaded of two drawn is taken; keyed requests go by rendezvous hashing over the whole pool.

Checked: 380 entries before 600 endpoints use each endpoint equally within one tenth of the mean, a change moves at most two endpoints of a subset, and keyed requests move only from the endpoint that is gone in pools up to 64.

Tried and dropped: rendezvous subsets for each entry on its own. Five entries with 24 of 600 would leave most endpoints unused; arcs cover all of them.

--- /dev/null
+++ b/crates/core/src/placement/endpoint.rs
@@ -0,0 +1,178 @@
+//! What an entry knows of one endpoint.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Config, Status, Vm};
+use crate::{Time, id::Incarnation};
+
+/// Sends that are kept with their times; older ones count as reported.
+const MAX_SENT: usize = 256;
+
+/// The part of its capacity with which a data centre starts to come back.
+const MIN_RETURN_SHARE: f64 = 0.1;
+
+/// One endpoint in the table of an entry.
+#[derive(Clone, Debug)]
+pub(super) struct Endpoint {
+    pub(super) name: Arc<str>,
+    pub(super) hash: u64,
+    pub(super) incarnation: Incarnation,
+    pub(super) data_centre: Arc<str>,
+    pub(super) versions: Vec<Arc<str>>,
+    pub(super) ejected_until: Time,
+    listed_leaving: bool,
+    says_leaving: bool,
+    out: bool,
+    back_at: Option<Time>,
+    penalty: f64,
+    reported: bool,
+    taken_at: Time,
+    headroom_millis: u32,
+    running: u32,
+    queued: u32,
+    limit: u32,
+    /// Times of this entry's sends that the report does not show, ascending.
+    sent: VecDeque<Time>,
+}
+
+impl Endpoint {
+    pub(super) fn new(name: Arc<str>) -> Endpoint {
+        Endpoint {
+            hash: xxh3_64(name.as_bytes()),
+            name,
+            incarnation: Incarnation::default(),
+            data_centre: "".into(),
+            versions: Vec::new(),
+            ejected_until: Time::ZERO,
+            listed_leaving: false,
+            says_leaving: false,
+            out: false,
+            back_at: None,
+            penalty: 0.0,
+            reported: false,
+            taken_at: Time::ZERO,
+            headroom_millis: 0,
+            running: 0,
+            queued: 0,
+            limit: 0,
+            sent: VecDeque::new(),
+        }
+    }
+
+    /// Takes what the platform's list says; tells whether pools change.
+    pub(super) fn set_vm(&mut self, vm: &Vm) -> bool {
+        let changed = self.listed_leaving != vm.leaving || self.data_centre != vm.data_centre;
+        self.listed_leaving = vm.leaving;
+        self.data_centre = Arc::clone(&vm.data_centre);
+        changed
+    }
+
+    /// Takes a report; tells whether pools change.
+    pub(super) fn observe(&mut self, status: &Status, taken_at: Time) -> bool {
+        let reborn = status.incarnation > self.incarnation;
+        if status.incarnation < self.incarnation || (!reborn && taken_at < self.taken_at) {
+            return false;
+        }
+        if reborn {
+            self.sent.clear();
+            self.ejected_until = Time::ZERO;
+        }
+        let changed = self.says_leaving != status.leaving
+            || self.versions != status.versions
+            || self.data_centre != status.data_centre;
+        self.incarnation = status.incarnation;
+        self.says_leaving = status.leaving;
+        if changed {
+            self.versions = status.versions.clone();
+            self.versions.sort();
+            self.data_centre = Arc::clone(&status.data_centre);
+        }
+        self.reported = true;
+        self.taken_at = taken_at;
+        self.headroom_millis = status.headroom_millis.min(1_000);
+        self.running = status.running;
+        self.queued = status.queued;
+        self.limit = status.limit;
+        while self.sent.front().is_some_and(|&sent| sent < taken_at) {
+            self.sent.pop_front();
+        }
+        changed
+    }
+
+    pub(super) fn sent(&mut self, now: Time) {
+        if self.sent.len() == MAX_SENT {
+            self.sent.pop_front();
+            self.running = self.running.saturating_add(1);
+        }
+        self.sent.push_back(now);
+    }
+
+    /// Takes back a send: from those after the report, else from the report.
+    pub(super) fn done(&mut self, sent_at: Time) {
+        match self.sent.binary_search(&sent_at) {
+            Ok(at) => {
+                self.sent.remove(at);
+            }
+            Err(_) if self.queued > 0 && self.running == 0 => self.queued -= 1,
+            Err(_) => self.running = self.running.saturating_sub(1),
+        }
+    }
+
+    /// Takes what the configuration says of the data centre.
+    pub(super) fn place(&mut self, out: bool, back_at: Option<Time>, penalty: f64) {
+        self.out = out;
+        self.back_at = back_at;
+        self.penalty = penalty;
+    }
+
+    /// Tells whether the endpoint takes new work at all.
+    pub(super) fn is_open(&self) -> bool {
+        !(self.listed_leaving || self.says_leaving || self.out)
+    }
+
+    pub(super) fn is_ejected(&self, now: Time) -> bool {
+        !self.ejected_until.is_past(now)
+    }
+
+    /// Returns the estimated share of capacity in use, before penalties.
+    pub(super) fn load(&self, config: &Config, now: Time) -> f64 {
+        let sent = self.sent.len() as f64;
+        let attempts = f64::from(self.running) + f64::from(self.queued) + sent;
+        let limit = match (self.reported, self.limit) {
+            (true, 0) => f64::INFINITY,
+            (true, limit) => f64::from(limit),
+            (false, _) => f64::from(config.unknown_limit.max(1)),
+        };
+        let slots = attempts / limit;
+        let memory = if self.reported {
+            self.memory(sent)
+        } else {
+            0.0
+        };
+        slots.max(memory) / self.return_share(config, now)
+    }
+
+    /// Returns the load with the penalty for distance, by which endpoints compare.
+    pub(super) fn cost(&self, config: &Config, now: Time) -> f64 {
+        self.load(config, now) + self.penalty
+    }
+
+    /// Takes each attempt that is not in the report, or queued, to need as much
+    /// memory as a running one has.
+    fn memory(&self, sent: f64) -> f64 {
+        let used = 1.0 - f64::from(self.headroom_millis) / 1_000.0;
+        let each = used / f64::from(self.running.max(1));
+        used + each * (sent + f64::from(self.queued))
+    }
+
+    fn return_share(&self, config: &Config, now: Time) -> f64 {
+        let Some(back_at) = self.back_at else {
+            return 1.0;
+        };
+        let elapsed_ms = now.since(back_at).as_millis() as f64;
+        let share = elapsed_ms / config.return_ms.max(1) as f64;
+        share.clamp(MIN_RETURN_SHARE, 1.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/pool.rs
@@ -0,0 +1,116 @@
+//! Pools of endpoints on a ring, the arc of one entry, and rendezvous hashing.
+
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::{Config, endpoint::Endpoint};
+
+/// The most endpoints that rendezvous hashing compares for one request.
+///
+/// A pool up to this size moves as few keys as possible when it changes. A
+/// larger one is cut into overlapping windows, and a change moves a key in about
+/// as many cases as one in this number.
+const WINDOW: usize = 64;
+
+/// The endpoints that may run one version.
+#[derive(Clone, Debug)]
+pub(super) struct Pool {
+    pub(super) version: Arc<str>,
+    /// Positions in the table in the order of the ring, starting at this entry's arc.
+    ring: Vec<u32>,
+    /// Offset of the ring's first endpoint in `ring`.
+    origin: usize,
+    arc: usize,
+}
+
+impl Pool {
+    pub(super) fn members(&self) -> &[u32] {
+        &self.ring
+    }
+
+    pub(super) fn subset(&self) -> &[u32] {
+        &self.ring[..self.arc]
+    }
+
+    /// Returns the positions that rendezvous hashing compares for a hash, over
+    /// the whole pool; every entry gets the same ones.
+    pub(super) fn window(&self, hash: u64) -> impl Iterator<Item = u32> {
+        let len = self.ring.len();
+        let start = self.origin + scale(hash, len);
+        (0..len.min(WINDOW)).map(move |step| self.ring[(start + step) % len])
+    }
+
+    /// Returns the positions that rendezvous hashing compares for a hash, within
+    /// the arc of this entry.
+    pub(super) fn subset_window(&self, hash: u64) -> impl Iterator<Item = u32> {
+        let subset = self.subset();
+        let start = if subset.len() <= WINDOW {
+            0
+        } else {
+            scale(hash, subset.len())
+        };
+        (0..subset.len().min(WINDOW)).map(move |step| subset[(start + step) % subset.len()])
+    }
+}
+
+/// Returns the rank of an endpoint for a key; the highest is first.
+pub(super) fn rendezvous(endpoint: u64, key: u64) -> u64 {
+    xxh3_64_with_seed(&endpoint.to_le_bytes(), key)
+}
+
+/// Maps a hash evenly onto `0..len`.
+pub(super) fn scale(hash: u64, len: usize) -> usize {
+    ((u128::from(hash) * len as u128) >> 64) as usize
+}
+
+/// Builds the pool of each version, sorted by version.
+pub(super) fn build(
+    config: &Config,
+    endpoints: &[Endpoint],
+    entry: &str,
+    entries: &[Arc<str>],
+) -> Vec<Pool> {
+    let rank = rank(entry, entries);
+    let mut held: Vec<(&Arc<str>, u64, u32)> = Vec::new();
+    for (at, endpoint) in endpoints.iter().enumerate() {
+        if !endpoint.is_open() {
+            continue;
+        }
+        let at = u32::try_from(at).expect("a table holds fewer than 2^32 endpoints");
+        held.extend(
+            endpoint
+                .versions
+                .iter()
+                .map(|version| (version, endpoint.hash, at)),
+        );
+    }
+    held.sort_unstable();
+    held.chunk_by(|a, b| a.0 == b.0)
+        .map(|chunk| pool(config, chunk, rank, entries.len()))
+        .collect()
+}
+
+fn pool(config: &Config, held: &[(&Arc<str>, u64, u32)], rank: usize, entries: usize) -> Pool {
+    let len = held.len();
+    let covering = (len * config.coverage).div_ceil(entries);
+    let arc = config.subset.max(covering).clamp(1, len);
+    let start = rank * len / entries;
+    let mut ring: Vec<u32> = held.iter().map(|&(_, _, at)| at).collect();
+    ring.rotate_left(start);
+    Pool {
+        version: Arc::clone(held[0].0),
+        ring,
+        origin: len - start,
+        arc,
+    }
+}
+
+/// Returns the place of an entry among all entries in the order of their hashes.
+fn rank(entry: &str, entries: &[Arc<str>]) -> usize {
+    let own = (xxh3_64(entry.as_bytes()), entry);
+    entries
+        .iter()
+        .filter(|other| (xxh3_64(other.as_bytes()), &***other) < own)
+        .count()
+}
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,466 @@
+//! Placement: subsets, affinity, headroom and keys.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use cactusroad_core::{
+    Time,
+    config::DataCentre,
+    id::Incarnation,
+    placement::{Config, Reason, Request, Status, Table, Vm, prefix_hashes},
+};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const NOW: Time = Time::from_millis(1_000_000);
+const ANY: Request<'_> = Request {
+    version: "v",
+    prefixes: &[],
+    tried: &[],
+};
+
+fn status(name: &str) -> Status {
+    Status {
+        process: name.into(),
+        incarnation: Incarnation(1),
+        data_centre: "dc-1".into(),
+        versions: vec!["v".into()],
+        headroom_millis: 1_000,
+        limit: 10,
+        ..Status::default()
+    }
+}
+
+fn entries(count: usize) -> Vec<Arc<str>> {
+    (0..count).map(|at| format!("entry-{at}").into()).collect()
+}
+
+fn table(entry: &str, entries: &[Arc<str>], endpoints: usize) -> Table {
+    let mut table = Table::new(Config::default(), entry.into(), "dc-1".into());
+    table.set_entries(entries);
+    let reports: Vec<Status> = (0..endpoints)
+        .map(|at| status(&format!("agent-{at}")))
+        .collect();
+    table.observe_all(&reports, NOW);
+    table
+}
+
+fn subset(table: &Table) -> Vec<Arc<str>> {
+    let mut names: Vec<_> = table.subset("v").cloned().collect();
+    names.sort();
+    names
+}
+
+/// Draws `count` times and counts how often each endpoint was chosen.
+fn counts(table: &Table, request: &Request<'_>, count: u64) -> BTreeMap<Arc<str>, u64> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut counts = BTreeMap::new();
+    for _ in 0..count {
+        let candidate = table.choose(request, rng.random(), NOW).unwrap();
+        *counts.entry(candidate.endpoint).or_insert(0) += 1;
+    }
+    counts
+}
+
+#[test]
+fn choose_nothing_known() {
+    let table = table("entry-0", &[], 0);
+    assert_eq!(table.choose(&ANY, 1, NOW), None);
+    assert_eq!(table.choose_keyed(&ANY, 1, NOW), None);
+}
+
+#[test]
+fn choose_all_tried() {
+    let table = table("entry-0", &[], 40);
+    let mut tried: Vec<Arc<str>> = Vec::new();
+    for random in 0..40 {
+        let request = Request {
+            tried: &tried,
+            ..ANY
+        };
+        let candidate = table.choose(&request, random, NOW).unwrap();
+        assert!(!tried.contains(&candidate.endpoint));
+        tried.push(candidate.endpoint);
+    }
+    let request = Request {
+        tried: &tried,
+        ..ANY
+    };
+    assert_eq!(table.choose(&request, 1, NOW), None);
+}
+
+#[test]
+fn choose_barred_endpoint() {
+    type Change = fn(&mut Table);
+    let cases: [(&str, Change); 5] = [
+        ("says that it leaves", |table| {
+            table.observe(
+                &Status {
+                    leaving: true,
+                    ..status("agent-0")
+                },
+                NOW,
+            );
+        }),
+        ("is listed as leaving", |table| {
+            let vm = |name: &str, leaving| Vm {
+                name: name.into(),
+                data_centre: "dc-1".into(),
+                leaving,
+            };
+            table.set_vms(&[vm("agent-1", false), vm("agent-0", true)]);
+        }),
+        ("holds another version", |table| {
+            let versions = vec!["w".into()];
+            table.observe(
+                &Status {
+                    versions,
+                    ..status("agent-0")
+                },
+                NOW,
+            );
+        }),
+        ("data centre is out", |table| {
+            table.observe(
+                &Status {
+                    data_centre: "dc-2".into(),
+                    ..status("agent-0")
+                },
+                NOW,
+            );
+            table.set_data_centres(&[DataCentre {
+                name: "dc-2".into(),
+                region: "r".into(),
+                out: true,
+                back_at: None,
+            }]);
+        }),
+        ("is gone", |table| table.remove("agent-0")),
+    ];
+    for (case, change) in cases {
+        let mut table = table("entry-0", &[], 2);
+        change(&mut table);
+        let counts = counts(&table, &ANY, 100);
+        assert_eq!(counts.get("agent-0"), None, "{case}");
+        assert_eq!(counts.get("agent-1"), Some(&100), "{case}");
+        let keyed = (0..100).filter_map(|key| table.choose_keyed(&ANY, key, NOW));
+        assert!(
+            keyed.into_iter().all(|c| &*c.endpoint == "agent-1"),
+            "{case}"
+        );
+    }
+}
+
+#[test]
+fn choose_ejected_endpoint() {
+    let mut table = table("entry-0", &[], 3);
+    table.eject("agent-0", NOW + std::time::Duration::from_secs(1));
+    assert_eq!(counts(&table, &ANY, 100).get("agent-0"), None);
+    for at in 1..3 {
+        table.eject(&format!("agent-{at}"), Time::MAX);
+    }
+    let candidate = table.choose(&ANY, 1, NOW).unwrap();
+    assert_eq!(candidate.reason, Reason::Fallback);
+    let later = NOW + std::time::Duration::from_secs(1);
+    assert_eq!(&*table.choose(&ANY, 1, later).unwrap().endpoint, "agent-0");
+}
+
+#[test]
+fn choose_by_headroom() {
+    let cases = [
+        (
+            "full memory",
+            Status {
+                headroom_millis: 0,
+                running: 1,
+                ..status("agent-0")
+            },
+        ),
+        (
+            "at its limit",
+            Status {
+                running: 10,
+                ..status("agent-0")
+            },
+        ),
+        (
+            "cold",
+            Status {
+                limit: 1,
+                running: 1,
+                cold: true,
+                ..status("agent-0")
+            },
+        ),
+        (
+            "long queue",
+            Status {
+                queued: 9,
+                ..status("agent-0")
+            },
+        ),
+    ];
+    for (case, busy) in cases {
+        let mut table = table("entry-0", &[], 2);
+        table.observe(&busy, NOW);
+        let counts = counts(&table, &ANY, 1_000);
+        // Both are drawn in all but a few of the turns.
+        assert!(
+            counts[&Arc::<str>::from("agent-1")] > 950,
+            "{case}: {counts:?}"
+        );
+    }
+}
+
+#[test]
+fn sent_corrects_report() {
+    let mut table = table("entry-0", &[], 2);
+    let load = |table: &Table, name: &str| {
+        let tried: [Arc<str>; 1] = [if name == "agent-0" {
+            "agent-1"
+        } else {
+            "agent-0"
+        }
+        .into()];
+        let request = Request {
+            tried: &tried,
+            ..ANY
+        };
+        table.choose(&request, 1, NOW).unwrap().load
+    };
+    let later = |ms| Time::from_millis(NOW.as_millis() + ms);
+    table.sent("agent-0", later(10));
+    table.sent("agent-0", later(20));
+    assert_eq!(load(&table, "agent-0"), 0.2);
+    // The report shows the first of the two sends.
+    table.observe(
+        &Status {
+            running: 1,
+            ..status("agent-0")
+        },
+        later(15),
+    );
+    assert_eq!(load(&table, "agent-0"), 0.2);
+    // An end of a send that the report shows, then of one that it does not show.
+    table.done("agent-0", later(10));
+    assert_eq!(load(&table, "agent-0"), 0.1);
+    table.done("agent-0", later(20));
+    assert_eq!(load(&table, "agent-0"), 0.0);
+    // A late report that was taken before the last one.
+    table.observe(
+        &Status {
+            running: 9,
+            ..status("agent-0")
+        },
+        later(14),
+    );
+    assert_eq!(load(&table, "agent-0"), 0.0);
+    // A restart forgets what was sent to the life before.
+    table.sent("agent-0", later(30));
+    table.observe(
+        &Status {
+            incarnation: Incarnation(2),
+            ..status("agent-0")
+        },
+        later(20),
+    );
+    assert_eq!(load(&table, "agent-0"), 0.0);
+}
+
+#[test]
+fn choose_returning_data_centre() {
+    let mut table = table("entry-0", &[], 2);
+    let back = Status {
+        data_centre: "dc-2".into(),
+        running: 1,
+        ..status("agent-0")
+    };
+    table.observe(&back, NOW);
+    table.observe(
+        &Status {
+            running: 3,
+            ..status("agent-1")
+        },
+        NOW,
+    );
+    let data_centre = |name: &str, back_at| DataCentre {
+        name: name.into(),
+        region: "r".into(),
+        out: false,
+        back_at,
+    };
+    table.set_data_centres(&[data_centre("dc-1", None), data_centre("dc-2", Some(NOW))]);
+    let share = |seconds| {
+        let now = NOW + std::time::Duration::from_secs(seconds);
+        (0..100)
+            .filter(|&random| &*table.choose(&ANY, random, now).unwrap().endpoint == "agent-0")
+            .count()
+    };
+    assert!(share(0) < 10);
+    assert!(share(60) > 90);
+}
+
+#[test]
+fn choose_by_prefix() {
+    let prefixes = prefix_hashes(&"pattern book ".repeat(200));
+    let request = Request {
+        prefixes: &prefixes,
+        ..ANY
+    };
+    let mut table = table("entry-0", &[], 20);
+    let counted = counts(&table, &request, 100);
+    assert_eq!(counted.len(), 1, "{counted:?}");
+    let first = Arc::clone(counted.keys().next().unwrap());
+    // Every entry with the same endpoints agrees.
+    let other = self::table("entry-1", &[], 20);
+    assert_eq!(counts(&other, &request, 100), counted);
+    // A loaded favourite passes the prefix on to one other endpoint.
+    table.observe(
+        &Status {
+            running: 9,
+            ..status(&first)
+        },
+        NOW,
+    );
+    let counted = counts(&table, &request, 100);
+    assert_eq!(counted.len(), 1, "{counted:?}");
+    assert_eq!(counted.get(&first), None);
+    // Two loaded favourites give up affinity.
+    let second = Arc::clone(counted.keys().next().unwrap());
+    table.observe(
+        &Status {
+            running: 9,
+            ..status(&second)
+        },
+        NOW,
+    );
+    assert!(counts(&table, &request, 100).len() > 10);
+}
+
+#[test]
+fn subset_even_and_bounded() {
+    // (entries, endpoints): the target, small sites, few entries before many endpoints.
+    for (count, endpoints) in [(380, 600), (380, 31), (3, 14), (2, 600), (25, 601), (1, 1)] {
+        let names = entries(count);
+        let mut uses: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for entry in &names {
+            let subset = subset(&table(entry, &names, endpoints));
+            let bound = 24.max((endpoints * 3).div_ceil(count)).min(endpoints);
+            assert_eq!(subset.len(), bound, "{count} {endpoints}");
+            for name in subset {
+                *uses.entry(name).or_default() += 1;
+            }
+        }
+        assert_eq!(uses.len(), endpoints, "each endpoint is used");
+        let least = *uses.values().min().unwrap();
+        let most = *uses.values().max().unwrap();
+        let mean = uses.values().sum::<usize>() as f64 / endpoints as f64;
+        assert!(
+            (most - least) as f64 <= 2.0_f64.max(mean * 0.1),
+            "{count} {endpoints}: {least} to {most}"
+        );
+    }
+}
+
+#[test]
+fn subset_moves_little() {
+    let names = entries(380);
+    let mut moved = Vec::new();
+    for entry in names.iter().step_by(20) {
+        let before = subset(&table(entry, &names, 600));
+        let endpoint_gone = {
+            let mut table = table(entry, &names, 600);
+            table.remove("agent-300");
+            subset(&table)
+        };
+        let entry_gone = subset(&table(entry, &names[1..], 600));
+        for after in [endpoint_gone, entry_gone] {
+            moved.push(after.iter().filter(|name| !before.contains(name)).count());
+        }
+    }
+    assert!(moved.iter().all(|&moved| moved <= 2), "{moved:?}");
+}
+
+#[test]
+fn keyed_even_and_moves_little() {
+    for endpoints in [3, 14, 64, 600] {
+        let mut table = table("entry-0", &[], endpoints);
+        let other = self::table("entry-1", &entries(7), endpoints);
+        let keys: Vec<u64> = (0..20_000).map(|key: u64| xxhash(key)).collect();
+        let place = |table: &Table| -> Vec<Arc<str>> {
+            let choose = |&key| table.choose_keyed(&ANY, key, NOW).unwrap().endpoint;
+            keys.iter().map(choose).collect()
+        };
+        let before = place(&table);
+        assert_eq!(before, place(&other), "entries agree");
+        let mut uses: BTreeMap<&str, usize> = BTreeMap::new();
+        for name in &before {
+            *uses.entry(name).or_default() += 1;
+        }
+        let mean = keys.len() as f64 / endpoints as f64;
+        let most = *uses.values().max().unwrap() as f64;
+        assert!(
+            most < mean + 5.0 * mean.sqrt(),
+            "{endpoints}: {most} of {mean}"
+        );
+        table.remove("agent-0");
+        let after = place(&table);
+        let moved = before
+            .iter()
+            .zip(&after)
+            .filter(|(a, b)| a != b && &***a != "agent-0");
+        let bound = if endpoints <= 64 { 0 } else { keys.len() / 32 };
+        assert!(moved.count() <= bound, "{endpoints}");
+    }
+}
+
+fn xxhash(key: u64) -> u64 {
+    ChaCha8Rng::seed_from_u64(key).random()
+}
+
+proptest! {
+    #[test]
+    fn choose_any_table(
+        seed: u64,
+        endpoints in 0usize..80,
+        entries_count in 1usize..6,
+        tried in 0usize..8,
+        blocks in 0usize..6,
+    ) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut table = table("entry-0", &entries(entries_count), 0);
+        let mut open = Vec::new();
+        for at in 0..endpoints {
+            let name: Arc<str> = format!("agent-{at}").into();
+            let report = Status {
+                leaving: rng.random_bool(0.2),
+                cold: rng.random_bool(0.2),
+                headroom_millis: rng.random_range(0..2_000),
+                running: rng.random_range(0..50),
+                queued: rng.random_range(0..5),
+                limit: rng.random_range(0..50),
+                ..status(&name)
+            };
+            table.observe(&report, NOW);
+            if rng.random_bool(0.3) {
+                table.eject(&name, Time::MAX);
+            }
+            if !report.leaving {
+                open.push(name);
+            }
+        }
+        let tried: Vec<Arc<str>> = open.iter().take(tried).cloned().collect();
+        let prefixes: Vec<u64> = (0..blocks).map(|_| rng.random()).collect();
+        let request = Request { version: "v", prefixes: &prefixes, tried: &tried };
+        let left = open.len() - tried.len();
+        for _ in 0..20 {
+            let candidate = table.choose(&request, rng.random(), NOW);
+            prop_assert_eq!(candidate.is_some(), left > 0);
+            if let Some(candidate) = candidate {
+                prop_assert!(open.contains(&candidate.endpoint));
+                prop_assert!(!tried.contains(&candidate.endpoint));
+                prop_assert!(candidate.load >= 0.0);
+            }
+        }
+    }
+}
