--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -28,6 +28,7 @@
 
 pub mod engine;
 pub mod fault;
+pub mod model;
 pub mod role;
 pub mod roster;
 pub mod server;
