Add a fault-injecting proxy for datagrams and connections

Cause: failure tests with real processes need links that stall, go silent for good while new ones work, lose or reorder datagrams, and lose the answer to a request that went through.

Change: standin::proxy::{udp, tcp}, each a spawn in front of one target with a handle of commands. The stand-in engine hashes prompt prefixes by the core's own prefix_hashes instead of a second rule.

--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -3,20 +3,13 @@
 use std::{collections::VecDeque, time::Duration};
 
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
+
+use cactusroad_core::placement::prefix_hashes;
 
 use super::message::CacheEvent;
 
-/// The length of one block of a prompt, in bytes.
-pub const PREFIX_BLOCK_BYTES: usize = 256;
 const MAX_EVENTS: usize = 4_096;
 
-/// Returns the hashes of the leading whole blocks of a prompt, shortest first.
-pub fn prefixes(text: &str) -> impl Iterator<Item = u64> {
-    let blocks = text.len() / PREFIX_BLOCK_BYTES;
-    (1..=blocks).map(move |block| xxh3_64(&text.as_bytes()[..block * PREFIX_BLOCK_BYTES]))
-}
-
 #[derive(Debug, Default)]
 pub(super) struct Cache {
     capacity: usize,
@@ -53,7 +46,7 @@
     }
 
     pub(super) fn hold(&mut self, text: &str) {
-        for prefix in prefixes(text) {
+        for prefix in prefix_hashes(text) {
             if self.held.contains(&prefix) {
                 continue;
             }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -38,7 +38,6 @@
 use message::{CacheEvent, Load, Prompt};
 use state::{Held, Rejection};
 
-pub use cache::{PREFIX_BLOCK_BYTES, prefixes};
 pub use message::{Action, Order};
 pub use state::{Generation, Seen};
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod engine;
 pub mod fault;
 pub mod model;
+pub mod proxy;
 pub mod role;
 pub mod roster;
 pub mod server;
--- /dev/null
+++ b/crates/standin/src/proxy/tcp.rs
@@ -0,0 +1,200 @@
+//! The proxy for connections.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::rule::{Direction, Rules, Weather};
+use crate::fault::lock;
+
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// A running proxy; dropping the last clone ends it and its connections.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    shared: Arc<Shared>,
+    _end: Arc<DropGuard>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    address: SocketAddr,
+    target: SocketAddr,
+    rules: Rules,
+    refusing: AtomicBool,
+    drop_answers: AtomicU32,
+    links: Mutex<Vec<Arc<Link>>>,
+    end: CancellationToken,
+}
+
+#[derive(Debug)]
+struct Link {
+    cut: CancellationToken,
+    silent: Mutex<Option<Direction>>,
+}
+
+impl Handle {
+    /// Returns the address that stands for the target.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Sets the delay; loss and jitter concern datagrams alone.
+    pub fn set_weather(&self, weather: Weather) {
+        self.shared.rules.set_weather(weather);
+    }
+
+    /// Swallows all further data of the connections that exist, which stay open.
+    ///
+    /// Returns how many connections were silenced.
+    pub fn silence(&self, direction: Direction) -> usize {
+        let links = self.links();
+        for link in &links {
+            *lock(&link.silent) = Some(direction);
+        }
+        links.len()
+    }
+
+    /// Drops the connections that exist, and returns how many.
+    pub fn cut(&self) -> usize {
+        let links = self.links();
+        links.iter().for_each(|link| link.cut.cancel());
+        links.len()
+    }
+
+    /// Drops each new connection at once until [`Handle::heal`].
+    pub fn refuse(&self) {
+        self.shared.refusing.store(true, Ordering::Relaxed);
+    }
+
+    /// Holds all data back until [`Handle::heal`], which lets it through.
+    pub fn stall(&self) {
+        self.shared.rules.set_stalled(true);
+    }
+
+    /// Ends a stall and refusals; silent connections stay silent.
+    pub fn heal(&self) {
+        self.shared.refusing.store(false, Ordering::Relaxed);
+        self.shared.rules.set_stalled(false);
+    }
+
+    /// Lets the next requests through and drops their connections when the answer begins.
+    pub fn drop_answers(&self, count: u32) {
+        self.shared.drop_answers.store(count, Ordering::Relaxed);
+    }
+
+    fn links(&self) -> Vec<Arc<Link>> {
+        let mut links = lock(&self.shared.links);
+        links.retain(|link| !link.cut.is_cancelled());
+        links.clone()
+    }
+}
+
+/// Starts a proxy in front of a target.
+///
+/// # Errors
+///
+/// Fails where the listener has no address.
+pub fn spawn(seed: u64, listener: TcpListener, target: SocketAddr) -> io::Result<Handle> {
+    let end = CancellationToken::new();
+    let shared = Arc::new(Shared {
+        address: listener.local_addr()?,
+        target,
+        rules: Rules::new(seed),
+        refusing: AtomicBool::new(false),
+        drop_answers: AtomicU32::new(0),
+        links: Mutex::default(),
+        end: end.clone(),
+    });
+    tokio::spawn(
+        end.clone()
+            .run_until_cancelled_owned(accept(shared.clone(), listener)),
+    );
+    Ok(Handle {
+        shared,
+        _end: Arc::new(end.drop_guard()),
+    })
+}
+
+async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((client, _)) = listener.accept().await else {
+            continue;
+        };
+        if shared.refusing.load(Ordering::Relaxed) {
+            continue;
+        }
+        let link = Arc::new(Link {
+            cut: shared.end.child_token(),
+            silent: Mutex::default(),
+        });
+        lock(&shared.links).push(link.clone());
+        tokio::spawn(connect(shared.clone(), link, client));
+    }
+}
+
+async fn connect(shared: Arc<Shared>, link: Arc<Link>, client: TcpStream) {
+    let carried = async {
+        let target = TcpStream::connect(shared.target).await?;
+        client.set_nodelay(true)?;
+        target.set_nodelay(true)?;
+        let (from_client, to_client) = client.into_split();
+        let (from_target, to_target) = target.into_split();
+        tokio::try_join!(
+            shared.pump(&link, Direction::ToTarget, from_client, to_target),
+            shared.pump(&link, Direction::FromTarget, from_target, to_client),
+        )
+    };
+    let _ = link.cut.run_until_cancelled(carried).await;
+    link.cut.cancel();
+}
+
+impl Shared {
+    async fn pump(
+        &self,
+        link: &Link,
+        way: Direction,
+        mut from: OwnedReadHalf,
+        mut to: OwnedWriteHalf,
+    ) -> io::Result<()> {
+        let mut chunk = vec![0; CHUNK_BYTES];
+        loop {
+            let length = from.read(&mut chunk).await?;
+            if length == 0 {
+                return to.shutdown().await;
+            }
+            if way == Direction::FromTarget && self.takes_answer() {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            tokio::time::sleep(self.rules.delay()).await;
+            self.rules.wait_for_flow().await;
+            let silent = *lock(&link.silent);
+            if !silent.is_some_and(|direction| direction.concerns(way)) {
+                to.write_all(&chunk[..length]).await?;
+            }
+        }
+    }
+
+    /// Takes one of the answers that are to be dropped, if any is left.
+    fn takes_answer(&self) -> bool {
+        let less = |count: u32| count.checked_sub(1);
+        let taken = self
+            .drop_answers
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, less);
+        taken.is_ok()
+    }
+}
--- a/tests/integration/adapters.rs
+++ b/tests/integration/adapters.rs
@@ -7,7 +7,7 @@
 use http::Request;
 use tokio::net::TcpListener;
 
-use cactusroad_core::id::Attempt;
+use cactusroad_core::{id::Attempt, placement::BLOCK_BYTES};
 use cactusroad_platform::{
     address::Address,
     engine::{self, Action, Engine as _, Event, Order, Prompt},
@@ -339,7 +339,7 @@
 #[tokio::test]
 async fn engine_lost_cache_events() {
     let (stood, client) = engine(Default::default()).await;
-    let text = "x".repeat(3 * standin::engine::PREFIX_BLOCK_BYTES) + "[len=1]";
+    let text = "x".repeat(3 * BLOCK_BYTES) + "[len=1]";
     stood.control(&standin::engine::Command {
         lose_cache_events: Some(2),
         ..Default::default()
