--- a/crates/core/src/outlier.rs
+++ b/crates/core/src/outlier.rs
@@ -1,1 +1,349 @@
-//! Not yet written.
+//! Takes endpoints that fail or are slow out of choices, gradually.
+//!
+//! An entry judges an endpoint by its own requests to it. Failures and successes
+//! are counted with exponential decay; latency is compared with the median of the
+//! other endpoints of the same route, because a load that slows all of them is no
+//! fault of one.
+//!
+//! * At most one endpoint is taken out in each [`Config::spacing_ms`], and never
+//!   more than [`Config::max_share`] of those of the route at once.
+//! * When more than [`Config::suspect_share`] of them look bad, the evidence is
+//!   suspect (a bad request, a bad version or a fault of the entry) and no further
+//!   one is taken out.
+//! * An endpoint that was taken out is probed after a while: one request at a time
+//!   goes to it, and some successes in a row bring it back. Each failure doubles
+//!   the time until the next probe.
+//!
+//! # Examples
+//!
+//! ```
+//! use cactusroad_core::{Time, outlier::{Change, Config, Detector, Outcome}};
+//!
+//! let now = Time::from_millis(1_000);
+//! let mut detector = Detector::new(Config::default());
+//! for name in ["agent-1", "agent-2", "agent-3"] {
+//!     detector.sent(name, now);
+//!     detector.ended(name, Outcome::Success { latency_ms: 10 }, now);
+//! }
+//! let changes = (0..20).filter_map(|_| detector.ended("agent-2", Outcome::Failure, now));
+//! assert!(matches!(changes.collect::<Vec<_>>()[..], [Change::Eject { .. }]));
+//! ```
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::Time;
+
+/// The part of the mean latency that each success replaces.
+const LATENCY_GAIN: f64 = 0.2;
+
+/// The most doublings of the time out.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Parameters of the judgement.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// The largest share of a route's endpoints that is out at once; 0.34 by
+    /// default, which is one of three.
+    pub max_share: f64,
+    /// The share of bad endpoints above which none is taken out; 0.5 by default.
+    pub suspect_share: f64,
+    /// The least requests that count as evidence; 5 by default.
+    pub min_requests: f64,
+    /// The share of failures that is bad; 0.5 by default.
+    pub failure_share: f64,
+    /// The latency that is bad, as a multiple of the median; 4 by default.
+    pub slow_factor: f64,
+    /// The time over which failures are remembered, in milliseconds; 10,000 by default.
+    pub memory_ms: u64,
+    /// Milliseconds between two ejections; 500 by default.
+    pub spacing_ms: u64,
+    /// Milliseconds that an endpoint is out the first time; 2,000 by default.
+    pub base_ms: u64,
+    /// Milliseconds after which a probe without an answer counts as lost; 10,000
+    /// by default.
+    pub probe_ms: u64,
+    /// Successful probes in a row that bring an endpoint back; 3 by default.
+    pub probes: u32,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            max_share: 0.34,
+            suspect_share: 0.5,
+            min_requests: 5.0,
+            failure_share: 0.5,
+            slow_factor: 4.0,
+            memory_ms: 10_000,
+            spacing_ms: 500,
+            base_ms: 2_000,
+            probe_ms: 10_000,
+            probes: 3,
+        }
+    }
+}
+
+/// How a request to an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was served; for a generation the latency is that of the first token.
+    Success {
+        /// Milliseconds from sending to the first part of the answer.
+        latency_ms: u64,
+    },
+    /// It failed by a fault of the endpoint.
+    Failure,
+    /// It ended in a way that tells nothing of the endpoint, such as a refusal
+    /// because it is full or a caller that went away.
+    Neutral,
+}
+
+/// What a driver must do at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Keep the endpoint out of choices until the deadline.
+    Eject {
+        /// When it may be chosen again.
+        until: Time,
+    },
+    /// Take the endpoint in again.
+    Restore,
+}
+
+/// The judgement of the endpoints of one route.
+#[derive(Clone, Debug)]
+pub struct Detector {
+    config: Config,
+    /// Sorted by name.
+    records: Vec<Record>,
+    next_ejection: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    name: Arc<str>,
+    successes: f64,
+    failures: f64,
+    at: Time,
+    latency_ms: f64,
+    state: State,
+    ejections: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    In,
+    /// Out, and probed from the deadline on.
+    Out {
+        until: Time,
+    },
+    /// Out, with some probes that succeeded, and one on its way until the deadline.
+    Probed {
+        successes: u32,
+        until: Time,
+    },
+}
+
+impl Detector {
+    /// Creates a detector that knows no endpoint.
+    pub fn new(config: Config) -> Detector {
+        Detector {
+            config,
+            records: Vec::new(),
+            next_ejection: Time::ZERO,
+        }
+    }
+
+    /// Forgets the endpoints that are not in the list.
+    pub fn retain(&mut self, mut keep: impl FnMut(&str) -> bool) {
+        self.records.retain(|record| keep(&record.name));
+    }
+
+    /// Notes that a request was sent; one to an endpoint that is out is its probe.
+    pub fn sent(&mut self, name: &str, now: Time) -> Option<Change> {
+        let lost = now + Duration::from_millis(self.config.probe_ms);
+        let at = self.find_or_add(name, now);
+        let record = &mut self.records[at];
+        let successes = match record.state {
+            State::In => return None,
+            State::Out { .. } => 0,
+            State::Probed { successes, .. } => successes,
+        };
+        record.state = State::Probed {
+            successes,
+            until: lost,
+        };
+        Some(Change::Eject { until: lost })
+    }
+
+    /// Notes how a request ended.
+    pub fn ended(&mut self, name: &str, outcome: Outcome, now: Time) -> Option<Change> {
+        let at = self.find_or_add(name, now);
+        self.records[at].count(outcome, self.config.memory_ms, now);
+        match (self.records[at].state, outcome) {
+            (State::In, Outcome::Neutral) | (State::Out { .. }, _) => None,
+            (State::In, _) => self.judge(at, now),
+            (State::Probed { successes, .. }, Outcome::Neutral) => {
+                self.records[at].state = State::Probed {
+                    successes,
+                    until: now,
+                };
+                Some(Change::Eject { until: now })
+            }
+            (State::Probed { .. }, Outcome::Failure) => Some(self.eject(at, now)),
+            (State::Probed { successes, .. }, Outcome::Success { latency_ms }) => {
+                Some(self.probed(at, successes, latency_ms, now))
+            }
+        }
+    }
+
+    /// Returns the number of endpoints that are out or probed.
+    pub fn ejected(&self) -> usize {
+        let out = self
+            .records
+            .iter()
+            .filter(|record| record.state != State::In);
+        out.count()
+    }
+
+    fn find_or_add(&mut self, name: &str, now: Time) -> usize {
+        let found = self
+            .records
+            .binary_search_by(|record| (*record.name).cmp(name));
+        found.unwrap_or_else(|at| {
+            self.records.insert(at, Record::new(name, now));
+            at
+        })
+    }
+
+    /// Ejects an endpoint where it is bad and the bounds allow.
+    fn judge(&mut self, at: usize, now: Time) -> Option<Change> {
+        if !self.next_ejection.is_past(now) {
+            return None;
+        }
+        let median = self.median_without(at);
+        if !self.is_bad(&self.records[at], median, now) {
+            return None;
+        }
+        let known = self.records.len() as f64;
+        if (self.ejected() + 1) as f64 > self.config.max_share * known {
+            return None;
+        }
+        let bad = self
+            .records
+            .iter()
+            .filter(|record| record.state != State::In || self.is_bad(record, median, now));
+        if bad.count() as f64 > self.config.suspect_share * known {
+            return None;
+        }
+        Some(self.eject(at, now))
+    }
+
+    fn is_bad(&self, record: &Record, median: Option<f64>, now: Time) -> bool {
+        let (successes, failures) = record.decayed(self.config.memory_ms, now);
+        let requests = successes + failures;
+        if requests < self.config.min_requests {
+            return false;
+        }
+        let fails = failures >= self.config.failure_share * requests;
+        let slow = median
+            .is_some_and(|median| record.latency_ms > self.config.slow_factor * median.max(1.0));
+        fails || slow
+    }
+
+    /// Returns the median latency of the other endpoints that are in.
+    fn median_without(&self, at: usize) -> Option<f64> {
+        let others = self.records.iter().enumerate();
+        let mut latencies: Vec<f64> = others
+            .filter(|(other, record)| *other != at && record.state == State::In)
+            .map(|(_, record)| record.latency_ms)
+            .filter(|&latency| latency > 0.0)
+            .collect();
+        latencies.sort_by(f64::total_cmp);
+        latencies.get(latencies.len() / 2).copied()
+    }
+
+    fn eject(&mut self, at: usize, now: Time) -> Change {
+        let record = &mut self.records[at];
+        let doublings = record.ejections.min(MAX_DOUBLINGS);
+        let out_ms = self.config.base_ms << doublings;
+        let until = now + Duration::from_millis(out_ms);
+        record.ejections += 1;
+        record.state = State::Out { until };
+        self.next_ejection = now + Duration::from_millis(self.config.spacing_ms);
+        Change::Eject { until }
+    }
+
+    /// Takes a probe that succeeded, which brings the endpoint back after enough.
+    fn probed(&mut self, at: usize, successes: u32, latency_ms: u64, now: Time) -> Change {
+        let slow = self
+            .median_without(at)
+            .is_some_and(|median| latency_ms as f64 > self.config.slow_factor * median.max(1.0));
+        if slow {
+            return self.eject(at, now);
+        }
+        let successes = successes + 1;
+        let record = &mut self.records[at];
+        if successes < self.config.probes {
+            let until = now;
+            record.state = State::Probed { successes, until };
+            return Change::Eject { until };
+        }
+        record.restore(now);
+        Change::Restore
+    }
+}
+
+impl Record {
+    fn new(name: &str, now: Time) -> Record {
+        Record {
+            name: name.into(),
+            successes: 0.0,
+            failures: 0.0,
+            at: now,
+            latency_ms: 0.0,
+            state: State::In,
+            ejections: 0,
+        }
+    }
+
+    fn decayed(&self, memory_ms: u64, now: Time) -> (f64, f64) {
+        let elapsed = now.since(self.at).as_millis() as f64;
+        let kept = (-elapsed / memory_ms.max(1) as f64).exp();
+        (self.successes * kept, self.failures * kept)
+    }
+
+    fn count(&mut self, outcome: Outcome, memory_ms: u64, now: Time) {
+        (self.successes, self.failures) = self.decayed(memory_ms, now);
+        self.at = self.at.max(now);
+        match outcome {
+            Outcome::Failure => self.failures += 1.0,
+            Outcome::Neutral => {}
+            Outcome::Success { latency_ms } => {
+                let latency = latency_ms as f64;
+                let gain = if self.latency_ms > 0.0 {
+                    LATENCY_GAIN
+                } else {
+                    1.0
+                };
+                self.latency_ms += gain * (latency - self.latency_ms);
+                self.successes += 1.0;
+                // A long time of good service takes back the doublings.
+                if self.state == State::In && self.failures < 0.1 {
+                    self.ejections = 0;
+                }
+            }
+        }
+    }
+
+    fn restore(&mut self, now: Time) {
+        self.state = State::In;
+        self.successes = 0.0;
+        self.failures = 0.0;
+        self.latency_ms = 0.0;
+        self.at = now;
+    }
+}
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -1,1 +1,210 @@
-//! Not yet written.
+//! Whether a request that failed is tried again.
+//!
+//! Three rules stand before each further attempt.
+//!
+//! * *The promises.* A request is repeated only where its attempt was not run, or
+//!   where running it twice is harmless and its caller has received nothing yet:
+//!   tokens of two generations are never mixed.
+//! * *The deadline.* An attempt that could not end in time is not made.
+//! * *The budget.* Repeats take from a [`Budget`] of the route that successes fill
+//!   by a share each, with a small floor for routes with little traffic. When a
+//!   data centre fails, attempts therefore grow by at most that share instead of
+//!   by the number of repeats that each request may have.
+//!
+//! A refusal by an agent whose endpoint is full costs no budget, because the
+//! endpoint was given nothing; the number of agents asked for one request is
+//! bounded instead.
+//!
+//! # Examples
+//!
+//! ```
+//! use cactusroad_core::{Time, refusal::Effect, retry::{Budget, Config, Failure, History}};
+//!
+//! let now = Time::from_millis(1_000);
+//! let mut budget = Budget::new(Config::default(), now);
+//! let mut history = History::new(true, Time::from_millis(9_000));
+//! history.failed(Failure::Broken(Effect::NotRun));
+//! assert!(budget.spend(&history, now).is_ok());
+//! history.started();
+//! history.failed(Failure::Broken(Effect::Unknown));
+//! assert!(budget.spend(&history, now).is_err());
+//! ```
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, IntoStaticStr};
+
+use crate::{Time, refusal::Effect};
+
+/// Parameters of repeats.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// Repeats that a route may make for each success; 0.1 by default.
+    pub share: f64,
+    /// Repeats a second that a route may make without successes; 1 by default.
+    pub floor_per_second: f64,
+    /// The most repeats that a route can save up; 20 by default.
+    pub burst: f64,
+    /// The most attempts that fail for one request; 3 by default.
+    pub max_attempts: u32,
+    /// The most agents that refuse one request because they are full; 6 by default.
+    pub max_refusals: u32,
+    /// The least time to the deadline that makes an attempt useful, in
+    /// milliseconds; 50 by default.
+    pub min_useful_ms: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            share: 0.1,
+            floor_per_second: 1.0,
+            burst: 20.0,
+            max_attempts: 3,
+            max_refusals: 6,
+            min_useful_ms: 50,
+        }
+    }
+}
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The agent was asked and its endpoint is full; nothing was run.
+    Full,
+    /// The attempt failed in any other way, with this effect.
+    Broken(Effect),
+}
+
+/// What has happened to one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct History {
+    idempotent: bool,
+    deadline: Time,
+    started: bool,
+    last: Option<Failure>,
+    attempts: u32,
+    refusals: u32,
+}
+
+impl History {
+    /// Returns the history of a request that was not tried yet.
+    pub const fn new(idempotent: bool, deadline: Time) -> History {
+        History {
+            idempotent,
+            deadline,
+            started: false,
+            last: None,
+            attempts: 0,
+            refusals: 0,
+        }
+    }
+
+    /// Notes that the caller has received a part of the answer.
+    pub const fn started(&mut self) {
+        self.started = true;
+    }
+
+    /// Notes a failed attempt.
+    pub const fn failed(&mut self, failure: Failure) {
+        self.last = Some(failure);
+        match failure {
+            Failure::Full => self.refusals += 1,
+            Failure::Broken(_) => self.attempts += 1,
+        }
+    }
+}
+
+/// Why a request is not tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Denial {
+    /// It may have run, and may not run twice.
+    Unsafe,
+    /// Its caller has received a part of the answer.
+    Started,
+    /// Its deadline is too near.
+    Deadline,
+    /// It failed as often as one request may.
+    Attempts,
+    /// The budget of its route is spent.
+    Budget,
+}
+
+/// The repeats that one route may make.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    config: Config,
+    balance: f64,
+    filled_at: Time,
+}
+
+impl Budget {
+    /// Returns a budget with a second's floor in it.
+    pub fn new(config: Config, now: Time) -> Budget {
+        Budget {
+            balance: config.floor_per_second.min(config.burst),
+            config,
+            filled_at: now,
+        }
+    }
+
+    /// Notes a request that succeeded.
+    pub fn succeeded(&mut self) {
+        self.balance = (self.balance + self.config.share).min(self.config.burst);
+    }
+
+    /// Takes one repeat from the budget.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a rule speaks against the repeat; nothing is taken then.
+    pub fn spend(&mut self, history: &History, now: Time) -> Result<(), Denial> {
+        self.fill(now);
+        self.check(history, now)?;
+        if history.last != Some(Failure::Full) {
+            self.balance -= 1.0;
+        }
+        Ok(())
+    }
+
+    /// Returns the repeats that are left.
+    pub const fn balance(&self) -> f64 {
+        self.balance
+    }
+
+    fn check(&self, history: &History, now: Time) -> Result<(), Denial> {
+        match history.last {
+            Some(Failure::Broken(Effect::Ran)) => return Err(Denial::Unsafe),
+            Some(Failure::Broken(Effect::Unknown)) if !history.idempotent => {
+                return Err(Denial::Unsafe);
+            }
+            _ => {}
+        }
+        if history.started {
+            return Err(Denial::Started);
+        }
+        let useful = now + Duration::from_millis(self.config.min_useful_ms);
+        if history.deadline.is_past(useful) {
+            return Err(Denial::Deadline);
+        }
+        let over = history.attempts >= self.config.max_attempts
+            || history.refusals >= self.config.max_refusals;
+        if over {
+            return Err(Denial::Attempts);
+        }
+        if history.last != Some(Failure::Full) && self.balance < 1.0 {
+            return Err(Denial::Budget);
+        }
+        Ok(())
+    }
+
+    fn fill(&mut self, now: Time) {
+        let elapsed = now.since(self.filled_at).as_secs_f64();
+        self.balance += elapsed * self.config.floor_per_second;
+        self.balance = self.balance.min(self.config.burst);
+        self.filled_at = self.filled_at.max(now);
+    }
+}
--- a/crates/core/tests/fairness.rs
+++ b/crates/core/tests/fairness.rs
@@ -7,7 +7,7 @@
     config::Objective,
     fairness::{Config, Entry, Queue, Reason, Ticket},
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -347,7 +347,18 @@
     ]
 }
 
+/// The same cases on every run.
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(fixed())]
+
     #[test]
     fn queue_any_steps(steps in prop::collection::vec(step(), 1..300)) {
         let config = Config { capacity: 8, max_idle: 3, ..Config::default() };
--- /dev/null
+++ b/crates/core/tests/outlier.rs
@@ -0,0 +1,180 @@
+//! Outliers: evidence, bounds and the way back.
+
+use std::time::Duration;
+
+use cactusroad_core::{
+    Time,
+    outlier::{Change, Config, Detector, Outcome},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const START: Time = Time::from_millis(1_000_000);
+const GOOD: Outcome = Outcome::Success { latency_ms: 100 };
+const SLOW: Outcome = Outcome::Success { latency_ms: 1_000 };
+
+fn at(ms: u64) -> Time {
+    START + Duration::from_millis(ms)
+}
+
+fn name(endpoint: usize) -> String {
+    format!("agent-{endpoint}")
+}
+
+/// Sends a request every 20 ms to each endpoint in turn, those that are bad
+/// answering with `outcome`, and returns which were ever out, and the most at once.
+fn judge(endpoints: usize, bad: &[usize], outcome: Outcome) -> (Vec<usize>, usize) {
+    let mut detector = Detector::new(Config::default());
+    let mut until = vec![Time::ZERO; endpoints];
+    let mut out = Vec::new();
+    let mut most = 0;
+    for ms in (0..20_000).step_by(20) {
+        for (endpoint, until) in until.iter_mut().enumerate() {
+            if !until.is_past(at(ms)) {
+                continue;
+            }
+            let outcome = if bad.contains(&endpoint) {
+                outcome
+            } else {
+                GOOD
+            };
+            let sent = detector.sent(&name(endpoint), at(ms));
+            let ended = detector.ended(&name(endpoint), outcome, at(ms + 10));
+            for change in [sent, ended].into_iter().flatten() {
+                match change {
+                    Change::Eject { until: deadline } => *until = deadline,
+                    Change::Restore => *until = Time::ZERO,
+                }
+            }
+            if !until.is_past(at(ms + 10)) && !out.contains(&endpoint) {
+                out.push(endpoint);
+            }
+        }
+        most = most.max(detector.ejected());
+    }
+    out.sort_unstable();
+    (out, most)
+}
+
+#[test]
+fn eject_bounded() {
+    // (endpoints, bad ones, how they end, how many are out at most)
+    let cases: [(usize, &[usize], Outcome, usize); 9] = [
+        (14, &[], Outcome::Failure, 0),
+        (14, &[3], Outcome::Failure, 1),
+        (14, &[3], SLOW, 1),
+        (14, &[3, 7, 9], Outcome::Failure, 3),
+        (14, &[0, 1, 2, 3, 4, 5], Outcome::Failure, 4),
+        (14, &[3], Outcome::Neutral, 0),
+        (3, &[1], Outcome::Failure, 1),
+        (3, &[0, 1], Outcome::Failure, 1),
+        (2, &[0], Outcome::Failure, 0),
+    ];
+    for (endpoints, bad, outcome, bound) in cases {
+        let (out, most) = judge(endpoints, bad, outcome);
+        let case = format!("{endpoints} {bad:?} {outcome:?}: {out:?}");
+        assert!(out.iter().all(|endpoint| bad.contains(endpoint)), "{case}");
+        assert_eq!(most, bound, "{case}");
+    }
+}
+
+#[test]
+fn eject_suspect_evidence() {
+    let mut detector = Detector::new(Config::default());
+    let mut ejected = 0;
+    for ms in (0..20_000).step_by(100) {
+        for endpoint in 0..10 {
+            let change = detector.ended(&name(endpoint), Outcome::Failure, at(ms));
+            ejected += usize::from(change.is_some());
+        }
+    }
+    // The first may go before the others have shown enough.
+    assert!(ejected <= 1, "{ejected} ejected while all fail");
+}
+
+#[test]
+fn eject_gradually() {
+    let config = Config::default();
+    let mut detector = Detector::new(config.clone());
+    let mut times = Vec::new();
+    for ms in (0..10_000).step_by(10) {
+        for endpoint in 0..12 {
+            let outcome = if endpoint < 4 { Outcome::Failure } else { GOOD };
+            if detector.ended(&name(endpoint), outcome, at(ms)).is_some() {
+                times.push(ms);
+            }
+        }
+    }
+    assert_eq!(times.len(), 4);
+    for pair in times.windows(2) {
+        assert!(pair[1] - pair[0] >= config.spacing_ms, "{times:?}");
+    }
+}
+
+#[test]
+fn return_by_probes() {
+    let mut detector = Detector::new(Config::default());
+    for turn in 0..10 {
+        for endpoint in 0..3 {
+            let outcome = if endpoint == 0 {
+                Outcome::Failure
+            } else {
+                GOOD
+            };
+            detector.ended(&name(endpoint), outcome, at(turn));
+        }
+    }
+    assert_eq!(detector.ejected(), 1);
+    let bad = name(0);
+    // One probe at a time: while it is on its way the endpoint stays out.
+    let probe = detector.sent(&bad, at(3_000));
+    assert_eq!(probe, Some(Change::Eject { until: at(13_000) }));
+    // It fails, so the time out doubles.
+    let failed = detector.ended(&bad, Outcome::Failure, at(3_100));
+    assert_eq!(failed, Some(Change::Eject { until: at(7_100) }));
+    for probe in 0..3 {
+        let ms = 7_200 + probe * 200;
+        assert!(detector.sent(&bad, at(ms)).is_some());
+        let expected = match probe {
+            2 => Change::Restore,
+            _ => Change::Eject {
+                until: at(ms + 100),
+            },
+        };
+        assert_eq!(detector.ended(&bad, GOOD, at(ms + 100)), Some(expected));
+    }
+    assert_eq!(detector.ejected(), 0);
+    assert_eq!(detector.sent(&bad, at(8_000)), None);
+}
+
+/// The same cases on every run.
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn share_never_exceeded(
+        steps in prop::collection::vec((0usize..9, 0u8..4, 0u64..300), 1..500),
+    ) {
+        let mut detector = Detector::new(Config::default());
+        for endpoint in 0..9 {
+            detector.ended(&name(endpoint), GOOD, START);
+        }
+        let mut ms = 0;
+        for (endpoint, step, wait_ms) in steps {
+            ms += wait_ms;
+            match step {
+                0 => detector.sent(&name(endpoint), at(ms)),
+                1 => detector.ended(&name(endpoint), GOOD, at(ms)),
+                _ => detector.ended(&name(endpoint), Outcome::Failure, at(ms)),
+            };
+            prop_assert!(detector.ejected() <= 3);
+        }
+    }
+}
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -8,7 +8,7 @@
     id::Incarnation,
     placement::{Config, Reason, Request, Status, Table, Vm, prefix_hashes},
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -418,7 +418,18 @@
     ChaCha8Rng::seed_from_u64(key).random()
 }
 
+/// The same cases on every run.
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(fixed())]
+
     #[test]
     fn choose_any_table(
         seed: u64,
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,154 @@
+//! Repeats: promises, deadlines and budgets.
+
+use std::time::Duration;
+
+use cactusroad_core::{
+    Time,
+    refusal::Effect,
+    retry::{Budget, Config, Denial, Failure, History},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const START: Time = Time::from_millis(1_000_000);
+
+fn at(ms: u64) -> Time {
+    START + Duration::from_millis(ms)
+}
+
+#[test]
+fn spend_by_promise() {
+    use Effect::{NotRun, Ran, Unknown};
+    let broken = Failure::Broken;
+    // (idempotent, the caller has a part, failure, what follows)
+    let cases = [
+        (true, false, broken(NotRun), Ok(())),
+        (true, false, broken(Unknown), Ok(())),
+        (true, false, broken(Ran), Err(Denial::Unsafe)),
+        (true, true, broken(Unknown), Err(Denial::Started)),
+        (true, false, Failure::Full, Ok(())),
+        (false, false, broken(NotRun), Ok(())),
+        (false, false, broken(Unknown), Err(Denial::Unsafe)),
+        (false, false, broken(Ran), Err(Denial::Unsafe)),
+        (false, false, Failure::Full, Ok(())),
+    ];
+    for (idempotent, started, failure, expected) in cases {
+        let mut budget = Budget::new(Config::default(), START);
+        let mut history = History::new(idempotent, at(1_000));
+        if started {
+            history.started();
+        }
+        history.failed(failure);
+        let case = format!("{idempotent} {started} {failure:?}");
+        assert_eq!(budget.spend(&history, START), expected, "{case}");
+    }
+}
+
+#[test]
+fn spend_near_deadline() {
+    let mut budget = Budget::new(Config::default(), START);
+    let mut history = History::new(true, at(100));
+    history.failed(Failure::Full);
+    assert_eq!(budget.spend(&history, at(49)), Ok(()));
+    assert_eq!(budget.spend(&history, at(50)), Err(Denial::Deadline));
+    assert_eq!(budget.spend(&history, at(5_000)), Err(Denial::Deadline));
+}
+
+#[test]
+fn spend_too_often() {
+    let config = Config {
+        floor_per_second: 100.0,
+        burst: 100.0,
+        ..Config::default()
+    };
+    let mut budget = Budget::new(config, START);
+    let mut broken = History::new(true, Time::MAX);
+    let mut full = History::new(true, Time::MAX);
+    let mut count = |history: &mut History, failure| {
+        (0..20)
+            .take_while(|_| {
+                history.failed(failure);
+                budget.spend(history, START).is_ok()
+            })
+            .count()
+    };
+    assert_eq!(count(&mut broken, Failure::Broken(Effect::NotRun)), 2);
+    assert_eq!(count(&mut full, Failure::Full), 5);
+}
+
+/// Sends requests of which a share fails at each attempt, and returns the number
+/// of attempts for each request.
+fn multiplication(config: Config, failing: f64) -> f64 {
+    const REQUESTS: u64 = 100_000;
+    let mut budget = Budget::new(config, START);
+    let mut attempts = 0_u64;
+    let mut turn = 0.0;
+    for request in 0..REQUESTS {
+        // A thousand requests a second.
+        let now = at(request);
+        let mut history = History::new(true, Time::MAX);
+        loop {
+            attempts += 1;
+            turn += failing;
+            if turn < 1.0 {
+                budget.succeeded();
+                break;
+            }
+            turn -= 1.0;
+            history.failed(Failure::Broken(Effect::NotRun));
+            if budget.spend(&history, now).is_err() {
+                break;
+            }
+        }
+    }
+    attempts as f64 / REQUESTS as f64
+}
+
+#[test]
+fn budget_bounds_load() {
+    for failing in [0.0, 0.05, 0.34, 0.7, 1.0] {
+        let with = multiplication(Config::default(), failing);
+        let without = multiplication(
+            Config {
+                share: 1e9,
+                floor_per_second: 1e9,
+                burst: 1e9,
+                ..Config::default()
+            },
+            failing,
+        );
+        println!("{failing}: {with:.3} attempts a request with the budget, {without:.3} without");
+        assert!(with <= 1.0 + 0.1 + 0.002, "{failing}: {with}");
+        assert!(failing < 0.5 || without > 1.5, "{failing}: {without}");
+    }
+}
+
+/// The same cases on every run.
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn budget_never_negative(steps in prop::collection::vec((0u8..3, 0u64..500), 1..300)) {
+        let config = Config::default();
+        let burst = config.burst;
+        let mut budget = Budget::new(config, START);
+        let mut ms = 0;
+        for (step, wait_ms) in steps {
+            ms += wait_ms;
+            let mut history = History::new(true, Time::MAX);
+            history.failed(Failure::Broken(Effect::NotRun));
+            match step {
+                0 => budget.succeeded(),
+                _ => { budget.spend(&history, at(ms)).ok(); }
+            }
+            prop_assert!((0.0..=burst).contains(&budget.balance()));
+        }
+    }
+}
