Check, render, compare and apply folders; show status; make keys

Cause: operators drive the system by a folder, and of two who race exactly one may be accepted, also where the store's answer is lost after its effect.

Change: apply writes parts, then the manifest in force into the history, then the new manifest by a conditional update that carries a random id; a lost answer is settled by reading the manifest or the history back. A step between configurations is checked: a running plan does not change, a name of an ended plan is not used again, a data centre comes back by a ramp. config gains change, drain (allowance) and report; rollout gains the recorded outcome.

Conclusion: writing the history before the accepting update makes a lost answer decidable however many operators came after.

--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -5,11 +5,15 @@
 
 use std::time::Duration;
 
+use crate::Time;
+
 use super::{DataCentre, Plan, Route, Snapshot, WHOLE_SHARE, Workspace, fault::Kind, parts};
 
 /// The shortest time in which a step can be proven, in milliseconds.
 pub const MIN_STEP_MS: u64 = 30_000;
 
+/// How far `back_at` may lie in the past when a data centre comes back, in milliseconds.
+const MAX_BACK_AGE_MS: u64 = 60_000;
 const DIGEST_DIGITS: usize = 64;
 
 /// The path of a field, from its section inwards.
@@ -36,6 +40,50 @@
     found.0
 }
 
+/// Returns what forbids the step from one accepted configuration to the next.
+///
+/// A plan does not change while it stands, because processes that have taken a
+/// step under the old form would disagree with the others. A data centre comes
+/// back by a ramp from a time that must be stated.
+pub fn check_step(before: &Snapshot, after: &Snapshot, now: Time) -> Vec<(Path, Kind)> {
+    let mut found = Found::default();
+    for plan in &after.plans {
+        match before.plan(&plan.name) {
+            Some(running) if running != plan => {
+                found.add(&["plans", &plan.name], Kind::PlanChanged);
+            }
+            Some(_) => {}
+            None => check_start(plan, now, &mut found),
+        }
+    }
+    for data_centre in &after.data_centres {
+        let name = &*data_centre.name;
+        let was_out = before.data_centre(name).is_some_and(|before| before.out);
+        let earliest = Time::from_micros(now.as_micros().saturating_sub(MAX_BACK_AGE_MS * 1_000));
+        let ramps = data_centre.back_at.is_some_and(|at| at >= earliest);
+        if was_out && !data_centre.out && !ramps {
+            found.add(&["data_centres", name, "back_at"], Kind::NoRamp);
+        }
+    }
+    found.0
+}
+
+/// Reports a new plan whose steps cannot be proven one after the other from now on.
+fn check_start(plan: &Plan, now: Time, found: &mut Found) {
+    let step = Duration::from_millis(MIN_STEP_MS);
+    let ends = plan
+        .steps
+        .iter()
+        .fold(now, |end, step_at| end.max(step_at.not_before) + step);
+    if plan.deadline < ends {
+        let kind = Kind::DeadlineTooEarly {
+            deadline: plan.deadline,
+            possible: ends,
+        };
+        found.add(&["plans", &plan.name, "deadline"], kind);
+    }
+}
+
 #[derive(Default)]
 struct Found(Vec<(Path, Kind)>);
 
--- a/crates/core/src/config/fault.rs
+++ b/crates/core/src/config/fault.rs
@@ -118,6 +118,15 @@
         /// The earliest end of the plan.
         possible: crate::Time,
     },
+    /// A plan in force has been changed.
+    #[error("the plan is in force in another form")]
+    PlanChanged,
+    /// A plan of this name has ended before.
+    #[error("a plan of this name has ended before: {0}")]
+    PlanEnded(crate::rollout::End),
+    /// A data centre comes back without a ramp.
+    #[error("the data centre comes back, but `back_at` is missing or over a minute old")]
+    NoRamp,
     /// All data centres are out.
     #[error("every data centre is out, so no request could run")]
     AllOut,
@@ -156,6 +165,9 @@
             Kind::StepsStopShort(_) => "add a last step with a share of 1000",
             Kind::StepTooEarly { .. } => "leave at least 30 seconds between steps",
             Kind::DeadlineTooEarly { .. } => "move the deadline or the steps",
+            Kind::PlanChanged => "write the change as a plan with another name",
+            Kind::PlanEnded(_) => "give the plan another name",
+            Kind::NoRamp => "set `back_at` to the time from which its share of load may rise",
             Kind::AllOut => "bring one back before the last goes out",
             Kind::NoDataCentre => "add one to `data_centres`",
             Kind::TooLarge(_) => "remove versions and plans that are no longer used",
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -18,11 +18,14 @@
 
 use crate::Time;
 
+pub mod change;
 pub mod check;
 mod document;
+pub mod drain;
 pub mod fault;
 pub mod folder;
 pub mod parts;
+pub mod report;
 mod settings;
 
 pub use settings::{Limits, Objective, Policy, Settings};
--- a/crates/core/src/config/parts.rs
+++ b/crates/core/src/config/parts.rs
@@ -238,6 +238,16 @@
     Ok(snapshot)
 }
 
+/// Returns a configuration as one document with a section for each list.
+pub fn document(snapshot: &Snapshot) -> Value {
+    let mut document = to_value(&base(snapshot));
+    let workspaces = section(&snapshot.workspaces, |item| &item.name);
+    if let Value::Object(sections) = &mut document {
+        sections.insert("workspaces".to_owned(), workspaces.into());
+    }
+    document
+}
+
 /// Returns the bucket of a workspace among `count` buckets.
 pub fn bucket(workspace: &str, count: usize) -> usize {
     let hash = xxhash_rust::xxh3::xxh3_64(workspace.as_bytes());
--- /dev/null
+++ b/crates/ops/src/keys.rs
@@ -0,0 +1,163 @@
+//! The site's certificate authority and the certificates of its processes.
+//!
+//! Processes know each other by mutual TLS under one authority of the site. Each
+//! gets a key and a certificate for its name; its settings name the three files
+//! `ca`, `certificate` and `key`. Keys are written with mode 0600 and never over
+//! an existing file.
+
+use std::{
+    fmt, fs,
+    io::Write,
+    os::unix::fs::OpenOptionsExt,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use rcgen::{
+    BasicConstraints, CertificateParams, DistinguishedName, DnType, ExtendedKeyUsagePurpose, IsCa,
+    Issuer, KeyPair, KeyUsagePurpose, date_time_ymd,
+};
+use serde::Serialize;
+
+use crate::{Error, folder::unreadable};
+
+const AUTHORITY_NAME: &str = "cactusroad site authority";
+const AUTHORITY_DAYS: u32 = 3_650;
+/// How far the start of a certificate lies in the past, for clocks that run behind, in days.
+const CLOCK_SKEW_DAYS: u32 = 1;
+const SECONDS_PER_DAY: u64 = 86_400;
+
+/// The files that were written.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Written {
+    /// The certificate of the authority.
+    pub ca: PathBuf,
+    /// The certificate that was made.
+    pub certificate: PathBuf,
+    /// Its private key.
+    pub key: PathBuf,
+}
+
+impl fmt::Display for Written {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "ca: {}\ncertificate: {}\nkey: {} (keep it secret)",
+            self.ca.display(),
+            self.certificate.display(),
+            self.key.display()
+        )
+    }
+}
+
+/// Makes the site's authority in `directory`: `ca.pem` and `ca.key`.
+///
+/// # Errors
+///
+/// Fails where either file exists already or cannot be written.
+pub fn authority(directory: &Path) -> Result<Written, Error> {
+    let key = KeyPair::generate()?;
+    let certificate = authority_params()?.self_signed(&key)?;
+    let written = Written {
+        ca: directory.join("ca.pem"),
+        certificate: directory.join("ca.pem"),
+        key: directory.join("ca.key"),
+    };
+    refuse_existing(&[written.key.as_path(), written.ca.as_path()])?;
+    write_new(&written.key, &key.serialize_pem())?;
+    write_new(&written.ca, &certificate.pem())?;
+    Ok(written)
+}
+
+/// Makes the certificate of one process under the authority in `authority`.
+///
+/// # Errors
+///
+/// Fails where the authority cannot be read, or a file exists already.
+pub fn process(
+    authority: &Path,
+    directory: &Path,
+    name: &str,
+    days: u32,
+) -> Result<Written, Error> {
+    let is_name = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    if name.is_empty() || name.len() > 63 || !name.bytes().all(is_name) {
+        let text = format!("`{name}` is no process name; use 1 to 63 of `a-z`, `0-9` and `-`");
+        return Err(Error::Argument(text));
+    }
+    let ca_key = authority.join("ca.key");
+    let pem = fs::read_to_string(&ca_key).map_err(|cause| unreadable(&ca_key, cause))?;
+    // The issuer is known by its name and key alone, so its certificate need not be parsed.
+    let issuer = Issuer::new(authority_params()?, KeyPair::from_pem(&pem)?);
+    let key = KeyPair::generate()?;
+    let certificate = process_params(name, days)?.signed_by(&key, &issuer)?;
+    let written = Written {
+        ca: authority.join("ca.pem"),
+        certificate: directory.join(format!("{name}.pem")),
+        key: directory.join(format!("{name}.key")),
+    };
+    refuse_existing(&[written.key.as_path(), written.certificate.as_path()])?;
+    write_new(&written.key, &key.serialize_pem())?;
+    write_new(&written.certificate, &certificate.pem())?;
+    Ok(written)
+}
+
+fn authority_params() -> Result<CertificateParams, Error> {
+    let mut params = CertificateParams::new(Vec::<String>::new())?;
+    params.distinguished_name = common_name(AUTHORITY_NAME);
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    set_validity(&mut params, AUTHORITY_DAYS);
+    Ok(params)
+}
+
+fn process_params(name: &str, days: u32) -> Result<CertificateParams, Error> {
+    let mut params = CertificateParams::new(vec![name.to_owned()])?;
+    params.distinguished_name = common_name(name);
+    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ServerAuth,
+        ExtendedKeyUsagePurpose::ClientAuth,
+    ];
+    params.use_authority_key_identifier_extension = true;
+    set_validity(&mut params, days);
+    Ok(params)
+}
+
+fn common_name(name: &str) -> DistinguishedName {
+    let mut names = DistinguishedName::new();
+    names.push(DnType::CommonName, name);
+    names
+}
+
+fn set_validity(params: &mut CertificateParams, days: u32) {
+    let day = Duration::from_secs(SECONDS_PER_DAY);
+    let now = jiff::Timestamp::now();
+    let from = now - day * CLOCK_SKEW_DAYS;
+    let until = now + day * days;
+    let date = |stamp: jiff::Timestamp| {
+        let date = stamp.to_zoned(jiff::tz::TimeZone::UTC).date();
+        let month = u8::try_from(date.month()).unwrap_or(1);
+        let day = u8::try_from(date.day()).unwrap_or(1);
+        date_time_ymd(i32::from(date.year()), month, day)
+    };
+    params.not_before = date(from);
+    params.not_after = date(until);
+}
+
+fn refuse_existing(paths: &[&Path]) -> Result<(), Error> {
+    match paths.iter().find(|path| path.exists()) {
+        None => Ok(()),
+        Some(path) => Err(unreadable(path, std::io::ErrorKind::AlreadyExists.into())),
+    }
+}
+
+fn write_new(path: &Path, text: &str) -> Result<(), Error> {
+    let mut options = fs::OpenOptions::new();
+    options.write(true).create_new(true).mode(0o600);
+    let mut file = options
+        .open(path)
+        .map_err(|cause| unreadable(path, cause))?;
+    file.write_all(text.as_bytes())
+        .map_err(|cause| unreadable(path, cause))
+}
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//!
+//! returns a value that prints for people ([`std::fmt::Display`]) or for scripts
+//! ([`serde::Serialize`], with `--json`). [`run`] reads the arguments, calls the
+//! function and turns its result into an [`Exit`].
+//!
+//! | exit code | meaning |
+//! | --- | --- |
+//! | 1 | the folder has faults, each printed with its remedy |
+//! | 2 | an argument or a local file is wrong |
+//! | 3 | another operator's configuration came first; nothing was applied |
+//! | 4 | the store cannot be reached; nothing was applied |
+//! | 5 | the store's answer is lost and could not be read back; ask `history` |
+//! | 6 | the store holds something that this release cannot read |
+
+pub mod apply;
+pub mod error;
+pub mod folder;
+pub mod history;
+pub mod keys;
+pub mod remote;
+pub mod status;
+pub mod text;
+pub mod view;
+
+pub use error::{Error, Exit};
--- /dev/null
+++ b/crates/ops/src/status.rs
@@ -0,0 +1,309 @@
+//! Where the fleet stands: generations, data centres and moves.
+
+use std::{fmt, sync::Arc};
+
+use serde::Serialize;
+use strum::Display;
+
+use cactusroad_core::{
+    Time,
+    config::{
+        Generation, Plan, Snapshot, drain,
+        parts::Manifest,
+        report::{Move, REPORT_KEY, Report},
+    },
+    rollout::{self, End, Outcome, Reason},
+};
+use cactusroad_platform::store::Store;
+
+use crate::{Error, remote, text};
+
+/// A report older than this is shown as old, in milliseconds.
+const MAX_REPORT_AGE_MS: u64 = 30_000;
+
+/// Where the fleet stands.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Status {
+    /// The generation in force.
+    pub generation: Generation,
+    /// When it was applied, in RFC 3339.
+    pub applied_at: String,
+    /// Who applied it.
+    pub author: Arc<str>,
+    /// How long ago the fleet reported, in milliseconds, or nothing where it never did.
+    pub report_age_ms: Option<u64>,
+    /// The processes of each generation, the newest first.
+    pub running: Vec<Running>,
+    /// The longest time from accepted to in force among processes, in milliseconds.
+    pub in_force_after_ms: Option<u64>,
+    /// The data centres.
+    pub data_centres: Vec<DataCentre>,
+    /// The rollout plans.
+    pub moves: Vec<MoveStatus>,
+}
+
+/// The processes that run one generation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Running {
+    /// The generation.
+    pub generation: Generation,
+    /// The names of the processes.
+    pub processes: Vec<Arc<str>>,
+}
+
+/// A data centre and what it may be given.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct DataCentre {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The share of its normal load, in thousandths.
+    pub allowance: u16,
+    /// Whether operators have taken it out.
+    pub out: bool,
+}
+
+/// Where a rollout plan stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum State {
+    /// Its first step is ahead.
+    Waiting,
+    /// Its traffic moves.
+    Running,
+    /// All traffic has moved.
+    Done,
+    /// All traffic is back at the old version.
+    Reversed,
+}
+
+/// A rollout plan and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct MoveStatus {
+    /// The plan.
+    pub plan: Arc<str>,
+    /// The route.
+    pub route: Arc<str>,
+    /// The version that the route leaves.
+    pub from: Arc<str>,
+    /// The version that the route moves to.
+    pub to: Arc<str>,
+    /// Where it stands.
+    pub state: State,
+    /// Whether the store holds the outcome; one that is only reported may lack its record.
+    pub recorded: bool,
+    /// The share of the new version, in thousandths, where it is known.
+    pub share: Option<u16>,
+    /// Why it was reversed.
+    pub reason: Option<Reason>,
+    /// Since when, in RFC 3339.
+    pub since: String,
+    /// Its deadline, in RFC 3339.
+    pub deadline: String,
+}
+
+/// Reads where the fleet stands.
+///
+/// # Errors
+///
+/// Fails where the store is down, or nothing was ever applied.
+pub async fn status(store: &impl Store, now: Time) -> Result<Status, Error> {
+    let Some((_, manifest)) = remote::manifest(store).await? else {
+        let text = "nothing was ever applied; run `apply DIR --store URL` first";
+        return Err(Error::Argument(text.to_owned()));
+    };
+    let snapshot = remote::snapshot(store, &manifest).await?;
+    let report: Option<Report> = remote::object(store, REPORT_KEY).await?;
+    let mut moves = Vec::new();
+    for plan in &snapshot.plans {
+        let key = rollout::outcome_key(&plan.name);
+        let outcome = remote::object(store, &key).await?;
+        let moves_reported = report.iter().flat_map(|report| &report.moves);
+        let reported = moves_reported
+            .into_iter()
+            .find(|reported| reported.plan == plan.name);
+        moves.push(move_status(plan, outcome.as_ref(), reported, now));
+    }
+    Ok(assemble(&manifest, &snapshot, report.as_ref(), moves, now))
+}
+
+fn assemble(
+    manifest: &Manifest,
+    snapshot: &Snapshot,
+    report: Option<&Report>,
+    moves: Vec<MoveStatus>,
+    now: Time,
+) -> Status {
+    let data_centre = |data_centre: &cactusroad_core::config::DataCentre| DataCentre {
+        name: data_centre.name.clone(),
+        allowance: drain::allowance(data_centre, now),
+        out: data_centre.out,
+    };
+    Status {
+        generation: manifest.generation,
+        applied_at: text::format_time(manifest.applied_at),
+        author: manifest.author.clone(),
+        report_age_ms: report.map(|report| millis(report.written_at, now)),
+        running: report.map(running).unwrap_or_default(),
+        in_force_after_ms: report.and_then(|report| in_force_after(report, manifest)),
+        data_centres: snapshot.data_centres.iter().map(data_centre).collect(),
+        moves,
+    }
+}
+
+fn running(report: &Report) -> Vec<Running> {
+    let mut groups: Vec<Running> = Vec::new();
+    for process in &report.processes {
+        let generation = process.generation;
+        match groups.binary_search_by(|group| generation.cmp(&group.generation)) {
+            Ok(at) => groups[at].processes.push(process.name.clone()),
+            Err(at) => groups.insert(
+                at,
+                Running {
+                    generation,
+                    processes: vec![process.name.clone()],
+                },
+            ),
+        }
+    }
+    groups
+}
+
+fn in_force_after(report: &Report, manifest: &Manifest) -> Option<u64> {
+    let runs = |process: &&_| -> bool {
+        let process: &cactusroad_core::config::report::Process = process;
+        process.generation == manifest.generation
+    };
+    let processes = report.processes.iter().filter(runs);
+    processes
+        .map(|process| millis(manifest.applied_at, process.in_force_at))
+        .max()
+}
+
+/// Tells where a plan stands from its recorded outcome, the fleet's report and the clock.
+fn move_status(
+    plan: &Plan,
+    outcome: Option<&Outcome>,
+    reported: Option<&Move>,
+    now: Time,
+) -> MoveStatus {
+    let started = plan.steps.first().map_or(Time::MAX, |step| step.not_before);
+    let withdrawn = reported.and_then(|reported| reported.withdrawn);
+    let (state, since) = match (outcome, reported) {
+        (Some(outcome), _) if outcome.end == End::Done => (State::Done, outcome.at),
+        (Some(outcome), _) => (State::Reversed, outcome.at),
+        (None, Some(reported)) if withdrawn.is_some() => (State::Reversed, reported.since),
+        (None, _) if !started.is_past(now) => (State::Waiting, started),
+        (None, Some(reported)) => (State::Running, reported.since),
+        (None, None) => (State::Running, started),
+    };
+    let share = match state {
+        State::Waiting | State::Reversed => Some(0),
+        State::Done => Some(cactusroad_core::config::WHOLE_SHARE),
+        State::Running => reported.map(|reported| reported.share),
+    };
+    MoveStatus {
+        plan: plan.name.clone(),
+        route: plan.route.clone(),
+        from: plan.from.clone(),
+        to: plan.to.clone(),
+        state,
+        recorded: outcome.is_some(),
+        share,
+        reason: outcome.and_then(|outcome| outcome.reason).or(withdrawn),
+        since: text::format_time(since),
+        deadline: text::format_time(plan.deadline),
+    }
+}
+
+fn millis(from: Time, to: Time) -> u64 {
+    to.as_millis().saturating_sub(from.as_millis())
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let generation = self.generation.0;
+        writeln!(
+            f,
+            "generation {generation}, applied {} by {}",
+            self.applied_at, self.author
+        )?;
+        match self.report_age_ms {
+            None => writeln!(f, "no process has reported yet")?,
+            Some(age) if age > MAX_REPORT_AGE_MS => {
+                writeln!(f, "the last report is {} s old", age / 1_000)?;
+            }
+            Some(_) => {}
+        }
+        for running in &self.running {
+            let count = running.processes.len();
+            write!(
+                f,
+                "  generation {}: {count} processes",
+                running.generation.0
+            )?;
+            if running.generation < self.generation {
+                write!(f, " behind: {}", running.processes.join(", "))?;
+            }
+            writeln!(f)?;
+        }
+        if let Some(delay) = self.in_force_after_ms {
+            writeln!(
+                f,
+                "  in force within {delay} ms of the apply where it is in force"
+            )?;
+        }
+        f.write_str("data centres:")?;
+        for data_centre in &self.data_centres {
+            write!(f, "\n  {data_centre}")?;
+        }
+        if self.moves.is_empty() {
+            return f.write_str("\nno rollout plans");
+        }
+        f.write_str("\nrollout plans:")?;
+        for plan in &self.moves {
+            write!(f, "\n  {plan}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for DataCentre {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let DataCentre {
+            name, allowance, ..
+        } = self;
+        match (self.out, allowance) {
+            (true, _) => write!(f, "{name}: out"),
+            (false, 1_000) => write!(f, "{name}: in"),
+            (false, _) => write!(f, "{name}: coming back, {allowance} of 1000 of its load"),
+        }
+    }
+}
+
+impl fmt::Display for MoveStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let MoveStatus {
+            plan,
+            route,
+            from,
+            to,
+            state,
+            ..
+        } = self;
+        write!(f, "{plan}: {state} since {}", self.since)?;
+        if let Some(reason) = self.reason {
+            write!(f, " because of {reason}")?;
+        }
+        write!(f, "; {route} from {from} to {to}")?;
+        if let Some(share) = self.share {
+            write!(f, ", {share} of 1000 moved")?;
+        }
+        write!(f, ", deadline {}", self.deadline)?;
+        let ended = matches!(self.state, State::Done | State::Reversed);
+        if ended && !self.recorded {
+            f.write_str("; not recorded in the store yet")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ops/tests/commands/fake.rs
@@ -0,0 +1,175 @@
+//! A store in memory that loses answers on demand.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cactusroad_platform::store::{Change, Error, Expect, Object, Store, Version};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// What becomes of the next writes to one key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// The write takes effect, but its answer is lost.
+    AnswerLost,
+    /// The write is lost.
+    WriteLost,
+    /// The write takes effect, its answer is lost, and the store goes down.
+    AnswerLostThenDown,
+}
+
+#[derive(Debug)]
+struct State {
+    objects: Vec<Object>,
+    written: u64,
+    down: bool,
+    fates: Vec<(Arc<str>, Fate)>,
+    yields: StdRng,
+}
+
+/// A store whose calls yield a seeded number of times before they take effect.
+#[derive(Clone, Debug)]
+pub(crate) struct Fake(Arc<Mutex<State>>);
+
+impl Fake {
+    pub(crate) fn new(seed: u64) -> Fake {
+        Fake(Arc::new(Mutex::new(State {
+            objects: Vec::new(),
+            written: 0,
+            down: false,
+            fates: Vec::new(),
+            yields: StdRng::seed_from_u64(seed),
+        })))
+    }
+
+    pub(crate) fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    /// Sets the fate of the next write to `key`; several are kept in order.
+    pub(crate) fn push_fate(&self, key: &str, fate: Fate) {
+        self.lock().fates.push((key.into(), fate));
+    }
+
+    pub(crate) fn keys(&self) -> Vec<String> {
+        let state = self.lock();
+        state
+            .objects
+            .iter()
+            .map(|object| object.key.to_string())
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0
+            .lock()
+            .expect("no test panics while it holds the lock")
+    }
+
+    async fn pass(&self) -> Result<(), Error> {
+        let yields = self.lock().yields.random_range(0..4);
+        for _ in 0..yields {
+            tokio::task::yield_now().await;
+        }
+        if self.lock().down {
+            return Err(Error::Unavailable);
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    fn put(&mut self, key: &str, expect: Expect, value: Bytes) -> Result<Version, Error> {
+        let found = self
+            .objects
+            .binary_search_by(|object| (*object.key).cmp(key));
+        let fits = match (expect, found) {
+            (Expect::Absent, Err(_)) => true,
+            (Expect::At(version), Ok(at)) => self.objects[at].version == version,
+            _ => false,
+        };
+        if !fits {
+            return Err(Error::Conflict);
+        }
+        self.written += 1;
+        let object = Object {
+            key: key.into(),
+            version: Version(self.written),
+            value,
+        };
+        match found {
+            Ok(at) => self.objects[at] = object,
+            Err(at) => self.objects.insert(at, object),
+        }
+        Ok(Version(self.written))
+    }
+
+    fn take_fate(&mut self, key: &str) -> Option<Fate> {
+        let at = self.fates.iter().position(|(of, _)| &**of == key)?;
+        Some(self.fates.remove(at).1)
+    }
+}
+
+impl Store for Fake {
+    async fn get(&self, key: &str) -> Result<Option<Object>, Error> {
+        self.pass().await?;
+        let state = self.lock();
+        Ok(state
+            .objects
+            .iter()
+            .find(|object| &*object.key == key)
+            .cloned())
+    }
+
+    async fn put(&self, key: &str, expect: Expect, value: Bytes) -> Result<Version, Error> {
+        self.pass().await?;
+        let mut state = self.lock();
+        match state.take_fate(key) {
+            None => state.put(key, expect, value),
+            Some(Fate::WriteLost) => Err(Error::Unanswered),
+            Some(Fate::AnswerLost) => {
+                let _ = state.put(key, expect, value);
+                Err(Error::Unanswered)
+            }
+            Some(Fate::AnswerLostThenDown) => {
+                let _ = state.put(key, expect, value);
+                state.down = true;
+                Err(Error::Unanswered)
+            }
+        }
+    }
+
+    async fn delete(&self, key: &str, at: Version) -> Result<(), Error> {
+        self.pass().await?;
+        let mut state = self.lock();
+        let found = state.objects.iter().position(|object| &*object.key == key);
+        match found {
+            Some(found) if state.objects[found].version == at => {
+                state.objects.remove(found);
+                Ok(())
+            }
+            _ => Err(Error::Conflict),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Change, Error> {
+        self.pass().await?;
+        let state = self.lock();
+        let under = state
+            .objects
+            .iter()
+            .filter(|object| object.key.starts_with(prefix));
+        Ok(Change {
+            position: state.written,
+            objects: under
+                .map(|object| (object.key.clone(), object.version))
+                .collect(),
+        })
+    }
+
+    async fn watch(&self, prefix: &str, _: u64, _: Duration) -> Result<Change, Error> {
+        self.list(prefix).await
+    }
+}
