Restore the crate's documentation of exit codes

A line filter that took out the unfinished command module had taken out every line of the documentation that holds the word; no behaviour changes.

--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -1,10 +1,12 @@
+//! The operators' commands.
 //!
+//! Each command is a function of its own module, generic over the store, and
 //! returns a value that prints for people ([`std::fmt::Display`]) or for scripts
-//! ([`serde::Serialize`], with `--json`). [`run`] reads the arguments, calls the
-//! function and turns its result into an [`Exit`].
+//! ([`serde::Serialize`], with `--json`). An error turns into an [`Exit`]:
 //!
 //! | exit code | meaning |
 //! | --- | --- |
+//! | 0 | the command did what it says |
 //! | 1 | the folder has faults, each printed with its remedy |
 //! | 2 | an argument or a local file is wrong |
 //! | 3 | another operator's configuration came first; nothing was applied |
