--- a/crates/ops/src/keys.rs
+++ b/crates/ops/src/keys.rs
@@ -80,9 +80,11 @@
     name: &str,
     days: u32,
 ) -> Result<Written, Error> {
-    let is_name = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
-    if name.is_empty() || name.len() > 63 || !name.bytes().all(is_name) {
-        let text = format!("`{name}` is no process name; use 1 to 63 of `a-z`, `0-9` and `-`");
+    let is_name =
+        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-.".contains(&byte);
+    let is_hidden = name.starts_with('.');
+    if name.is_empty() || is_hidden || name.len() > 63 || !name.bytes().all(is_name) {
+        let text = format!("`{name}` is no process name; use 1 to 63 of `a-z`, `0-9`, `-` and `.`");
         return Err(Error::Argument(text));
     }
     let ca_key = authority.join("ca.key");
--- a/crates/ops/tests/commands/main.rs
+++ b/crates/ops/tests/commands/main.rs
@@ -1,6 +1,7 @@
 //! The operators' commands against a store in memory.
 
 mod apply;
+mod examples;
 mod fake;
 mod keys;
 mod status;
