--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Each command is a function of its own module, generic over the store, and
 //! returns a value that prints for people ([`std::fmt::Display`]) or for scripts
-//! ([`serde::Serialize`], with `--json`). An error turns into an [`Exit`]:
+//! ([`serde::Serialize`], with `--json`). [`run`] prints it; an error turns into an
+//! [`Exit`]:
 //!
 //! | exit code | meaning |
 //! | --- | --- |
@@ -15,6 +16,7 @@
 //! | 6 | the store holds something that this release cannot read |
 
 pub mod apply;
+mod command;
 pub mod error;
 pub mod folder;
 pub mod history;
@@ -24,4 +26,5 @@
 pub mod text;
 pub mod view;
 
+pub use command::{Command, run};
 pub use error::{Error, Exit};
