--- /dev/null
+++ b/crates/node/src/agent/mod.rs
@@ -0,0 +1,225 @@
+//! The agent: the one process that talks to the endpoint beside it.
+//!
+//! Entries are many and see the load late, so whatever must be true of an
+//! endpoint is decided here: how much it is given, whether an attempt was ever
+//! dispatched, and which incarnation of it holds a generation. An attempt is a
+//! [`slot`](self) in a table; its frames stay there until they are acknowledged
+//! and a grace deadline has passed, so that a link, or a whole entry, can be
+//! replaced in the middle of a stream.
+//!
+//! # Truth of `not_run`
+//!
+//! An attempt moves from waiting to dispatched exactly once, under its lock, and
+//! a question about it ([`Settle`](cactusroad_wire::message::Settle)) bars it
+//! under the same lock where it still waits. A late copy of its first message
+//! then finds it barred. So `not_run` is said only of attempts that can no
+//! longer reach the endpoint.
+
+mod gate;
+mod run;
+mod serve;
+mod slot;
+mod table;
+
+use std::{
+    net::SocketAddr, sync::Arc, sync::atomic::AtomicBool, sync::atomic::Ordering, time::Duration,
+};
+
+use cactusroad_core::{
+    id::Incarnation,
+    refusal::{Effect, Kind, Refusal},
+};
+use cactusroad_platform::{
+    engine::{Engine, Load},
+    service::Service,
+};
+use cactusroad_wire::message::Status;
+use tokio::{sync::watch, time};
+
+use self::{gate::Gate, table::Table};
+use crate::{
+    clock,
+    metrics::AgentMetrics,
+    settings,
+    transport::{self, Identity},
+};
+
+/// How often ended attempts are swept out, in milliseconds.
+const SWEEP_MS: u64 = 1_000;
+/// How often the endpoint's report is read, in milliseconds.
+const REPORT_MS: u64 = 250;
+
+/// The endpoint beside an agent.
+#[derive(Clone, Debug)]
+pub enum Backend<E, S> {
+    /// A model engine.
+    Model(E),
+    /// A plain service.
+    Service(S),
+}
+
+/// The state of an agent, shared by its tasks.
+pub(super) struct Shared<E, S> {
+    name: Arc<str>,
+    data_centre: Arc<str>,
+    incarnation: Incarnation,
+    backend: Backend<E, S>,
+    versions: Vec<Arc<str>>,
+    gate: Arc<Gate>,
+    table: Table,
+    load: watch::Sender<Option<Load>>,
+    leaving: AtomicBool,
+    metrics: AgentMetrics,
+}
+
+/// A running agent.
+pub struct Agent<E, S> {
+    shared: Arc<Shared<E, S>>,
+    socket: quinn::Endpoint,
+}
+
+impl<E: Engine, S: Service> Agent<E, S> {
+    /// Starts an agent on its inner address.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the certificates cannot be used or the address is taken.
+    pub fn start(
+        settings: &settings::Agent,
+        backend: Backend<E, S>,
+        metrics: AgentMetrics,
+    ) -> Result<Agent<E, S>, transport::Error> {
+        let identity = Identity::read(&settings.common.tls)?;
+        let socket = transport::listen(&identity, settings.common.inner)?;
+        let endpoint = &settings.endpoint;
+        let shared = Arc::new(Shared {
+            name: settings.common.name.clone(),
+            data_centre: settings.common.data_centre.clone(),
+            incarnation: Incarnation(clock::now().as_micros()),
+            backend,
+            versions: endpoint.versions.clone(),
+            gate: Gate::new(endpoint.max_running, endpoint.max_queued),
+            table: Table::new(),
+            load: watch::Sender::new(None),
+            leaving: AtomicBool::new(false),
+            metrics,
+        });
+        tokio::spawn(sweep(Arc::downgrade(&shared)));
+        tokio::spawn(report(Arc::downgrade(&shared)));
+        let handler = shared.clone();
+        tokio::spawn(transport::serve(socket.clone(), move |incoming| {
+            serve::stream(handler.clone(), incoming)
+        }));
+        Ok(Agent { shared, socket })
+    }
+
+    /// The address on which the agent accepts links.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the socket is gone, which only [`Agent::stop`] does.
+    pub fn address(&self) -> SocketAddr {
+        self.socket
+            .local_addr()
+            .expect("a bound socket has an address")
+    }
+
+    /// Takes no new work from now on.
+    pub fn drain(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits until every request in hand has ended and been read, and stops.
+    pub async fn stop(self) {
+        self.drain();
+        let mut tick = time::interval(Duration::from_millis(50));
+        while !self.shared.table.is_settled() {
+            tick.tick().await;
+        }
+        self.socket.close(0u32.into(), b"stopped");
+        self.socket.wait_idle().await;
+    }
+
+    /// Ends the agent at once, as a crash would; for tests and the demo.
+    pub fn abort(self) {
+        self.socket.close(0u32.into(), b"aborted");
+    }
+}
+
+async fn sweep<E: Engine, S: Service>(shared: std::sync::Weak<Shared<E, S>>) {
+    let mut tick = time::interval(Duration::from_millis(SWEEP_MS));
+    loop {
+        tick.tick().await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        shared.table.sweep(clock::now());
+        shared.metrics.buffer_bytes.set(shared.table.bytes() as i64);
+        let level = shared.gate.level();
+        shared.metrics.running.set(level.running as i64);
+        shared.metrics.queued.set(level.queued as i64);
+    }
+}
+
+/// Reads the engine's report again and again.
+async fn report<E: Engine, S: Service>(shared: std::sync::Weak<Shared<E, S>>) {
+    let mut tick = time::interval(Duration::from_millis(REPORT_MS));
+    tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        let Backend::Model(engine) = &shared.backend else {
+            return;
+        };
+        let load = engine.load().await.ok();
+        shared.load.send_replace(load);
+    }
+}
+
+impl<E: Engine, S: Service> Shared<E, S> {
+    fn status(&self) -> Status {
+        let level = self.gate.level();
+        let load = self.load.borrow();
+        let versions = match &self.backend {
+            Backend::Model(_) => load.as_ref().map_or(&[][..], |load| &load.versions),
+            Backend::Service(_) => &self.versions,
+        };
+        let free = level.limit.saturating_sub(level.running);
+        Status {
+            process: self.name.to_string(),
+            incarnation: self.incarnation.0,
+            data_centre: self.data_centre.to_string(),
+            leaving: self.leaving.load(Ordering::Relaxed),
+            cold: false,
+            versions: versions.iter().map(|version| version.to_string()).collect(),
+            headroom_millis: (free * 1_000 / level.limit.max(1)) as u32,
+            running: level.running as u32,
+            queued: level.queued as u32,
+            limit: level.limit as u32,
+            config_generation: 0,
+        }
+    }
+
+    /// Says why no new work is taken, if that is so.
+    fn refusal(&self, incarnation: Incarnation) -> Option<Refusal> {
+        if incarnation != self.incarnation && incarnation != Incarnation::default() {
+            return Some(Refusal::new(
+                Kind::Unavailable,
+                Effect::NotRun,
+                "The agent was restarted.",
+                "Send the request again.",
+            ));
+        }
+        if self.leaving.load(Ordering::Relaxed) {
+            return Some(Refusal::new(
+                Kind::Draining,
+                Effect::NotRun,
+                "The endpoint is leaving.",
+                "Send the request to another endpoint.",
+            ));
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/run.rs
@@ -0,0 +1,352 @@
+//! Runs one attempt at the endpoint.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    refusal::{Effect, Kind, Refusal},
+};
+use cactusroad_platform::{
+    engine::{self, Engine, Event, Prompt},
+    service::{self, Service},
+};
+use cactusroad_wire::message::{Call, Generate, Open, open};
+use futures_util::StreamExt;
+use http::Request;
+use tokio::time;
+
+use super::{
+    Backend, Shared,
+    gate::{Permit, Ticket},
+    slot::{Answer, Outcome, Slot},
+};
+use crate::clock;
+
+/// An engine that sends nothing for so long is asked again over a new connection, in milliseconds.
+const ENGINE_SILENCE_MS: u64 = 3_000;
+/// Bytes of text that count as one token of a prompt.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Runs an attempt from its place in the queue to its outcome.
+pub(super) async fn attempt<E: Engine, S: Service>(
+    shared: Arc<Shared<E, S>>,
+    slot: Arc<Slot>,
+    open: Open,
+) {
+    let ticket = ticket(&open);
+    let permit = match wait(&shared, &slot, &ticket).await {
+        Ok(permit) => permit,
+        Err(refusal) => return slot.finish(refused(refusal)),
+    };
+    if !slot.dispatch() {
+        return slot.finish(refused(cancelled(Effect::NotRun)));
+    }
+    let run = Run {
+        shared: &shared,
+        slot: &slot,
+        deadline: ticket.deadline,
+        permit,
+    };
+    let outcome = match (&shared.backend, open.work) {
+        (Backend::Model(engine), Some(open::Work::Generate(work))) => {
+            let prompt = prompt(&slot, &open.version, open.priority, &work);
+            run.generate(engine, &prompt).await
+        }
+        (Backend::Service(service), Some(open::Work::Call(work))) => run.call(service, work).await,
+        _ => refused(wrong_kind()),
+    };
+    slot.finish(outcome);
+}
+
+async fn wait<E: Engine, S: Service>(
+    shared: &Shared<E, S>,
+    slot: &Slot,
+    ticket: &Ticket,
+) -> Result<Permit, Refusal> {
+    let mut changes = slot.changes();
+    let mut entering = std::pin::pin!(shared.gate.enter(ticket));
+    loop {
+        changes.borrow_and_update();
+        if slot.is_abandoned(clock::now()) {
+            return Err(cancelled(Effect::NotRun));
+        }
+        let abandon_at = slot.abandon_at().unwrap_or(Time::MAX);
+        tokio::select! {
+            permit = &mut entering => return permit,
+            _ = changes.changed() => {}
+            () = time::sleep_until(clock::instant(abandon_at)) => {}
+        }
+    }
+}
+
+fn ticket(open: &Open) -> Ticket {
+    let prompt_bytes = match &open.work {
+        Some(open::Work::Generate(work)) => work.prompt.len() as u64,
+        _ => 0,
+    };
+    Ticket {
+        workspace: open.workspace.as_str().into(),
+        weight: open.weight.max(1),
+        priority: u8::try_from(open.priority).unwrap_or(u8::MAX),
+        prompt_tokens: prompt_bytes.div_ceil(BYTES_PER_TOKEN),
+        deadline: Time::from_micros(open.deadline_micros),
+    }
+}
+
+fn prompt(slot: &Slot, version: &str, priority: u32, work: &Generate) -> Prompt {
+    Prompt {
+        generation: slot.attempt,
+        version: version.into(),
+        text: work.prompt.as_str().into(),
+        max_tokens: work.max_tokens,
+        priority: u8::try_from(priority).unwrap_or(u8::MAX),
+    }
+}
+
+/// An attempt that the endpoint has been given.
+struct Run<'a, E, S> {
+    shared: &'a Shared<E, S>,
+    slot: &'a Slot,
+    deadline: Time,
+    permit: Permit,
+}
+
+/// What a generation waits for.
+enum Step {
+    Event(Result<Event, engine::Error>),
+    Silent,
+    Abandoned,
+    Deadline,
+}
+
+impl<E: Engine, S: Service> Run<'_, E, S> {
+    async fn generate(&self, engine: &E, prompt: &Prompt) -> Outcome {
+        let started = time::timeout_at(clock::instant(self.deadline), engine.generate(prompt));
+        let mut tokens = match started.await {
+            Ok(Ok(tokens)) => tokens,
+            Ok(Err(engine::Error::Unreachable | engine::Error::Refused)) => {
+                return refused(not_given());
+            }
+            Ok(Err(_)) => return self.died(),
+            Err(_) => return self.give_up(engine, deadline_exceeded()).await,
+        };
+        loop {
+            match self.step(&mut tokens).await {
+                Step::Event(Ok(event)) => {
+                    if let Some(outcome) = self.heed(event) {
+                        return outcome;
+                    }
+                }
+                Step::Event(Err(_)) | Step::Silent => {
+                    let next = self.slot.next_index();
+                    match engine.resume(self.slot.attempt, next).await {
+                        Ok(resumed) => tokens = resumed,
+                        Err(_) => return self.died(),
+                    }
+                }
+                Step::Abandoned => {
+                    return self.give_up(engine, cancelled(Effect::Unknown)).await;
+                }
+                Step::Deadline => return self.give_up(engine, deadline_exceeded()).await,
+            }
+        }
+    }
+
+    async fn step(&self, tokens: &mut E::Tokens) -> Step {
+        let mut changes = self.slot.changes();
+        let deadline = clock::instant(self.deadline);
+        let silence = time::sleep(Duration::from_millis(ENGINE_SILENCE_MS));
+        let mut silence = std::pin::pin!(silence);
+        loop {
+            changes.borrow_and_update();
+            if self.slot.is_abandoned(clock::now()) {
+                return Step::Abandoned;
+            }
+            // A full buffer leaves the engine's stream unread, which holds the engine back.
+            let is_open = !self.slot.is_full();
+            let abandon_at = self.slot.abandon_at().unwrap_or(Time::MAX);
+            tokio::select! {
+                event = tokens.next(), if is_open => {
+                    return Step::Event(event.unwrap_or(Err(engine::Error::Broken)));
+                }
+                _ = changes.changed() => {}
+                () = time::sleep_until(clock::instant(abandon_at)) => {}
+                () = &mut silence => {
+                    if is_open {
+                        return Step::Silent;
+                    }
+                    silence
+                        .as_mut()
+                        .reset(time::Instant::now() + Duration::from_millis(ENGINE_SILENCE_MS));
+                }
+                () = time::sleep_until(deadline) => return Step::Deadline,
+            }
+        }
+    }
+
+    /// Takes in one event; returns the outcome where it was the last.
+    fn heed(&self, event: Event) -> Option<Outcome> {
+        match event {
+            Event::Token {
+                generation,
+                index,
+                text,
+            } => {
+                let is_next = generation == self.slot.attempt && index == self.slot.next_index();
+                if !is_next {
+                    self.shared.metrics.foreign_frames.inc();
+                    return None;
+                }
+                self.permit.token();
+                self.shared.metrics.tokens.inc();
+                self.slot.push(text);
+                None
+            }
+            Event::End {
+                generation,
+                count,
+                reason,
+            } => {
+                let is_whole = generation == self.slot.attempt && count == self.slot.next_index();
+                match is_whole {
+                    true => Some(Outcome::End { count, reason }),
+                    false => Some(self.died()),
+                }
+            }
+        }
+    }
+
+    async fn give_up(&self, engine: &E, refusal: Refusal) -> Outcome {
+        if let Err(cause) = engine.cancel(self.slot.attempt).await {
+            log::warn!("a generation could not be cancelled: {cause}");
+        }
+        self.shared.metrics.cancelled.inc();
+        refused(refusal)
+    }
+
+    fn died(&self) -> Outcome {
+        self.shared.metrics.endpoint_deaths.inc();
+        Outcome::Refused {
+            refusal: Refusal::new(
+                Kind::EndpointDied,
+                Effect::Unknown,
+                "The endpoint died while it ran the request.",
+                "Send the request again where a second run does no harm.",
+            ),
+            endpoint_died: true,
+        }
+    }
+
+    async fn call(&self, service: &S, call: Call) -> Outcome {
+        let request = match request(call) {
+            Ok(request) => request,
+            Err(refusal) => return refused(refusal),
+        };
+        let answered = time::timeout_at(clock::instant(self.deadline), service.call(request));
+        match answered.await {
+            Ok(Ok(response)) => Outcome::Answer(answer(response)),
+            Ok(Err(service::Error::Unreachable)) => refused(not_given()),
+            Ok(Err(service::Error::TooLarge)) => refused(Refusal::new(
+                Kind::TooLarge,
+                Effect::Ran,
+                "The answer of the service is too large.",
+                "Ask for less at once.",
+            )),
+            Ok(Err(service::Error::Broken)) => self.died(),
+            Err(_) => refused(deadline_exceeded()),
+        }
+    }
+}
+
+fn request(call: Call) -> Result<Request<Bytes>, Refusal> {
+    let mut builder = Request::builder()
+        .method(call.method.as_str())
+        .uri(call.path.as_str());
+    for header in &call.headers {
+        builder = builder.header(header.name.as_str(), &header.value[..]);
+    }
+    if !call.idempotency_key.is_empty() {
+        builder = builder.header("idempotency-key", call.idempotency_key.as_str());
+    }
+    builder.body(call.body).map_err(|_| {
+        Refusal::new(
+            Kind::BadRequest,
+            Effect::NotRun,
+            "The request cannot be passed on.",
+            "Check its method, path and headers.",
+        )
+    })
+}
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 6] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
+fn answer(response: http::Response<Bytes>) -> Answer {
+    let (parts, body) = response.into_parts();
+    let headers = parts
+        .headers
+        .iter()
+        .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
+        .map(|(name, value)| {
+            let value = Bytes::copy_from_slice(value.as_bytes());
+            (Arc::from(name.as_str()), value)
+        })
+        .collect();
+    Answer {
+        status: parts.status.as_u16(),
+        headers,
+        body,
+        replayed: false,
+    }
+}
+
+fn refused(refusal: Refusal) -> Outcome {
+    Outcome::Refused {
+        refusal,
+        endpoint_died: false,
+    }
+}
+
+fn cancelled(effect: Effect) -> Refusal {
+    Refusal::new(
+        Kind::Cancelled,
+        effect,
+        "Nobody waits for the request any more.",
+        "Send it again if it is still wanted.",
+    )
+}
+
+fn deadline_exceeded() -> Refusal {
+    Refusal::new(
+        Kind::DeadlineExceeded,
+        Effect::Unknown,
+        "The deadline passed while the endpoint ran the request.",
+        "Allow more time or ask for less.",
+    )
+}
+
+fn not_given() -> Refusal {
+    Refusal::new(
+        Kind::Unavailable,
+        Effect::NotRun,
+        "The endpoint does not take requests.",
+        "Send the request to another endpoint.",
+    )
+}
+
+fn wrong_kind() -> Refusal {
+    Refusal::new(
+        Kind::BadRequest,
+        Effect::NotRun,
+        "The endpoint does not serve this kind of route.",
+        "Check the kind of the route in the configuration.",
+    )
+}
--- /dev/null
+++ b/crates/node/src/agent/serve.rs
@@ -0,0 +1,330 @@
+//! One stream from an entry: an attempt, a question about one, or the heartbeat.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    id::{Attempt, Incarnation},
+    refusal::{Effect, Kind, Refusal},
+    stream,
+};
+use cactusroad_platform::{engine::Engine, service::Service};
+use cactusroad_wire::message::{
+    Accepted, Answer, Attach, End, Header, Open, Ping, Pong, Refused, Reply, Request, Settle,
+    Settled, Token, reply, request, settled::State,
+};
+
+use super::{
+    Shared, run,
+    slot::{NoBatch, Outcome, Phase, Slot},
+    table::Entry,
+};
+use crate::{
+    clock,
+    transport::{Error, Incoming, Receiver, Sender},
+};
+
+/// How long after its deadline an attempt is remembered, in seconds.
+const REMEMBER_SECONDS: u64 = 60;
+
+/// Serves a stream until either side ends it.
+pub(super) async fn stream<E: Engine, S: Service>(
+    shared: Arc<Shared<E, S>>,
+    mut incoming: Incoming,
+) {
+    let Ok(Some(first)) = incoming.receiver.next().await else {
+        return;
+    };
+    let served = match first.body {
+        Some(request::Body::Open(message)) => open(&shared, *message, incoming).await,
+        Some(request::Body::Attach(message)) => attach(&shared, message, incoming).await,
+        Some(request::Body::Settle(message)) => settle(&shared, message, incoming).await,
+        Some(request::Body::Ping(message)) => pings(&shared, message, incoming).await,
+        _ => Err(Error::Protocol),
+    };
+    if let Err(cause) = served {
+        log::debug!("a stream ended: {cause}");
+    }
+}
+
+async fn open<E: Engine, S: Service>(
+    shared: &Arc<Shared<E, S>>,
+    message: Open,
+    incoming: Incoming,
+) -> Result<(), Error> {
+    let attempt = Attempt::from_bytes(&message.attempt).ok_or(Error::Protocol)?;
+    let deadline = Time::from_micros(message.deadline_micros);
+    let now = clock::now();
+    if let Some(refusal) = shared.refusal(Incarnation(message.incarnation)) {
+        return refuse(incoming.sender, attempt, refusal).await;
+    }
+    // An attempt past its deadline may have been forgotten, so it is never started.
+    if deadline.is_past(now) {
+        return refuse(incoming.sender, attempt, past_deadline()).await;
+    }
+    let entry = shared
+        .table
+        .enter(attempt, &message.workspace, Phase::Waiting, now);
+    let slot = match entry {
+        Entry::Known(slot) => slot,
+        Entry::New(slot) => {
+            slot.keep_until(deadline + std::time::Duration::from_secs(REMEMBER_SECONDS));
+            tokio::spawn(run::attempt(shared.clone(), slot.clone(), message));
+            slot
+        }
+    };
+    follow(shared, slot, 0, incoming).await
+}
+
+async fn attach<E: Engine, S: Service>(
+    shared: &Arc<Shared<E, S>>,
+    message: Attach,
+    incoming: Incoming,
+) -> Result<(), Error> {
+    let attempt = Attempt::from_bytes(&message.attempt).ok_or(Error::Protocol)?;
+    let found = shared
+        .table
+        .find(attempt)
+        .filter(|_| message.incarnation == shared.incarnation.0)
+        .filter(|slot| *slot.workspace == *message.workspace);
+    match found {
+        Some(slot) => follow(shared, slot, message.next_index, incoming).await,
+        None => refuse(incoming.sender, attempt, gone()).await,
+    }
+}
+
+async fn settle<E: Engine, S: Service>(
+    shared: &Arc<Shared<E, S>>,
+    message: Settle,
+    mut incoming: Incoming,
+) -> Result<(), Error> {
+    let attempt = Attempt::from_bytes(&message.attempt).ok_or(Error::Protocol)?;
+    if message.incarnation != shared.incarnation.0 {
+        return refuse(incoming.sender, attempt, gone()).await;
+    }
+    let now = clock::now();
+    let deadline = Time::from_micros(message.deadline_micros);
+    let state = match shared.table.enter(attempt, "", Phase::Barred, now) {
+        Entry::New(slot) => {
+            slot.keep_until(deadline + std::time::Duration::from_secs(REMEMBER_SECONDS));
+            State::NotRun
+        }
+        Entry::Known(slot) => match slot.bar() {
+            Phase::Barred => State::NotRun,
+            _ if slot.is_done() => State::Done,
+            _ => State::Dispatched,
+        },
+    };
+    let settled = Settled {
+        attempt: message.attempt,
+        state: state.into(),
+    };
+    incoming
+        .sender
+        .send(&wrap(reply::Body::Settled(settled)))
+        .await?;
+    incoming.sender.finish();
+    Ok(())
+}
+
+async fn pings<E: Engine, S: Service>(
+    shared: &Arc<Shared<E, S>>,
+    first: Ping,
+    mut incoming: Incoming,
+) -> Result<(), Error> {
+    let mut ping = first;
+    loop {
+        let pong = Pong {
+            sequence: ping.sequence,
+            status: Some(shared.status()),
+        };
+        incoming.sender.send(&wrap(reply::Body::Pong(pong))).await?;
+        match incoming.receiver.next().await?.and_then(|next| next.body) {
+            Some(request::Body::Ping(next)) => ping = next,
+            Some(_) => return Err(Error::Protocol),
+            None => return Ok(()),
+        }
+    }
+}
+
+/// Sends the frames of a slot from `index` on, and its outcome, as they come.
+async fn follow<E: Engine, S: Service>(
+    shared: &Arc<Shared<E, S>>,
+    slot: Arc<Slot>,
+    index: u64,
+    incoming: Incoming,
+) -> Result<(), Error> {
+    let Incoming {
+        mut receiver,
+        mut sender,
+    } = incoming;
+    let accepted = Accepted {
+        attempt: Bytes::copy_from_slice(&slot.attempt.to_bytes()),
+        incarnation: shared.incarnation.0,
+    };
+    let reader = slot.attach();
+    let served = async {
+        sender.send(&wrap(reply::Body::Accepted(accepted))).await?;
+        relay(&slot, reader, index, &mut receiver, &mut sender).await
+    }
+    .await;
+    slot.detach(reader, clock::now());
+    served
+}
+
+async fn relay(
+    slot: &Slot,
+    reader: u64,
+    mut index: u64,
+    receiver: &mut Receiver<Request>,
+    sender: &mut Sender<Reply>,
+) -> Result<(), Error> {
+    let attempt = Bytes::copy_from_slice(&slot.attempt.to_bytes());
+    let mut changes = slot.changes();
+    loop {
+        changes.borrow_and_update();
+        let batch = match slot.read(reader, index) {
+            Ok(batch) => batch,
+            Err(NoBatch::Replaced) => return Ok(()),
+            Err(NoBatch::Stream(error)) => {
+                let refused = refused(slot.attempt, stream_gone(error), false);
+                sender.send(&wrap(reply::Body::Refused(refused))).await?;
+                sender.finish();
+                return Ok(());
+            }
+        };
+        let is_empty = batch.frames.is_empty();
+        for text in batch.frames {
+            let token = Token {
+                attempt: attempt.clone(),
+                index,
+                text: text.to_string(),
+            };
+            sender.feed(&wrap(reply::Body::Token(token))).await?;
+            index += 1;
+        }
+        if let Some(outcome) = batch.outcome {
+            let last = finish(slot.attempt, outcome);
+            sender.send(&wrap(last)).await?;
+            sender.finish();
+            return drain(slot, reader, receiver).await;
+        }
+        if !is_empty {
+            sender.flush().await?;
+            continue;
+        }
+        tokio::select! {
+            changed = changes.changed() => changed.map_err(|_| Error::Broken)?,
+            message = receiver.next() => {
+                if !heed(slot, reader, message?) {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+/// Reads acknowledgements until the entry ends the stream.
+async fn drain(slot: &Slot, reader: u64, receiver: &mut Receiver<Request>) -> Result<(), Error> {
+    while heed(slot, reader, receiver.next().await?) {}
+    Ok(())
+}
+
+/// Acts on a message from the entry; `false` where the stream is over.
+fn heed(slot: &Slot, reader: u64, message: Option<Request>) -> bool {
+    match message.and_then(|message| message.body) {
+        Some(request::Body::Ack(ack)) => {
+            slot.acknowledge(ack.next_index);
+            true
+        }
+        Some(request::Body::Cancel(cancel)) => {
+            slot.leave(reader, Time::from_micros(cancel.at_micros));
+            false
+        }
+        _ => false,
+    }
+}
+
+fn finish(attempt: Attempt, outcome: Outcome) -> reply::Body {
+    let id = Bytes::copy_from_slice(&attempt.to_bytes());
+    match outcome {
+        Outcome::End { count, reason } => reply::Body::End(End {
+            attempt: id,
+            count,
+            reason: reason.to_string(),
+        }),
+        Outcome::Answer(answer) => reply::Body::Answer(Answer {
+            attempt: id,
+            status: u32::from(answer.status),
+            headers: answer.headers.into_iter().map(header).collect(),
+            body: answer.body,
+            replayed: answer.replayed,
+        }),
+        Outcome::Refused {
+            refusal,
+            endpoint_died,
+        } => reply::Body::Refused(refused(attempt, refusal, endpoint_died)),
+    }
+}
+
+fn header((name, value): (Arc<str>, Bytes)) -> Header {
+    Header {
+        name: name.to_string(),
+        value,
+    }
+}
+
+async fn refuse(
+    mut sender: Sender<Reply>,
+    attempt: Attempt,
+    refusal: Refusal,
+) -> Result<(), Error> {
+    let refused = refused(attempt, refusal, false);
+    sender.send(&wrap(reply::Body::Refused(refused))).await?;
+    sender.finish();
+    Ok(())
+}
+
+fn refused(attempt: Attempt, refusal: Refusal, endpoint_died: bool) -> Refused {
+    Refused {
+        attempt: Bytes::copy_from_slice(&attempt.to_bytes()),
+        kind: refusal.kind.to_string(),
+        effect: refusal.effect.to_string(),
+        message: refusal.message.into_owned(),
+        remedy: refusal.remedy.into_owned(),
+        retry_at_micros: refusal.retry_at.map_or(0, Time::as_micros),
+        endpoint_died,
+    }
+}
+
+fn wrap(body: reply::Body) -> Reply {
+    Reply { body: Some(body) }
+}
+
+fn gone() -> Refusal {
+    Refusal::new(
+        Kind::StreamGone,
+        Effect::Unknown,
+        "The agent does not hold this attempt.",
+        "Send the request again where a second run does no harm.",
+    )
+}
+
+fn stream_gone(error: stream::Error) -> Refusal {
+    Refusal::new(
+        Kind::StreamGone,
+        Effect::Unknown,
+        error.to_string(),
+        "Send the request again where a second run does no harm.",
+    )
+}
+
+fn past_deadline() -> Refusal {
+    Refusal::new(
+        Kind::DeadlineExceeded,
+        Effect::NotRun,
+        "The deadline passed before the request reached the agent.",
+        "Allow more time.",
+    )
+}
--- /dev/null
+++ b/crates/node/src/entry/attempt.rs
@@ -0,0 +1,184 @@
+//! One attempt at an agent, over as many links as it takes.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    id::{Attempt, Incarnation},
+    refusal::{Effect, Kind, Refusal},
+};
+use cactusroad_wire::message::{
+    Ack, Attach, Cancel, Open, Refused, Reply, Request, Settle, reply, request, settled::State,
+};
+use tokio::time;
+
+use super::{Shared, directory::Target};
+use crate::{
+    clock,
+    transport::{Call, Error},
+};
+
+/// How long to wait before a broken link is dialled again, in milliseconds.
+const RELINK_MS: u64 = 50;
+
+/// One attempt at one agent.
+pub(super) struct Session<'a> {
+    pub(super) shared: &'a Shared,
+    pub(super) target: Target,
+    pub(super) attempt: Attempt,
+    pub(super) incarnation: Incarnation,
+    pub(super) workspace: Arc<str>,
+    pub(super) deadline: Time,
+}
+
+impl Session<'_> {
+    /// Sends the first message of the attempt.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] promises that nothing was sent.
+    pub(super) async fn open(&self, open: Open) -> Result<Call, Error> {
+        self.shared.metrics.attempts.inc();
+        self.call(request::Body::Open(Box::new(open))).await
+    }
+
+    /// Takes the attempt's stream up at an index over whatever link works.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the agent cannot be reached.
+    pub(super) async fn attach(&self, next_index: u64) -> Result<Call, Error> {
+        self.call(request::Body::Attach(Attach {
+            attempt: Bytes::copy_from_slice(&self.attempt.to_bytes()),
+            incarnation: self.incarnation.0,
+            next_index,
+            workspace: self.workspace.to_string(),
+        }))
+        .await
+    }
+
+    /// Takes the stream up again until it works or the time is up.
+    pub(super) async fn reattach(&self, next_index: u64, until: Time) -> Option<Call> {
+        loop {
+            if until.is_past(clock::now()) {
+                return None;
+            }
+            if let Ok(call) = self.attach(next_index).await {
+                self.shared.metrics.relinks.inc();
+                return Some(call);
+            }
+            time::sleep(Duration::from_millis(RELINK_MS)).await;
+        }
+    }
+
+    /// Asks the agent what became of the attempt, and bars it where it was not dispatched.
+    ///
+    /// Returns `None` where the agent that took the attempt cannot say.
+    pub(super) async fn settle(&self, until: Time) -> Option<State> {
+        let settle = Settle {
+            attempt: Bytes::copy_from_slice(&self.attempt.to_bytes()),
+            incarnation: self.incarnation.0,
+            deadline_micros: self.deadline.as_micros(),
+        };
+        loop {
+            if until.is_past(clock::now()) {
+                return None;
+            }
+            if let Ok(mut call) = self.call(request::Body::Settle(settle.clone())).await
+                && let Ok(Some(reply)) = call.receiver.next().await
+            {
+                return match reply.body {
+                    Some(reply::Body::Settled(settled)) if settled.attempt == settle.attempt => {
+                        Some(settled.state())
+                    }
+                    _ => None,
+                };
+            }
+            time::sleep(Duration::from_millis(RELINK_MS)).await;
+        }
+    }
+
+    async fn call(&self, body: request::Body) -> Result<Call, Error> {
+        let listed = &self.target.endpoint.listed;
+        let link = self
+            .shared
+            .dialer
+            .link(&listed.name, listed.address)
+            .await?;
+        link.call(&Request { body: Some(body) }).await
+    }
+
+    /// Tells whether a reply is about this attempt.
+    pub(super) fn owns(&self, attempt: &[u8]) -> bool {
+        Attempt::from_bytes(attempt) == Some(self.attempt)
+    }
+}
+
+/// Tells the agent which tokens reached the caller.
+pub(super) async fn acknowledge(call: &mut Call, next_index: u64) -> Result<(), Error> {
+    let body = Some(request::Body::Ack(Ack { next_index }));
+    call.sender.send(&Request { body }).await
+}
+
+/// Tells the agent that the caller is gone.
+pub(super) async fn cancel(call: &mut Call, at: Time) {
+    let cancel = Cancel {
+        at_micros: at.as_micros(),
+    };
+    let body = Some(request::Body::Cancel(cancel));
+    if let Err(cause) = call.sender.send(&Request { body }).await {
+        log::debug!("a cancellation was not sent: {cause}");
+    }
+    call.sender.finish();
+}
+
+/// Returns the attempt that a reply names.
+pub(super) fn subject(reply: &Reply) -> Option<&Bytes> {
+    match reply.body.as_ref()? {
+        reply::Body::Accepted(message) => Some(&message.attempt),
+        reply::Body::Refused(message) => Some(&message.attempt),
+        reply::Body::Token(message) => Some(&message.attempt),
+        reply::Body::End(message) => Some(&message.attempt),
+        reply::Body::Answer(message) => Some(&message.attempt),
+        reply::Body::Settled(message) => Some(&message.attempt),
+        reply::Body::Pong(_) | reply::Body::Exchange(_) => None,
+    }
+}
+
+/// Reads a refusal off the wire; whatever cannot be read counts as unknown.
+pub(super) fn refusal(message: &Refused) -> Refusal {
+    let kind = message.kind.parse().unwrap_or(Kind::Internal);
+    let effect = message.effect.parse().unwrap_or(Effect::Unknown);
+    let refusal = Refusal::new(
+        kind,
+        effect,
+        message.message.clone(),
+        message.remedy.clone(),
+    );
+    match message.retry_at_micros {
+        0 => refusal,
+        micros => refusal.retry_at(Time::from_micros(micros)),
+    }
+}
+
+/// The refusal of a request that no endpoint could take.
+pub(super) fn unavailable() -> Refusal {
+    Refusal::new(
+        Kind::Unavailable,
+        Effect::NotRun,
+        "No endpoint of the route can be reached.",
+        "Send the request again later.",
+    )
+    .retry_at(clock::now() + Duration::from_secs(1))
+}
+
+/// The refusal of a request whose deadline passed.
+pub(super) fn deadline_exceeded(effect: Effect) -> Refusal {
+    Refusal::new(
+        Kind::DeadlineExceeded,
+        effect,
+        "The deadline passed.",
+        "Allow more time.",
+    )
+}
--- /dev/null
+++ b/crates/node/src/entry/call.rs
@@ -0,0 +1,195 @@
+//! Runs a call of a plain service for a caller.
+//!
+//! A call on a route that is not idempotent is dispatched at most once. When the
+//! link to its agent breaks, the agent is asked what became of the attempt, and
+//! only its word that the endpoint was not given it allows another attempt.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    refusal::{Effect, Kind, Refusal},
+};
+use cactusroad_wire::message::{Answer, Call as Work, Open, open, reply, settled::State};
+use tokio::time;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    Shared,
+    attempt::{self, Session},
+    directory::{Target, Want},
+};
+use crate::{
+    clock,
+    transport::{Call, Error},
+};
+
+/// How long the agent of a broken call is asked what became of it, in milliseconds.
+const SETTLE_MS: u64 = 3_000;
+/// Attempts for one request at the most.
+const MAX_ATTEMPTS: usize = 4;
+
+/// A call that a caller asked for.
+pub(super) struct Job {
+    pub(super) route: Arc<str>,
+    pub(super) version: Arc<str>,
+    pub(super) workspace: Arc<str>,
+    pub(super) weight: u32,
+    pub(super) priority: u8,
+    pub(super) deadline: Time,
+    pub(super) idempotent: bool,
+    pub(super) work: Work,
+    pub(super) digest: Bytes,
+    pub(super) traceparent: String,
+    pub(super) config_generation: u64,
+}
+
+/// Runs a call to its answer.
+///
+/// # Errors
+///
+/// Says `not_run` only where no endpoint was given the call.
+pub(super) async fn run(shared: &Shared, job: &Job) -> Result<Answer, Refusal> {
+    let streams = shared.metrics.open_streams.clone();
+    streams.inc();
+    let answer = attempts(shared, job).await;
+    streams.dec();
+    answer
+}
+
+async fn attempts(shared: &Shared, job: &Job) -> Result<Answer, Refusal> {
+    let key = match job.work.idempotency_key.as_str() {
+        "" => None,
+        key => Some(xxh3_64(key.as_bytes())),
+    };
+    let mut tried: Vec<Arc<str>> = Vec::new();
+    let mut last = attempt::unavailable();
+    let mut effect = Effect::NotRun;
+    while tried.len() < MAX_ATTEMPTS {
+        if job.deadline.is_past(clock::now()) {
+            last = attempt::deadline_exceeded(effect);
+            break;
+        }
+        let want = Want {
+            version: &job.version,
+            tried: &tried,
+            key,
+        };
+        let Some(target) = shared.directory.choose(&want, rand::random()) else {
+            break;
+        };
+        if !tried.is_empty() {
+            shared.metrics.retries.inc();
+        }
+        tried.push(target.endpoint.listed.name.clone());
+        match once(shared, job, target).await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => last = refusal,
+        }
+        if last.effect != Effect::NotRun {
+            effect = Effect::Unknown;
+        }
+        if !may_retry(job, &last) {
+            break;
+        }
+    }
+    // An earlier attempt may have run although the last one did not.
+    if effect != Effect::NotRun && last.effect == Effect::NotRun {
+        last = last.with_effect(effect);
+    }
+    Err(last)
+}
+
+fn may_retry(job: &Job, refusal: &Refusal) -> bool {
+    let may_help = matches!(
+        refusal.kind,
+        Kind::Overloaded | Kind::Unavailable | Kind::Draining | Kind::EndpointDied
+    );
+    may_help && (job.idempotent || refusal.effect == Effect::NotRun)
+}
+
+async fn once(shared: &Shared, job: &Job, target: Target) -> Result<Answer, Refusal> {
+    let session = Session {
+        shared,
+        attempt: shared.draw(),
+        incarnation: target.endpoint.incarnation(),
+        target,
+        workspace: job.workspace.clone(),
+        deadline: job.deadline,
+    };
+    let mut call = match session.open(message(job, &session)).await {
+        Ok(call) => Some(call),
+        Err(Error::Unreachable { .. }) => return Err(attempt::unavailable()),
+        Err(_) => None,
+    };
+    loop {
+        if let Some(current) = call.take() {
+            match follow(&session, current).await {
+                Some(answer) => return answer,
+                None => log::debug!("a call lost its link"),
+            }
+        }
+        let until = (clock::now() + Duration::from_millis(SETTLE_MS)).min(job.deadline);
+        match session.settle(until).await {
+            Some(State::NotRun) => return Err(attempt::unavailable()),
+            Some(State::Dispatched | State::Done) => {
+                call = session.reattach(0, until).await;
+                if call.is_none() {
+                    return Err(lost());
+                }
+            }
+            Some(State::Unspecified) | None => return Err(lost()),
+        }
+    }
+}
+
+fn message(job: &Job, session: &Session<'_>) -> Open {
+    Open {
+        attempt: Bytes::copy_from_slice(&session.attempt.to_bytes()),
+        incarnation: session.incarnation.0,
+        route: job.route.to_string(),
+        version: job.version.to_string(),
+        workspace: job.workspace.to_string(),
+        deadline_micros: job.deadline.as_micros(),
+        priority: u32::from(job.priority),
+        traceparent: job.traceparent.clone(),
+        config_generation: job.config_generation,
+        digest: job.digest.clone(),
+        suspect: false,
+        weight: job.weight,
+        work: Some(open::Work::Call(job.work.clone())),
+    }
+}
+
+/// Follows a call over one link; `None` where the link broke before its end.
+async fn follow(session: &Session<'_>, mut call: Call) -> Option<Result<Answer, Refusal>> {
+    let deadline = clock::instant(session.deadline);
+    loop {
+        let reply = match time::timeout_at(deadline, call.receiver.next()).await {
+            Ok(Ok(Some(reply))) => reply,
+            Ok(_) => return None,
+            Err(_) => return Some(Err(attempt::deadline_exceeded(Effect::Unknown))),
+        };
+        if !attempt::subject(&reply).is_some_and(|subject| session.owns(subject)) {
+            session.shared.metrics.foreign_frames.inc();
+            continue;
+        }
+        match reply.body {
+            Some(reply::Body::Answer(answer)) => return Some(Ok(answer)),
+            Some(reply::Body::Refused(message)) => {
+                return Some(Err(attempt::refusal(&message)));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn lost() -> Refusal {
+    Refusal::new(
+        Kind::Unavailable,
+        Effect::Unknown,
+        "The endpoint went out of reach and may have run the request.",
+        "Find out whether it ran before sending it again, or send it with the same idempotency key.",
+    )
+}
--- /dev/null
+++ b/crates/node/src/entry/mod.rs
@@ -0,0 +1,128 @@
+//! The entry: terminates callers and finds an endpoint for each request.
+//!
+//! An entry keeps nothing that outlives it. What a caller needs in order to go
+//! on through another entry stands in the ids of the events that it was sent.
+
+mod attempt;
+mod auth;
+mod call;
+mod directory;
+mod error;
+mod generate;
+mod http;
+mod openai;
+mod sse;
+
+use std::{
+    net::SocketAddr, sync::Arc, sync::atomic::AtomicBool, sync::atomic::Ordering, time::Duration,
+};
+
+use cactusroad_core::{config::Snapshot, id::Attempt};
+use tokio::{net::TcpListener, sync::watch, time};
+
+use self::directory::Directory;
+use crate::{
+    metrics::EntryMetrics,
+    settings,
+    transport::{self, Dialer, Identity},
+};
+
+pub use self::directory::Listed;
+
+/// How long an entry that stops still takes new requests, in milliseconds.
+///
+/// The balancer needs a moment to see that the entry is no longer ready.
+const UNREADY_MS: u64 = 1_000;
+
+/// The state of an entry, shared by its tasks.
+pub(super) struct Shared {
+    config: watch::Receiver<Arc<Snapshot>>,
+    directory: Directory,
+    dialer: Dialer,
+    leaving: AtomicBool,
+    metrics: EntryMetrics,
+}
+
+impl Shared {
+    /// Draws the identity of a new attempt.
+    fn draw(&self) -> Attempt {
+        Attempt(rand::random())
+    }
+
+    fn snapshot(&self) -> Arc<Snapshot> {
+        self.config.borrow().clone()
+    }
+}
+
+/// A running entry.
+pub struct Entry {
+    shared: Arc<Shared>,
+    server: http::Server,
+}
+
+impl Entry {
+    /// Starts an entry that listens for callers.
+    ///
+    /// `config` is the configuration in force, and `vms` the endpoints' VMs as the
+    /// platform lists them.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the certificates cannot be used or the address is taken.
+    pub async fn start(
+        settings: &settings::Entry,
+        config: watch::Receiver<Arc<Snapshot>>,
+        vms: watch::Receiver<Vec<Listed>>,
+        metrics: EntryMetrics,
+    ) -> Result<Entry, transport::Error> {
+        let identity = Identity::read(&settings.common.tls)?;
+        let dialer = Dialer::new(settings.common.name.clone(), &identity);
+        let directory = Directory::new(settings.common.data_centre.clone());
+        let listener =
+            TcpListener::bind(settings.listen)
+                .await
+                .map_err(|cause| transport::Error::Bind {
+                    address: settings.listen.to_string(),
+                    cause: cause.to_string(),
+                })?;
+        let shared = Arc::new(Shared {
+            config,
+            directory,
+            dialer,
+            leaving: AtomicBool::new(false),
+            metrics,
+        });
+        tokio::spawn(directory::follow(Arc::downgrade(&shared), vms));
+        let server = http::Server::start(listener, http::router(shared.clone()));
+        Ok(Entry { shared, server })
+    }
+
+    /// The address on which the entry listens for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Tells whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Stops gracefully: not ready at once, no new connection soon, every request finished.
+    pub async fn stop(self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+        time::sleep(Duration::from_millis(UNREADY_MS)).await;
+        self.server.stop().await;
+    }
+
+    /// Ends the entry at once, as a crash would; for tests and the demo.
+    pub fn abort(self) {
+        self.server.abort();
+    }
+}
+
+impl Shared {
+    fn is_ready(&self) -> bool {
+        let is_leaving = self.leaving.load(Ordering::Relaxed);
+        !is_leaving && !self.config.borrow().routes.is_empty()
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! The entry and agent processes of cactusroad: thin drivers of the core.
+
+pub mod agent;
+pub mod clock;
+pub mod entry;
+pub mod logging;
+pub mod metrics;
+pub mod settings;
+pub mod transport;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,214 @@
+//! The metrics of each process, in the text format of Prometheus.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder, process_collector::ProcessCollector,
+};
+
+/// Limits of the buckets for times, in seconds.
+const TIME_BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.071, 0.1, 0.2, 0.5, 1.0, 1.4, 5.0, 20.0,
+];
+
+/// Registers metrics and renders them.
+#[derive(Clone, Debug)]
+pub struct Exporter {
+    registry: Registry,
+}
+
+impl Default for Exporter {
+    fn default() -> Exporter {
+        Exporter::new()
+    }
+}
+
+impl Exporter {
+    /// Returns an exporter with the metrics of the process itself: processor time and memory.
+    pub fn new() -> Exporter {
+        let registry = Registry::new();
+        register(&registry, ProcessCollector::for_self());
+        Exporter { registry }
+    }
+
+    /// Renders every metric as text.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        if let Err(cause) = TextEncoder::new().encode(&families, &mut text) {
+            log::warn!("the metrics cannot be rendered: {cause}");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
+    fn counter(&self, name: &str, help: &str) -> IntCounter {
+        let counter = IntCounter::new(name, help).expect("the name of a metric is valid");
+        register(&self.registry, counter.clone());
+        counter
+    }
+
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        let counters = IntCounterVec::new(Opts::new(name, help), labels)
+            .expect("the name of a metric is valid");
+        register(&self.registry, counters.clone());
+        counters
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        let gauge = IntGauge::new(name, help).expect("the name of a metric is valid");
+        register(&self.registry, gauge.clone());
+        gauge
+    }
+
+    fn times(&self, name: &str, help: &str) -> Histogram {
+        let options = HistogramOpts::new(name, help).buckets(TIME_BUCKETS.to_vec());
+        let histogram = Histogram::with_opts(options).expect("the name of a metric is valid");
+        register(&self.registry, histogram.clone());
+        histogram
+    }
+}
+
+fn register(registry: &Registry, collector: impl prometheus::core::Collector + 'static) {
+    registry
+        .register(Box::new(collector))
+        .expect("each metric is registered once");
+}
+
+/// The metrics of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentMetrics {
+    pub(crate) buffer_bytes: IntGauge,
+    pub(crate) running: IntGauge,
+    pub(crate) queued: IntGauge,
+    pub(crate) tokens: IntCounter,
+    pub(crate) cancelled: IntCounter,
+    pub(crate) endpoint_deaths: IntCounter,
+    pub(crate) foreign_frames: IntCounter,
+    pub(crate) queue_seconds: Histogram,
+}
+
+impl AgentMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the exporter holds them already.
+    pub fn new(exporter: &Exporter) -> AgentMetrics {
+        AgentMetrics {
+            buffer_bytes: exporter.gauge(
+                "cactusroad_agent_buffer_bytes",
+                "Bytes of frames kept for readers.",
+            ),
+            running: exporter.gauge(
+                "cactusroad_agent_running",
+                "Requests that the endpoint has been given and not ended.",
+            ),
+            queued: exporter.gauge("cactusroad_agent_queued", "Requests that wait for room."),
+            tokens: exporter.counter(
+                "cactusroad_agent_tokens_total",
+                "Tokens received from the endpoint.",
+            ),
+            cancelled: exporter.counter(
+                "cactusroad_agent_cancelled_total",
+                "Generations cancelled at the endpoint.",
+            ),
+            endpoint_deaths: exporter.counter(
+                "cactusroad_agent_endpoint_deaths_total",
+                "Requests that broke off because the endpoint died.",
+            ),
+            foreign_frames: exporter.counter(
+                "cactusroad_agent_foreign_frames_total",
+                "Frames of the endpoint that were dropped for their generation or index.",
+            ),
+            queue_seconds: exporter.times(
+                "cactusroad_agent_queue_seconds",
+                "Time that requests waited for room at the endpoint.",
+            ),
+        }
+    }
+}
+
+/// The metrics of an entry.
+#[derive(Clone, Debug)]
+pub struct EntryMetrics {
+    pub(crate) requests: IntCounter,
+    pub(crate) attempts: IntCounter,
+    pub(crate) retries: IntCounter,
+    pub(crate) relinks: IntCounter,
+    pub(crate) resumes: IntCounter,
+    pub(crate) tokens: IntCounter,
+    pub(crate) foreign_frames: IntCounter,
+    pub(crate) refusals: IntCounterVec,
+    pub(crate) open_streams: IntGauge,
+    pub(crate) open_links: IntGauge,
+    pub(crate) first_token_seconds: Histogram,
+    pub(crate) between_tokens_seconds: Histogram,
+    pub(crate) stall_seconds: prometheus::Counter,
+}
+
+impl EntryMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the exporter holds them already.
+    pub fn new(exporter: &Exporter) -> EntryMetrics {
+        let stall_seconds = prometheus::Counter::new(
+            "cactusroad_entry_stall_seconds_total",
+            "Time between tokens beyond a fifth of a second each.",
+        )
+        .expect("the name of a metric is valid");
+        register(&exporter.registry, stall_seconds.clone());
+        EntryMetrics {
+            requests: exporter.counter(
+                "cactusroad_entry_requests_total",
+                "Requests received from callers.",
+            ),
+            attempts: exporter.counter(
+                "cactusroad_entry_attempts_total",
+                "Attempts opened at agents.",
+            ),
+            retries: exporter.counter(
+                "cactusroad_entry_retries_total",
+                "Attempts after the first one of a request.",
+            ),
+            relinks: exporter.counter(
+                "cactusroad_entry_relinks_total",
+                "Streams taken up again over a new link.",
+            ),
+            resumes: exporter.counter(
+                "cactusroad_entry_resumes_total",
+                "Streams taken up again for a caller that came back.",
+            ),
+            tokens: exporter.counter(
+                "cactusroad_entry_tokens_total",
+                "Tokens passed on to callers.",
+            ),
+            foreign_frames: exporter.counter(
+                "cactusroad_entry_foreign_frames_total",
+                "Frames that were dropped for their attempt or index.",
+            ),
+            refusals: exporter.counters(
+                "cactusroad_entry_refusals_total",
+                "Refusals by kind and effect.",
+                &["kind", "effect"],
+            ),
+            open_streams: exporter.gauge(
+                "cactusroad_entry_open_streams",
+                "Requests that callers wait for.",
+            ),
+            open_links: exporter.gauge(
+                "cactusroad_entry_open_links",
+                "Agents to which a link is open.",
+            ),
+            first_token_seconds: exporter.times(
+                "cactusroad_entry_first_token_seconds",
+                "Time from the arrival of a request to its first token.",
+            ),
+            between_tokens_seconds: exporter.times(
+                "cactusroad_entry_between_tokens_seconds",
+                "Time between two tokens of a stream.",
+            ),
+            stall_seconds,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,359 @@
+//! The settings of a process: one JSON file, checked whole at start.
+//!
+//! Every fault is reported at once, each with its field, what was found there
+//! and what to write instead. Unknown fields are faults, because a misspelt
+//! field would otherwise leave its default in force unnoticed.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::transport::Files;
+
+/// What every process is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Common {
+    /// The name of the VM, as the platform lists it and as the certificate says.
+    pub name: Arc<str>,
+    /// The data centre that holds the VM.
+    pub data_centre: Arc<str>,
+    /// The UDP address for the other processes of the site.
+    pub inner: SocketAddr,
+    /// The TCP address for metrics and health.
+    pub admin: SocketAddr,
+    /// The certificates.
+    pub tls: Files,
+    /// The address of the platform's object API.
+    pub store: Arc<str>,
+    /// The address of the platform's VM list.
+    pub roster: Arc<str>,
+    /// Where traces go, or nowhere.
+    pub traces: Option<Arc<str>>,
+}
+
+/// The settings of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// What every process is told.
+    pub common: Common,
+    /// The TCP address for callers.
+    pub listen: SocketAddr,
+}
+
+/// The settings of an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Agent {
+    /// What every process is told.
+    pub common: Common,
+    /// The endpoint beside the agent.
+    pub endpoint: Endpoint,
+}
+
+/// The endpoint beside an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// What the endpoint is.
+    pub kind: Kind,
+    /// Where it answers.
+    pub address: Arc<str>,
+    /// The versions that a plain service holds; an engine reports its own.
+    pub versions: Vec<Arc<str>>,
+    /// The most requests that it is given at once.
+    pub max_running: usize,
+    /// The most requests that wait at the agent.
+    pub max_queued: usize,
+    /// Whether the endpoint checks the fencing number of an order.
+    pub checks_orders: bool,
+}
+
+/// What an endpoint is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumString, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Kind {
+    /// A model engine.
+    Model,
+    /// A plain service.
+    Service,
+}
+
+/// Requests that a plain service is given at once where the settings are silent.
+const DEFAULT_MAX_RUNNING: u64 = 64;
+/// Requests that wait at an agent where the settings are silent.
+const DEFAULT_MAX_QUEUED: u64 = 256;
+
+/// One fault in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The field, with dots between levels.
+    pub field: String,
+    /// What was found there.
+    pub found: String,
+    /// What to write instead.
+    pub remedy: String,
+}
+
+/// Every fault in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// The faults, in the order of the fields.
+    pub faults: Vec<Fault>,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, fault) in self.faults.iter().enumerate() {
+            if at > 0 {
+                writeln!(f)?;
+            }
+            let Fault {
+                field,
+                found,
+                remedy,
+            } = fault;
+            write!(f, "{field}: found {found}; {remedy}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl Entry {
+    /// Reads the settings of an entry from JSON.
+    ///
+    /// # Errors
+    ///
+    /// Names every fault of the file.
+    pub fn parse(json: &str) -> Result<Entry, Error> {
+        let mut fields = Fields::parse(json)?;
+        let common = common(&mut fields);
+        let listen = fields.address("listen");
+        let faults = fields.finish();
+        match (common, listen) {
+            (Some(common), Some(listen)) if faults.is_empty() => Ok(Entry { common, listen }),
+            _ => Err(Error { faults }),
+        }
+    }
+}
+
+impl Agent {
+    /// Reads the settings of an agent from JSON.
+    ///
+    /// # Errors
+    ///
+    /// Names every fault of the file.
+    pub fn parse(json: &str) -> Result<Agent, Error> {
+        let mut fields = Fields::parse(json)?;
+        let common = common(&mut fields);
+        let endpoint = endpoint(&mut fields);
+        let faults = fields.finish();
+        match (common, endpoint) {
+            (Some(common), Some(endpoint)) if faults.is_empty() => Ok(Agent { common, endpoint }),
+            _ => Err(Error { faults }),
+        }
+    }
+}
+
+fn common(fields: &mut Fields) -> Option<Common> {
+    let name = fields.name("name");
+    let data_centre = fields.name("data_centre");
+    let inner = fields.address("inner");
+    let admin = fields.address("admin");
+    let tls = fields.object::<Files>(
+        "tls",
+        "write the paths `ca`, `certificate` and `key` that `cactusroad keys` made",
+    );
+    let store = fields.url("store");
+    let roster = fields.url("roster");
+    let traces = fields.optional("traces", Fields::url);
+    Some(Common {
+        name: name?,
+        data_centre: data_centre?,
+        inner: inner?,
+        admin: admin?,
+        tls: tls?,
+        store: store?,
+        roster: roster?,
+        traces,
+    })
+}
+
+fn endpoint(fields: &mut Fields) -> Option<Endpoint> {
+    let mut inner = fields.section("endpoint")?;
+    let kind = inner.named::<Kind>("kind", "write `model` or `service`");
+    let address = inner.url("address");
+    let versions = inner.optional("versions", |inner, field| {
+        inner.object::<Vec<Arc<str>>>(field, "write a list of version names")
+    });
+    let max_running = inner.count("max_running", DEFAULT_MAX_RUNNING);
+    let max_queued = inner.count("max_queued", DEFAULT_MAX_QUEUED);
+    let checks_orders = inner.optional("checks_orders", |inner, field| {
+        inner.object::<bool>(field, "write `true` or `false`")
+    });
+    fields.absorb(inner);
+    Some(Endpoint {
+        kind: kind?,
+        address: address?,
+        versions: versions.unwrap_or_default(),
+        max_running: max_running?,
+        max_queued: max_queued?,
+        checks_orders: checks_orders.unwrap_or(false),
+    })
+}
+
+/// Takes known fields out of an object and collects the faults of all of them.
+struct Fields {
+    prefix: String,
+    object: Map<String, Value>,
+    faults: Vec<Fault>,
+}
+
+impl Fields {
+    fn parse(json: &str) -> Result<Fields, Error> {
+        let fault = |found: String, remedy: &str| Error {
+            faults: vec![Fault {
+                field: "(file)".to_owned(),
+                found,
+                remedy: remedy.to_owned(),
+            }],
+        };
+        match serde_json::from_str(json) {
+            Ok(Value::Object(object)) => Ok(Fields {
+                prefix: String::new(),
+                object,
+                faults: Vec::new(),
+            }),
+            Ok(_) => Err(fault("no JSON object".to_owned(), "write one JSON object")),
+            Err(cause) => Err(fault(cause.to_string(), "write one JSON object")),
+        }
+    }
+
+    fn fault(&mut self, field: &str, found: impl Into<String>, remedy: &str) {
+        self.faults.push(Fault {
+            field: format!("{}{field}", self.prefix),
+            found: found.into(),
+            remedy: remedy.to_owned(),
+        });
+    }
+
+    fn take(&mut self, field: &str, remedy: &str) -> Option<Value> {
+        let value = self.object.remove(field);
+        if value.is_none() {
+            self.fault(field, "nothing", remedy);
+        }
+        value
+    }
+
+    fn optional<T>(
+        &mut self,
+        field: &str,
+        read: impl FnOnce(&mut Fields, &str) -> Option<T>,
+    ) -> Option<T> {
+        match self.object.contains_key(field) {
+            true => read(self, field),
+            false => None,
+        }
+    }
+
+    fn text(&mut self, field: &str, remedy: &str) -> Option<String> {
+        match self.take(field, remedy)? {
+            Value::String(text) => Some(text),
+            other => {
+                self.fault(field, other.to_string(), remedy);
+                None
+            }
+        }
+    }
+
+    fn name(&mut self, field: &str) -> Option<Arc<str>> {
+        const REMEDY: &str = "write 1 to 63 lower-case letters, digits, dots and dashes";
+        let text = self.text(field, REMEDY)?;
+        let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-.".contains(c);
+        if (1..=63).contains(&text.len()) && text.chars().all(allowed) {
+            return Some(text.into());
+        }
+        self.fault(field, format!("{text:?}"), REMEDY);
+        None
+    }
+
+    fn address(&mut self, field: &str) -> Option<SocketAddr> {
+        const REMEDY: &str = "write an IP address and a port, such as 10.0.0.7:7443";
+        let text = self.text(field, REMEDY)?;
+        let address = text.parse().ok();
+        if address.is_none() {
+            self.fault(field, format!("{text:?}"), REMEDY);
+        }
+        address
+    }
+
+    fn url(&mut self, field: &str) -> Option<Arc<str>> {
+        const REMEDY: &str = "write http:// with an IP address and a port";
+        let text = self.text(field, REMEDY)?;
+        let host = text
+            .strip_prefix("http://")
+            .map(|rest| rest.trim_end_matches('/'));
+        if host.is_some_and(|host| host.parse::<SocketAddr>().is_ok()) {
+            return Some(text.trim_end_matches('/').into());
+        }
+        self.fault(field, format!("{text:?}"), REMEDY);
+        None
+    }
+
+    fn named<T: std::str::FromStr>(&mut self, field: &str, remedy: &str) -> Option<T> {
+        let text = self.text(field, remedy)?;
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.fault(field, format!("{text:?}"), remedy);
+        }
+        value
+    }
+
+    fn count(&mut self, field: &str, default: u64) -> Option<usize> {
+        const REMEDY: &str = "write a whole number from 1 to 65536";
+        let Some(value) = self.object.remove(field) else {
+            return usize::try_from(default).ok();
+        };
+        let count = value.as_u64().filter(|count| (1..=65_536).contains(count));
+        if count.is_none() {
+            self.fault(field, value.to_string(), REMEDY);
+        }
+        count.and_then(|count| usize::try_from(count).ok())
+    }
+
+    fn object<T: DeserializeOwned>(&mut self, field: &str, remedy: &str) -> Option<T> {
+        let value = self.take(field, remedy)?;
+        match serde_json::from_value(value) {
+            Ok(value) => Some(value),
+            Err(cause) => {
+                self.fault(field, cause.to_string(), remedy);
+                None
+            }
+        }
+    }
+
+    fn section(&mut self, field: &str) -> Option<Fields> {
+        let object = self.object(field, "write a JSON object")?;
+        Some(Fields {
+            prefix: format!("{}{field}.", self.prefix),
+            object,
+            faults: Vec::new(),
+        })
+    }
+
+    fn absorb(&mut self, section: Fields) {
+        self.faults.extend(section.finish());
+    }
+
+    fn finish(mut self) -> Vec<Fault> {
+        let unknown: Vec<String> = self.object.keys().cloned().collect();
+        for field in unknown {
+            self.fault(
+                &field,
+                "a field that is not known",
+                "remove it or correct its spelling",
+            );
+        }
+        self.faults
+    }
+}
--- a/crates/node/src/transport/dialer.rs
+++ b/crates/node/src/transport/dialer.rs
@@ -70,7 +70,11 @@
 
     /// Returns the number of peers with a link, open or being dialled.
     pub fn peers(&self) -> usize {
-        self.0.peers.lock().unwrap_or_else(PoisonError::into_inner).len()
+        self.0
+            .peers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .len()
     }
 }
 
--- a/crates/node/src/transport/frame.rs
+++ b/crates/node/src/transport/frame.rs
@@ -8,6 +8,7 @@
     },
 };
 
+use bytes::Bytes;
 use cactusroad_wire::MAX_MESSAGE_BYTES;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
@@ -52,7 +53,9 @@
     ///
     /// Fails where the link is broken.
     pub async fn flush(&mut self) -> Result<(), Error> {
-        self.inner.flush().await.map_err(|_| Error::Broken)
+        SinkExt::<Bytes>::flush(&mut self.inner)
+            .await
+            .map_err(|_| Error::Broken)
     }
 
     /// Sends one message at once.
--- a/crates/node/src/transport/link.rs
+++ b/crates/node/src/transport/link.rs
@@ -87,11 +87,7 @@
         self.calls.fetch_add(1, Ordering::Relaxed);
         let guard = Guard(self.clone());
         self.touch();
-        let (send, receive) = self
-            .connection
-            .open_bi()
-            .await
-            .map_err(|_| Error::Broken)?;
+        let (send, receive) = self.connection.open_bi().await.map_err(|_| Error::Broken)?;
         let mut sender = Sender::new(send);
         sender.send(first).await?;
         Ok(Call {
@@ -116,9 +112,13 @@
         self.status.subscribe()
     }
 
+    /// Keeps the link open although it carries no stream.
+    pub fn keep(&self) {
+        self.touch();
+    }
+
     fn touch(&self) {
-        self.used
-            .store(clock::now().as_micros(), Ordering::Relaxed);
+        self.used.store(clock::now().as_micros(), Ordering::Relaxed);
     }
 
     fn silence(&self, now: Time) -> Duration {
--- a/crates/node/src/transport/mod.rs
+++ b/crates/node/src/transport/mod.rs
@@ -19,12 +19,14 @@
 mod dialer;
 mod frame;
 mod link;
+mod serve;
 mod tls;
 
 pub use self::{
     dialer::Dialer,
     frame::{Receiver, Sender},
     link::{Call, Link},
+    serve::Incoming,
     tls::{Files, Identity},
 };
 
@@ -62,3 +64,5 @@
         cause: String,
     },
 }
+
+pub(crate) use self::{dialer::listen, serve::serve};
--- a/crates/node/src/transport/tls.rs
+++ b/crates/node/src/transport/tls.rs
@@ -61,7 +61,8 @@
         }
         let roots = Arc::new(roots);
         Ok(Identity {
-            server: server(&roots, &chain, &key).map_err(|cause| keys(&files.certificate, cause))?,
+            server: server(&roots, &chain, &key)
+                .map_err(|cause| keys(&files.certificate, cause))?,
             client: client(&roots, chain, key).map_err(|cause| keys(&files.certificate, cause))?,
         })
     }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -154,11 +154,13 @@
     #[prost(uint64, tag = "1")]
     pub next_index: u64,
 }
-/// The caller is gone; the generation has no reader.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+/// The caller is gone.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Cancel {
-    #[prost(string, tag = "1")]
-    pub reason: ::prost::alloc::string::String,
+    /// When the attempt is given up unless a reader comes back, in microseconds
+    /// since the Unix epoch; zero for at once.
+    #[prost(uint64, tag = "1")]
+    pub at_micros: u64,
 }
 /// Asks what became of an attempt, and bars it where it was not dispatched.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
