Drive the stand-in engine by the model of one engine

Cause: the simple stand-in gives every generation a fixed interval, so nothing in it stalls, preempts or warms up.

Change: with the setting `model`, tokens are due when the model says so, and its reports of load and cache are served. A phase replaces the flag of a finished generation, so one that fills the memory ends with `length` and is not taken for a lost one. Generations cancelled while they waited are now forgotten as the others are; before, they were kept for good.

Conclusion: the path can be tried against preemption; the turn to cold works only for an engine that starts cold, which the setting's documentation says.

--- /dev/null
+++ b/crates/standin/src/engine/drive.rs
@@ -0,0 +1,136 @@
+//! The stand-in engine under the model of one engine.
+//!
+//! The model decides when each token is due, in virtual time; the driver reads
+//! the clock, runs the model up to now and shows what it gives out.
+
+use tokio::time::Instant;
+
+use cactusroad_core::{Time, id::Attempt, placement::prefix_hashes};
+
+use super::{
+    Config, Handle, generation,
+    message::{CacheEvent, Load},
+    state::Held,
+};
+use crate::{
+    fault::lock,
+    model::{self, Cold, Emission, Job},
+};
+
+const BYTES_PER_TOKEN: usize = 4;
+
+/// A model and the origin of its time.
+#[derive(Debug)]
+pub(super) struct Drive {
+    model: model::Engine,
+    origin: Instant,
+}
+
+impl Drive {
+    pub(super) fn new(config: &Config) -> Drive {
+        let model = model::Config {
+            block_tokens: u32::try_from(config.block_tokens).unwrap_or(u32::MAX),
+            blocks: u32::try_from(config.blocks_total).unwrap_or(u32::MAX),
+            cold: config.cold.then(Cold::default),
+            ..model::Config::default()
+        };
+        Drive {
+            model: model::Engine::new(model, Time::ZERO),
+            origin: Instant::now(),
+        }
+    }
+
+    fn now(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
+    }
+
+    /// Takes a generation in, and returns whether its prompt fits.
+    pub(super) fn submit(&mut self, held: &Held) -> bool {
+        let prompt = &held.prompt;
+        let tokens = prompt.text.len().div_ceil(BYTES_PER_TOKEN);
+        let job = Job {
+            generation: prompt.generation,
+            prompt_tokens: u32::try_from(tokens).unwrap_or(u32::MAX).max(1),
+            prefixes: prefix_hashes(&prompt.text),
+            output_tokens: u32::try_from(held.length).unwrap_or(u32::MAX).max(1),
+            priority: prompt.priority,
+        };
+        self.model.submit(self.now(), job).is_ok()
+    }
+
+    pub(super) fn cancel(&mut self, generation: Attempt) {
+        self.model.cancel(self.now(), generation);
+    }
+
+    pub(super) fn restart(&mut self) {
+        self.model.restart(self.now());
+    }
+
+    pub(super) fn turn_cold(&mut self) {
+        self.model.turn_cold();
+    }
+
+    pub(super) fn overloads(&self) -> u64 {
+        self.model.overloads()
+    }
+
+    pub(super) fn load(&self) -> Load {
+        let load = self.model.load(self.now());
+        Load {
+            incarnation: load.incarnation,
+            versions: Vec::new(),
+            blocks_total: load.blocks_total,
+            blocks_used: load.blocks_used,
+            block_tokens: load.block_tokens,
+            running: load.running,
+            waiting: load.waiting,
+            preemptions: load.preemptions,
+        }
+    }
+
+    pub(super) fn cache_events(&self, after: u64) -> Vec<CacheEvent> {
+        let events = self.model.cache_events(self.now(), after).into_iter();
+        let told = events.map(|event| CacheEvent {
+            sequence: event.sequence,
+            prefix: event.prefix,
+            held: event.held,
+        });
+        told.collect()
+    }
+
+    pub(super) fn advance(&mut self) -> Vec<Emission> {
+        let mut outputs = Vec::new();
+        self.model.advance(self.now(), &mut outputs);
+        outputs
+    }
+
+    fn next_at(&self) -> Option<Instant> {
+        let at = self.model.next_at()?;
+        Some(self.origin + at.since(Time::ZERO))
+    }
+}
+
+/// Runs the model by the clock until the server is killed.
+pub(super) async fn run(engine: Handle) {
+    let ended = engine.server.ended();
+    ended.run_until_cancelled(follow(&engine)).await;
+}
+
+async fn follow(engine: &Handle) {
+    loop {
+        let woken = engine.turns.notified();
+        let next = lock(&engine.state).drive().and_then(Drive::next_at);
+        let Some(next) = next else {
+            woken.await;
+            continue;
+        };
+        tokio::select! {
+            () = woken => continue,
+            () = generation::wait_until(engine, next) => {}
+        }
+        let crashed = lock(&engine.state).advance();
+        if crashed {
+            engine.crash();
+        }
+    }
+}
--- a/crates/standin/src/engine/generation.rs
+++ b/crates/standin/src/engine/generation.rs
@@ -9,24 +9,43 @@
 use super::{
     Handle,
     message::Event,
-    state::{Held, Progress},
+    state::{Held, Phase, Progress},
     text,
 };
 use crate::{fault::lock, server::Connection};
 
 /// Runs a generation from its place in the queue to its end.
 pub(super) async fn run(engine: Handle, held: Arc<Held>) {
-    if wait_for_turn(&engine, &held).await {
-        tokio::select! {
-            () = generate(&engine, &held) => {}
-            () = held.cancelled.cancelled() => {}
-        }
-        lock(&engine.state).finish(&held);
+    match engine.config.model {
+        true => follow_model(&held).await,
+        false => take_turn(&engine, &held).await,
     }
-    held.progress.send_modify(|progress| progress.over = true);
+    held.set_phase(Phase::Lost);
+    lock(&engine.state).retire(&held);
     engine.turns.notify_waiters();
 }
 
+/// Waits until the model has ended the generation, or it is cancelled.
+async fn follow_model(held: &Held) {
+    let mut progress = held.progress.subscribe();
+    let ended = progress.wait_for(|progress| progress.phase != Phase::Running);
+    tokio::select! {
+        _ = ended => {}
+        () = held.cancelled.cancelled() => {}
+    }
+}
+
+async fn take_turn(engine: &Handle, held: &Held) {
+    if !wait_for_turn(engine, held).await {
+        return;
+    }
+    tokio::select! {
+        () = generate(engine, held) => {}
+        () = held.cancelled.cancelled() => {}
+    }
+    lock(&engine.state).finish_turn();
+}
+
 /// Returns whether the generation got a turn before it was cancelled.
 async fn wait_for_turn(engine: &Handle, held: &Held) -> bool {
     let ticket = lock(&engine.state).queue(held.prompt.priority);
@@ -46,24 +65,21 @@
 }
 
 async fn generate(engine: &Handle, held: &Held) {
-    let config = &engine.config;
-    let marker = &*config.crash_marker;
-    let crashes = !marker.is_empty() && held.prompt.text.contains(marker);
     let mut due = Instant::now() + lock(&engine.state).prefill();
     for index in 0..held.length {
         wait_until(engine, due).await;
-        if crashes && index == config.crash_after_tokens {
+        if lock(&engine.state).crashes(held, index) {
             engine.crash();
             return;
         }
-        held.progress
-            .send_modify(|progress| progress.generated = index + 1);
+        held.set_generated(index + 1);
         due += lock(&engine.state).interval();
     }
+    held.set_phase(Phase::Complete);
 }
 
 /// Sleeps until a token is due and the engine is not stalled.
-async fn wait_until(engine: &Handle, due: Instant) {
+pub(super) async fn wait_until(engine: &Handle, due: Instant) {
     tokio::time::sleep_until(due).await;
     loop {
         let until = lock(&engine.state).stalled_until();
@@ -112,19 +128,20 @@
             return None;
         }
         let next = self.next;
-        let ready = |progress: &Progress| progress.generated > next || progress.over;
+        let ready =
+            |progress: &Progress| progress.generated > next || progress.phase != Phase::Running;
         let progress = *self.progress.wait_for(ready).await.ok()?;
         if progress.generated > self.next {
             return Some(self.token());
         }
-        if progress.generated < self.held.length {
+        if progress.phase == Phase::Lost {
             self.connection.cut().await;
         }
         self.ended = true;
         Some(Event::End {
             generation: self.held.prompt.generation,
-            count: self.held.length,
-            reason: self.held.reason(),
+            count: progress.generated,
+            reason: self.held.reason(progress.generated),
         })
     }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,9 +2,13 @@
 //!
 //! A generation is a task that counts tokens at a set interval. The tokens
 //! themselves follow from the prompt ([`text`]), so a reader may come late,
-//! break off and resume without the engine keeping any text.
+//! break off and resume without the engine keeping any text. Where
+//! [`Config::model`] is set, the model of [`crate::model`] says when each token
+//! is due, and what it reports of load and cache takes the place of the simple
+//! account here.
 
 mod cache;
+mod drive;
 mod generation;
 mod message;
 mod state;
@@ -69,6 +73,10 @@
     pub crash_after_tokens: u64,
     /// How long the engine is down after a crash, in milliseconds; 300 by default.
     pub restart_ms: u64,
+    /// Whether the model of an engine times the tokens instead of the interval; false by
+    /// default. Capacities, the interval and the prefix limit then have no effect, and the
+    /// engine can turn cold only where it starts cold.
+    pub model: bool,
 }
 
 impl Default for Config {
@@ -86,6 +94,7 @@
             crash_marker: "[crash]".into(),
             crash_after_tokens: 0,
             restart_ms: 300,
+            model: false,
         }
     }
 }
@@ -180,7 +189,7 @@
 ///
 /// Fails where the listener has no address.
 pub fn spawn(config: Config, listener: TcpListener) -> io::Result<Handle> {
-    server::spawn(listener, |server| {
+    let handle = server::spawn(listener, |server| {
         let handle = Handle {
             config: Arc::new(config.clone()),
             state: Arc::new(Mutex::new(state::State::new(config))),
@@ -189,7 +198,11 @@
             server,
         };
         (router(handle.clone()), handle)
-    })
+    })?;
+    if handle.config.model {
+        tokio::spawn(drive::run(handle.clone()));
+    }
+    Ok(handle)
 }
 
 fn router(handle: Handle) -> Router {
@@ -222,11 +235,13 @@
     let started = lock(&handle.state).start(prompt);
     match started {
         Ok(held) => {
+            handle.turns.notify_waiters();
             tokio::spawn(generation::run(handle, held.clone()));
             tokens(held, 0, connection).into_response()
         }
         Err(Rejection::Repeated) => StatusCode::CONFLICT.into_response(),
         Err(Rejection::UnknownVersion) => StatusCode::NOT_FOUND.into_response(),
+        Err(Rejection::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
     }
 }
 
@@ -279,7 +294,7 @@
     State(handle): State<Handle>,
     Query(query): Query<CacheQuery>,
 ) -> Json<Vec<CacheEvent>> {
-    Json(lock(&handle.state).cache.after(query.after))
+    Json(lock(&handle.state).cache_events(query.after))
 }
 
 async fn order(State(handle): State<Handle>, Json(order): Json<Order>) -> StatusCode {
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -18,9 +18,11 @@
 use super::{
     Config,
     cache::Cache,
-    message::{Action, Load, Order, Prompt},
+    drive::Drive,
+    message::{Action, CacheEvent, Load, Order, Prompt},
     text,
 };
+use crate::model::Output;
 
 const MAX_RECORDS: usize = 100_000;
 /// How long a generation that is over can still be resumed.
@@ -78,11 +80,21 @@
     }
 }
 
+/// What becomes of a generation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Phase {
+    #[default]
+    Running,
+    Complete,
+    /// Cancelled, or lost in a crash.
+    Lost,
+}
+
 /// How far a generation is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Progress {
     pub(super) generated: u64,
-    pub(super) over: bool,
+    pub(super) phase: Phase,
 }
 
 /// A generation that the engine holds.
@@ -99,13 +111,37 @@
 }
 
 impl Held {
-    pub(super) fn reason(&self) -> &'static str {
-        match text::length(&self.prompt.text) > self.length {
+    /// Why a generation of so many tokens ended.
+    pub(super) fn reason(&self, count: u64) -> &'static str {
+        match text::length(&self.prompt.text) > count {
             true => "length",
             false => "stop",
         }
     }
 
+    pub(super) fn set_generated(&self, count: u64) {
+        self.progress
+            .send_modify(|progress| progress.generated = count);
+    }
+
+    /// Sets how a running generation ended.
+    pub(super) fn set_phase(&self, phase: Phase) {
+        self.progress.send_if_modified(|progress| {
+            let running = progress.phase == Phase::Running;
+            if running {
+                progress.phase = phase;
+            }
+            running
+        });
+    }
+
+    /// Tells whether its next token crashes an engine that is configured so.
+    fn crashes(&self, config: &Config, index: u64) -> bool {
+        let marker = &*config.crash_marker;
+        let marked = !marker.is_empty() && self.prompt.text.contains(marker);
+        marked && index >= config.crash_after_tokens
+    }
+
     pub(super) fn count_sent(&self) {
         self.sent.fetch_add(1, Ordering::Relaxed);
     }
@@ -121,7 +157,7 @@
             generated: progress.generated,
             sent: self.sent.load(Ordering::Relaxed),
             cancels: self.cancels.load(Ordering::Relaxed),
-            ended: progress.generated == self.length,
+            ended: progress.phase == Phase::Complete,
         }
     }
 
@@ -136,6 +172,7 @@
 pub(super) enum Rejection {
     UnknownVersion,
     Repeated,
+    TooLarge,
 }
 
 /// One who waits for a turn: higher priorities first, then the earlier.
@@ -148,6 +185,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     config: Config,
+    /// The model that times the tokens, where one does.
+    drive: Option<Drive>,
     incarnation: u64,
     life: CancellationToken,
     versions: Vec<Arc<str>>,
@@ -172,6 +211,7 @@
 impl State {
     pub(super) fn new(config: Config) -> State {
         State {
+            drive: config.model.then(|| Drive::new(&config)),
             incarnation: next_incarnation(0),
             life: CancellationToken::new(),
             versions: config.versions.clone(),
@@ -196,6 +236,9 @@
 
     pub(super) fn set_cold(&mut self, cold: bool) {
         self.cold = cold;
+        if let Some(drive) = self.drive.as_mut().filter(|_| cold) {
+            drive.turn_cold();
+        }
     }
 
     pub(super) fn set_ignore_fencing(&mut self, ignore: bool) {
@@ -256,6 +299,12 @@
             sent: AtomicU64::default(),
             cancels: AtomicU64::default(),
         });
+        if let Some(drive) = &mut self.drive
+            && !drive.submit(&held)
+        {
+            self.seen.refused += 1;
+            return Err(Rejection::TooLarge);
+        }
         self.insert(&held);
         Ok(held)
     }
@@ -285,6 +334,9 @@
             held.cancels.fetch_add(1, Ordering::Relaxed);
             held.cancelled.cancel();
         }
+        if let Some(drive) = &mut self.drive {
+            drive.cancel(generation);
+        }
         found.is_some()
     }
 
@@ -317,8 +369,12 @@
     }
 
     /// Gives a turn back.
-    pub(super) fn finish(&mut self, held: &Held) {
+    pub(super) fn finish_turn(&mut self) {
         self.running -= 1;
+    }
+
+    /// Keeps a generation that is over for a while, so that it can be resumed.
+    pub(super) fn retire(&mut self, held: &Held) {
         let keep = Instant::now() + KEEP;
         self.finished.push_back((keep, held.prompt.generation));
     }
@@ -341,10 +397,59 @@
         self.held.clear();
         self.finished.clear();
         self.cache.clear();
+        if let Some(drive) = &mut self.drive {
+            drive.restart();
+        }
         self.report = None;
         self.incarnation = next_incarnation(self.incarnation);
     }
 
+    pub(super) fn drive(&self) -> Option<&Drive> {
+        self.drive.as_ref()
+    }
+
+    /// Returns the cache events after a number.
+    pub(super) fn cache_events(&self, after: u64) -> Vec<CacheEvent> {
+        match &self.drive {
+            Some(drive) => drive.cache_events(after),
+            None => self.cache.after(after),
+        }
+    }
+
+    /// Shows what the model gave out up to now, and returns whether that crashes the engine.
+    pub(super) fn advance(&mut self) -> bool {
+        let emissions = self.drive.as_mut().map(Drive::advance);
+        let outputs = emissions.into_iter().flatten();
+        outputs
+            .map(|emission| emission.output)
+            .any(|output| self.show(output))
+    }
+
+    fn show(&self, output: Output) -> bool {
+        match output {
+            Output::Token { generation, index } => {
+                let Some(held) = self.find(generation) else {
+                    return false;
+                };
+                if held.crashes(&self.config, index.into()) {
+                    return true;
+                }
+                held.set_generated(u64::from(index) + 1);
+            }
+            Output::End { generation, .. } => {
+                let held = self.find(generation);
+                held.iter().for_each(|held| held.set_phase(Phase::Complete));
+            }
+            Output::Preempted { .. } => {}
+        }
+        false
+    }
+
+    /// Tells whether the next token of a generation crashes the engine.
+    pub(super) fn crashes(&self, held: &Held, index: u64) -> bool {
+        held.crashes(&self.config, index)
+    }
+
     /// Takes an order, and returns whether its number was accepted.
     pub(super) fn order(&mut self, order: Order) -> bool {
         if order.number < self.fence && !self.ignore_fencing {
@@ -378,8 +483,16 @@
     }
 
     fn load(&self) -> Load {
+        if let Some(drive) = &self.drive {
+            return Load {
+                incarnation: self.incarnation,
+                versions: self.versions.clone(),
+                ..drive.load()
+            };
+        }
         let block_tokens = self.config.block_tokens;
-        let live = self.held.iter().filter(|held| !held.progress.borrow().over);
+        let running = |held: &&Arc<Held>| held.progress.borrow().phase == Phase::Running;
+        let live = self.held.iter().filter(running);
         Load {
             incarnation: self.incarnation,
             versions: self.versions.clone(),
@@ -395,6 +508,7 @@
     pub(super) fn seen(&self) -> Seen {
         Seen {
             generations: self.records.iter().map(|held| held.seen()).collect(),
+            overloads: self.seen.overloads + self.drive.as_ref().map_or(0, Drive::overloads),
             ..self.seen.clone()
         }
     }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -98,6 +98,11 @@
         self.tasks.wait().await;
     }
 
+    /// Returns a token that is cancelled when the server is killed.
+    pub(crate) fn ended(&self) -> CancellationToken {
+        self.killed.clone()
+    }
+
     fn change(&self, mode: Mode) {
         self.mode.send_if_modified(|now| {
             let open = !matches!(now, Mode::Killed) && *now != mode;
--- a/tests/integration/adapters.rs
+++ b/tests/integration/adapters.rs
@@ -316,6 +316,38 @@
     assert_eq!(stood.seen().crashes, 1);
 }
 
+#[tokio::test]
+async fn engine_under_model() {
+    let config = standin::engine::Config {
+        model: true,
+        blocks_total: 40,
+        ..Default::default()
+    };
+    let (stood, client) = engine(config).await;
+    let prompts = [1, 2, 3].map(|number| prompt(number, "[len=200]"));
+    let mut streams = Vec::new();
+    for prompt in &prompts {
+        streams.push(client.generate(prompt).await.unwrap());
+    }
+    // Three answers need 39 blocks and the prompts three more, so one is preempted.
+    for (prompt, tokens) in prompts.iter().zip(streams) {
+        assert_eq!(read_all(tokens).await, whole(prompt, 0));
+    }
+    assert!(client.load().await.unwrap().preemptions > 0);
+    let cancelled = client.generate(&prompt(4, "[len=200]")).await.unwrap();
+    client.cancel(Attempt(4)).await.unwrap();
+    assert_eq!(
+        read_all(cancelled).await.last(),
+        Some(&Err(engine::Error::Broken))
+    );
+    let marked = client
+        .generate(&prompt(5, "[crash] [len=200]"))
+        .await
+        .unwrap();
+    assert_eq!(read_all(marked).await, [Err(engine::Error::Broken)]);
+    assert_eq!(stood.seen().crashes, 1);
+}
+
 #[tokio::test]
 async fn engine_fencing() {
     let (stood, client) = engine(Default::default()).await;
