Add the daemons, the program and its subcommands

Cause: entry and agent ran only as libraries. Change: entry and agent daemons with settings, signals, metrics and health; readers of the configuration and of the VM list; one program with all subcommands.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -124,6 +124,11 @@
             .expect("a bound socket has an address")
     }
 
+    /// Returns a handle that tells whether the agent takes new work.
+    pub fn readiness(&self) -> Drain<E, S> {
+        Drain(self.shared.clone())
+    }
+
     /// Takes no new work from now on.
     pub fn drain(&self) {
         self.shared.leaving.store(true, Ordering::Relaxed);
@@ -146,6 +151,16 @@
     }
 }
 
+/// Tells whether an agent takes new work.
+pub struct Drain<E, S>(Arc<Shared<E, S>>);
+
+impl<E, S> Drain<E, S> {
+    /// Tells whether the agent takes no new work.
+    pub fn is_draining(&self) -> bool {
+        self.0.leaving.load(Ordering::Relaxed)
+    }
+}
+
 async fn sweep<E: Engine, S: Service>(shared: std::sync::Weak<Shared<E, S>>) {
     let mut tick = time::interval(Duration::from_millis(SWEEP_MS));
     loop {
--- /dev/null
+++ b/crates/node/src/daemon.rs
@@ -0,0 +1,153 @@
+//! The daemons: settings in, signals heeded, exit code out.
+
+use std::{fmt, path::Path};
+
+use cactusroad_platform::{address::Address, engine, roster, service, store};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::{
+    admin::{self, Readiness},
+    agent::{Agent, Backend, Drain},
+    entry::{Entry, Ready},
+    logging,
+    metrics::{AgentMetrics, EntryMetrics, Exporter},
+    settings, source, transport,
+};
+
+/// Why a daemon did not start.
+#[derive(Debug)]
+pub enum Error {
+    /// The settings file cannot be read or has faults.
+    Settings(String),
+    /// An address or a certificate cannot be used.
+    Transport(transport::Error),
+    /// The system refuses what a daemon needs.
+    System(std::io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Settings(text) => f.write_str(text),
+            Error::Transport(cause) => cause.fmt(f),
+            Error::System(cause) => write!(f, "the system refuses: {cause}; check its limits"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<transport::Error> for Error {
+    fn from(cause: transport::Error) -> Error {
+        Error::Transport(cause)
+    }
+}
+
+impl From<std::io::Error> for Error {
+    fn from(cause: std::io::Error) -> Error {
+        Error::System(cause)
+    }
+}
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// Fails where the settings are faulty or an address is taken.
+pub async fn entry(file: &Path) -> Result<(), Error> {
+    let settings = read(file, settings::Entry::parse)?;
+    logging::start(&settings.common.name);
+    let store = store::http::Client::new(&address(&settings.common.store)?);
+    let roster = roster::http::Client::new(&address(&settings.common.roster)?);
+    let exporter = Exporter::new();
+    let metrics = EntryMetrics::new(&exporter);
+    let config = source::config(store);
+    let vms = source::endpoints(roster);
+    let entry = Entry::start(&settings, config, vms, metrics).await?;
+    admin::start(settings.common.admin, exporter, entry.readiness()).await?;
+    log::info!(
+        "entry {} listens on {}",
+        settings.common.name,
+        entry.address()
+    );
+    terminated().await?;
+    log::info!("entry {} stops", settings.common.name);
+    entry.stop().await;
+    Ok(())
+}
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+///
+/// Fails where the settings are faulty or an address is taken.
+pub async fn agent(file: &Path) -> Result<(), Error> {
+    let settings = read(file, settings::Agent::parse)?;
+    logging::start(&settings.common.name);
+    let beside = address(&settings.endpoint.address)?;
+    let backend = match settings.endpoint.kind {
+        settings::Kind::Model => Backend::Model(engine::http::Client::new(&beside)),
+        settings::Kind::Service => Backend::Service(service::http::Client::new(&beside)),
+    };
+    let exporter = Exporter::new();
+    let metrics = AgentMetrics::new(&exporter);
+    let agent = Agent::start(&settings, backend, metrics)?;
+    admin::start(settings.common.admin, exporter, agent.readiness()).await?;
+    log::info!(
+        "agent {} listens on {}",
+        settings.common.name,
+        agent.address()
+    );
+    terminated().await?;
+    log::info!("agent {} stops", settings.common.name);
+    agent.stop().await;
+    Ok(())
+}
+
+impl Readiness for Ready {
+    fn is_ready(&self) -> bool {
+        Ready::is_ready(self)
+    }
+}
+
+impl<E: engine::Engine, S: service::Service> Readiness for Drain<E, S> {
+    fn is_ready(&self) -> bool {
+        !self.is_draining()
+    }
+}
+
+fn read<T>(
+    file: &Path,
+    parse: impl FnOnce(&str) -> Result<T, settings::Error>,
+) -> Result<T, Error> {
+    let name = file.display();
+    let json = std::fs::read_to_string(file).map_err(|cause| {
+        Error::Settings(format!(
+            "{name}: cannot be read ({cause}); pass the path of the settings file"
+        ))
+    })?;
+    parse(&json).map_err(|faults| {
+        let lines: Vec<String> = faults
+            .to_string()
+            .lines()
+            .map(|line| format!("{name}: {line}"))
+            .collect();
+        Error::Settings(lines.join("\n"))
+    })
+}
+
+fn address(text: &str) -> Result<Address, Error> {
+    text.parse()
+        .map_err(|cause| Error::Settings(format!("{text}: {cause}")))
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn terminated() -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -102,9 +102,9 @@
         self.server.address()
     }
 
-    /// Tells whether the balancer should send callers here.
-    pub fn is_ready(&self) -> bool {
-        self.shared.is_ready()
+    /// Returns a handle that tells whether the balancer should send callers here.
+    pub fn readiness(&self) -> Ready {
+        Ready(self.shared.clone())
     }
 
     /// Stops gracefully: not ready at once, no new connection soon, every request finished.
@@ -120,6 +120,16 @@
     }
 }
 
+/// Tells whether the balancer should send callers to an entry.
+pub struct Ready(Arc<Shared>);
+
+impl Ready {
+    /// Tells whether the balancer should send callers to the entry.
+    pub fn is_ready(&self) -> bool {
+        self.0.is_ready()
+    }
+}
+
 impl Shared {
     fn is_ready(&self) -> bool {
         let is_leaving = self.leaving.load(Ordering::Relaxed);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,9 +1,12 @@
 //! The entry and agent processes of cactusroad: thin drivers of the core.
 
+pub mod admin;
 pub mod agent;
 pub mod clock;
+pub mod daemon;
 pub mod entry;
 pub mod logging;
 pub mod metrics;
 pub mod settings;
+pub mod source;
 pub mod transport;
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -26,5 +26,5 @@
 pub mod text;
 pub mod view;
 
-pub use command::{Command, run};
+pub use command::{Apply, Check, Command, Diff, History, Keys, Render, Status, run};
 pub use error::{Error, Exit};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,143 @@
-//! The `cactusroad` program.
-fn main() {}
+//! The `cactusroad` program: its daemons and the operators' commands.
+//!
+//! | exit code | meaning |
+//! | --- | --- |
+//! | 0 | the command did what it says; a daemon stopped gracefully |
+//! | 1 | the demo saw a promise broken, or a folder has faults |
+//! | 2 | an argument, a settings file or an address is wrong |
+//!
+//! The operators' commands have further codes, which `cactusroad_ops` lists.
+
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+
+use argh::FromArgs;
+use cactusroad::{demo, node::daemon, ops, standin};
+
+/// A serving system for model generations of unknown length on crowded engines.
+///
+/// Exit codes: 0 done, 1 faults found, 2 wrong argument or settings, 3 another
+/// operator came first, 4 store out of reach, 5 answer lost, 6 unreadable object.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Entry(EntryCommand),
+    Agent(AgentCommand),
+    Demo(DemoCommand),
+    Standin(StandinCommand),
+    Check(ops::Check),
+    Render(ops::Render),
+    Diff(ops::Diff),
+    Apply(ops::Apply),
+    Status(ops::Status),
+    History(ops::History),
+    Keys(ops::Keys),
+}
+
+/// Runs an entry, which terminates callers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+struct EntryCommand {
+    /// the settings file
+    #[argh(positional)]
+    settings: PathBuf,
+}
+
+/// Runs an agent, the one process that talks to the endpoint beside it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "agent")]
+struct AgentCommand {
+    /// the settings file
+    #[argh(positional)]
+    settings: PathBuf,
+}
+
+/// Runs the whole path in one process and checks what it promises.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct DemoCommand {
+    /// leave everything up until the process is interrupted
+    #[argh(switch)]
+    stay: bool,
+}
+
+/// Runs a stand-in of an outside system, for trials without one.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "standin")]
+struct StandinCommand {
+    /// which one: `engine`, `service`, `store` or `roster`
+    #[argh(positional)]
+    role: standin::role::Role,
+    /// the TCP address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// the settings of the stand-in as JSON; see docs/PROTOCOL.md
+    #[argh(option, default = "String::new()")]
+    config: String,
+}
+
+/// The exit code of a wrong argument, settings file or address.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match arguments.command {
+        Command::Entry(command) => run(daemon::entry(&command.settings)),
+        Command::Agent(command) => run(daemon::agent(&command.settings)),
+        Command::Demo(command) => demo(command.stay),
+        Command::Standin(command) => run(stand_in(command)),
+        Command::Check(command) => ops::run(ops::Command::Check(command)),
+        Command::Render(command) => ops::run(ops::Command::Render(command)),
+        Command::Diff(command) => ops::run(ops::Command::Diff(command)),
+        Command::Apply(command) => ops::run(ops::Command::Apply(command)),
+        Command::Status(command) => ops::run(ops::Command::Status(command)),
+        Command::History(command) => ops::run(ops::Command::History(command)),
+        Command::Keys(command) => ops::run(ops::Command::Keys(command)),
+    }
+}
+
+fn demo(stay: bool) -> ExitCode {
+    match runtime() {
+        Ok(runtime) => runtime.block_on(demo::run(stay)),
+        Err(code) => code,
+    }
+}
+
+fn run<E: std::fmt::Display>(work: impl Future<Output = Result<(), E>>) -> ExitCode {
+    let runtime = match runtime() {
+        Ok(runtime) => runtime,
+        Err(code) => return code,
+    };
+    match runtime.block_on(work) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            eprintln!("{cause}");
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, ExitCode> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|cause| {
+            eprintln!("the runtime cannot start: {cause}; check the limits of the system");
+            ExitCode::from(USAGE)
+        })
+}
+
+async fn stand_in(command: StandinCommand) -> Result<(), standin::role::Error> {
+    let started = |address| println!("{} listens on {address}", command.role);
+    let stop = async {
+        if let Err(cause) = tokio::signal::ctrl_c().await {
+            eprintln!("signals cannot be heeded: {cause}");
+        }
+    };
+    standin::role::run(command.role, command.listen, &command.config, started, stop).await
+}
