Run the whole path in one process as a demo

Cause: a newcomer, and the benchmarks, need the path without a deployment. Change: a site of stand-ins, agents and entries on loopback; a small caller; a demo that streams, sends an order twice and loses an entry mid-stream. The demo fails truthfully until the ledger of idempotency keys is wired into the agent.

--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -128,6 +128,16 @@
     pub fn is_ready(&self) -> bool {
         self.0.is_ready()
     }
+
+    /// Tells whether an endpoint with the version is known.
+    pub fn reaches(&self, version: &str) -> bool {
+        let want = directory::Want {
+            version,
+            tried: &[],
+            key: None,
+        };
+        self.0.directory.choose(&want, 0).is_some()
+    }
 }
 
 impl Shared {
--- /dev/null
+++ b/src/demo/mod.rs
@@ -0,0 +1,191 @@
+//! The whole path in one process, for a first look and for the benchmarks.
+//!
+//! [`run`] starts a [`site::Site`], sends generations and an order through it,
+//! loses an entry in the middle of a stream, and compares what the caller got
+//! with what the stand-ins saw.
+
+pub mod client;
+pub mod site;
+
+use std::{process::ExitCode, time::Instant};
+
+use cactusroad_core::stream::EventId;
+use cactusroad_standin::engine::text;
+use serde_json::json;
+
+use self::{
+    client::{Client, Generation, Piece},
+    site::{Config, Error, MODEL_ROUTE, SERVICE_ROUTE, Site},
+};
+
+/// Tokens after which the demo loses an entry.
+const CUT_AFTER: usize = 12;
+/// The most tokens that the demo asks for.
+const MAX_TOKENS: u32 = 1_000;
+
+/// Runs the demo and says whether every promise held.
+pub async fn run(stay: bool) -> ExitCode {
+    match show(stay).await {
+        Ok(()) => {
+            println!("\nEvery promise held.");
+            ExitCode::SUCCESS
+        }
+        Err(cause) => {
+            println!("\nA promise was broken, or the demo could not run: {cause}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn show(stay: bool) -> Result<(), Error> {
+    println!("Starting a site on loopback: 2 entries, 2 engines and 1 service with an agent each.");
+    let mut site = Site::start(&Config::default()).await?;
+    for (number, entry) in site.entries.iter().enumerate() {
+        println!("  entry-{} listens on {}", number + 1, entry.address());
+    }
+    let client = Client::new();
+    stream(&site, &client).await?;
+    order(&site, &client).await?;
+    if stay {
+        wait(&site).await?;
+    }
+    lose_entry(&mut site, &client).await
+}
+
+/// A generation from an engine, through an agent and an entry, to a caller.
+async fn stream(site: &Site, client: &Client) -> Result<(), Error> {
+    let prompt = "Draft a catalogue page for felt slippers. [len=40]";
+    println!("\n1. A generation, streamed through entry-1:");
+    let started = Instant::now();
+    let address = site.entries[0].address();
+    let mut generation = client
+        .generate(address, MODEL_ROUTE, prompt, MAX_TOKENS, None)
+        .await?;
+    let mut tokens = Vec::new();
+    let last = read(&mut generation, &mut tokens, usize::MAX).await?;
+    let last = last.ok_or("the stream had no token")?;
+    println!(
+        "  caller -> entry-1 -> agent {} -> its engine",
+        last.endpoint
+    );
+    println!(
+        "  {} tokens in {:?}:{}",
+        tokens.len(),
+        started.elapsed(),
+        tokens.concat()
+    );
+    whole(prompt, &tokens)
+}
+
+/// An order to the plain service.
+async fn order(site: &Site, client: &Client) -> Result<(), Error> {
+    println!("\n2. An order with an idempotency key, sent through both entries:");
+    let body = json!({"item": "sheepskin", "count": 12});
+    let path = format!("{SERVICE_ROUTE}/place");
+    let key = "order-2207";
+    for (number, entry) in site.entries.iter().enumerate() {
+        let answer = client
+            .call(entry.address(), &path, Some(key), &body)
+            .await?;
+        println!("  through entry-{}: {answer}", number + 1);
+    }
+    let runs = site.service.seen().runs_of(key);
+    println!("  the service ran it {runs} time(s)");
+    match runs {
+        1 => Ok(()),
+        _ => Err(format!("the order ran {runs} times").into()),
+    }
+}
+
+/// A stream whose entry is lost, and finished through the other one.
+async fn lose_entry(site: &mut Site, client: &Client) -> Result<(), Error> {
+    let prompt = "Sort the queries about soles. [len=60]";
+    println!("\n3. A generation whose entry is lost after {CUT_AFTER} tokens:");
+    let address = site.entries[0].address();
+    let mut generation = client
+        .generate(address, MODEL_ROUTE, prompt, MAX_TOKENS, None)
+        .await?;
+    let mut tokens = Vec::new();
+    let last = read(&mut generation, &mut tokens, CUT_AFTER).await?;
+    let last = last.ok_or("the stream had no token")?;
+    site.entries.remove(0).abort();
+    drop(generation);
+    println!("  entry-1 is gone; the caller holds the event id {last}");
+    let address = site.entries[0].address();
+    let mut generation = client
+        .generate(address, MODEL_ROUTE, prompt, MAX_TOKENS, Some(&last))
+        .await?;
+    read(&mut generation, &mut tokens, usize::MAX).await?;
+    println!(
+        "  entry-2 went on at token {}, {} in all",
+        last.index + 1,
+        tokens.len()
+    );
+    whole(prompt, &tokens)?;
+    let starts: u64 = site
+        .engines
+        .iter()
+        .map(|engine| {
+            engine
+                .seen()
+                .of_prompt(prompt)
+                .map(|seen| seen.starts)
+                .sum::<u64>()
+        })
+        .sum();
+    println!("  the engines started it {starts} time(s)");
+    match starts {
+        1 => Ok(()),
+        _ => Err(format!("the generation was started {starts} times").into()),
+    }
+}
+
+/// Reads tokens until there are `limit` or the stream is whole; returns the last id.
+async fn read(
+    generation: &mut Generation,
+    tokens: &mut Vec<String>,
+    limit: usize,
+) -> Result<Option<EventId>, Error> {
+    let mut last = None;
+    while tokens.len() < limit {
+        match generation.next().await? {
+            Some(Piece::Token { id, text }) => {
+                tokens.push(text);
+                last = Some(id);
+            }
+            Some(Piece::Done) => break,
+            Some(Piece::Error(body)) => return Err(format!("the stream ended with {body}").into()),
+            None => return Err("the stream ended without a last event".into()),
+        }
+    }
+    Ok(last)
+}
+
+/// Compares the tokens of a caller with those that the engine gives for a prompt.
+fn whole(prompt: &str, tokens: &[String]) -> Result<(), Error> {
+    match tokens == text::tokens(prompt, MAX_TOKENS) {
+        true => {
+            println!("  each token came once and in order, and none is missing");
+            Ok(())
+        }
+        false => Err("tokens are missing, doubled or out of order".into()),
+    }
+}
+
+/// Leaves the site up until the process is interrupted, and says how to call it.
+async fn wait(site: &Site) -> Result<(), Error> {
+    let address = site.entries[0].address();
+    println!("\nThe site stays up until Ctrl-C. Try:");
+    println!(
+        "  curl -N http://{address}/v1/completions -H 'x-workspace: {}' -d \
+         '{{\"model\": \"{MODEL_ROUTE}\", \"prompt\": \"Hello [len=20]\", \"stream\": true}}'",
+        client::WORKSPACE
+    );
+    println!(
+        "  curl http://{address}/services/{SERVICE_ROUTE}/place -H 'x-workspace: {}' \
+         -H 'idempotency-key: mine-1' -d '{{\"item\": \"dye\"}}'",
+        client::WORKSPACE
+    );
+    tokio::signal::ctrl_c().await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/demo/site.rs
@@ -0,0 +1,261 @@
+//! A whole site in one process, each role a task on its own loopback port.
+
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+use cactusroad_core::{Time, config::folder};
+use cactusroad_node::{
+    agent::{Agent, Backend},
+    entry::Entry,
+    metrics::{AgentMetrics, EntryMetrics, Exporter},
+    settings, source,
+    transport::Files,
+};
+use cactusroad_ops::{apply, keys};
+use cactusroad_platform::{address::Address, engine, roster, service, store};
+use cactusroad_standin as standin;
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::{net::TcpListener, time};
+
+/// The route of the demo's model.
+pub const MODEL_ROUTE: &str = "catalogue";
+/// The route of the demo's plain service.
+pub const SERVICE_ROUTE: &str = "orders";
+
+const MODEL_VERSION: &str = "catalogue-1";
+const SERVICE_VERSION: &str = "orders-1";
+const DATA_CENTRE: &str = "kairouan";
+const READY_TRIES: u32 = 200;
+const READY_TICK_MS: u64 = 50;
+
+/// Any error of a site's start, for a person to read.
+pub type Error = Box<dyn std::error::Error + Send + Sync>;
+
+type SiteAgent = Agent<engine::http::Client, service::http::Client>;
+
+/// What a site is made of.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The number of entries; 2 by default.
+    pub entries: usize,
+    /// The number of model engines, each with an agent; 2 by default.
+    pub engines: usize,
+    /// How the engines behave.
+    pub engine: standin::engine::Config,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            entries: 2,
+            engines: 2,
+            engine: standin::engine::Config::default(),
+        }
+    }
+}
+
+/// A running site.
+pub struct Site {
+    /// The entries, in the order of their names.
+    pub entries: Vec<Entry>,
+    /// The agents, those beside engines first.
+    pub agents: Vec<SiteAgent>,
+    /// The engines.
+    pub engines: Vec<standin::engine::Handle>,
+    /// The plain service.
+    pub service: standin::service::Handle,
+    /// The store.
+    pub store: standin::store::Handle,
+    roster: standin::roster::Handle,
+    _keys: TempDir,
+}
+
+impl Site {
+    /// Starts a site and waits until its entries serve both routes.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a port, a file or the configuration cannot be used.
+    pub async fn start(config: &Config) -> Result<Site, Error> {
+        let keys = tempfile::tempdir()?;
+        keys::authority(keys.path())?;
+        let store = standin::store::spawn(standin::store::Config::default(), listener().await?)?;
+        let roster = standin::roster::spawn(standin::roster::Config::default(), listener().await?)?;
+        configure(&store).await?;
+        let mut site = Site {
+            entries: Vec::new(),
+            agents: Vec::new(),
+            engines: Vec::new(),
+            service: standin::service::spawn(
+                standin::service::Config::default(),
+                listener().await?,
+            )?,
+            store,
+            roster,
+            _keys: keys,
+        };
+        site.start_agents(config).await?;
+        for number in 1..=config.entries {
+            let entry = site.start_entry(&format!("entry-{number}")).await?;
+            site.entries.push(entry);
+        }
+        site.ready().await?;
+        Ok(site)
+    }
+
+    async fn start_agents(&mut self, config: &Config) -> Result<(), Error> {
+        let mut vms = Vec::new();
+        for number in 1..=config.engines {
+            let engine = standin::engine::spawn(
+                standin::engine::Config {
+                    versions: vec![MODEL_VERSION.into()],
+                    ..config.engine.clone()
+                },
+                listener().await?,
+            )?;
+            let base = engine.server().base();
+            let backend = Backend::Model(engine::http::Client::new(&base.parse::<Address>()?));
+            let name = format!("engine-{number}");
+            vms.push(self.start_agent(&name, settings::Kind::Model, &base, backend)?);
+            self.engines.push(engine);
+        }
+        let base = self.service.server().base();
+        let backend = Backend::Service(service::http::Client::new(&base.parse::<Address>()?));
+        vms.push(self.start_agent("orders-1", settings::Kind::Service, &base, backend)?);
+        self.roster.set(vms);
+        Ok(())
+    }
+
+    fn start_agent(
+        &mut self,
+        name: &str,
+        kind: settings::Kind,
+        base: &str,
+        backend: Backend<engine::http::Client, service::http::Client>,
+    ) -> Result<standin::roster::Vm, Error> {
+        let settings = settings::Agent {
+            common: self.common(name)?,
+            endpoint: settings::Endpoint {
+                kind,
+                address: base.into(),
+                versions: vec![SERVICE_VERSION.into()],
+                max_running: 256,
+                max_queued: 256,
+                checks_orders: true,
+            },
+        };
+        let metrics = AgentMetrics::new(&Exporter::new());
+        let agent = Agent::start(&settings, backend, metrics)?;
+        let vm = standin::roster::Vm {
+            name: name.into(),
+            role: "endpoint".into(),
+            address: agent.address(),
+            data_centre: DATA_CENTRE.into(),
+            leaving: false,
+        };
+        self.agents.push(agent);
+        Ok(vm)
+    }
+
+    async fn start_entry(&self, name: &str) -> Result<Entry, Error> {
+        let settings = settings::Entry {
+            common: self.common(name)?,
+            listen: loopback(),
+        };
+        let store = store::http::Client::new(&settings.common.store.parse::<Address>()?);
+        let roster = roster::http::Client::new(&settings.common.roster.parse::<Address>()?);
+        let metrics = EntryMetrics::new(&Exporter::new());
+        let config = source::config(store);
+        let vms = source::endpoints(roster);
+        Ok(Entry::start(&settings, config, vms, metrics).await?)
+    }
+
+    fn common(&self, name: &str) -> Result<settings::Common, Error> {
+        let directory = self._keys.path();
+        let written = keys::process(directory, directory, name, 1)?;
+        let path = |path: &Path| path.display().to_string();
+        Ok(settings::Common {
+            name: name.into(),
+            data_centre: DATA_CENTRE.into(),
+            inner: loopback(),
+            admin: loopback(),
+            tls: Files {
+                ca: path(&written.ca),
+                certificate: path(&written.certificate),
+                key: path(&written.key),
+            },
+            store: self.store.server().base().into(),
+            roster: self.roster.server().base().into(),
+            traces: None,
+        })
+    }
+
+    /// Waits until every entry serves both routes.
+    async fn ready(&self) -> Result<(), Error> {
+        for entry in &self.entries {
+            let readiness = entry.readiness();
+            let mut tries = 0;
+            while !(readiness.is_ready()
+                && readiness.reaches(MODEL_VERSION)
+                && readiness.reaches(SERVICE_VERSION))
+            {
+                tries += 1;
+                if tries > READY_TRIES {
+                    return Err("an entry did not become ready".into());
+                }
+                time::sleep(Duration::from_millis(READY_TICK_MS)).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn listener() -> std::io::Result<TcpListener> {
+    TcpListener::bind(loopback()).await
+}
+
+fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// Applies the demo's folder.
+async fn configure(store: &standin::store::Handle) -> Result<(), Error> {
+    let files = [
+        (
+            "10-data-centres.json",
+            json!({"data_centres": {DATA_CENTRE: {"region": "sahel"}}}),
+        ),
+        (
+            "20-versions.json",
+            json!({"versions": {
+                MODEL_VERSION: {"artifact": "weights/catalogue-1"},
+                SERVICE_VERSION: {"artifact": "builds/orders-1"},
+            }}),
+        ),
+        (
+            "30-routes.json",
+            json!({"routes": {
+                MODEL_ROUTE: {"kind": "model", "version": MODEL_VERSION},
+                SERVICE_ROUTE: {"kind": "service", "version": SERVICE_VERSION, "idempotent": false},
+            }}),
+        ),
+        (
+            "40-workspaces.json",
+            json!({"workspaces": {super::client::WORKSPACE: {}}}),
+        ),
+    ];
+    let files = files.map(|(name, content)| folder::File {
+        name: name.into(),
+        content: content.to_string().into(),
+    });
+    let folder = folder::read(files.into(), &|_| None).map_err(|faults| format!("{faults:?}"))?;
+    let client = store::http::Client::new(&store.server().base().parse::<Address>()?);
+    let request = apply::Request {
+        author: Arc::from("demo"),
+        on: None,
+        id: Arc::from("demo"),
+        now: Time::from_millis(1),
+    };
+    apply::apply(&client, &folder, &request).await?;
+    Ok(())
+}
