Tell the caller when a started stream fails, and never retry it elsewhere

Cause: a reading of the entry found that a stream which had delivered tokens and then lost its agent for good came back as a failed attempt of a kind that is retried, so a second generation would have been spliced on. Ruled out: the reader's check, which a new attempt's reader passes by design. Change: the pump hands a failure back for a retry only before the first token; an agent counts an attempt as settled only when its reader was sent the outcome or its grace is over; a stream gone before its first token may be retried.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -138,7 +138,7 @@
     pub async fn stop(self) {
         self.drain();
         let mut tick = time::interval(Duration::from_millis(50));
-        while !self.shared.table.is_settled() {
+        while !self.shared.table.is_settled(clock::now()) {
             tick.tick().await;
         }
         self.socket.close(0u32.into(), b"stopped");
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -208,6 +208,7 @@
             let last = finish(slot.attempt, outcome);
             sender.send(&wrap(last)).await?;
             sender.finish();
+            slot.tell();
             return drain(slot, reader, receiver).await;
         }
         if !is_empty {
--- a/crates/node/src/agent/slot.rs
+++ b/crates/node/src/agent/slot.rs
@@ -99,6 +99,7 @@
     buffer: Buffer,
     outcome: Option<Outcome>,
     cancelled: bool,
+    told: bool,
     reader: u64,
     reading: bool,
     abandon_at: Time,
@@ -123,6 +124,7 @@
                 buffer: Buffer::new(stream::Config::default()),
                 outcome: None,
                 cancelled: false,
+                told: false,
                 reader: 0,
                 reading: false,
                 abandon_at: stream::drop_at(now),
@@ -172,10 +174,16 @@
         self.lock().outcome.is_some()
     }
 
-    /// Tells whether the attempt has ended and nobody reads it any more.
-    pub(super) fn is_settled(&self) -> bool {
+    /// Tells whether the attempt has ended, and its reader was told or will not come.
+    pub(super) fn is_settled(&self, now: Time) -> bool {
         let state = self.lock();
-        (state.outcome.is_some() || state.phase == Phase::Barred) && !state.reading
+        let ended = state.outcome.is_some() || state.phase == Phase::Barred;
+        ended && !state.reading && (state.told || state.abandon_at.is_past(now))
+    }
+
+    /// Notes that a reader was sent the outcome.
+    pub(super) fn tell(&self) {
+        self.lock().told = true;
     }
 
     pub(super) fn push(&self, text: Arc<str>) {
--- a/crates/node/src/agent/table.rs
+++ b/crates/node/src/agent/table.rs
@@ -79,10 +79,10 @@
     }
 
     /// Tells whether every attempt has ended and been read.
-    pub(super) fn is_settled(&self) -> bool {
+    pub(super) fn is_settled(&self, now: Time) -> bool {
         self.shards.iter().all(|shard| {
             let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
-            shard.iter().all(|slot| slot.is_settled())
+            shard.iter().all(|slot| slot.is_settled(now))
         })
     }
 
--- a/crates/node/src/entry/generate.rs
+++ b/crates/node/src/entry/generate.rs
@@ -161,7 +161,11 @@
 fn may_retry(refusal: &Refusal) -> bool {
     matches!(
         refusal.kind,
-        Kind::Overloaded | Kind::Unavailable | Kind::Draining | Kind::EndpointDied
+        Kind::Overloaded
+            | Kind::Unavailable
+            | Kind::Draining
+            | Kind::EndpointDied
+            | Kind::StreamGone
     )
 }
 
@@ -238,9 +242,7 @@
     let mut pump = Pump::new(&session, id.index + 1, clock::now(), &output);
     pump.is_final = true;
     let call = session.attach(id.index + 1).await.ok();
-    if let Finish::Failed { refusal, .. } = pump.run(call).await {
-        refuse(&output, refusal).await;
-    }
+    pump.run(call).await;
 }
 
 /// Moves the tokens of one attempt from the agent to the caller.
@@ -276,7 +278,20 @@
     }
 
     /// Runs over one link after another until the stream is over.
-    async fn run(mut self, mut call: Option<Call>) -> Finish {
+    ///
+    /// Once a token has reached the caller no other attempt may go on, so every
+    /// failure is told to the caller here and none is handed back for a retry.
+    async fn run(mut self, call: Option<Call>) -> Finish {
+        match self.links(call).await {
+            Finish::Failed { refusal, .. } if self.is_final => {
+                refuse(self.output, refusal).await;
+                Finish::Done
+            }
+            finish => finish,
+        }
+    }
+
+    async fn links(&mut self, mut call: Option<Call>) -> Finish {
         loop {
             let current = match call.take() {
                 Some(current) => current,
@@ -351,26 +366,17 @@
                     count: end.count,
                     reason: end.reason,
                 };
-                self.deliver(item, call).await.err();
+                if let Err(broken) = self.deliver(item, call).await {
+                    return Some(broken);
+                }
                 // The frames may go once the caller was told that they are whole.
                 let _ = attempt::acknowledge(call, end.count).await;
                 Some(Break::Finish(Finish::Done))
             }
-            reply::Body::Refused(message) => {
-                let refusal = attempt::refusal(&message);
-                let is_over = self.is_final;
-                let finish = Finish::Failed {
-                    refusal,
-                    endpoint_died: message.endpoint_died,
-                };
-                match (is_over, finish) {
-                    (true, Finish::Failed { refusal, .. }) => {
-                        refuse(self.output, refusal).await;
-                        Some(Break::Finish(Finish::Done))
-                    }
-                    (_, finish) => Some(Break::Finish(finish)),
-                }
-            }
+            reply::Body::Refused(message) => Some(Break::Finish(Finish::Failed {
+                refusal: attempt::refusal(&message),
+                endpoint_died: message.endpoint_died,
+            })),
             _ => None,
         }
     }
