Test sites of real processes behind the proxy

Cause: the promises about deaths, links, stops and orders were shown by the demo only, in one process.

Change: tests/integration/site.rs starts entries and agents as processes, each site on a loopback address of its own so that ports never clash, with stand-ins in the test's process and a UDP proxy before each agent. The tests kill -9 entries and agents at seeded moments, crash engines, silence, stall, cut, lose and reorder the link in mid-stream, combine two faults, stop processes by SIGTERM under load, and lose requests and answers of orders. Each compares what the caller got with what the stand-ins saw. The service stand-in counts runs by path as well, because no header of a call without a key tells requests apart.

A first form of order_link_silent_while_it_runs compared the count under the empty key, which probes share; it saw 5 for 1. It now compares the runs of the path, which is what the promise is about.

Not covered yet: blame for crashing requests and idempotency keys, which the path does not have yet.

--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -63,7 +63,7 @@
 /// The runs under one key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Runs {
-    /// The idempotency key; else the request id; else empty.
+    /// The idempotency key; else the request id; else empty. In the list by path, the path.
     pub key: Arc<str>,
     /// How often a request with this key ran.
     pub count: u64,
@@ -74,6 +74,8 @@
 pub struct Seen {
     /// The runs under each key, sorted by key.
     pub runs: Vec<Runs>,
+    /// The runs at each path, sorted by path.
+    pub paths: Vec<Runs>,
     /// All runs.
     pub total: u64,
     /// Crashes.
@@ -83,23 +85,37 @@
 impl Seen {
     /// Returns how often requests with this key ran.
     pub fn runs_of(&self, key: &str) -> u64 {
-        let at = self.runs.binary_search_by(|runs| (*runs.key).cmp(key));
-        at.map_or(0, |at| self.runs[at].count)
+        runs(&self.runs, key)
     }
 
-    fn count(&mut self, key: &str) -> u64 {
+    /// Returns how often requests to this path ran.
+    pub fn runs_at(&self, path: &str) -> u64 {
+        runs(&self.paths, path)
+    }
+
+    fn count(&mut self, key: &str, path: &str) -> u64 {
         self.total += 1;
-        let at = self.runs.binary_search_by(|runs| (*runs.key).cmp(key));
-        let at = at.unwrap_or_else(|at| {
-            let key = key.into();
-            self.runs.insert(at, Runs { key, count: 0 });
-            at
-        });
-        self.runs[at].count += 1;
-        self.runs[at].count
+        add_run(&mut self.paths, path);
+        add_run(&mut self.runs, key)
     }
 }
 
+fn runs(sorted: &[Runs], key: &str) -> u64 {
+    let at = sorted.binary_search_by(|runs| (*runs.key).cmp(key));
+    at.map_or(0, |at| sorted[at].count)
+}
+
+fn add_run(sorted: &mut Vec<Runs>, key: &str) -> u64 {
+    let at = sorted.binary_search_by(|runs| (*runs.key).cmp(key));
+    let at = at.unwrap_or_else(|at| {
+        let key = key.into();
+        sorted.insert(at, Runs { key, count: 0 });
+        at
+    });
+    sorted[at].count += 1;
+    sorted[at].count
+}
+
 /// The answer of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
@@ -191,7 +207,7 @@
     let key = key(&headers);
     let (run, status) = {
         let mut state = lock(&handle.state);
-        (state.seen.count(&key), state.status)
+        (state.seen.count(&key, uri.path()), state.status)
     };
     if contains(&body, handle.config.crash_marker.as_bytes()) {
         handle.crash();
--- /dev/null
+++ b/tests/integration/death.rs
@@ -0,0 +1,123 @@
+//! Processes that die at seeded moments.
+
+use cactusroad_standin::engine;
+use rand::Rng;
+
+use crate::{
+    caller::{self, Ending, Received, fault},
+    site::{Config, Site, until},
+};
+
+#[tokio::test]
+async fn entry_killed_mid_stream() {
+    for seed in [1, 2, 3] {
+        let mut site = Site::start(Config {
+            seed,
+            ..Config::default()
+        })
+        .await;
+        let prompt = "the long catalogue [len=200]";
+        let cut = site.random.random_range(1..150);
+        let mut received = Received::default();
+        let first = site.entries[0].address;
+        let mut stream = caller::start(&site.client, first, prompt).await.unwrap();
+        received.read(&mut stream, cut).await;
+        site.entries[0].process.kill();
+        assert_eq!(received.finish(&mut stream).await, Ending::Cut);
+
+        let second = site.entries[1].address;
+        let last = received.last.clone();
+        let resumed = caller::resume(&site.client, second, prompt, last.as_ref()).await;
+        let ending = received.finish(&mut resumed.unwrap()).await;
+        assert_eq!(ending, Ending::Done, "seed {seed}");
+        received.assert_whole(prompt);
+        let seen = site.generations(prompt);
+        assert_eq!(seen.len(), 1, "a single generation");
+        assert_eq!((seen[0].starts, seen[0].ended), (1, true));
+    }
+}
+
+#[tokio::test]
+async fn agent_killed_mid_stream() {
+    let mut site = Site::start(Config::default()).await;
+    let prompt = "a broken catalogue [len=4000]";
+    let cut = site.random.random_range(1..50);
+    let mut received = Received::default();
+    let entry = site.entries[0].address;
+    let mut stream = caller::start(&site.client, entry, prompt).await.unwrap();
+    received.read(&mut stream, cut).await;
+    let holder = site.holder(prompt).unwrap();
+    site.engines[holder].process.kill();
+    let Ending::Error(error) = received.finish(&mut stream).await else {
+        panic!("the caller is told that the stream broke off");
+    };
+    assert_eq!(fault(&error), ("endpoint_died", "unknown"));
+    received.assert_beginning(prompt);
+    assert_eq!(site.generations(prompt).len(), 1, "nothing is spliced");
+
+    let (rest, ending) = caller::generate(&site.client, entry, "[len=9] after")
+        .await
+        .unwrap();
+    assert_eq!(ending, Ending::Done);
+    rest.assert_whole("[len=9] after");
+}
+
+#[tokio::test]
+async fn agent_killed_before_first_token() {
+    let engine = engine::Config {
+        prefill_ms: 1_000,
+        ..engine::Config::default()
+    };
+    let mut site = Site::start(Config {
+        engine,
+        ..Config::default()
+    })
+    .await;
+    let prompt = "an early death [len=20]";
+    let client = site.client.clone();
+    let entry = site.entries[0].address;
+    let call = tokio::spawn(async move { caller::generate(&client, entry, prompt).await });
+    until("an engine holds the generation", || {
+        site.holder(prompt).is_some()
+    })
+    .await;
+    let holder = site.holder(prompt).unwrap();
+    site.engines[holder].process.kill();
+    let (received, ending) = call.await.unwrap().unwrap();
+    assert_eq!(ending, Ending::Done);
+    received.assert_whole(prompt);
+    let other = &site.engines[1 - holder].endpoint;
+    assert_eq!(other.seen().of_prompt(prompt).count(), 1);
+}
+
+#[tokio::test]
+async fn engine_crash_mid_stream() {
+    let site = Site::start(Config::default()).await;
+    let prompt = "a lost engine [len=4000]";
+    let entry = site.entries[0].address;
+    let mut received = Received::default();
+    let mut stream = caller::start(&site.client, entry, prompt).await.unwrap();
+    received.read(&mut stream, 10).await;
+    site.engines[site.holder(prompt).unwrap()].endpoint.crash();
+    let Ending::Error(error) = received.finish(&mut stream).await else {
+        panic!("the caller is told that the stream broke off");
+    };
+    assert_eq!(fault(&error), ("endpoint_died", "unknown"));
+    received.assert_beginning(prompt);
+}
+
+#[tokio::test]
+async fn caller_hangs_up() {
+    let site = Site::start(Config::default()).await;
+    let prompt = "nobody reads this [len=9000]";
+    let entry = site.entries[0].address;
+    let mut stream = caller::start(&site.client, entry, prompt).await.unwrap();
+    Received::default().read(&mut stream, 5).await;
+    drop(stream);
+    until("the engine is told to cancel", || {
+        site.generations(prompt).iter().any(|seen| seen.cancels > 0)
+    })
+    .await;
+    let seen = site.generations(prompt);
+    assert!(!seen[0].ended, "the engine did not finish it for nobody");
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,3 +1,10 @@
-//! Integration tests with real processes.
+//! Integration tests: the adapters against the stand-ins, and sites of real
+//! processes behind a fault-injecting proxy.
 
 mod adapters;
+mod caller;
+mod death;
+mod link;
+mod order;
+mod site;
+mod stop;
--- /dev/null
+++ b/tests/integration/order.rs
@@ -0,0 +1,152 @@
+//! Calls that may not run twice.
+
+use cactusroad::demo::client::Error;
+use cactusroad_standin::{fault, proxy::Direction, service};
+use serde_json::json;
+
+use crate::{
+    caller::fault as told,
+    site::{Config, ORDERS, Site},
+};
+
+fn config() -> Config {
+    Config {
+        engines: 0,
+        services: 2,
+        ..Config::default()
+    }
+}
+
+/// Sends an order and returns what the caller is told: the answer, or kind and effect.
+async fn order(site: &Site, name: &str) -> Result<service::Answer, (String, String)> {
+    let path = format!("{ORDERS}/{name}");
+    let entry = site.entries[0].address;
+    let body = json!({"legs": 4});
+    let called = site.client.call(entry, &path, None, &body);
+    let called = tokio::time::timeout(crate::site::WAIT, called).await;
+    match called.expect("an answer in time") {
+        Ok(answer) => Ok(serde_json::from_value(answer).unwrap()),
+        Err(Error::Refused(_, body)) => {
+            let (kind, effect) = told(&body);
+            Err((kind.to_owned(), effect.to_owned()))
+        }
+        Err(other) => panic!("{other}"),
+    }
+}
+
+fn effect(told: Result<service::Answer, (String, String)>) -> String {
+    told.expect_err("a refusal").1
+}
+
+#[tokio::test]
+async fn order_answered_once() {
+    let site = Site::start(config()).await;
+    let answer = order(&site, "a").await.unwrap();
+    assert_eq!((&*answer.method, &*answer.path), ("POST", "/a"));
+    assert_eq!(site.runs("/a"), 1);
+}
+
+#[tokio::test]
+async fn order_lost_answer() {
+    let site = Site::start(config()).await;
+    for agent in &site.services {
+        agent.endpoint.control(&service::Command {
+            faults: fault::Command {
+                drop_answers: Some(1),
+                ..fault::Command::default()
+            },
+            ..service::Command::default()
+        });
+    }
+    assert_eq!(effect(order(&site, "lost").await), "unknown");
+    assert_eq!(site.runs("/lost"), 1, "never a second run");
+}
+
+#[tokio::test]
+async fn order_lost_request() {
+    let site = Site::start(config()).await;
+    for agent in &site.services {
+        agent.endpoint.control(&service::Command {
+            faults: fault::Command {
+                drop_requests: Some(1),
+                ..fault::Command::default()
+            },
+            ..service::Command::default()
+        });
+    }
+    assert_eq!(effect(order(&site, "lost").await), "unknown");
+    assert_eq!(site.runs("/lost"), 0);
+}
+
+#[tokio::test]
+async fn order_refused_by_all() {
+    let site = Site::start(config()).await;
+    for agent in &site.services {
+        agent.endpoint.server().kill().await;
+    }
+    assert_eq!(effect(order(&site, "down").await), "not_run");
+    assert_eq!(site.runs("/down"), 0);
+}
+
+#[tokio::test]
+async fn order_one_service_down() {
+    let site = Site::start(config()).await;
+    site.services[0].endpoint.server().kill().await;
+    for number in 0..8 {
+        let name = format!("n{number}");
+        order(&site, &name).await.unwrap();
+        assert_eq!(site.runs(&format!("/{name}")), 1);
+    }
+}
+
+#[tokio::test]
+async fn order_link_silent_while_it_runs() {
+    let site = Site::start(config()).await;
+    for agent in &site.services {
+        agent.endpoint.control(&service::Command {
+            faults: fault::Command {
+                lag_ms: Some(300),
+                ..fault::Command::default()
+            },
+            ..service::Command::default()
+        });
+    }
+    let ordered = async { order(&site, "slow").await };
+    let silenced = async {
+        crate::site::until("a service runs the order", || site.runs("/slow") == 1).await;
+        for agent in &site.services {
+            agent.proxy.silence(Direction::Both);
+        }
+    };
+    let (told, ()) = tokio::join!(ordered, silenced);
+    assert_eq!(&*told.unwrap().path, "/slow");
+    assert_eq!(site.runs("/slow"), 1);
+}
+
+#[tokio::test]
+async fn order_agent_killed_while_it_runs() {
+    let mut site = Site::start(config()).await;
+    for agent in &site.services {
+        agent.endpoint.control(&service::Command {
+            faults: fault::Command {
+                lag_ms: Some(10_000),
+                ..fault::Command::default()
+            },
+            ..service::Command::default()
+        });
+    }
+    let client = site.client.clone();
+    let entry = site.entries[0].address;
+    let path = format!("{ORDERS}/killed");
+    let call = tokio::spawn(async move { client.call(entry, &path, None, &json!({})).await });
+    crate::site::until("a service runs the order", || site.runs("/killed") == 1).await;
+    let ran =
+        |agent: &crate::site::Agent<service::Handle>| agent.endpoint.seen().runs_at("/killed") == 1;
+    let holder = site.services.iter().position(ran).unwrap();
+    site.services[holder].process.kill();
+    let Err(Error::Refused(_, body)) = call.await.unwrap() else {
+        panic!("a refusal");
+    };
+    assert_eq!(told(&body).1, "unknown");
+    assert_eq!(site.runs("/killed"), 1, "never a second run");
+}
--- /dev/null
+++ b/tests/integration/site.rs
@@ -0,0 +1,389 @@
+//! A site of real processes, with the outside systems stood in for.
+//!
+//! Each site has a loopback address of its own, so that every process has a
+//! fixed port and none is taken by another test. An agent is listed under the
+//! address of a proxy that stands in front of it.
+
+use std::{
+    fs::File,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use cactusroad::{
+    demo::client::{Client, WORKSPACE},
+    ops::{apply, keys},
+    platform::{address::Address, store},
+};
+use cactusroad_core::{Time, config::folder};
+use cactusroad_standin::{self as standin, proxy::udp};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::net::{TcpListener, UdpSocket};
+
+use crate::caller;
+
+/// How long a condition may take to come to hold; no test depends on it being short.
+pub(crate) const WAIT: Duration = Duration::from_secs(60);
+/// The route of the engines.
+pub(crate) const MODEL: &str = "catalogue";
+/// The route of the plain services, whose calls are not idempotent.
+pub(crate) const ORDERS: &str = "orders";
+
+const POLL: Duration = Duration::from_millis(5);
+const DATA_CENTRE: &str = "sfax";
+const CALLER_PORT: u16 = 8_000;
+const INNER_PORT: u16 = 7_000;
+const ADMIN_PORT: u16 = 9_000;
+
+static SITES: AtomicU8 = AtomicU8::new(1);
+
+/// What a site is made of.
+pub(crate) struct Config {
+    pub(crate) entries: u16,
+    pub(crate) engines: u16,
+    pub(crate) services: u16,
+    pub(crate) engine: standin::engine::Config,
+    /// Draws the moments of faults and the weather of the proxies.
+    pub(crate) seed: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            entries: 2,
+            engines: 2,
+            services: 0,
+            engine: standin::engine::Config::default(),
+            seed: 1,
+        }
+    }
+}
+
+/// A process of cactusroad; dropping it kills it.
+pub(crate) struct Process {
+    name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    fn start(directory: &Path, role: &str, name: &str, settings: &Value) -> Process {
+        let file = directory.join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let log = directory.join(format!("{name}.log"));
+        let child = Command::new(env!("CARGO_BIN_EXE_cactusroad"))
+            .args([role.as_ref(), file.as_os_str()])
+            .env("CACTUSROAD_LOG", "debug")
+            .stderr(File::create(&log).unwrap())
+            .spawn()
+            .unwrap();
+        Process {
+            name: name.to_owned(),
+            child,
+            log,
+        }
+    }
+
+    /// Ends the process as `kill -9` does.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Asks the process to stop, by SIGTERM.
+    pub(crate) fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Waits until the process has ended by itself.
+    pub(crate) async fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        until(&format!("{} ends", self.name), || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        })
+        .await;
+        status.unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+            eprintln!("--- log of {}\n{log}", self.name);
+        }
+    }
+}
+
+/// An entry and where callers reach it.
+pub(crate) struct Entry {
+    pub(crate) process: Process,
+    pub(crate) address: SocketAddr,
+}
+
+/// An agent, the proxy in front of it and the endpoint beside it.
+pub(crate) struct Agent<H> {
+    pub(crate) process: Process,
+    pub(crate) proxy: udp::Handle,
+    pub(crate) endpoint: H,
+}
+
+/// A running site.
+pub(crate) struct Site {
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) engines: Vec<Agent<standin::engine::Handle>>,
+    pub(crate) services: Vec<Agent<standin::service::Handle>>,
+    pub(crate) store: standin::store::Handle,
+    pub(crate) client: Client,
+    pub(crate) random: ChaCha8Rng,
+    roster: standin::roster::Handle,
+    vms: Vec<standin::roster::Vm>,
+    seed: u64,
+    ip: IpAddr,
+    directory: TempDir,
+}
+
+impl Site {
+    /// Starts a site and waits until every entry reaches every endpoint.
+    pub(crate) async fn start(config: Config) -> Site {
+        let mut site = Site::empty(config.seed).await;
+        configure(&site.store).await;
+        for number in 1..=config.engines {
+            let engine = standin::engine::Config {
+                versions: vec![version(MODEL).into()],
+                ..config.engine.clone()
+            };
+            let endpoint = standin::engine::spawn(engine, listen().await).unwrap();
+            let base = endpoint.server().base();
+            let agent = site.agent("engine", "model", number, base, endpoint).await;
+            site.engines.push(agent);
+        }
+        for number in 1..=config.services {
+            let endpoint = standin::service::spawn(Default::default(), listen().await).unwrap();
+            let base = endpoint.server().base();
+            let agent = site
+                .agent("orders", "service", number, base, endpoint)
+                .await;
+            site.services.push(agent);
+        }
+        site.roster.set(site.vms.clone());
+        for number in 1..=config.entries {
+            let entry = site.entry(number);
+            site.entries.push(entry);
+        }
+        site.ready().await;
+        site
+    }
+
+    async fn empty(seed: u64) -> Site {
+        let directory = tempfile::tempdir().unwrap();
+        keys::authority(directory.path()).unwrap();
+        let process = std::process::id().to_be_bytes();
+        let number = SITES.fetch_add(1, Ordering::Relaxed);
+        Site {
+            entries: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            store: standin::store::spawn(Default::default(), listen().await).unwrap(),
+            client: Client::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            roster: standin::roster::spawn(Default::default(), listen().await).unwrap(),
+            vms: Vec::new(),
+            seed,
+            ip: Ipv4Addr::new(127, 1 + process[2] % 250, process[3], number).into(),
+            directory,
+        }
+    }
+
+    fn entry(&self, number: u16) -> Entry {
+        let name = format!("entry-{number}");
+        let address = SocketAddr::new(self.ip, CALLER_PORT + number);
+        let mut settings = self.settings(&name, 100 + number);
+        settings["listen"] = json!(address);
+        let process = Process::start(self.directory.path(), "entry", &name, &settings);
+        Entry { process, address }
+    }
+
+    async fn agent<H>(
+        &mut self,
+        name: &str,
+        kind: &str,
+        number: u16,
+        base: String,
+        endpoint: H,
+    ) -> Agent<H> {
+        let name = format!("{name}-{number}");
+        let at = self.vms.len() as u16;
+        let mut settings = self.settings(&name, at);
+        settings["endpoint"] = json!({
+            "kind": kind,
+            "address": base,
+            "versions": [version(ORDERS)],
+        });
+        let front = UdpSocket::bind((self.ip, 0)).await.unwrap();
+        let target = SocketAddr::new(self.ip, INNER_PORT + at);
+        let proxy = udp::spawn(self.seed, front, target).unwrap();
+        self.vms.push(standin::roster::Vm {
+            name: name.as_str().into(),
+            role: "endpoint".into(),
+            address: proxy.address(),
+            data_centre: DATA_CENTRE.into(),
+            leaving: false,
+        });
+        Agent {
+            process: Process::start(self.directory.path(), "agent", &name, &settings),
+            proxy,
+            endpoint,
+        }
+    }
+
+    fn settings(&self, name: &str, at: u16) -> Value {
+        let directory = self.directory.path();
+        let written = keys::process(directory, directory, name, 1).unwrap();
+        json!({
+            "name": name,
+            "data_centre": DATA_CENTRE,
+            "inner": SocketAddr::new(self.ip, INNER_PORT + at),
+            "admin": SocketAddr::new(self.ip, ADMIN_PORT + at),
+            "tls": {
+                "ca": written.ca,
+                "certificate": written.certificate,
+                "key": written.key,
+            },
+            "store": self.store.server().base(),
+            "roster": self.roster.server().base(),
+        })
+    }
+
+    /// Probes until every entry has used every endpoint.
+    async fn ready(&self) {
+        for number in 0..self.entries.len() {
+            let probing = async {
+                while !self.has_probed(number) {
+                    self.probe(number).await;
+                    tokio::time::sleep(POLL).await;
+                }
+            };
+            let probed = tokio::time::timeout(WAIT, probing).await;
+            probed.expect("every entry reaches every endpoint");
+        }
+    }
+
+    async fn probe(&self, number: usize) {
+        let address = self.entries[number].address;
+        if !self.engines.is_empty() {
+            let prompt = format!("{} [len=1]", probe(number));
+            let _ = caller::generate(&self.client, address, &prompt).await;
+        }
+        if !self.services.is_empty() {
+            let path = format!("{ORDERS}/{}", probe(number));
+            let _ = self.client.call(address, &path, None, &json!({})).await;
+        }
+    }
+
+    fn has_probed(&self, number: usize) -> bool {
+        let text = probe(number);
+        let mut engines = self.engines.iter();
+        let mut services = self.services.iter();
+        let engines = engines.all(|agent| {
+            let seen = agent.endpoint.seen();
+            seen.of_prompt(&text).next().is_some()
+        });
+        let path = format!("/{text}");
+        engines && services.all(|agent| agent.endpoint.seen().runs_at(&path) > 0)
+    }
+
+    /// Returns the generations of all engines whose prompt contains a text.
+    pub(crate) fn generations(&self, text: &str) -> Vec<standin::engine::Generation> {
+        let seen = self.engines.iter().map(|agent| agent.endpoint.seen());
+        let of_prompt = |seen: standin::engine::Seen| -> Vec<standin::engine::Generation> {
+            seen.of_prompt(text).cloned().collect()
+        };
+        seen.flat_map(of_prompt).collect()
+    }
+
+    /// Returns which engine has begun a generation whose prompt contains a text.
+    pub(crate) fn holder(&self, text: &str) -> Option<usize> {
+        self.engines.iter().position(|agent| {
+            let seen = agent.endpoint.seen();
+            seen.of_prompt(text).next().is_some()
+        })
+    }
+
+    /// Returns how often a path was run by all services.
+    pub(crate) fn runs(&self, path: &str) -> u64 {
+        let seen = self.services.iter().map(|agent| agent.endpoint.seen());
+        seen.map(|seen| seen.runs_at(path)).sum()
+    }
+}
+
+fn probe(number: usize) -> String {
+    format!("probe-{number}")
+}
+
+fn version(route: &str) -> String {
+    format!("{route}-1")
+}
+
+async fn listen() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
+
+/// Puts a configuration with both routes in force.
+async fn configure(store: &standin::store::Handle) {
+    let content = json!({
+        "data_centres": {DATA_CENTRE: {"region": "sahel"}},
+        "versions": {
+            version(MODEL): {"artifact": "weights/1"},
+            version(ORDERS): {"artifact": "builds/1"},
+        },
+        "routes": {
+            MODEL: {"kind": "model", "version": version(MODEL)},
+            ORDERS: {"kind": "service", "version": version(ORDERS), "idempotent": false},
+        },
+        "workspaces": {WORKSPACE: {}},
+    });
+    let file = folder::File {
+        name: "10-all.json".into(),
+        content: content.to_string().into(),
+    };
+    let folder = folder::read(vec![file], &|_| None).unwrap();
+    let address: Address = store.server().address().into();
+    let request = apply::Request {
+        author: Arc::from("test"),
+        on: None,
+        id: Arc::from("test"),
+        now: Time::from_millis(1),
+    };
+    let client = store::http::Client::new(&address);
+    apply::apply(&client, &folder, &request).await.unwrap();
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics where it does not come to hold within [`WAIT`].
+pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    let held = tokio::time::timeout(WAIT, waiting).await;
+    held.unwrap_or_else(|_| panic!("in time: {what}"));
+}
