--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -1,3 +1,262 @@
-//! Placeholder until the first measurement lands.
+//! Time for each decision, from 12 to 600 replicas and from 10 to 37,000
+//! workspaces.
+//!
+//! The bounds are ratios within one run between the largest size and a base size.
+//! A decision must not take twice as long at the target size as at the size of
+//! today, with two exceptions that are stated at their series. Each figure is the
+//! least of several rounds, and the sizes take turns, so that load on the machine
+//! meets all of them alike. Exits with an error where a ratio is over its bound.
 
-fn main() {}
+use std::{hint::black_box, process::ExitCode, sync::Arc, time::Instant};
+
+use cactusroad_core::{
+    Time, fairness,
+    id::Incarnation,
+    limit, outlier,
+    placement::{Config, Request, Status, Table},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// How many times as long a decision may take at the largest size.
+const MAX_RATIO: f64 = 2.0;
+/// How many times as long a binary search takes: log2(37,000) / log2(10).
+const MAX_LOG_RATIO: f64 = 4.6;
+/// Times that each size is measured.
+const ROUNDS: usize = 30;
+/// Decisions in one round.
+const DECISIONS: u64 = 5_000;
+const NOW: Time = Time::from_millis(1_000_000);
+
+/// A decision at one size: call it with a number that differs each time.
+type Decision = Box<dyn FnMut(u64)>;
+
+/// One decision at several sizes, the smallest first.
+struct Series {
+    name: &'static str,
+    unit: &'static str,
+    /// The size with which the largest is compared.
+    base: usize,
+    bound: f64,
+    sizes: Vec<(usize, Decision)>,
+}
+
+fn main() -> ExitCode {
+    let series = [
+        choose("choose", false),
+        choose("choose by prefix", true),
+        keyed(),
+        queue(),
+        limiter(),
+        detector(),
+    ];
+    let verdicts = series.map(|series| measure(series));
+    match verdicts.into_iter().all(|good| good) {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
+/// Measures a series and tells whether it keeps its bound.
+fn measure(mut series: Series) -> bool {
+    let mut least = vec![f64::INFINITY; series.sizes.len()];
+    for _ in 0..ROUNDS {
+        for (least, (_, decide)) in least.iter_mut().zip(&mut series.sizes) {
+            let start = Instant::now();
+            for number in 0..DECISIONS {
+                decide(number);
+            }
+            let nanos = start.elapsed().as_nanos() as f64 / DECISIONS as f64;
+            *least = least.min(nanos);
+        }
+    }
+    for (nanos, (size, _)) in least.iter().zip(&series.sizes) {
+        println!(
+            "{:<18} {size:>6} {:<10} {nanos:>8.0} ns",
+            series.name, series.unit
+        );
+    }
+    let base = series
+        .sizes
+        .iter()
+        .position(|(size, _)| *size == series.base);
+    let base = base.expect("the base is one of the sizes");
+    let ratio = least.last().expect("a series has sizes") / least[base];
+    let good = ratio <= series.bound;
+    let verdict = if good { "ok" } else { "OVER" };
+    println!(
+        "{:<18} ratio {ratio:.2} from {} {}, bound {:.1}: {verdict}",
+        series.name, series.base, series.unit, series.bound
+    );
+    good
+}
+
+/// Returns the table of one of 380 entries before that many replicas of one version.
+fn table(replicas: usize) -> Table {
+    let names: Vec<Arc<str>> = (0..380).map(|at| format!("entry-{at}").into()).collect();
+    let mut table = Table::new(Config::default(), Arc::clone(&names[7]), "dc-1".into());
+    table.set_entries(&names);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let reports: Vec<Status> = (0..replicas)
+        .map(|at| Status {
+            process: format!("agent-{at}").into(),
+            incarnation: Incarnation(1),
+            data_centre: format!("dc-{}", at % 10).into(),
+            versions: vec!["drafts-1".into()],
+            headroom_millis: rng.random_range(100..1_000),
+            running: rng.random_range(0..40),
+            limit: 64,
+            ..Status::default()
+        })
+        .collect();
+    table.observe_all(&reports, NOW);
+    table
+}
+
+fn choose(name: &'static str, by_prefix: bool) -> Series {
+    let decision = |replicas: usize| -> (usize, Decision) {
+        let table = table(replicas);
+        let mut rng = ChaCha8Rng::seed_from_u64(2);
+        let decide = move |_| {
+            let prefixes = [rng.random(), rng.random()];
+            let request = Request {
+                version: "drafts-1",
+                prefixes: if by_prefix { &prefixes } else { &[] },
+                tried: &[],
+            };
+            black_box(table.choose(&request, rng.random(), NOW));
+        };
+        (replicas, Box::new(decide))
+    };
+    // The subset of an entry is full from 24 replicas on; below it is the pool.
+    let sizes = [12, 24, 100, 600].map(decision).into();
+    Series {
+        name,
+        unit: "replicas",
+        base: 12,
+        bound: MAX_RATIO,
+        sizes,
+    }
+}
+
+/// A key is compared with each endpoint up to a window of 64, so that small pools
+/// move as few keys as possible; the cost must not grow beyond that.
+fn keyed() -> Series {
+    let decision = |replicas: usize| -> (usize, Decision) {
+        let table = table(replicas);
+        let mut rng = ChaCha8Rng::seed_from_u64(3);
+        let request = Request {
+            version: "drafts-1",
+            prefixes: &[],
+            tried: &[],
+        };
+        let decide = move |_| {
+            black_box(table.choose_keyed(&request, rng.random(), NOW));
+        };
+        (replicas, Box::new(decide))
+    };
+    Series {
+        name: "choose by key",
+        unit: "replicas",
+        base: 64,
+        bound: MAX_RATIO,
+        sizes: [12, 64, 100, 600].map(decision).into(),
+    }
+}
+
+fn workspaces(count: usize) -> Vec<Arc<str>> {
+    (0..count)
+        .map(|at| format!("workspace-{at}").into())
+        .collect()
+}
+
+/// One request through a queue that is kept half full.
+fn queue() -> Series {
+    let decision = |count: usize| -> (usize, Decision) {
+        let names = workspaces(count);
+        let mut rng = ChaCha8Rng::seed_from_u64(4);
+        let mut queue = fairness::Queue::new(fairness::Config::default());
+        let decide = move |number| {
+            let workspace = &names[rng.random_range(0..names.len())];
+            let entry = fairness::Entry {
+                item: number,
+                workspace: Arc::clone(workspace),
+                weight: 1,
+                priority: (number % 3) as u8,
+                deadline: Time::MAX,
+                tokens: 100,
+            };
+            black_box(queue.push(entry, NOW).is_ok());
+            while queue.len() > 16 {
+                let popped = queue.pop(NOW).expect("requests wait");
+                queue.charge(&popped.workspace, 300);
+                queue.finish(&popped.workspace);
+            }
+        };
+        (count, Box::new(decide))
+    };
+    Series {
+        name: "queue",
+        unit: "workspaces",
+        base: 10,
+        bound: MAX_RATIO,
+        sizes: [10, 1_000, 37_000].map(decision).into(),
+    }
+}
+
+/// One request under a limit at an entry that holds the workspaces it serves, found
+/// by binary search.
+fn limiter() -> Series {
+    let decision = |count: usize| -> (usize, Decision) {
+        let names = workspaces(count);
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let mut limiter = limit::Limiter::new(limit::Config::default(), "entry-1".into());
+        let mut ms = 1_000_000;
+        let decide = move |number| {
+            // Ten requests a second at each entry, as the target has.
+            ms += 100;
+            let now = Time::from_millis(ms);
+            let workspace = &names[rng.random_range(0..names.len())];
+            if let Ok(mut grant) = limiter.admit(workspace, 1_000_000, 100, now) {
+                limiter.charge(workspace, &mut grant, 300, now);
+                limiter.finish(workspace, grant);
+            }
+            if number % 100 == 0 {
+                limiter.expire(now);
+            }
+        };
+        (count, Box::new(decide))
+    };
+    Series {
+        name: "limit",
+        unit: "workspaces",
+        base: 10,
+        bound: MAX_LOG_RATIO,
+        sizes: [10, 1_000, 37_000].map(decision).into(),
+    }
+}
+
+/// One request's evidence at an entry that uses that many replicas.
+fn detector() -> Series {
+    let decision = |replicas: usize| -> (usize, Decision) {
+        let names = (0..replicas)
+            .map(|at| format!("agent-{at}"))
+            .collect::<Vec<_>>();
+        let mut rng = ChaCha8Rng::seed_from_u64(6);
+        let mut detector = outlier::Detector::new(outlier::Config::default());
+        let decide = move |_| {
+            let name = &names[rng.random_range(0..names.len())];
+            let latency_ms = rng.random_range(50..100);
+            black_box(detector.sent(name, NOW));
+            black_box(detector.ended(name, outlier::Outcome::Success { latency_ms }, NOW));
+        };
+        (replicas, Box::new(decide))
+    };
+    Series {
+        name: "outlier",
+        unit: "replicas",
+        base: 12,
+        bound: MAX_RATIO,
+        sizes: [12, 24].map(decision).into(),
+    }
+}
