--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -24,6 +24,7 @@
     pub(super) ejected_until: Time,
     listed_leaving: bool,
     says_leaving: bool,
+    lost: bool,
     out: bool,
     back_at: Option<Time>,
     penalty: f64,
@@ -48,6 +49,7 @@
             ejected_until: Time::ZERO,
             listed_leaving: false,
             says_leaving: false,
+            lost: false,
             out: false,
             back_at: None,
             penalty: 0.0,
@@ -79,7 +81,8 @@
             self.sent.clear();
             self.ejected_until = Time::ZERO;
         }
-        let changed = self.says_leaving != status.leaving
+        let changed = std::mem::take(&mut self.lost)
+            || self.says_leaving != status.leaving
             || self.versions != status.versions
             || self.data_centre != status.data_centre;
         self.incarnation = status.incarnation;
@@ -101,6 +104,11 @@
         changed
     }
 
+    /// Notes that the agent cannot be reached; tells whether pools change.
+    pub(super) fn lose(&mut self) -> bool {
+        !std::mem::replace(&mut self.lost, true)
+    }
+
     pub(super) fn sent(&mut self, now: Time) {
         if self.sent.len() == MAX_SENT {
             self.sent.pop_front();
@@ -129,7 +137,7 @@
 
     /// Tells whether the endpoint takes new work at all.
     pub(super) fn is_open(&self) -> bool {
-        !(self.listed_leaving || self.says_leaving || self.out)
+        !(self.listed_leaving || self.says_leaving || self.lost || self.out)
     }
 
     pub(super) fn is_ejected(&self, now: Time) -> bool {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -305,6 +305,16 @@
         }
     }
 
+    /// Notes that an agent cannot be reached; its endpoint is out of choices until
+    /// the next report.
+    pub fn lost(&mut self, name: &str) {
+        if let Ok(at) = self.position(name)
+            && self.endpoints[at].lose()
+        {
+            self.rebuild();
+        }
+    }
+
     /// Notes that a request was sent to an endpoint.
     pub fn sent(&mut self, name: &str, now: Time) {
         if let Ok(at) = self.position(name) {
@@ -341,6 +351,26 @@
         self.pool(version).map_or(0, |pool| pool.members().len())
     }
 
+    /// Tells whether this entry uses the endpoint for any of its versions.
+    pub fn uses(&self, name: &str) -> bool {
+        let Ok(at) = self.position(name) else {
+            return false;
+        };
+        let versions = self.endpoints[at].versions.iter();
+        let pools = versions.filter_map(|version| self.pool(version));
+        let mut subsets = pools.map(Pool::subset);
+        subsets.any(|subset| subset.contains(&(at as u32)))
+    }
+
+    /// Returns the life of an agent that was last reported.
+    pub fn incarnation(&self, name: &str) -> Incarnation {
+        let found = self.position(name);
+        found.map_or_else(
+            |_| Incarnation::default(),
+            |at| self.endpoints[at].incarnation,
+        )
+    }
+
     /// Returns the number of endpoints known.
     pub fn len(&self) -> usize {
         self.endpoints.len()
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -142,10 +142,10 @@
 }
 
 impl Budget {
-    /// Returns a budget with a second's floor in it.
+    /// Returns a full budget, so that a fault soon after the start is bridged.
     pub fn new(config: Config, now: Time) -> Budget {
         Budget {
-            balance: config.floor_per_second.min(config.burst),
+            balance: config.burst,
             config,
             filled_at: now,
         }
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -92,7 +92,7 @@
 #[test]
 fn choose_barred_endpoint() {
     type Change = fn(&mut Table);
-    let cases: [(&str, Change); 5] = [
+    let cases: [(&str, Change); 6] = [
         ("says that it leaves", |table| {
             table.observe(
                 &Status {
@@ -135,6 +135,7 @@
                 back_at: None,
             }]);
         }),
+        ("cannot be reached", |table| table.lost("agent-0")),
         ("is gone", |table| table.remove("agent-0")),
     ];
     for (case, change) in cases {
@@ -151,6 +152,18 @@
     }
 }
 
+#[test]
+fn observe_lost_endpoint() {
+    let mut table = table("entry-0", &[], 1);
+    table.lost("agent-0");
+    assert_eq!(table.choose(&ANY, 1, NOW), None);
+    // A report that was on its way says nothing of the time after it.
+    table.observe(&status("agent-0"), Time::from_millis(NOW.as_millis() - 1));
+    assert_eq!(table.choose(&ANY, 1, NOW), None);
+    table.observe(&status("agent-0"), NOW);
+    assert!(table.choose(&ANY, 1, NOW).is_some());
+}
+
 #[test]
 fn choose_ejected_endpoint() {
     let mut table = table("entry-0", &[], 3);
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -98,7 +98,11 @@
             incarnation: Incarnation(clock::now().as_micros()),
             backend,
             versions: endpoint.versions.clone(),
-            gate: Gate::new(endpoint.max_running, endpoint.max_queued),
+            gate: Gate::new(
+                endpoint.max_running,
+                endpoint.max_queued,
+                metrics.queue_seconds.clone(),
+            ),
             table: Table::new(),
             load: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use cactusroad_core::{
     Time,
+    outlier::Outcome,
     refusal::{Effect, Kind, Refusal},
+    retry::History,
 };
 use cactusroad_wire::message::{Answer, Call as Work, Open, open, reply, settled::State};
 use tokio::time;
@@ -19,6 +21,7 @@
     Shared,
     attempt::{self, Session},
     directory::{Target, Want},
+    guard,
 };
 use crate::{
     clock,
@@ -27,8 +30,9 @@
 
 /// How long the agent of a broken call is asked what became of it, in milliseconds.
 const SETTLE_MS: u64 = 3_000;
-/// Attempts for one request at the most.
-const MAX_ATTEMPTS: usize = 4;
+
+/// Statuses from here on say that the service is at fault.
+const FAULT_STATUS: u32 = 500;
 
 /// A call that a caller asked for.
 pub(super) struct Job {
@@ -66,7 +70,8 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut last = attempt::unavailable();
     let mut effect = Effect::NotRun;
-    while tried.len() < MAX_ATTEMPTS {
+    let mut history = History::new(job.idempotent, job.deadline);
+    loop {
         if job.deadline.is_past(clock::now()) {
             last = attempt::deadline_exceeded(effect);
             break;
@@ -82,15 +87,28 @@
         if !tried.is_empty() {
             shared.metrics.retries.inc();
         }
-        tried.push(target.endpoint.listed.name.clone());
-        match once(shared, job, target).await {
+        let name = target.endpoint.listed.name.clone();
+        tried.push(name.clone());
+        shared.guard.sent(&shared.directory, &job.route, &name);
+        let sent_at = clock::now();
+        let result = once(shared, job, target).await;
+        let outcome = outcome(&result, sent_at);
+        shared
+            .guard
+            .ended(&shared.directory, &job.route, &name, outcome);
+        match result {
             Ok(answer) => return Ok(answer),
             Err(refusal) => last = refusal,
         }
         if last.effect != Effect::NotRun {
             effect = Effect::Unknown;
         }
-        if !may_retry(job, &last) {
+        let is_over = !may_retry(job, &last)
+            || shared
+                .guard
+                .repeat(&job.route, &mut history, &last)
+                .is_err();
+        if is_over {
             break;
         }
     }
@@ -101,6 +119,21 @@
     Err(last)
 }
 
+/// Tells what a call says of its endpoint; an answer that reports a fault of the
+/// service counts as one.
+fn outcome(result: &Result<Answer, Refusal>, sent_at: Time) -> Outcome {
+    match result {
+        Ok(answer) if answer.status >= FAULT_STATUS => Outcome::Failure,
+        Ok(_) => {
+            let latency = clock::now().since(sent_at).as_millis();
+            Outcome::Success {
+                latency_ms: u64::try_from(latency).unwrap_or(u64::MAX),
+            }
+        }
+        Err(refusal) => guard::evidence(refusal, false),
+    }
+}
+
 fn may_retry(job: &Job, refusal: &Refusal) -> bool {
     let may_help = matches!(
         refusal.kind,
--- a/crates/node/src/entry/directory.rs
+++ b/crates/node/src/entry/directory.rs
@@ -1,22 +1,32 @@
 //! The endpoints that an entry knows, and the choice of one for an attempt.
+//!
+//! The choice itself is the core's [`placement`]; this module feeds it with the
+//! list of VMs, with what agents say of themselves and with what is sent.
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, PoisonError, RwLock, Weak,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak},
     time::Duration,
 };
 
-use cactusroad_core::id::Incarnation;
+use cactusroad_core::{
+    Time,
+    config::{DataCentre, Generation},
+    id::Incarnation,
+    placement::{self, Candidate, Request, Table, Vm},
+};
 use cactusroad_wire::message::Status;
 use tokio::{sync::watch, time};
 
 use super::Shared;
+use crate::{clock, transport::Link};
 
 /// How long to wait before an endpoint that was out of reach is tried again, in milliseconds.
 const REDIAL_MS: u64 = 500;
+/// How often an endpoint that this entry does not use is asked for its report, in milliseconds.
+const UNUSED_REPORT_MS: u64 = 30_000;
+/// What a report may be older than its arrival, in milliseconds.
+const REPORT_AGE_MS: u64 = 100;
 
 /// The VM of an endpoint, as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,54 +44,50 @@
 /// An endpoint that an entry knows.
 pub(super) struct Endpoint {
     pub(super) listed: Listed,
-    status: RwLock<Option<Status>>,
-    outstanding: AtomicUsize,
+    /// The incarnation of the agent, where it was known when the endpoint was chosen.
+    incarnation: Incarnation,
+    table: Arc<Mutex<Table>>,
 }
 
 impl Endpoint {
-    fn status(&self) -> Option<Status> {
-        let status = self.status.read().unwrap_or_else(PoisonError::into_inner);
-        status.clone()
-    }
-
     /// The incarnation of the agent, where it is known.
-    pub(super) fn incarnation(&self) -> Incarnation {
-        self.status().map_or_else(Incarnation::default, |status| {
-            Incarnation(status.incarnation)
-        })
-    }
-
-    fn serves(&self, version: &str) -> bool {
-        self.status().is_some_and(|status| {
-            !status.leaving && status.versions.iter().any(|held| held == version)
-        })
+    pub(super) const fn incarnation(&self) -> Incarnation {
+        self.incarnation
     }
 }
 
-/// The endpoints that an entry knows, sorted by name.
+/// The endpoints that an entry knows.
 pub(super) struct Directory {
-    data_centre: Arc<str>,
-    endpoints: RwLock<Vec<Arc<Endpoint>>>,
+    /// Sorted by name.
+    listed: RwLock<Vec<Listed>>,
+    table: Arc<Mutex<Table>>,
 }
 
 /// Counts an attempt at an endpoint for as long as it lives.
 pub(super) struct Target {
-    pub(super) endpoint: Arc<Endpoint>,
+    pub(super) endpoint: Endpoint,
+    sent_at: Time,
 }
 
 impl Target {
-    fn new(endpoint: Arc<Endpoint>) -> Target {
-        endpoint.outstanding.fetch_add(1, Ordering::Relaxed);
-        Target { endpoint }
+    fn new(endpoint: Endpoint) -> Target {
+        let sent_at = clock::now();
+        lock(&endpoint.table).sent(&endpoint.listed.name, sent_at);
+        Target { endpoint, sent_at }
     }
 }
 
 impl Drop for Target {
     fn drop(&mut self) {
-        self.endpoint.outstanding.fetch_sub(1, Ordering::Relaxed);
+        let endpoint = &self.endpoint;
+        lock(&endpoint.table).done(&endpoint.listed.name, self.sent_at);
     }
 }
 
+fn lock(table: &Mutex<Table>) -> MutexGuard<'_, Table> {
+    table.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// What an attempt asks of an endpoint.
 pub(super) struct Want<'a> {
     /// The version that must be loaded.
@@ -93,126 +99,238 @@
 }
 
 impl Directory {
-    pub(super) fn new(data_centre: Arc<str>) -> Directory {
+    pub(super) fn new(entry: Arc<str>, data_centre: Arc<str>) -> Directory {
+        let table = Table::new(placement::Config::default(), entry, data_centre);
         Directory {
-            data_centre,
-            endpoints: RwLock::new(Vec::new()),
+            listed: RwLock::new(Vec::new()),
+            table: Arc::new(Mutex::new(table)),
         }
     }
 
     /// Finds an endpoint by the name of its VM.
     pub(super) fn find(&self, name: &str) -> Option<Target> {
-        let endpoints = self.read();
-        let at = endpoints
-            .binary_search_by(|endpoint| (*endpoint.listed.name).cmp(name))
-            .ok()?;
-        Some(Target::new(endpoints[at].clone()))
+        let listed = self.listed(name)?;
+        let incarnation = self.table().incarnation(name);
+        Some(self.target(listed, incarnation))
     }
 
     /// Chooses an endpoint; `random` decides between equals.
     pub(super) fn choose(&self, want: &Want<'_>, random: u64) -> Option<Target> {
-        let candidates: Vec<Arc<Endpoint>> = self
-            .read()
-            .iter()
-            .filter(|endpoint| !endpoint.listed.leaving && endpoint.serves(want.version))
-            .filter(|endpoint| !want.tried.contains(&endpoint.listed.name))
-            .cloned()
-            .collect();
-        let count = u64::try_from(candidates.len()).ok().filter(|&n| n > 0)?;
-        let pick = |number: u64| candidates[(number % count) as usize].clone();
-        if let Some(key) = want.key {
-            return Some(Target::new(pick(key)));
-        }
-        let (one, other) = (pick(random), pick(random >> 32));
-        let load = |endpoint: &Endpoint| {
-            let is_far = endpoint.listed.data_centre != self.data_centre;
-            (endpoint.outstanding.load(Ordering::Relaxed), is_far)
+        self.choose_near(want, &[], random)
+    }
+
+    /// Chooses an endpoint, and one that caches the prefix where it can.
+    pub(super) fn choose_near(
+        &self,
+        want: &Want<'_>,
+        prefixes: &[u64],
+        random: u64,
+    ) -> Option<Target> {
+        let request = Request {
+            version: want.version,
+            prefixes,
+            tried: want.tried,
         };
-        match load(&other) < load(&one) {
-            true => Some(Target::new(other)),
-            false => Some(Target::new(one)),
-        }
+        let now = clock::now();
+        let Candidate {
+            endpoint,
+            incarnation,
+            ..
+        } = match want.key {
+            Some(key) => self.table().choose_keyed(&request, key, now),
+            None => self.table().choose(&request, random, now),
+        }?;
+        let listed = self.listed(&endpoint)?;
+        Some(self.target(listed, incarnation))
     }
 
-    fn read(&self) -> std::sync::RwLockReadGuard<'_, Vec<Arc<Endpoint>>> {
-        self.endpoints
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Takes over a new list and returns the endpoints that were not known before.
-    fn replace(&self, listed: &[Listed]) -> Vec<Arc<Endpoint>> {
-        let mut added = Vec::new();
-        let mut next: Vec<Arc<Endpoint>> = Vec::with_capacity(listed.len());
-        let mut endpoints = self
-            .endpoints
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        for vm in listed {
-            let known = endpoints.iter().find(|known| known.listed == *vm);
-            next.push(known.cloned().unwrap_or_else(|| {
-                let endpoint = Arc::new(Endpoint {
-                    listed: vm.clone(),
-                    status: RwLock::new(None),
-                    outstanding: AtomicUsize::new(0),
-                });
-                added.push(endpoint.clone());
-                endpoint
-            }));
-        }
-        next.sort_by(|one, other| one.listed.name.cmp(&other.listed.name));
-        *endpoints = next;
+    /// Keeps an endpoint out of choices until a deadline.
+    pub(super) fn eject(&self, name: &str, until: Time) {
+        self.table().eject(name, until);
+    }
+
+    /// Takes the names of all entries, among which this one's share of links is found.
+    pub(super) fn set_entries(&self, entries: &[Arc<str>]) {
+        self.table().set_entries(entries);
+    }
+
+    /// Takes the data centres in force.
+    pub(super) fn set_data_centres(&self, data_centres: &[DataCentre]) {
+        self.table().set_data_centres(data_centres);
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        lock(&self.table)
+    }
+
+    fn listed(&self, name: &str) -> Option<Listed> {
+        let listed = self.listed.read().unwrap_or_else(PoisonError::into_inner);
+        let at = listed
+            .binary_search_by(|listed| (*listed.name).cmp(name))
+            .ok()?;
+        Some(listed[at].clone())
+    }
+
+    fn target(&self, listed: Listed, incarnation: Incarnation) -> Target {
+        Target::new(Endpoint {
+            listed,
+            incarnation,
+            table: Arc::clone(&self.table),
+        })
+    }
+
+    /// Takes over a new list and returns the VMs that were not on the last one.
+    fn replace(&self, next: &[Listed]) -> Vec<Listed> {
+        let mut next = next.to_vec();
+        next.sort_by(|one, other| one.name.cmp(&other.name));
+        let vms: Vec<Vm> = next.iter().map(vm).collect();
+        let mut listed = self.listed.write().unwrap_or_else(PoisonError::into_inner);
+        let moved = |vm: &&Listed| !listed.iter().any(|known| known.is_same_place(vm));
+        let added = next.iter().filter(moved).cloned().collect();
+        *listed = next;
+        drop(listed);
+        self.table().set_vms(&vms);
         added
     }
+
+    /// Tells whether a VM is still listed at this address.
+    fn lists(&self, vm: &Listed) -> bool {
+        self.listed(&vm.name)
+            .is_some_and(|listed| listed.is_same_place(vm))
+    }
+
+    fn observe(&self, listed: &Listed, status: Option<&Status>) {
+        match status {
+            Some(status) if *status.process == *listed.name => {
+                let now = clock::now().as_millis();
+                let taken_at = Time::from_millis(now.saturating_sub(REPORT_AGE_MS));
+                self.table().observe(&report(listed, status), taken_at);
+            }
+            // A process under another name is not the agent that the list means.
+            Some(_) => self.table().lost(&listed.name),
+            None => {}
+        }
+    }
+}
+
+impl Listed {
+    fn is_same_place(&self, other: &Listed) -> bool {
+        self.name == other.name && self.address == other.address
+    }
+}
+
+fn vm(listed: &Listed) -> Vm {
+    Vm {
+        name: Arc::clone(&listed.name),
+        data_centre: Arc::clone(&listed.data_centre),
+        leaving: listed.leaving,
+    }
+}
+
+/// Reads a report off the wire.
+fn report(listed: &Listed, status: &Status) -> placement::Status {
+    let versions = status.versions.iter();
+    placement::Status {
+        process: Arc::clone(&listed.name),
+        incarnation: Incarnation(status.incarnation),
+        data_centre: Arc::clone(&listed.data_centre),
+        leaving: status.leaving,
+        cold: status.cold,
+        versions: versions.map(|version| version.as_str().into()).collect(),
+        headroom_millis: status.headroom_millis,
+        running: status.running,
+        queued: status.queued,
+        limit: status.limit,
+        config_generation: Generation(status.config_generation),
+    }
 }
 
-/// Follows the platform's list, and keeps a link to each endpoint on it.
+/// Follows the list of VMs and the configuration, and asks each endpoint for its reports.
 pub(super) async fn follow(shared: Weak<Shared>, mut vms: watch::Receiver<Vec<Listed>>) {
+    let Some(strong) = shared.upgrade() else {
+        return;
+    };
+    let mut config = strong.config.clone();
+    drop(strong);
+    let mut is_configured = true;
     loop {
         let listed = vms.borrow_and_update().clone();
+        let snapshot = config.borrow_and_update().clone();
         let Some(strong) = shared.upgrade() else {
             return;
         };
-        for endpoint in strong.directory.replace(&listed) {
-            tokio::spawn(probe(shared.clone(), Arc::downgrade(&endpoint)));
+        strong.directory.set_data_centres(&snapshot.data_centres);
+        for vm in strong.directory.replace(&listed) {
+            tokio::spawn(probe(shared.clone(), vm));
         }
         drop(strong);
-        if vms.changed().await.is_err() {
-            return;
+        tokio::select! {
+            changed = vms.changed() => if changed.is_err() { return },
+            changed = config.changed(), if is_configured => is_configured = changed.is_ok(),
         }
     }
 }
 
-/// Keeps a link to an endpoint open and takes in what its agent says of itself.
-async fn probe(shared: Weak<Shared>, endpoint: Weak<Endpoint>) {
+/// Keeps a link to an endpoint that this entry uses, and takes in what its agent says of itself.
+///
+/// Other endpoints are asked now and then, because their versions may change.
+async fn probe(shared: Weak<Shared>, listed: Listed) {
     loop {
-        let (Some(strong), Some(known)) = (shared.upgrade(), endpoint.upgrade()) else {
+        let Some(strong) = shared.upgrade() else {
             return;
         };
-        let listed = known.listed.clone();
-        drop(known);
+        if !strong.directory.lists(&listed) {
+            return;
+        }
         let link = strong.dialer.link(&listed.name, listed.address).await;
         strong.metrics.open_links.set(strong.dialer.peers() as i64);
         drop(strong);
-        if let Ok(link) = link {
-            let mut status = link.status();
-            while !link.is_closed() {
-                let Some(known) = endpoint.upgrade() else {
-                    return;
-                };
-                let latest = status.borrow_and_update().clone();
-                *known.status.write().unwrap_or_else(PoisonError::into_inner) = latest;
-                drop(known);
-                link.keep();
-                tokio::select! {
-                    changed = status.changed() => if changed.is_err() { break },
-                    () = link.closed() => break,
-                }
-            }
+        let mut pause_ms = REDIAL_MS;
+        match link {
+            Ok(link) => match read(&shared, &listed, &link).await {
+                Reading::Unused => pause_ms = UNUSED_REPORT_MS,
+                Reading::Broken => lost(&shared, &listed),
+            },
+            Err(_) => lost(&shared, &listed),
         }
-        if let Some(known) = endpoint.upgrade() {
-            *known.status.write().unwrap_or_else(PoisonError::into_inner) = None;
+        time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Why the reports over a link ended.
+enum Reading {
+    /// The link broke.
+    Broken,
+    /// The link works, but this entry does not use the endpoint.
+    Unused,
+}
+
+async fn read(shared: &Weak<Shared>, listed: &Listed, link: &Link) -> Reading {
+    let mut status = link.status();
+    while !link.is_closed() {
+        let latest = status.borrow_and_update().clone();
+        let Some(strong) = shared.upgrade() else {
+            return Reading::Broken;
+        };
+        if !strong.directory.lists(listed) {
+            return Reading::Unused;
+        }
+        strong.directory.observe(listed, latest.as_ref());
+        if latest.is_some() && !strong.directory.table().uses(&listed.name) {
+            return Reading::Unused;
+        }
+        drop(strong);
+        link.keep();
+        tokio::select! {
+            changed = status.changed() => if changed.is_err() { break },
+            () = link.closed() => break,
         }
-        time::sleep(Duration::from_millis(REDIAL_MS)).await;
+    }
+    Reading::Broken
+}
+
+fn lost(shared: &Weak<Shared>, listed: &Listed) {
+    if let Some(strong) = shared.upgrade() {
+        strong.directory.table().lost(&listed.name);
     }
 }
--- a/crates/node/src/entry/generate.rs
+++ b/crates/node/src/entry/generate.rs
@@ -4,47 +4,39 @@
 //! one at another endpoint. After it, the attempt is final: its stream may move
 //! to a new link, but when its endpoint dies the caller is told so.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use cactusroad_core::{
     Time,
+    config::Workspace,
+    placement::prefix_hashes,
     refusal::{Effect, Kind, Refusal},
-    stream::{EventId, Reader, Verdict},
+    retry::History,
+    stream::EventId,
 };
-use cactusroad_wire::message::{Generate, Open, Reply, open, reply};
-use tokio::{sync::mpsc, time};
+use cactusroad_wire::message::{Generate, Open, open};
+use tokio::sync::mpsc;
 
 use super::{
     Shared,
     attempt::{self, Session},
     directory::{Target, Want},
+    guard::{self, Meter},
+    pump::{Finish, Pump},
 };
-use crate::{clock, transport::Call};
+use crate::clock;
 
 /// Items that wait for a caller before its stream is held back.
 const OUTPUT_ITEMS: usize = 64;
-/// Tokens between two acknowledgements.
-const ACK_TOKENS: u64 = 16;
-/// How long a generation whose caller is gone waits for it to come back, in milliseconds.
-const RETURN_MS: u64 = 2_000;
-/// How long a caller may leave its stream unread, in seconds.
-const SLOW_CALLER_SECONDS: u64 = 30;
-/// How long a broken stream is tried again, in seconds.
-const RELINK_SECONDS: u64 = 10;
-/// How long an agent that has accepted nothing yet is tried again, in milliseconds.
-const UNSTARTED_RELINK_MS: u64 = 1_500;
-/// Time between tokens beyond which the rest counts as a stall, in seconds.
-const STALL_SECONDS: f64 = 0.2;
-/// Attempts for one request at the most.
-const MAX_ATTEMPTS: usize = 4;
+/// Bytes of text that count as one token of a prompt.
+const BYTES_PER_TOKEN: u64 = 4;
 
 /// A generation that a caller asked for.
 pub(super) struct Job {
     pub(super) route: Arc<str>,
     pub(super) version: Arc<str>,
-    pub(super) workspace: Arc<str>,
-    pub(super) weight: u32,
+    pub(super) workspace: Workspace,
     pub(super) priority: u8,
     pub(super) deadline: Time,
     pub(super) prompt: String,
@@ -107,54 +99,89 @@
     items
 }
 
-/// How an attempt went.
-enum Finish {
-    /// The caller has been told everything or is gone.
-    Done,
-    /// The attempt failed before its first token.
-    Failed {
-        refusal: Refusal,
-        endpoint_died: bool,
-    },
+async fn run(shared: &Shared, job: &Job, output: mpsc::Sender<Item>) {
+    let prompt_tokens = (job.prompt.len() as u64).div_ceil(BYTES_PER_TOKEN);
+    let refusal = match shared.guard.admit(&job.workspace, prompt_tokens) {
+        Ok(mut meter) => attempts(shared, job, &mut meter, &output).await.err(),
+        Err(refusal) => Some(refusal),
+    };
+    if let Some(refusal) = refusal {
+        refuse(&output, refusal).await;
+    }
 }
 
-async fn run(shared: &Shared, job: &Job, output: mpsc::Sender<Item>) {
+/// Makes one attempt after another until one has reached the caller.
+async fn attempts(
+    shared: &Shared,
+    job: &Job,
+    meter: &mut Meter<'_>,
+    output: &mpsc::Sender<Item>,
+) -> Result<(), Refusal> {
     let arrived = clock::now();
+    let prefixes = prefix_hashes(&job.prompt);
+    let mut history = History::new(true, job.deadline);
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut suspect = false;
+    let mut effect = Effect::NotRun;
     let mut last = attempt::unavailable();
-    while tried.len() < MAX_ATTEMPTS {
-        if job.deadline.is_past(clock::now()) {
-            last = attempt::deadline_exceeded(last.effect);
-            break;
-        }
+    while !job.deadline.is_past(clock::now()) {
         let want = Want {
             version: &job.version,
             tried: &tried,
             key: None,
         };
-        let Some(target) = shared.directory.choose(&want, rand::random()) else {
-            break;
+        let chosen = shared
+            .directory
+            .choose_near(&want, &prefixes, rand::random());
+        let Some(target) = chosen else {
+            return Err(last.with_effect(effect));
         };
         if !tried.is_empty() {
             shared.metrics.retries.inc();
         }
-        tried.push(target.endpoint.listed.name.clone());
-        match once(shared, job, target, suspect, arrived, &output).await {
-            Finish::Done => return,
+        let name = target.endpoint.listed.name.clone();
+        tried.push(name.clone());
+        shared.guard.sent(&shared.directory, &job.route, &name);
+        let aim = Aim {
+            target,
+            suspect,
+            arrived,
+            prefixes: &prefixes,
+        };
+        let finish = once(shared, job, aim, meter, output).await;
+        let outcome = match &finish {
+            Finish::Done(outcome) => *outcome,
             Finish::Failed {
                 refusal,
                 endpoint_died,
-            } => {
-                suspect |= endpoint_died;
-                last = refusal;
-                if !may_retry(&last) {
-                    break;
-                }
-            }
+            } => guard::evidence(refusal, *endpoint_died),
+        };
+        shared
+            .guard
+            .ended(&shared.directory, &job.route, &name, outcome);
+        let Finish::Failed {
+            refusal,
+            endpoint_died,
+        } = finish
+        else {
+            return Ok(());
+        };
+        suspect |= endpoint_died;
+        if refusal.effect != Effect::NotRun {
+            // An earlier attempt may have run although a later one did not.
+            effect = refusal.effect;
+        }
+        last = refusal;
+        let is_over = !may_retry(&last)
+            || shared
+                .guard
+                .repeat(&job.route, &mut history, &last)
+                .is_err();
+        if is_over {
+            return Err(last.with_effect(effect));
         }
     }
-    refuse(&output, last).await;
+    Err(attempt::deadline_exceeded(effect))
 }
 
 /// Tells whether another endpoint may do better. A generation has no effect but its tokens.
@@ -165,23 +192,38 @@
     )
 }
 
-async fn once(
-    shared: &Shared,
-    job: &Job,
+/// What an attempt is made with.
+struct Aim<'a> {
     target: Target,
+    /// An earlier attempt ended with its endpoint's death.
     suspect: bool,
+    /// When the request arrived.
     arrived: Time,
+    prefixes: &'a [u64],
+}
+
+async fn once(
+    shared: &Shared,
+    job: &Job,
+    aim: Aim<'_>,
+    meter: &mut Meter<'_>,
     output: &mpsc::Sender<Item>,
 ) -> Finish {
+    let Aim {
+        target,
+        suspect,
+        arrived,
+        prefixes,
+    } = aim;
     let session = Session {
         shared,
         attempt: shared.draw(),
         incarnation: target.endpoint.incarnation(),
         target,
-        workspace: job.workspace.clone(),
+        workspace: job.workspace.name.clone(),
         deadline: job.deadline,
     };
-    let open = message(job, &session, suspect);
+    let open = message(job, &session, suspect, prefixes);
     let call = match session.open(open).await {
         Ok(call) => Some(call),
         Err(crate::transport::Error::Unreachable { .. }) => {
@@ -192,27 +234,29 @@
         }
         Err(_) => None,
     };
-    Pump::new(&session, 0, arrived, output).run(call).await
+    let mut pump = Pump::new(&session, 0, arrived, output);
+    pump.meter = Some(meter);
+    pump.run(call).await
 }
 
-fn message(job: &Job, session: &Session<'_>, suspect: bool) -> Open {
+fn message(job: &Job, session: &Session<'_>, suspect: bool, prefixes: &[u64]) -> Open {
     Open {
         attempt: Bytes::copy_from_slice(&session.attempt.to_bytes()),
         incarnation: session.incarnation.0,
         route: job.route.to_string(),
         version: job.version.to_string(),
-        workspace: job.workspace.to_string(),
+        workspace: job.workspace.name.to_string(),
         deadline_micros: job.deadline.as_micros(),
         priority: u32::from(job.priority),
         traceparent: job.traceparent.clone(),
         config_generation: job.config_generation,
         digest: job.digest.clone(),
         suspect,
-        weight: job.weight,
+        weight: job.workspace.weight,
         work: Some(open::Work::Generate(Generate {
             prompt: job.prompt.clone(),
             max_tokens: job.max_tokens,
-            prefixes: Vec::new(),
+            prefixes: prefixes.to_vec(),
         })),
     }
 }
@@ -243,228 +287,11 @@
     }
 }
 
-/// Moves the tokens of one attempt from the agent to the caller.
-struct Pump<'a> {
-    session: &'a Session<'a>,
-    reader: Reader,
-    output: &'a mpsc::Sender<Item>,
-    last_token: Time,
-    /// A token has reached the caller, so no other attempt may take over.
-    is_final: bool,
-}
-
-/// What ends the use of one link.
-enum Break {
-    Finish(Finish),
-    Link,
-}
-
-impl<'a> Pump<'a> {
-    fn new(
-        session: &'a Session<'a>,
-        next_index: u64,
-        arrived: Time,
-        output: &'a mpsc::Sender<Item>,
-    ) -> Pump<'a> {
-        Pump {
-            session,
-            reader: Reader::new(session.attempt, next_index),
-            output,
-            last_token: arrived,
-            is_final: false,
-        }
-    }
-
-    /// Runs over one link after another until the stream is over.
-    async fn run(mut self, mut call: Option<Call>) -> Finish {
-        loop {
-            let current = match call.take() {
-                Some(current) => current,
-                None => match self.relink().await {
-                    Ok(current) => current,
-                    Err(finish) => return finish,
-                },
-            };
-            match self.follow(current).await {
-                Break::Finish(finish) => return finish,
-                Break::Link => {}
-            }
-        }
-    }
-
-    async fn relink(&self) -> Result<Call, Finish> {
-        let patience = match self.is_final {
-            true => Duration::from_secs(RELINK_SECONDS),
-            false => Duration::from_millis(UNSTARTED_RELINK_MS),
-        };
-        let until = (clock::now() + patience).min(self.session.deadline);
-        let next_index = self.reader.next_index();
-        tokio::select! {
-            call = self.session.reattach(next_index, until) => call.ok_or(Finish::Failed {
-                refusal: lost(self.is_final),
-                endpoint_died: false,
-            }),
-            () = self.output.closed() => Err(Finish::Done),
-        }
-    }
-
-    /// Follows the stream over one link.
-    async fn follow(&mut self, mut call: Call) -> Break {
-        let deadline = clock::instant(self.session.deadline);
-        loop {
-            let reply = tokio::select! {
-                reply = call.receiver.next() => reply,
-                () = self.output.closed() => {
-                    let at = clock::now() + Duration::from_millis(RETURN_MS);
-                    attempt::cancel(&mut call, at).await;
-                    return Break::Finish(Finish::Done);
-                }
-                () = time::sleep_until(deadline) => {
-                    attempt::cancel(&mut call, Time::ZERO).await;
-                    return Break::Finish(Finish::Failed {
-                        refusal: attempt::deadline_exceeded(Effect::Unknown),
-                        endpoint_died: false,
-                    });
-                }
-            };
-            let Ok(Some(reply)) = reply else {
-                return Break::Link;
-            };
-            if let Some(broken) = self.heed(reply, &mut call).await {
-                return broken;
-            }
-        }
-    }
-
-    async fn heed(&mut self, reply: Reply, call: &mut Call) -> Option<Break> {
-        if !attempt::subject(&reply).is_some_and(|subject| self.session.owns(subject)) {
-            self.session.shared.metrics.foreign_frames.inc();
-            return None;
-        }
-        match reply.body? {
-            reply::Body::Token(token) => self.token(token.index, token.text, call).await,
-            reply::Body::End(end) => {
-                if !self.reader.is_whole(self.session.attempt, end.count) {
-                    return Some(Break::Link);
-                }
-                let item = Item::End {
-                    count: end.count,
-                    reason: end.reason,
-                };
-                self.deliver(item, call).await.err();
-                // The frames may go once the caller was told that they are whole.
-                let _ = attempt::acknowledge(call, end.count).await;
-                Some(Break::Finish(Finish::Done))
-            }
-            reply::Body::Refused(message) => {
-                let refusal = attempt::refusal(&message);
-                let is_over = self.is_final;
-                let finish = Finish::Failed {
-                    refusal,
-                    endpoint_died: message.endpoint_died,
-                };
-                match (is_over, finish) {
-                    (true, Finish::Failed { refusal, .. }) => {
-                        refuse(self.output, refusal).await;
-                        Some(Break::Finish(Finish::Done))
-                    }
-                    (_, finish) => Some(Break::Finish(finish)),
-                }
-            }
-            _ => None,
-        }
-    }
-
-    async fn token(&mut self, index: u64, text: String, call: &mut Call) -> Option<Break> {
-        match self.reader.accept(self.session.attempt, index) {
-            Verdict::Deliver => {}
-            Verdict::Duplicate | Verdict::Foreign => {
-                self.session.shared.metrics.foreign_frames.inc();
-                return None;
-            }
-            Verdict::Gap => return Some(Break::Link),
-        }
-        self.observe();
-        let item = Item::Token {
-            id: EventId {
-                endpoint: self.session.target.endpoint.listed.name.clone(),
-                incarnation: self.session.incarnation,
-                attempt: self.session.attempt,
-                index,
-            },
-            text,
-        };
-        if let Err(broken) = self.deliver(item, call).await {
-            return Some(broken);
-        }
-        self.is_final = true;
-        self.session.shared.metrics.tokens.inc();
-        let next = self.reader.next_index();
-        if next.is_multiple_of(ACK_TOKENS) && attempt::acknowledge(call, next).await.is_err() {
-            return Some(Break::Link);
-        }
-        None
-    }
-
-    /// Hands an item to the caller, who may be slow or gone.
-    async fn deliver(&self, item: Item, call: &mut Call) -> Result<(), Break> {
-        let patience = Duration::from_secs(SLOW_CALLER_SECONDS);
-        match self.output.send_timeout(item, patience).await {
-            Ok(()) => Ok(()),
-            Err(mpsc::error::SendTimeoutError::Closed(_)) => {
-                let at = clock::now() + Duration::from_millis(RETURN_MS);
-                attempt::cancel(call, at).await;
-                Err(Break::Finish(Finish::Done))
-            }
-            Err(mpsc::error::SendTimeoutError::Timeout(_)) => {
-                attempt::cancel(call, Time::ZERO).await;
-                Err(Break::Finish(Finish::Failed {
-                    refusal: slow_caller(),
-                    endpoint_died: false,
-                }))
-            }
-        }
-    }
-
-    fn observe(&mut self) {
-        let now = clock::now();
-        let seconds = now.since(self.last_token).as_secs_f64();
-        let metrics = &self.session.shared.metrics;
-        match self.is_final {
-            true => {
-                metrics.between_tokens_seconds.observe(seconds);
-                metrics
-                    .stall_seconds
-                    .inc_by((seconds - STALL_SECONDS).max(0.0));
-            }
-            false => metrics.first_token_seconds.observe(seconds),
-        }
-        self.last_token = now;
-    }
-}
-
-async fn refuse(output: &mpsc::Sender<Item>, refusal: Refusal) {
+pub(super) async fn refuse(output: &mpsc::Sender<Item>, refusal: Refusal) {
     // A caller that is gone needs no answer.
     let _ = output.send(Item::Refused(refusal)).await;
 }
 
-fn lost(is_final: bool) -> Refusal {
-    match is_final {
-        true => Refusal::new(
-            Kind::EndpointDied,
-            Effect::Unknown,
-            "The endpoint that held the generation can no longer be reached.",
-            "Send the request again where a second run does no harm.",
-        ),
-        false => Refusal::new(
-            Kind::Unavailable,
-            Effect::Unknown,
-            "The endpoint went out of reach before its first token.",
-            "Send the request again.",
-        ),
-    }
-}
-
 fn gone() -> Refusal {
     Refusal::new(
         Kind::StreamGone,
@@ -473,12 +300,3 @@
         "Send the request again where a second run does no harm.",
     )
 }
-
-fn slow_caller() -> Refusal {
-    Refusal::new(
-        Kind::SlowCaller,
-        Effect::Unknown,
-        "The caller read too slowly.",
-        "Read the stream as it comes, or come back with the last event id.",
-    )
-}
--- /dev/null
+++ b/crates/node/src/entry/guard.rs
@@ -0,0 +1,212 @@
+//! What holds requests back at an entry: limits, budgets for repeats and outliers.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use cactusroad_core::{
+    Time,
+    config::Workspace,
+    limit::{self, Grant, Limiter},
+    outlier::{self, Change, Detector, Outcome},
+    refusal::{Effect, Kind, Refusal},
+    retry::{self, Budget, Denial, Failure, History},
+};
+
+use super::directory::Directory;
+use crate::clock;
+
+/// Requests between two looks for workspaces that can be forgotten.
+const EXPIRE_EVERY: u64 = 1_000;
+
+/// What holds requests back at an entry.
+pub(super) struct Guard {
+    /// Sorted by name.
+    routes: Mutex<Vec<Route>>,
+    limits: Mutex<Limits>,
+}
+
+struct Limits {
+    limiter: Limiter,
+    admitted: u64,
+}
+
+/// What is known of one route.
+struct Route {
+    name: Arc<str>,
+    budget: Budget,
+    detector: Detector,
+}
+
+/// Counts the tokens of one request against the limit of its workspace.
+pub(super) struct Meter<'a> {
+    guard: &'a Guard,
+    workspace: Arc<str>,
+    grant: Option<Grant>,
+}
+
+impl Meter<'_> {
+    /// Notes that a token reached the caller.
+    pub(super) fn token(&mut self) {
+        if let Some(grant) = &mut self.grant {
+            let mut limits = lock(&self.guard.limits);
+            limits
+                .limiter
+                .charge(&self.workspace, grant, 1, clock::now());
+        }
+    }
+}
+
+impl Drop for Meter<'_> {
+    fn drop(&mut self) {
+        if let Some(grant) = self.grant.take() {
+            let mut limits = lock(&self.guard.limits);
+            limits.limiter.finish(&self.workspace, grant);
+        }
+    }
+}
+
+impl Guard {
+    pub(super) fn new(process: Arc<str>) -> Guard {
+        Guard {
+            routes: Mutex::new(Vec::new()),
+            limits: Mutex::new(Limits {
+                limiter: Limiter::new(limit::Config::default(), process),
+                admitted: 0,
+            }),
+        }
+    }
+
+    /// Takes the number of entries, among which the limits are divided.
+    pub(super) fn set_entries(&self, entries: usize) {
+        lock(&self.limits).limiter.set_entries(entries);
+    }
+
+    /// Admits a request of a workspace, where it has a limit within that.
+    ///
+    /// # Errors
+    ///
+    /// Refuses, truly not run, where the workspace is over its limit.
+    pub(super) fn admit(
+        &self,
+        workspace: &Workspace,
+        prompt_tokens: u64,
+    ) -> Result<Meter<'_>, Refusal> {
+        let grant = match workspace.tokens_per_second {
+            Some(limit) => Some(self.grant(&workspace.name, limit, prompt_tokens)?),
+            None => None,
+        };
+        Ok(Meter {
+            guard: self,
+            workspace: Arc::clone(&workspace.name),
+            grant,
+        })
+    }
+
+    fn grant(&self, workspace: &Arc<str>, limit: u64, tokens: u64) -> Result<Grant, Refusal> {
+        let now = clock::now();
+        let mut limits = lock(&self.limits);
+        limits.admitted += 1;
+        if limits.admitted.is_multiple_of(EXPIRE_EVERY) {
+            limits.limiter.expire(now);
+        }
+        let admitted = limits.limiter.admit(workspace, limit, tokens, now);
+        admitted.map_err(|exceeded| {
+            Refusal::new(
+                Kind::RateLimited,
+                Effect::NotRun,
+                "The workspace is over its limit of tokens a second.",
+                "Send the request again later, or ask the operators for a higher limit.",
+            )
+            .retry_at(exceeded.retry_at)
+        })
+    }
+
+    /// Notes that a request is sent to an endpoint.
+    pub(super) fn sent(&self, directory: &Directory, route: &Arc<str>, endpoint: &str) {
+        let change = self.with(route, |route| route.detector.sent(endpoint, clock::now()));
+        heed(directory, endpoint, change);
+    }
+
+    /// Notes how a request to an endpoint ended.
+    pub(super) fn ended(
+        &self,
+        directory: &Directory,
+        route: &Arc<str>,
+        endpoint: &str,
+        outcome: Outcome,
+    ) {
+        let change = self.with(route, |route| {
+            if matches!(outcome, Outcome::Success { .. }) {
+                route.budget.succeeded();
+            }
+            route.detector.ended(endpoint, outcome, clock::now())
+        });
+        heed(directory, endpoint, change);
+    }
+
+    /// Asks for one more attempt of a request after a refusal.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the promises, the deadline or the budget forbid it.
+    pub(super) fn repeat(
+        &self,
+        route: &Arc<str>,
+        history: &mut History,
+        refusal: &Refusal,
+    ) -> Result<(), Denial> {
+        history.failed(failure(refusal));
+        let spent = self.with(route, |route| route.budget.spend(history, clock::now()));
+        if let Err(denial) = spent {
+            log::debug!("a request on {route} is not tried again: {denial}");
+        }
+        spent
+    }
+
+    fn with<T>(&self, name: &Arc<str>, act: impl FnOnce(&mut Route) -> T) -> T {
+        let mut routes = lock(&self.routes);
+        let found = routes.binary_search_by(|route| route.name.cmp(name));
+        let at = found.unwrap_or_else(|at| {
+            routes.insert(at, Route::new(Arc::clone(name)));
+            at
+        });
+        act(&mut routes[at])
+    }
+}
+
+impl Route {
+    fn new(name: Arc<str>) -> Route {
+        Route {
+            name,
+            budget: Budget::new(retry::Config::default(), clock::now()),
+            detector: Detector::new(outlier::Config::default()),
+        }
+    }
+}
+
+/// Tells what a refusal says of the endpoint that gave it.
+pub(super) fn evidence(refusal: &Refusal, endpoint_died: bool) -> Outcome {
+    match refusal.kind {
+        _ if endpoint_died => Outcome::Failure,
+        Kind::Unavailable | Kind::EndpointDied | Kind::Internal => Outcome::Failure,
+        _ => Outcome::Neutral,
+    }
+}
+
+fn failure(refusal: &Refusal) -> Failure {
+    match (refusal.kind, refusal.effect) {
+        (Kind::Overloaded | Kind::Draining, Effect::NotRun) => Failure::Full,
+        (_, effect) => Failure::Broken(effect),
+    }
+}
+
+fn heed(directory: &Directory, endpoint: &str, change: Option<Change>) {
+    match change {
+        Some(Change::Eject { until }) => directory.eject(endpoint, until),
+        Some(Change::Restore) => directory.eject(endpoint, Time::ZERO),
+        None => {}
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -255,8 +255,7 @@
     let job = generate::Job {
         route: route.name.clone(),
         version: route.version.clone(),
-        workspace: workspace.name,
-        weight: workspace.weight,
+        workspace,
         priority: route.priority,
         deadline,
         digest: digest(&route.name, ask.prompt.as_bytes()),
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -9,8 +9,10 @@
 mod directory;
 mod error;
 mod generate;
+mod guard;
 mod http;
 mod openai;
+mod pump;
 mod sse;
 
 use std::{
@@ -20,7 +22,7 @@
 use cactusroad_core::{config::Snapshot, id::Attempt};
 use tokio::{net::TcpListener, sync::watch, time};
 
-use self::directory::Directory;
+use self::{directory::Directory, guard::Guard};
 use crate::{
     metrics::EntryMetrics,
     settings,
@@ -38,6 +40,7 @@
 pub(super) struct Shared {
     config: watch::Receiver<Arc<Snapshot>>,
     directory: Directory,
+    guard: Guard,
     dialer: Dialer,
     leaving: AtomicBool,
     metrics: EntryMetrics,
@@ -77,7 +80,10 @@
     ) -> Result<Entry, transport::Error> {
         let identity = Identity::read(&settings.common.tls)?;
         let dialer = Dialer::new(settings.common.name.clone(), &identity);
-        let directory = Directory::new(settings.common.data_centre.clone());
+        let directory = Directory::new(
+            settings.common.name.clone(),
+            settings.common.data_centre.clone(),
+        );
         let listener =
             TcpListener::bind(settings.listen)
                 .await
@@ -88,6 +94,7 @@
         let shared = Arc::new(Shared {
             config,
             directory,
+            guard: Guard::new(settings.common.name.clone()),
             dialer,
             leaving: AtomicBool::new(false),
             metrics,
@@ -97,6 +104,12 @@
         Ok(Entry { shared, server })
     }
 
+    /// Takes the names of all entries of the site, which share its links and limits.
+    pub fn set_entries(&self, entries: &[Arc<str>]) {
+        self.shared.directory.set_entries(entries);
+        self.shared.guard.set_entries(entries.len());
+    }
+
     /// The address on which the entry listens for callers.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
--- /dev/null
+++ b/crates/node/src/entry/pump.rs
@@ -0,0 +1,300 @@
+//! Moves the tokens of one attempt from the agent to the caller.
+
+use std::time::Duration;
+
+use cactusroad_core::{
+    Time,
+    outlier::Outcome,
+    refusal::{Effect, Kind, Refusal},
+    stream::{EventId, Reader, Verdict},
+};
+use cactusroad_wire::message::{Reply, reply};
+use tokio::{sync::mpsc, time};
+
+use super::{
+    attempt::{self, Session},
+    generate::{Item, refuse},
+    guard::{self, Meter},
+};
+use crate::{clock, transport::Call};
+
+/// Tokens between two acknowledgements.
+const ACK_TOKENS: u64 = 16;
+/// How long a generation whose caller is gone waits for it to come back, in milliseconds.
+const RETURN_MS: u64 = 2_000;
+/// How long a caller may leave its stream unread, in seconds.
+const SLOW_CALLER_SECONDS: u64 = 30;
+/// How long a broken stream is tried again, in seconds.
+const RELINK_SECONDS: u64 = 10;
+/// How long an agent that has accepted nothing yet is tried again, in milliseconds.
+const UNSTARTED_RELINK_MS: u64 = 1_500;
+/// Time between tokens beyond which the rest counts as a stall, in seconds.
+const STALL_SECONDS: f64 = 0.2;
+
+/// How an attempt went.
+pub(super) enum Finish {
+    /// The caller has been told everything or is gone.
+    Done(Outcome),
+    /// The attempt failed before its first token.
+    Failed {
+        refusal: Refusal,
+        endpoint_died: bool,
+    },
+}
+
+/// Moves the tokens of one attempt from the agent to the caller.
+pub(super) struct Pump<'a, 'm> {
+    session: &'a Session<'a>,
+    reader: Reader,
+    output: &'a mpsc::Sender<Item>,
+    started: Time,
+    last_token: Time,
+    /// The time to the first token over this entry, in milliseconds.
+    latency_ms: Option<u64>,
+    pub(super) meter: Option<&'a mut Meter<'m>>,
+    /// A token has reached the caller, so no other attempt may take over.
+    pub(super) is_final: bool,
+}
+
+/// What ends the use of one link.
+enum Break {
+    Finish(Finish),
+    Link,
+}
+
+impl<'a, 'm> Pump<'a, 'm> {
+    pub(super) fn new(
+        session: &'a Session<'a>,
+        next_index: u64,
+        arrived: Time,
+        output: &'a mpsc::Sender<Item>,
+    ) -> Pump<'a, 'm> {
+        Pump {
+            session,
+            reader: Reader::new(session.attempt, next_index),
+            output,
+            started: clock::now(),
+            last_token: arrived,
+            latency_ms: None,
+            meter: None,
+            is_final: false,
+        }
+    }
+
+    /// Runs over one link after another until the stream is over.
+    pub(super) async fn run(mut self, mut call: Option<Call>) -> Finish {
+        loop {
+            let current = match call.take() {
+                Some(current) => current,
+                None => match self.relink().await {
+                    Ok(current) => current,
+                    Err(finish) => return finish,
+                },
+            };
+            match self.follow(current).await {
+                Break::Finish(finish) => return finish,
+                Break::Link => {}
+            }
+        }
+    }
+
+    async fn relink(&self) -> Result<Call, Finish> {
+        let patience = match self.is_final {
+            true => Duration::from_secs(RELINK_SECONDS),
+            false => Duration::from_millis(UNSTARTED_RELINK_MS),
+        };
+        let until = (clock::now() + patience).min(self.session.deadline);
+        let next_index = self.reader.next_index();
+        tokio::select! {
+            call = self.session.reattach(next_index, until) => call.ok_or(Finish::Failed {
+                refusal: lost(self.is_final),
+                endpoint_died: false,
+            }),
+            () = self.output.closed() => Err(Finish::Done(Outcome::Neutral)),
+        }
+    }
+
+    /// Follows the stream over one link.
+    async fn follow(&mut self, mut call: Call) -> Break {
+        let deadline = clock::instant(self.session.deadline);
+        loop {
+            let reply = tokio::select! {
+                reply = call.receiver.next() => reply,
+                () = self.output.closed() => {
+                    let at = clock::now() + Duration::from_millis(RETURN_MS);
+                    attempt::cancel(&mut call, at).await;
+                    return Break::Finish(self.done());
+                }
+                () = time::sleep_until(deadline) => {
+                    attempt::cancel(&mut call, Time::ZERO).await;
+                    return Break::Finish(Finish::Failed {
+                        refusal: attempt::deadline_exceeded(Effect::Unknown),
+                        endpoint_died: false,
+                    });
+                }
+            };
+            let Ok(Some(reply)) = reply else {
+                return Break::Link;
+            };
+            if let Some(broken) = self.heed(reply, &mut call).await {
+                return broken;
+            }
+        }
+    }
+
+    async fn heed(&mut self, reply: Reply, call: &mut Call) -> Option<Break> {
+        if !attempt::subject(&reply).is_some_and(|subject| self.session.owns(subject)) {
+            self.session.shared.metrics.foreign_frames.inc();
+            return None;
+        }
+        match reply.body? {
+            reply::Body::Token(token) => self.token(token.index, token.text, call).await,
+            reply::Body::End(end) => {
+                if !self.reader.is_whole(self.session.attempt, end.count) {
+                    return Some(Break::Link);
+                }
+                let item = Item::End {
+                    count: end.count,
+                    reason: end.reason,
+                };
+                self.deliver(item, call).await.err();
+                // The frames may go once the caller was told that they are whole.
+                let _ = attempt::acknowledge(call, end.count).await;
+                Some(Break::Finish(self.done()))
+            }
+            reply::Body::Refused(message) => {
+                let refusal = attempt::refusal(&message);
+                let is_over = self.is_final;
+                let finish = Finish::Failed {
+                    refusal,
+                    endpoint_died: message.endpoint_died,
+                };
+                match (is_over, finish) {
+                    (
+                        true,
+                        Finish::Failed {
+                            refusal,
+                            endpoint_died,
+                        },
+                    ) => {
+                        let outcome = guard::evidence(&refusal, endpoint_died);
+                        refuse(self.output, refusal).await;
+                        Some(Break::Finish(Finish::Done(outcome)))
+                    }
+                    (_, finish) => Some(Break::Finish(finish)),
+                }
+            }
+            _ => None,
+        }
+    }
+
+    async fn token(&mut self, index: u64, text: String, call: &mut Call) -> Option<Break> {
+        match self.reader.accept(self.session.attempt, index) {
+            Verdict::Deliver => {}
+            Verdict::Duplicate | Verdict::Foreign => {
+                self.session.shared.metrics.foreign_frames.inc();
+                return None;
+            }
+            Verdict::Gap => return Some(Break::Link),
+        }
+        self.observe();
+        let item = Item::Token {
+            id: EventId {
+                endpoint: self.session.target.endpoint.listed.name.clone(),
+                incarnation: self.session.incarnation,
+                attempt: self.session.attempt,
+                index,
+            },
+            text,
+        };
+        if let Err(broken) = self.deliver(item, call).await {
+            return Some(broken);
+        }
+        self.is_final = true;
+        self.session.shared.metrics.tokens.inc();
+        let next = self.reader.next_index();
+        if next.is_multiple_of(ACK_TOKENS) && attempt::acknowledge(call, next).await.is_err() {
+            return Some(Break::Link);
+        }
+        None
+    }
+
+    /// Hands an item to the caller, who may be slow or gone.
+    async fn deliver(&self, item: Item, call: &mut Call) -> Result<(), Break> {
+        let patience = Duration::from_secs(SLOW_CALLER_SECONDS);
+        match self.output.send_timeout(item, patience).await {
+            Ok(()) => Ok(()),
+            Err(mpsc::error::SendTimeoutError::Closed(_)) => {
+                let at = clock::now() + Duration::from_millis(RETURN_MS);
+                attempt::cancel(call, at).await;
+                Err(Break::Finish(self.done()))
+            }
+            Err(mpsc::error::SendTimeoutError::Timeout(_)) => {
+                attempt::cancel(call, Time::ZERO).await;
+                Err(Break::Finish(Finish::Failed {
+                    refusal: slow_caller(),
+                    endpoint_died: false,
+                }))
+            }
+        }
+    }
+
+    /// The caller was served, or went away.
+    fn done(&self) -> Finish {
+        let outcome = self
+            .latency_ms
+            .map_or(Outcome::Neutral, |latency_ms| Outcome::Success {
+                latency_ms,
+            });
+        Finish::Done(outcome)
+    }
+
+    fn observe(&mut self) {
+        let now = clock::now();
+        let seconds = now.since(self.last_token).as_secs_f64();
+        let metrics = &self.session.shared.metrics;
+        match self.is_final {
+            true => {
+                metrics.between_tokens_seconds.observe(seconds);
+                metrics
+                    .stall_seconds
+                    .inc_by((seconds - STALL_SECONDS).max(0.0));
+            }
+            false => metrics.first_token_seconds.observe(seconds),
+        }
+        if self.latency_ms.is_none() {
+            let latency = now.since(self.started).as_millis();
+            self.latency_ms = u64::try_from(latency).ok();
+        }
+        if let Some(meter) = &mut self.meter {
+            meter.token();
+        }
+        self.last_token = now;
+    }
+}
+
+fn lost(is_final: bool) -> Refusal {
+    match is_final {
+        true => Refusal::new(
+            Kind::EndpointDied,
+            Effect::Unknown,
+            "The endpoint that held the generation can no longer be reached.",
+            "Send the request again where a second run does no harm.",
+        ),
+        false => Refusal::new(
+            Kind::Unavailable,
+            Effect::Unknown,
+            "The endpoint went out of reach before its first token.",
+            "Send the request again.",
+        ),
+    }
+}
+
+fn slow_caller() -> Refusal {
+    Refusal::new(
+        Kind::SlowCaller,
+        Effect::Unknown,
+        "The caller read too slowly.",
+        "Read the stream as it comes, or come back with the last event id.",
+    )
+}
