--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -50,7 +50,7 @@
         limiter(),
         detector(),
     ];
-    let verdicts = series.map(|series| measure(series));
+    let verdicts = series.map(measure);
     match verdicts.into_iter().all(|good| good) {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
--- a/crates/node/src/entry/generate.rs
+++ b/crates/node/src/entry/generate.rs
@@ -188,7 +188,11 @@
 fn may_retry(refusal: &Refusal) -> bool {
     matches!(
         refusal.kind,
-        Kind::Overloaded | Kind::Unavailable | Kind::Draining | Kind::EndpointDied
+        Kind::Overloaded
+            | Kind::Unavailable
+            | Kind::Draining
+            | Kind::EndpointDied
+            | Kind::StreamGone
     )
 }
 
@@ -282,9 +286,7 @@
     let mut pump = Pump::new(&session, id.index + 1, clock::now(), &output);
     pump.is_final = true;
     let call = session.attach(id.index + 1).await.ok();
-    if let Finish::Failed { refusal, .. } = pump.run(call).await {
-        refuse(&output, refusal).await;
-    }
+    pump.run(call).await;
 }
 
 pub(super) async fn refuse(output: &mpsc::Sender<Item>, refusal: Refusal) {
--- a/crates/node/src/entry/pump.rs
+++ b/crates/node/src/entry/pump.rs
@@ -82,7 +82,24 @@
     }
 
     /// Runs over one link after another until the stream is over.
-    pub(super) async fn run(mut self, mut call: Option<Call>) -> Finish {
+    ///
+    /// Once a token has reached the caller no other attempt may go on, so every
+    /// failure is told to the caller here and none is handed back for a retry.
+    pub(super) async fn run(mut self, call: Option<Call>) -> Finish {
+        match self.links(call).await {
+            Finish::Failed {
+                refusal,
+                endpoint_died,
+            } if self.is_final => {
+                let outcome = guard::evidence(&refusal, endpoint_died);
+                refuse(self.output, refusal).await;
+                Finish::Done(outcome)
+            }
+            finish => finish,
+        }
+    }
+
+    async fn links(&mut self, mut call: Option<Call>) -> Finish {
         loop {
             let current = match call.take() {
                 Some(current) => current,
@@ -157,33 +174,17 @@
                     count: end.count,
                     reason: end.reason,
                 };
-                self.deliver(item, call).await.err();
+                if let Err(broken) = self.deliver(item, call).await {
+                    return Some(broken);
+                }
                 // The frames may go once the caller was told that they are whole.
                 let _ = attempt::acknowledge(call, end.count).await;
                 Some(Break::Finish(self.done()))
             }
-            reply::Body::Refused(message) => {
-                let refusal = attempt::refusal(&message);
-                let is_over = self.is_final;
-                let finish = Finish::Failed {
-                    refusal,
-                    endpoint_died: message.endpoint_died,
-                };
-                match (is_over, finish) {
-                    (
-                        true,
-                        Finish::Failed {
-                            refusal,
-                            endpoint_died,
-                        },
-                    ) => {
-                        let outcome = guard::evidence(&refusal, endpoint_died);
-                        refuse(self.output, refusal).await;
-                        Some(Break::Finish(Finish::Done(outcome)))
-                    }
-                    (_, finish) => Some(Break::Finish(finish)),
-                }
-            }
+            reply::Body::Refused(message) => Some(Break::Finish(Finish::Failed {
+                refusal: attempt::refusal(&message),
+                endpoint_died: message.endpoint_died,
+            })),
             _ => None,
         }
     }
