Follow the entries on the VM list, which share links and limits

Cause: each entry took itself for the only one, so its subset was every endpoint and a limit of a workspace was enforced once for each entry.

Change: the daemon reads the names of the entries from the list beside those of the endpoints.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -62,8 +62,9 @@
     let exporter = Exporter::new();
     let metrics = EntryMetrics::new(&exporter);
     let config = source::config(store);
-    let vms = source::endpoints(roster);
+    let vms = source::endpoints(roster.clone());
     let entry = Entry::start(&settings, config, vms, metrics).await?;
+    entry.follow_entries(source::entries(roster));
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
     log::info!(
         "entry {} listens on {}",
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -104,10 +104,23 @@
         Ok(Entry { shared, server })
     }
 
-    /// Takes the names of all entries of the site, which share its links and limits.
-    pub fn set_entries(&self, entries: &[Arc<str>]) {
-        self.shared.directory.set_entries(entries);
-        self.shared.guard.set_entries(entries.len());
+    /// Follows the names of the entries of the site, which share its links and limits.
+    pub fn follow_entries(&self, mut names: watch::Receiver<Vec<Arc<str>>>) {
+        let shared = Arc::downgrade(&self.shared);
+        tokio::spawn(async move {
+            loop {
+                let entries = names.borrow_and_update().clone();
+                let Some(shared) = shared.upgrade() else {
+                    return;
+                };
+                shared.directory.set_entries(&entries);
+                shared.guard.set_entries(entries.len());
+                drop(shared);
+                if names.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
     }
 
     /// The address on which the entry listens for callers.
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -73,6 +73,22 @@
 
 /// Follows the endpoints on the VM list until nobody listens any more.
 pub fn endpoints<R: Roster>(roster: R) -> watch::Receiver<Vec<Listed>> {
+    follow(roster, endpoint)
+}
+
+/// Follows the names of the entries on the VM list until nobody listens any more.
+pub fn entries<R: Roster>(roster: R) -> watch::Receiver<Vec<Arc<str>>> {
+    follow(roster, |vm| (vm.role == Role::Entry).then_some(vm.name))
+}
+
+/// Follows what is read from each VM on the list.
+fn follow<R: Roster, T>(
+    roster: R,
+    read: impl Fn(Vm) -> Option<T> + Send + 'static,
+) -> watch::Receiver<Vec<T>>
+where
+    T: PartialEq + Send + Sync + 'static,
+{
     let (sender, receiver) = watch::channel(Vec::new());
     tokio::spawn(async move {
         let mut tick = time::interval(Duration::from_millis(ROSTER_MS));
@@ -81,7 +97,7 @@
             let Ok(vms) = roster.vms().await else {
                 continue;
             };
-            let listed = vms.into_iter().filter_map(endpoint).collect();
+            let listed = vms.into_iter().filter_map(&read).collect();
             sender.send_if_modified(|current| {
                 let is_new = *current != listed;
                 *current = listed;
