Move traffic in proven steps; withdraw bad versions by a monotone join

Cause: entries must agree on the share of a new version with no controller on the path, find bad versions from bounded evidence, and decide an outcome once.

Change: rollout has Progress (a join-semilattice: withdrawal, proven steps, decided end), share and side as pure functions, evidence as replaceable reports of bounded size (by version, load level, step, and windows of 10 s and 60 s), a judge by generalised likelihood ratios, and a machine per process.

--- /dev/null
+++ b/crates/core/tests/rollout/interleaving.rs
@@ -0,0 +1,280 @@
+//! Seeded interleavings of several entries, a lossy network and a store.
+//!
+//! After each event the invariants are checked: what a process knows only grows
+//! within one life, a withdrawal known to a process gives the new version no
+//! share there, and the store's outcome never changes. At the end the network
+//! delivers everything, and all agree.
+
+use std::sync::Arc;
+
+use cactusroad_core::{
+    Time,
+    config::Plan,
+    rollout::{Action, End, Message, Outcome, Progress, Rollout, Side, evidence::Ending},
+};
+use proptest::prelude::*;
+
+use super::{after, plan, rollout, sample};
+
+const ENTRIES: usize = 4;
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// An entry serves requests; the new version fails where the flag says so.
+    Serve(usize, bool),
+    /// An entry tells all others; each message waits in the network.
+    Tell(usize),
+    /// The network delivers the message at this place, which reorders.
+    Deliver(usize),
+    /// The network delivers a message and keeps it.
+    Duplicate(usize),
+    /// The network drops a message.
+    Drop(usize),
+    /// An entry wakes and judges at its own clock; entries that are not named are paused.
+    Tick(usize),
+    /// An entry restarts with nothing.
+    Restart(usize),
+    /// The store goes down or comes back.
+    Store(bool),
+    /// Time passes, in seconds.
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0..ENTRIES, prop::bool::weighted(0.3)).prop_map(|(at, bad)| Event::Serve(at, bad)),
+        3 => (0..ENTRIES).prop_map(Event::Tell),
+        6 => any::<usize>().prop_map(Event::Deliver),
+        1 => any::<usize>().prop_map(Event::Duplicate),
+        2 => any::<usize>().prop_map(Event::Drop),
+        6 => (0..ENTRIES).prop_map(Event::Tick),
+        1 => (0..ENTRIES).prop_map(Event::Restart),
+        1 => any::<bool>().prop_map(Event::Store),
+        3 => (0_u64..25).prop_map(Event::Pass),
+    ]
+}
+
+struct Site {
+    plan: Plan,
+    entries: Vec<Rollout>,
+    lives: Vec<u64>,
+    network: Vec<(usize, Message)>,
+    store_up: bool,
+    outcome: Option<Outcome>,
+    now: Time,
+}
+
+impl Site {
+    fn new() -> Site {
+        let plan = plan(&[(50, 0), (300, 60), (1_000, 120)], 240);
+        let mut entries: Vec<Rollout> = (0..ENTRIES).map(|at| started(&plan, at, 1)).collect();
+        entries.iter_mut().for_each(Rollout::inform);
+        Site {
+            plan,
+            entries,
+            lives: vec![1; ENTRIES],
+            network: Vec::new(),
+            store_up: true,
+            outcome: None,
+            now: after(0),
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Serve(at, is_bad) => self.serve(at, is_bad),
+            Event::Tell(at) => self.tell(at),
+            Event::Deliver(place) => {
+                if let Some((to, message)) = self.take(place) {
+                    self.entries[to].receive(&message);
+                }
+            }
+            Event::Duplicate(place) => {
+                if let Some((to, message)) = self.take(place) {
+                    self.entries[to].receive(&message);
+                    self.network.push((to, message));
+                }
+            }
+            Event::Drop(place) => drop(self.take(place)),
+            Event::Tick(at) => self.tick(at),
+            Event::Restart(at) => {
+                self.lives[at] += 1;
+                self.entries[at] = started(&self.plan, at, self.lives[at]);
+            }
+            Event::Store(up) => self.store_up = up,
+            Event::Pass(seconds) => self.now = self.now + std::time::Duration::from_secs(seconds),
+        }
+    }
+
+    fn serve(&mut self, at: usize, is_bad: bool) {
+        let entry = &mut self.entries[at];
+        for _ in 0..40 {
+            entry.record(&sample(Side::Old, Ending::Complete), self.now);
+        }
+        if entry.share(self.now) == 0 {
+            return;
+        }
+        let end = if is_bad {
+            Ending::Failed
+        } else {
+            Ending::Complete
+        };
+        for _ in 0..40 {
+            entry.record(&sample(Side::New, end), self.now);
+        }
+    }
+
+    fn tell(&mut self, from: usize) {
+        let message = self.entries[from].message();
+        let others = (0..ENTRIES).filter(|to| *to != from);
+        self.network.extend(others.map(|to| (to, message.clone())));
+    }
+
+    fn take(&mut self, place: usize) -> Option<(usize, Message)> {
+        match self.network.len() {
+            0 => None,
+            len => Some(self.network.swap_remove(place % len)),
+        }
+    }
+
+    fn tick(&mut self, at: usize) {
+        for action in self.entries[at].tick(self.now) {
+            match action {
+                Action::Tell => self.tell(at),
+                Action::Record(outcome) if self.store_up => {
+                    let stored = self.outcome.get_or_insert(outcome).clone();
+                    self.entries[at].decide(&stored);
+                }
+                Action::Record(_) => {}
+            }
+        }
+    }
+
+    /// Delivers everything until nobody learns more, and lets time pass with the store up.
+    fn settle(&mut self) {
+        self.store_up = true;
+        for _ in 0..40 {
+            self.network.clear();
+            (0..ENTRIES).for_each(|at| self.tell(at));
+            while let Some((to, message)) = self.take(0) {
+                self.entries[to].receive(&message);
+            }
+            (0..ENTRIES).for_each(|at| self.tick(at));
+            self.now = self.now + std::time::Duration::from_secs(10);
+        }
+    }
+
+    fn progress(&self) -> Vec<Progress> {
+        self.entries
+            .iter()
+            .map(|entry| entry.progress().clone())
+            .collect()
+    }
+}
+
+fn started(plan: &Plan, at: usize, life: u64) -> Rollout {
+    rollout(plan, &format!("entry-{at}"), life)
+}
+
+fn check(site: &Site, before: &[Progress], outcome: Option<&Outcome>, event: Event) {
+    for (at, (old, entry)) in before.iter().zip(&site.entries).enumerate() {
+        let new = entry.progress();
+        if matches!(event, Event::Restart(restarted) if restarted == at) {
+            assert_eq!(
+                entry.share(site.now),
+                0,
+                "a process without news gives no share"
+            );
+            continue;
+        }
+        assert!(
+            new.proven >= old.proven,
+            "{event:?}: proof goes forward only"
+        );
+        assert!(
+            old.withdrawn.is_none() || new.withdrawn.is_some(),
+            "{event:?}: a withdrawal stays"
+        );
+        assert!(
+            old.decided.is_none() || new.decided == old.decided,
+            "{event:?}: one outcome"
+        );
+        if new.withdrawn.is_some() {
+            assert_eq!(entry.share(site.now), 0, "{event:?}: a withdrawal wins");
+        }
+        if new.proven == 0 && new.decided.is_none() {
+            let bound = site.plan.unproven_share;
+            assert!(
+                entry.share(site.now) <= bound,
+                "{event:?}: small while unproven"
+            );
+        }
+    }
+    if outcome.is_some() {
+        assert_eq!(
+            site.outcome.as_ref(),
+            outcome,
+            "{event:?}: the outcome is decided once"
+        );
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: prop::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn interleaved_events_keep_invariants(events in prop::collection::vec(event(), 1..150)) {
+        let mut site = Site::new();
+        for event in events {
+            let before = site.progress();
+            let outcome = site.outcome.clone();
+            site.apply(event);
+            check(&site, &before, outcome.as_ref(), event);
+        }
+        let was_withdrawn = site.progress().iter().any(|known| known.withdrawn.is_some());
+        site.settle();
+        let known = site.progress();
+        prop_assert!(known.windows(2).all(|pair| pair[0] == pair[1]), "all agree: {known:?}");
+        prop_assert!(site.outcome.is_some(), "the outcome is recorded once the store is up");
+        let shares: Vec<u16> = site.entries.iter().map(|entry| entry.share(site.now)).collect();
+        let end = site.outcome.as_ref().map(|outcome| outcome.end);
+        let expected = if was_withdrawn || end == Some(End::Reversed) { 0 } else { 1_000 };
+        prop_assert!(shares.iter().all(|share| *share == expected), "{shares:?}");
+    }
+
+    /// Merging is associative, commutative and idempotent.
+    #[test]
+    fn merge_is_a_join(all in prop::collection::vec(progress(), 3)) {
+        let join = |a: &Progress, b: &Progress| {
+            let mut joined = a.clone();
+            joined.merge(b);
+            joined
+        };
+        let [a, b, c] = [&all[0], &all[1], &all[2]];
+        prop_assert_eq!(join(a, b), join(b, a));
+        prop_assert_eq!(join(&join(a, b), c), join(a, &join(b, c)));
+        prop_assert_eq!(join(a, a), a.clone());
+    }
+}
+
+fn progress() -> impl Strategy<Value = Progress> {
+    use cactusroad_core::rollout::{Reason, Withdrawal};
+
+    let withdrawn = prop::option::of((0_u64..3, 0_u8..3)).prop_map(|found| {
+        found.map(|(at, by)| Withdrawal {
+            at: after(at),
+            by: Arc::from(format!("entry-{by}")),
+            reason: Reason::Failures,
+        })
+    });
+    (withdrawn, 0_usize..4).prop_map(|(withdrawn, proven)| Progress {
+        withdrawn,
+        proven,
+        decided: None,
+    })
+}
--- /dev/null
+++ b/crates/core/tests/rollout/rules.rs
@@ -0,0 +1,225 @@
+use cactusroad_core::{
+    Time,
+    id::Incarnation,
+    rollout::{
+        Action, End, Outcome, Progress, Reason, Rollout, Side, Withdrawal,
+        evidence::{Ending, Recorder, Report, Tally},
+        share, side,
+    },
+};
+
+use super::{after, plan, rollout, sample};
+
+fn withdrawal(at: u64) -> Withdrawal {
+    Withdrawal {
+        at: after(at),
+        by: "entry-1".into(),
+        reason: Reason::Failures,
+    }
+}
+
+/// Each row: what is proven, whether withdrawn, the decided end, the second, and the share.
+#[test]
+fn share_rows() {
+    let plan = plan(&[(20, 0), (200, 60), (1_000, 120)], 300);
+    let rows = [
+        (0, false, None, 0, 20),
+        (0, false, None, 70, 20),
+        (0, false, None, 130, 20),
+        (1, false, None, 30, 20),
+        (1, false, None, 70, 200),
+        (1, false, None, 130, 200),
+        (2, false, None, 130, 900),
+        (2, false, None, 300, 0),
+        (3, false, None, 300, 1_000),
+        (3, true, None, 300, 0),
+        (3, true, Some(End::Done), 300, 0),
+        (0, false, Some(End::Done), 300, 1_000),
+        (3, false, Some(End::Reversed), 130, 0),
+        (1, true, None, 70, 0),
+    ];
+    for (proven, is_withdrawn, decided, second, expected) in rows {
+        let progress = Progress {
+            withdrawn: is_withdrawn.then(|| withdrawal(1)),
+            proven,
+            decided,
+        };
+        let found = share(&plan, &progress, after(second));
+        assert_eq!(found, expected, "{progress:?} at {second}");
+    }
+}
+
+#[test]
+fn share_before_first_step_is_zero() {
+    let plan = plan(&[(20, 10), (1_000, 60)], 300);
+    assert_eq!(share(&plan, &Progress::default(), after(9)), 0);
+}
+
+#[test]
+fn share_large_first_step_is_bounded_while_unproven() {
+    let plan = plan(&[(1_000, 0)], 300);
+    assert_eq!(share(&plan, &Progress::default(), after(1)), 50);
+}
+
+#[test]
+fn side_moved_request_stays_moved() {
+    let plan = plan(&[(1_000, 0)], 300);
+    for key in 0_u32..2_000 {
+        let key = key.to_be_bytes();
+        let sides = (0..=1_000)
+            .step_by(50)
+            .map(|share| side(&plan, share, &key));
+        let sides: Vec<Side> = sides.collect();
+        assert!(sides.is_sorted_by_key(|side| *side == Side::New));
+        assert_eq!((sides[0], sides[20]), (Side::Old, Side::New));
+    }
+    let moved = (0_u32..10_000).filter(|key| side(&plan, 200, &key.to_be_bytes()) == Side::New);
+    let moved = moved.count();
+    assert!(
+        (1_800..2_200).contains(&moved),
+        "{moved} of 10000 at a share of 200"
+    );
+}
+
+#[test]
+fn share_without_news_is_zero() {
+    let plan = plan(&[(50, 0), (1_000, 60)], 300);
+    let mut started = rollout(&plan, "entry-1", 1);
+    assert_eq!(started.share(after(1)), 0);
+    started.inform();
+    assert_eq!(started.share(after(1)), 50);
+}
+
+#[test]
+fn withdraw_within_few_failures() {
+    let plan = plan(&[(50, 0), (1_000, 60)], 300);
+    let mut entry = rollout(&plan, "entry-1", 1);
+    entry.inform();
+    for _ in 0..100 {
+        entry.record(&sample(Side::Old, Ending::Complete), after(1));
+    }
+    let mut failures = 0;
+    while entry.progress().withdrawn.is_none() {
+        entry.record(&sample(Side::New, Ending::Failed), after(2));
+        failures += 1;
+        entry.tick(after(2));
+    }
+    assert!(failures <= 5, "{failures} failures without one success");
+    assert_eq!(entry.share(after(2)), 0);
+}
+
+/// An endpoint that dies with many requests is one failure, not many.
+#[test]
+fn evidence_one_death_counts_once() {
+    let mut recorder = Recorder::new("entry-1".into(), Incarnation(1));
+    for _ in 0..20 {
+        let end = Ending::EndpointDied(Incarnation(7));
+        recorder.record(&sample(Side::New, end), 0, after(1));
+    }
+    let cell = recorder.report().in_step.cell(Side::New, 1);
+    assert_eq!((cell.total, cell.failed), (20, 1));
+}
+
+#[test]
+fn evidence_report_is_small_and_reads_back() {
+    let mut recorder = Recorder::new("entry-1".into(), Incarnation(1));
+    for at in 0..100_000_u32 {
+        let mut sample = sample(
+            if at % 20 == 0 { Side::New } else { Side::Old },
+            Ending::Complete,
+        );
+        sample.load = u16::try_from(at % 1_000).expect("below 1000");
+        sample.first_token_ms = Some(100 + at % 700);
+        sample.token_gap_ms = Some(20 + at % 60);
+        recorder.record(&sample, 1, after(u64::from(at / 1_000)));
+    }
+    let text = serde_json::to_vec(recorder.report()).expect("a report is JSON");
+    println!(
+        "a report after 100000 answers at four load levels: {} bytes",
+        text.len()
+    );
+    assert!(text.len() < 8_192, "{} bytes", text.len());
+    let read: Report = serde_json::from_slice(&text).expect("a report reads back");
+    assert_eq!(&read, recorder.report());
+}
+
+#[test]
+fn tally_old_and_repeated_reports_change_nothing() {
+    let mut recorder = Recorder::new("entry-1".into(), Incarnation(1));
+    recorder.record(&sample(Side::New, Ending::Complete), 0, after(1));
+    let early = recorder.report().clone();
+    recorder.record(&sample(Side::New, Ending::Complete), 0, after(1));
+    let late = recorder.report().clone();
+    let mut tally = Tally::default();
+    for report in [&late, &early, &late] {
+        tally.merge(report);
+    }
+    let sum = tally.sum(0, after(1));
+    assert_eq!(sum.in_step.cell(Side::New, 1).total, 2);
+}
+
+fn records(actions: &[Action]) -> Vec<(End, Option<Reason>)> {
+    let record = |action: &Action| match action {
+        Action::Record(outcome) => Some((outcome.end, outcome.reason)),
+        Action::Tell => None,
+    };
+    actions.iter().filter_map(record).collect()
+}
+
+fn tick_until_recorded(entry: &mut Rollout, from: Time) -> (End, Option<Reason>) {
+    for ms in (0..20_000).step_by(500) {
+        let now = from + std::time::Duration::from_millis(ms);
+        if let [found] = records(&entry.tick(now))[..] {
+            return found;
+        }
+    }
+    panic!("no outcome is proposed within 20 s");
+}
+
+#[test]
+fn deadline_missed_is_reversed() {
+    let plan = plan(&[(50, 0), (1_000, 60)], 120);
+    let mut entry = rollout(&plan, "entry-1", 1);
+    entry.inform();
+    assert_eq!((entry.share(after(119)), entry.share(after(120))), (50, 0));
+    assert!(
+        records(&entry.tick(after(121))).is_empty(),
+        "a proof may still arrive"
+    );
+    let found = tick_until_recorded(&mut entry, after(125));
+    assert_eq!(found, (End::Reversed, Some(Reason::DeadlineMissed)));
+}
+
+/// A proof made before the deadline reaches an entry after it, with the store down throughout.
+#[test]
+fn proof_arrives_after_deadline() {
+    let plan = plan(&[(50, 0), (1_000, 60)], 120);
+    let mut entry = rollout(&plan, "entry-1", 1);
+    entry.inform();
+    let mut other = rollout(&plan, "entry-2", 1);
+    other.inform();
+    let mut message = other.message();
+    message.progress.proven = 2;
+    assert_eq!(entry.share(after(122)), 0);
+    entry.receive(&message);
+    assert_eq!(entry.share(after(122)), 1_000);
+    assert_eq!(
+        tick_until_recorded(&mut entry, after(122)),
+        (End::Done, None)
+    );
+}
+
+#[test]
+fn decided_elsewhere_ends_the_plan() {
+    let plan = plan(&[(50, 0), (1_000, 60)], 120);
+    let mut entry = rollout(&plan, "entry-1", 1);
+    entry.inform();
+    entry.decide(&Outcome {
+        end: End::Reversed,
+        reason: Some(Reason::DeadlineMissed),
+        at: after(126),
+        author: "entry-2".into(),
+    });
+    assert_eq!(entry.share(after(61)), 0);
+    assert!(entry.tick(after(200)).is_empty());
+}
