--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -192,11 +192,7 @@
     /// # Errors
     ///
     /// Fails where the frames at `index` are dropped or do not exist yet.
-    pub fn read(
-        &self,
-        index: u64,
-        limit: usize,
-    ) -> Result<impl Iterator<Item = &Arc<str>>, Error> {
+    pub fn read(&self, index: u64, limit: usize) -> Result<impl Iterator<Item = &Arc<str>>, Error> {
         if index < self.first {
             return Err(Error::Dropped { first: self.first });
         }
