Measure admission against simple baselines in virtual time

Cause: no figure showed whether projected memory beats a limit by count. Found by a test: the prior let half of all generations end at two tokens, so an engine with no data was given as if outputs were short; it now expects 64 tokens of each.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -1,3 +1,22 @@
-//! Placeholder until the first measurement lands.
+//! Compares policies of admission at one endpoint, in virtual time.
 
-fn main() {}
+#[path = "policy/endpoint.rs"]
+mod endpoint;
+#[path = "policy/gate.rs"]
+mod gate;
+#[path = "policy/measure.rs"]
+mod measure;
+#[path = "policy/single.rs"]
+mod single;
+#[path = "policy/verdict.rs"]
+mod verdict;
+#[path = "policy/workload.rs"]
+mod workload;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let mut verdict = verdict::Verdict::load();
+    single::run(&mut verdict);
+    verdict.finish()
+}
--- /dev/null
+++ b/benches/policy/single.rs
@@ -0,0 +1,335 @@
+//! One endpoint: admission, cold start, overload.
+
+use std::{sync::Mutex, time::Duration};
+
+use cactusroad_core::{Time, admission, config::Objective};
+use cactusroad_standin::model;
+
+use super::{
+    endpoint::{self, Endpoint},
+    gate::{Baseline, Chosen, Rule},
+    measure::{BETWEEN_TOKENS, FIRST_TOKEN, Figures, Measure},
+    verdict::Verdict,
+    workload::{self, Arrival, Shape},
+};
+
+/// The length of a run.
+const DURATION: Duration = Duration::from_secs(700);
+/// What is left out at the start of a run.
+const WARM_UP: Duration = Duration::from_secs(160);
+/// The seeds of each workload; the figures are those of all runs together.
+const SEEDS: [u64; 3] = [11, 22, 33];
+/// The share of the sustained capacity at which the targets hold.
+const LOAD: f64 = 0.85;
+/// Runs at a time.
+const THREADS: usize = 4;
+/// The concurrency limits among which the best is taken.
+const COUNTS: [u32; 6] = [32, 40, 48, 56, 64, 80];
+/// Baselines within this share of the chosen policy's goodput are compared with it.
+const EQUAL_GOODPUT: f64 = 0.97;
+/// The share of the best baseline's preemptions and stalls that is allowed.
+const ALLOWED_SHARE: f64 = 0.1;
+/// The share of the oracle's goodput that is asked for.
+const ORACLE_SHARE: f64 = 0.95;
+/// The share of the peak goodput that is kept at twice the load.
+const OVERLOAD_SHARE: f64 = 0.9;
+
+/// A policy to run.
+#[derive(Clone, Copy, Debug)]
+enum Policy {
+    Chosen(Objective),
+    Baseline(Rule),
+}
+
+/// A workload on a kind of engine.
+#[derive(Clone, Debug)]
+struct Case {
+    name: &'static str,
+    shape: Shape,
+    load: f64,
+    engine: model::Config,
+    cold_at: Option<Time>,
+}
+
+/// One run and its figures.
+struct Outcome {
+    name: String,
+    policy: Policy,
+    figures: Figures,
+}
+
+/// Runs all cases, prints the figures and checks the targets.
+pub(crate) fn run(verdict: &mut Verdict) {
+    let capacity = capacity();
+    println!("sustained capacity: {capacity:.2} requests a second");
+    let mut peak: f64 = 0.0;
+    for case in cases() {
+        let outcomes = run_case(&case, capacity);
+        print(&case, &outcomes);
+        let goodput = check(&case, &outcomes, verdict);
+        if case.name == "overload" {
+            verdict.at_least(case.name, "peak_goodput", goodput / peak, OVERLOAD_SHARE);
+        }
+        if case.name == "steady" || case.name == "full" {
+            peak = peak.max(goodput);
+        }
+    }
+}
+
+fn cases() -> Vec<Case> {
+    let engine = model::Config::default();
+    let case = |name, shape| Case {
+        name,
+        shape,
+        load: LOAD,
+        engine: engine.clone(),
+        cold_at: None,
+    };
+    let lagging = model::Config {
+        report_lag_min: Duration::from_millis(100),
+        report_lag_max: Duration::from_secs(5),
+        ..engine.clone()
+    };
+    let cold = model::Config {
+        cold: Some(model::Cold::default()),
+        ..engine.clone()
+    };
+    vec![
+        case("steady", Shape::Plain),
+        case("bursts", Shape::Bursts),
+        case("prefixes", Shape::Prefixes),
+        case("shift", Shape::Shift),
+        Case {
+            engine: lagging,
+            ..case("lag", Shape::Plain)
+        },
+        Case {
+            engine: cold,
+            cold_at: Some(Time::ZERO + (WARM_UP + DURATION) / 2),
+            ..case("cold", Shape::Plain)
+        },
+        Case {
+            load: 1.0,
+            ..case("full", Shape::Plain)
+        },
+        Case {
+            load: 2.0,
+            ..case("overload", Shape::Plain)
+        },
+    ]
+}
+
+/// Returns the requests a second that the engine sustains, as the oracle finds
+/// it when it is offered far more.
+fn capacity() -> f64 {
+    let case = Case {
+        load: 1.0,
+        ..cases().swap_remove(0)
+    };
+    let runs = draw(&case, 16.0);
+    let figures = simulate(&case, Policy::Baseline(Rule::Oracle), &runs);
+    figures.goodput / mean_output(&runs)
+}
+
+/// Draws the requests of a case, for each seed.
+fn draw(case: &Case, capacity: f64) -> Vec<Vec<Arrival>> {
+    SEEDS
+        .iter()
+        .map(|&seed| {
+            workload::draw(&workload::Config {
+                shape: case.shape,
+                rate: case.load * capacity,
+                duration: DURATION,
+                seed,
+            })
+        })
+        .collect()
+}
+
+fn mean_output(runs: &[Vec<Arrival>]) -> f64 {
+    let sum: f64 = runs.iter().map(|run| workload::mean_output(run)).sum();
+    sum / runs.len() as f64
+}
+
+fn run_case(case: &Case, capacity: f64) -> Vec<Outcome> {
+    let runs = draw(case, capacity);
+    let mean = mean_output(&runs) as u32;
+    let jobs = Mutex::new(policies(mean).into_iter().enumerate());
+    let outcomes = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let job = jobs.lock().expect("no run panicked").next();
+                    let Some((at, (name, policy))) = job else {
+                        return;
+                    };
+                    let figures = simulate(case, policy, &runs);
+                    let outcome = Outcome {
+                        name,
+                        policy,
+                        figures,
+                    };
+                    let mut outcomes = outcomes.lock().expect("no run panicked");
+                    outcomes.push((at, outcome));
+                }
+            });
+        }
+    });
+    let mut outcomes = outcomes.into_inner().expect("no run panicked");
+    outcomes.sort_by_key(|(at, _)| *at);
+    outcomes.into_iter().map(|(_, outcome)| outcome).collect()
+}
+
+fn policies(mean: u32) -> Vec<(String, Policy)> {
+    let mut policies = vec![
+        ("none".to_owned(), Policy::Baseline(Rule::None)),
+        ("longest".to_owned(), Policy::Baseline(Rule::Longest)),
+        ("mean".to_owned(), Policy::Baseline(Rule::Mean(mean))),
+    ];
+    for count in COUNTS {
+        policies.push((
+            format!("count {count}"),
+            Policy::Baseline(Rule::Count(count)),
+        ));
+    }
+    policies.push(("oracle".to_owned(), Policy::Baseline(Rule::Oracle)));
+    policies.push(("streaming".to_owned(), Policy::Chosen(Objective::Streaming)));
+    policies.push(("moves".to_owned(), Policy::Chosen(Objective::Moves)));
+    policies
+}
+
+fn simulate(case: &Case, policy: Policy, runs: &[Vec<Arrival>]) -> Figures {
+    let mut total = measure();
+    for arrivals in runs {
+        total.merge(simulate_run(case, policy, arrivals));
+    }
+    total.figures()
+}
+
+fn measure() -> Measure {
+    Measure::new(Time::ZERO + WARM_UP, Time::ZERO + DURATION)
+}
+
+fn simulate_run(case: &Case, policy: Policy, arrivals: &[Arrival]) -> Measure {
+    let engine = case.engine.clone();
+    match policy {
+        Policy::Chosen(objective) => {
+            let gate = Chosen::new(admission::Config::new(objective));
+            endpoint::run(
+                Endpoint::new(engine, gate),
+                arrivals,
+                case.cold_at,
+                measure(),
+            )
+        }
+        Policy::Baseline(rule) => {
+            let gate = Baseline::new(rule);
+            endpoint::run(
+                Endpoint::new(engine, gate),
+                arrivals,
+                case.cold_at,
+                measure(),
+            )
+        }
+    }
+}
+
+fn print(case: &Case, outcomes: &[Outcome]) {
+    println!("\n{} (load {:.2})", case.name, case.load);
+    println!(
+        "{:<10} {:>8} {:>8} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6} {:>8} {:>7} {:>6} {:>5} {:>5}",
+        "policy",
+        "preempt",
+        "stall",
+        "ttft50",
+        "ttft95",
+        "ttft99",
+        "tbt50",
+        "tbt95",
+        "tbt99",
+        "goodput",
+        "refused",
+        "jain",
+        ">lim",
+        ">bear"
+    );
+    for outcome in outcomes {
+        let figures = &outcome.figures;
+        println!(
+            "{:<10} {:>8.2} {:>8.3} {:>7.0} {:>7.0} {:>7.0} {:>6.1} {:>6.1} {:>6.1} {:>8.1} {:>7.4} {:>6.4} {:>5} {:>5}",
+            outcome.name,
+            figures.preemptions_per_1000,
+            figures.stall_s_per_1000_tokens,
+            figures.first_ms[0],
+            figures.first_ms[1],
+            figures.first_ms[2],
+            figures.between_ms[0],
+            figures.between_ms[1],
+            figures.between_ms[2],
+            figures.goodput,
+            figures.refused,
+            figures.jain,
+            figures.over_limit,
+            figures.over_bearing
+        );
+    }
+}
+
+/// Checks the targets of a case and returns the goodput of the chosen policy.
+fn check(case: &Case, outcomes: &[Outcome], verdict: &mut Verdict) -> f64 {
+    let find = |name: &str| outcomes.iter().find(|outcome| outcome.name == name);
+    let (Some(chosen), Some(oracle)) = (find("streaming"), find("oracle")) else {
+        unreachable!("both are always run");
+    };
+    let (chosen, oracle) = (&chosen.figures, &oracle.figures);
+    if case.load <= LOAD && case.cold_at.is_none() {
+        let first = FIRST_TOKEN.as_millis() as f64;
+        let between = BETWEEN_TOKENS.as_millis() as f64;
+        verdict.at_most(case.name, "first_token_ms", chosen.first_ms[1], first);
+        verdict.at_most(
+            case.name,
+            "between_tokens_ms",
+            chosen.between_ms[1],
+            between,
+        );
+    }
+    let share = chosen.goodput / oracle.goodput;
+    verdict.at_least(case.name, "oracle_goodput", share, ORACLE_SHARE);
+    verdict.at_most(case.name, "over_limit", chosen.over_limit as f64, 0.0);
+    let preemptions = best(outcomes, |figures| figures.preemptions_per_1000);
+    verdict.at_most(
+        case.name,
+        "preemptions",
+        chosen.preemptions_per_1000,
+        preemptions * ALLOWED_SHARE,
+    );
+    let stalls = best(outcomes, |figures| figures.stall_s_per_1000_tokens);
+    verdict.at_most(
+        case.name,
+        "stalls",
+        chosen.stall_s_per_1000_tokens,
+        stalls * ALLOWED_SHARE,
+    );
+    chosen.goodput
+}
+
+/// Returns the least of a figure over the baselines with a goodput equal to the
+/// chosen policy's, or that of the baseline with the most goodput.
+fn best(outcomes: &[Outcome], figure: impl Fn(&Figures) -> f64) -> f64 {
+    let chosen = outcomes.iter().find(|outcome| outcome.name == "streaming");
+    let goodput = chosen.map_or(0.0, |outcome| outcome.figures.goodput);
+    let baselines = || {
+        outcomes.iter().filter(|outcome| {
+            matches!(outcome.policy, Policy::Baseline(rule) if !matches!(rule, Rule::Oracle))
+        })
+    };
+    let most = baselines()
+        .map(|outcome| outcome.figures.goodput)
+        .fold(0.0, f64::max);
+    let bound = (goodput * EQUAL_GOODPUT).min(most);
+    baselines()
+        .filter(|outcome| outcome.figures.goodput >= bound)
+        .map(|outcome| figure(&outcome.figures))
+        .fold(f64::INFINITY, f64::min)
+}
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -33,8 +33,9 @@
 //! given is known exactly, so a report is only used for what the agent cannot
 //! know: the capacity, the incarnation, memory that someone else uses and the
 //! count of preemptions. After a preemption the usable capacity shrinks by
-//! [`Config::backoff`] and comes back with ended generations, and while a
-//! generation is starved nothing new is given.
+//! [`Config::backoff`] and comes back with ended generations. What a preempted
+//! generation held stays in the projection, so nothing new takes the room that it
+//! needs to go on.
 //!
 //! # Cold start
 //!
@@ -111,24 +112,21 @@
     /// default.
     pub capacity_tokens: u64,
     /// The probability that the running generations alone overrun the memory at
-    /// a horizon, from 0.0001 to 0.5; 0.01 by default.
+    /// a horizon, from 0.0001 to 0.5; 0.001 by default.
     pub overrun: f64,
     /// The farthest horizon that is looked at, in tokens; 1,024 by default.
     pub horizon_tokens: u32,
-    /// The share of time that prefills may take while others decode; 0.35 by
+    /// The share of time that prefills may take while others decode; 0.6 by
     /// default.
     pub prefill_share: f64,
     /// The most prompt tokens that are given to the engine before it has
-    /// answered them; a larger prompt goes alone; 768 by default.
+    /// answered them; a larger prompt goes alone; 512 by default.
     pub prefill_tokens_max: u32,
     /// The prompt tokens that an engine computes in a second, until it is
     /// learned; 10,000 by default.
     pub prefill_speed: f64,
     /// The share of the capacity that stays after a preemption; 0.97 by default.
     pub backoff: f64,
-    /// How long a generation may go without a token, while others get theirs,
-    /// before nothing new is given, in milliseconds; 1,000 by default.
-    pub starved_ms: u64,
     /// The routes and versions whose lengths are learned; 64 by default.
     pub curves: usize,
     /// The limit of a cold endpoint.
@@ -139,13 +137,12 @@
     fn default() -> Config {
         Config {
             capacity_tokens: 16_384,
-            overrun: 0.01,
+            overrun: 0.001,
             horizon_tokens: 1_024,
-            prefill_share: 0.35,
-            prefill_tokens_max: 768,
+            prefill_share: 0.6,
+            prefill_tokens_max: 512,
             prefill_speed: 10_000.0,
             backoff: 0.97,
-            starved_ms: 1_000,
             curves: 64,
             ramp: ramp::Config::default(),
         }
@@ -166,9 +163,9 @@
                 ..Config::default()
             },
             Objective::Moves => Config {
-                overrun: 0.05,
-                prefill_share: 0.5,
-                prefill_tokens_max: 2_048,
+                overrun: 0.01,
+                prefill_share: 0.8,
+                prefill_tokens_max: 1_024,
                 ramp,
                 ..Config::default()
             },
@@ -244,7 +241,6 @@
 /// The decision on what one endpoint is given; see the [module](self).
 #[derive(Clone, Debug)]
 pub struct Admission {
-    config: Config,
     deviations: f64,
     table: Table,
     projection: Projection,
@@ -276,13 +272,12 @@
                 config.prefill_tokens_max,
             ),
             capacity: Capacity::new(config.capacity_tokens, config.backoff),
-            ramp: Ramp::new(config.ramp.clone()),
+            ramp: Ramp::new(config.ramp),
             curves: Book::new(survival::Config::default(), config.curves),
             prior: Curve::new(survival::Config::default()),
             gap_micros: 30_000.0,
             ending_micros: 200_000.0,
             last_ending: Time::ZERO,
-            config,
         }
     }
 
@@ -463,9 +458,6 @@
         }
         if !idle {
             room = room.max(self.pace.room_at(now, request, self.table.is_decoding()));
-            if self.is_starved(now) {
-                room = room.max(self.after_endings(now, 1));
-            }
             room = room.max(self.memory_at(now, request));
         }
         if ahead > 0 {
@@ -484,23 +476,18 @@
     }
 
     /// The time from which the projected memory has room for the request.
+    ///
+    /// Each ended generation is taken to free its part of the peak.
     fn memory_at(&self, now: Time, request: &Request) -> Time {
         let share = self.share(request);
         let usable = self.usable() as f64 - self.prefixes.with(request.prefix) as f64;
-        match self.projection.room(&share, usable, self.deviations) {
-            None => now,
-            Some(tokens) => {
-                let micros = f64::from(tokens) * self.gap_micros;
-                now + Duration::from_micros(micros as u64)
-            }
+        let shortfall = self.projection.shortfall(&share, usable, self.deviations);
+        if shortfall <= 0.0 {
+            return now;
         }
-    }
-
-    /// Tells whether a generation gets no tokens while others do, as happens to
-    /// one that the engine has preempted.
-    fn is_starved(&self, now: Time) -> bool {
-        let bound = Duration::from_millis(self.config.starved_ms);
-        self.table.longest_gap(now) > bound
+        let part = self.projection.peak(self.deviations) / self.table.len().max(1) as f64;
+        let endings = (shortfall / part.max(1.0)).ceil();
+        self.after_endings(now, endings as u32)
     }
 
     /// The memory that the prompt takes besides its shared beginning.
--- a/crates/core/src/admission/projection.rs
+++ b/crates/core/src/admission/projection.rs
@@ -105,22 +105,17 @@
     /// Returns the most memory at any horizon, with a number of standard
     /// deviations.
     pub(super) fn peak(&self, deviations: f64) -> f64 {
-        (0..self.depth)
-            .map(|at| self.at(at, &Share::default(), deviations))
-            .fold(self.held as f64, f64::max)
+        self.shortfall(&Share::default(), 0.0, deviations)
     }
 
-    /// Returns how far ahead the usable memory has room for a further share, in
-    /// tokens, or `None` where it has now.
-    pub(super) fn room(&self, share: &Share, usable: f64, deviations: f64) -> Option<u32> {
-        let last = (0..self.depth)
-            .rev()
-            .find(|&at| self.at(at, share, deviations) > usable);
-        match last {
-            Some(at) => Some(HORIZONS[at]),
-            None if (self.held + u64::from(share.held)) as f64 > usable => Some(HORIZONS[0]),
-            None => None,
-        }
+    /// Returns the memory by which the most crowded horizon exceeds the usable
+    /// memory with a further share, in tokens; zero or less where there is room.
+    pub(super) fn shortfall(&self, share: &Share, usable: f64, deviations: f64) -> f64 {
+        let now = (self.held + u64::from(share.held)) as f64;
+        let peak = (0..self.depth)
+            .map(|at| self.at(at, share, deviations))
+            .fold(now, f64::max);
+        peak - usable
     }
 
     fn at(&self, at: usize, share: &Share, deviations: f64) -> f64 {
--- a/crates/core/src/admission/running.rs
+++ b/crates/core/src/admission/running.rs
@@ -1,4 +1,4 @@
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use crate::{Time, id::Attempt};
 
@@ -70,16 +70,6 @@
         Some(self.rows.remove(at))
     }
 
-    /// Returns the longest time for which a decoding generation has gone without
-    /// a token, counted from the latest token of any, so that a pause of the
-    /// whole engine starves nobody.
-    pub(super) fn longest_gap(&self, now: Time) -> Duration {
-        let decoding = || self.rows.iter().filter(|row| row.emitted > 0);
-        let latest = decoding().map(|row| row.last_token).max();
-        let oldest = decoding().map(|row| row.last_token).min();
-        latest.unwrap_or(now).since(oldest.unwrap_or(now))
-    }
-
     fn find(&self, attempt: Attempt) -> Result<usize, usize> {
         self.rows.binary_search_by_key(&attempt, |row| row.attempt)
     }
--- a/crates/core/src/ramp.rs
+++ b/crates/core/src/ramp.rs
@@ -19,10 +19,10 @@
 //!   as long as steps with as many generations did before, or
 //! * it gives no token for [`Config::silence_ms`] although it holds generations.
 //!
-//! Step times are compared by the number of generations, in bins by powers of
-//! two, because a larger batch has longer steps. A quarter of the steps may be
-//! fast, so that prefills, which make single steps longer, are not taken for a
-//! cold endpoint. Generations beyond the fallen limit go on; nothing new is given
+//! The duration of a step is the time between two moments at which tokens come,
+//! and steps that give a first token are left out, so that a prefill is not taken
+//! for a cold endpoint. Steps are compared by the number of generations, in bins
+//! by powers of two, because a larger batch has longer ones. Generations beyond the fallen limit go on; nothing new is given
 //! until they are fewer than it.
 //!
 //! # Growing
@@ -58,7 +58,7 @@
 /// Steps that a verdict on the pace looks back on.
 const WINDOW: usize = 16;
 /// Tokens that appear within this time belong to one step.
-const STEP_SPACING: Duration = Duration::from_millis(2);
+const STEP_SPACING: Duration = Duration::from_millis(4);
 /// Bins of the reference, by powers of two of the generations held.
 const BINS: usize = 12;
 /// How much of a shorter step enters the reference, as a divisor.
@@ -187,11 +187,13 @@
             self.fall();
         }
         self.owed_since = Some(now);
-        if let Some(gap) = gap
-            && now.since(self.last_step) > STEP_SPACING
-        {
+        let step = now.since(self.last_step);
+        if step > STEP_SPACING {
             self.last_step = now;
-            self.step(gap, running);
+            if let Some(gap) = gap {
+                // A prefill in between has given a first token, so it is left out.
+                self.step(step.min(gap), running);
+            }
         }
         let healthy = gap.is_some_and(|gap| gap <= self.healthy_gap());
         if healthy && running.saturating_mul(4) >= self.limit {
@@ -244,8 +246,8 @@
         self.ratios.clear();
     }
 
-    fn step(&mut self, gap: Duration, running: u32) {
-        let micros = gap.as_micros() as f64;
+    fn step(&mut self, step: Duration, running: u32) {
+        let micros = step.as_micros() as f64;
         let bin = (running.max(1).ilog2() as usize).min(BINS - 1);
         let expected = self.expected(bin);
         let healthy = self.healthy_gap().as_micros() as f64;
--- a/crates/core/src/survival.rs
+++ b/crates/core/src/survival.rs
@@ -17,8 +17,9 @@
 //!
 //! # Prior
 //!
-//! With no data the hazard is that of a Pareto distribution, under which half of
-//! the generations that reach a length reach twice that length. The prior has
+//! With no data the hazard is that of a Pareto distribution, under which all
+//! generations reach [`Config::prior_minimum`] tokens, and half of those that
+//! reach a length beyond it reach twice that length. The prior has
 //! the weight of a few generations per bin, so that a bin with few of them keeps
 //! a heavy tail.
 //!
@@ -61,8 +62,10 @@
 pub struct Config {
     /// The generations that the prior stands for in each bin.
     pub prior_weight: f64,
-    /// The share of generations that reach twice a length they have reached,
-    /// with no data.
+    /// The length that all generations reach, with no data, in tokens.
+    pub prior_minimum: u32,
+    /// The share of generations that reach twice a longer length they have
+    /// reached, with no data.
     pub prior_doubling: f64,
     /// The generations after which the counts of a bin are halved.
     pub memory: f64,
@@ -74,6 +77,7 @@
     fn default() -> Config {
         Config {
             prior_weight: 4.0,
+            prior_minimum: 64,
             prior_doubling: 0.5,
             memory: 4_096.0,
             refresh: 16,
@@ -188,7 +192,9 @@
         let weight = self.config.prior_weight;
         let prior = -self.config.prior_doubling.ln() / f64::from(BINS_PER_OCTAVE);
         let prior_ends = weight * (1.0 - (-prior).exp());
+        let minimum = bin_of(self.config.prior_minimum);
         for (at, bin) in self.bins.iter().enumerate() {
+            let prior_ends = if at < minimum { 0.0 } else { prior_ends };
             let share = (bin.ends + prior_ends) / (bin.exposure + weight);
             let hazard = -(1.0 - share.min(0.999)).ln();
             self.hazards[at + 1] = self.hazards[at] + hazard;
--- a/crates/core/tests/survival.rs
+++ b/crates/core/tests/survival.rs
@@ -54,6 +54,8 @@
 #[test]
 fn survive_no_data_is_heavy_tailed() {
     let curve = Curve::new(Config::default());
+    assert_eq!(curve.survive(0, 60), 1.0);
+    assert!((curve.survive(0, 128) - 0.5).abs() < 0.02);
     assert!((curve.survive(1_000, 1_000) - 0.5).abs() < 0.02);
     assert!(curve.survive(10_000, 1_000) > curve.survive(100, 1_000));
 }
--- a/crates/standin/src/model/config.rs
+++ b/crates/standin/src/model/config.rs
@@ -70,11 +70,11 @@
     fn default() -> Config {
         Config {
             block_tokens: 16,
-            blocks: 10_000,
+            blocks: 7_000,
             batch_max: 256,
             prefill_tokens_max: 8_192,
-            step_micros: 10_000.0,
-            sequence_micros: 80.0,
+            step_micros: 12_000.0,
+            sequence_micros: 100.0,
             context_micros: 0.08,
             prefill_micros: 40.0,
             cold: None,
--- a/crates/standin/src/model/engine.rs
+++ b/crates/standin/src/model/engine.rs
@@ -250,6 +250,12 @@
         self.publisher.events(now, after)
     }
 
+    /// Returns how many leading tokens the prefix cache holds of a prompt with
+    /// these block hashes.
+    pub fn cached_tokens(&self, prefixes: &[u64]) -> u32 {
+        self.memory.held(prefixes) * self.config.block_tokens
+    }
+
     /// Returns the generations that the engine bears at present.
     pub fn bears(&self) -> u32 {
         let Some(cold) = &self.config.cold else {
