--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -143,16 +143,14 @@
 fn offer_stated_wait_follows_the_rate_of_endings() {
     let mut admission = admission();
     let mut now = Time::from_millis(10);
-    let mut next = fill(&mut admission, now, 0, 100);
-    let mut oldest = 0;
+    let count = fill(&mut admission, now, 0, 100);
     // One ends each 50 ms, and its place is taken.
-    for _ in 0..200 {
+    for oldest in 0..200 {
         now = now + Duration::from_millis(50);
         admission.finished(now, Attempt(oldest), Ending::Broken);
-        oldest += 1;
-        admission.started(now, &request(next, 100));
-        next += 1;
+        admission.started(now, &request(count + oldest, 100));
     }
+    let next = count + 200;
     let wait = |ahead| match admission.offer(now, &request(next, 100), ahead) {
         Decision::Wait { until } => until.since(now),
         decision => panic!("{decision:?}"),
