Let the core's admission bound what the agent gives its endpoint

Cause: the agent's gate counted requests, so a cold or full engine was given as much as a warm and empty one. Change: agent/gate keeps admission and the fair queue under one lock, reports tokens, endings and load, and states honest times; the time to wait comes from how long generations stay (Little's law), not from the time between endings, which grew while the endpoint idled; nothing is refused on a guess before the first ending. Found by tests: a stay of no time made every wait no wait, so a full endpoint admitted without end; a wait is now never shorter than 5 ms.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -233,8 +233,8 @@
 
 /// The shortest wait that is stated.
 const MIN_WAIT: Duration = Duration::from_millis(5);
-/// How much of a new time between endings enters the average, as a divisor.
-const ENDING_DIVISOR: f64 = 16.0;
+/// How much of a new time at the engine enters the average, as a divisor.
+const STAY_DIVISOR: f64 = 32.0;
 /// How much of a new time between tokens enters the average, as a divisor.
 const GAP_DIVISOR: f64 = 256.0;
 
@@ -253,9 +253,9 @@
     prior: Curve,
     /// The average time between two tokens of a generation, in microseconds.
     gap_micros: f64,
-    /// The average time between two endings, in microseconds.
-    ending_micros: f64,
-    last_ending: Time,
+    /// The average time that a generation stays at the engine, in microseconds, or
+    /// `None` before the first one has ended.
+    stay_micros: Option<f64>,
 }
 
 impl Admission {
@@ -276,8 +276,7 @@
             curves: Book::new(survival::Config::default(), config.curves),
             prior: Curve::new(survival::Config::default()),
             gap_micros: 30_000.0,
-            ending_micros: 200_000.0,
-            last_ending: Time::ZERO,
+            stay_micros: None,
         }
     }
 
@@ -316,6 +315,7 @@
             max_tokens: request.max_tokens,
             emitted: 0,
             observed: 0,
+            started_at: now,
             last_token: now,
             share,
         };
@@ -389,11 +389,9 @@
             self.capacity.recover();
         }
         self.ramp.finished(now, self.table.len() as u32);
-        let since = now.since(self.last_ending).as_micros() as f64;
-        if self.last_ending > Time::ZERO {
-            self.ending_micros += (since - self.ending_micros) / ENDING_DIVISOR;
-        }
-        self.last_ending = now;
+        let stay = now.since(running.started_at).as_micros() as f64;
+        let average = self.stay_micros.get_or_insert(stay);
+        *average += (stay - *average) / STAY_DIVISOR;
     }
 
     /// Takes in a load report.
@@ -470,9 +468,17 @@
         }
     }
 
-    /// The time at which `count` generations are expected to have ended.
+    /// The time at which `count` generations are expected to have ended, by
+    /// Little's law; very soon where none has ended yet, because nothing is
+    /// refused on a guess.
     fn after_endings(&self, now: Time, count: u32) -> Time {
-        now + Duration::from_micros((self.ending_micros * f64::from(count)) as u64)
+        let Some(stay) = self.stay_micros else {
+            return now + MIN_WAIT;
+        };
+        let interval = stay / self.table.len().max(1) as f64;
+        let wait = Duration::from_micros((interval * f64::from(count)) as u64);
+        // Never now: a wait of no time would be taken for room.
+        now + wait.max(MIN_WAIT)
     }
 
     /// The time from which the projected memory has room for the request.
--- a/crates/core/src/admission/running.rs
+++ b/crates/core/src/admission/running.rs
@@ -26,6 +26,7 @@
     pub(super) emitted: u32,
     /// The tokens that the survival curve knows of.
     pub(super) observed: u32,
+    pub(super) started_at: Time,
     /// When the last token came, or the start before the first one.
     pub(super) last_token: Time,
     pub(super) share: Share,
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -62,6 +62,10 @@
         }
         admission.started(now, &request);
         count += 1;
+        assert!(
+            u64::try_from(count).unwrap() <= CAPACITY,
+            "it is never full"
+        );
     }
 }
 
@@ -116,7 +120,10 @@
 #[test]
 fn offer_full_waits_then_refuses_by_its_deadline() {
     let mut admission = admission();
-    let now = Time::from_millis(10);
+    // With no ending at all there is no time to state.
+    admission.started(Time::from_millis(10), &request(1_000_000, 100));
+    let now = Time::from_millis(510);
+    admission.finished(now, Attempt(1_000_000), Ending::Broken);
     let count = fill(&mut admission, now, 0, 100);
     let mut request = request(count, 100);
     let Decision::Wait { until } = admission.offer(now, &request, 0) else {
@@ -145,12 +152,12 @@
     let mut now = Time::from_millis(10);
     let count = fill(&mut admission, now, 0, 100);
     // One ends each 50 ms, and its place is taken.
-    for oldest in 0..200 {
+    for oldest in 0..600 {
         now = now + Duration::from_millis(50);
         admission.finished(now, Attempt(oldest), Ending::Broken);
         admission.started(now, &request(count + oldest, 100));
     }
-    let next = count + 200;
+    let next = count + 600;
     let wait = |ahead| match admission.offer(now, &request(next, 100), ahead) {
         Decision::Wait { until } => until.since(now),
         decision => panic!("{decision:?}"),
@@ -163,6 +170,31 @@
     );
 }
 
+#[test]
+fn offer_full_waits_though_generations_end_at_once() {
+    let mut admission = admission();
+    let now = Time::from_millis(10);
+    teach(&mut admission, 1);
+    let count = fill(&mut admission, now, 0, 100);
+    assert!(matches!(
+        admission.offer(now, &request(count, 100), 0),
+        Decision::Wait { until } if until > now
+    ));
+}
+
+#[test]
+fn offer_idle_time_does_not_lengthen_the_stated_wait() {
+    let mut admission = admission();
+    admission.started(Time::from_millis(10), &request(0, 100));
+    admission.finished(Time::from_millis(500), Attempt(0), Ending::Broken);
+    let now = Time::from_millis(3_600_000);
+    let count = fill(&mut admission, now, 1, 100);
+    let Decision::Wait { until } = admission.offer(now, &request(count + 1, 100), 0) else {
+        panic!("it is full");
+    };
+    assert!(until.since(now) < Duration::from_secs(1));
+}
+
 #[test]
 fn offer_shared_prefix_is_counted_once() {
     let now = Time::from_millis(10);
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -26,6 +26,7 @@
 };
 
 use cactusroad_core::{
+    config::Objective,
     id::Incarnation,
     refusal::{Effect, Kind, Refusal},
 };
@@ -99,8 +100,8 @@
             backend,
             versions: endpoint.versions.clone(),
             gate: Gate::new(
-                endpoint.max_running,
-                endpoint.max_queued,
+                endpoint,
+                Objective::default(),
                 metrics.queue_seconds.clone(),
             ),
             table: Table::new(),
@@ -193,6 +194,9 @@
             return;
         };
         let load = engine.load().await.ok();
+        if let Some(load) = &load {
+            shared.gate.report(load);
+        }
         shared.load.send_replace(load);
     }
 }
@@ -205,15 +209,14 @@
             Backend::Model(_) => load.as_ref().map_or(&[][..], |load| &load.versions),
             Backend::Service(_) => &self.versions,
         };
-        let free = level.limit.saturating_sub(level.running);
         Status {
             process: self.name.to_string(),
             incarnation: self.incarnation.0,
             data_centre: self.data_centre.to_string(),
             leaving: self.leaving.load(Ordering::Relaxed),
-            cold: false,
+            cold: level.cold,
             versions: versions.iter().map(|version| version.to_string()).collect(),
-            headroom_millis: (free * 1_000 / level.limit.max(1)) as u32,
+            headroom_millis: (level.headroom.clamp(0.0, 1.0) * 1_000.0) as u32,
             running: level.running as u32,
             queued: level.queued as u32,
             limit: level.limit as u32,
--- a/crates/node/src/agent/run.rs
+++ b/crates/node/src/agent/run.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cactusroad_core::{
     Time,
+    id::Attempt,
     refusal::{Effect, Kind, Refusal},
 };
 use cactusroad_platform::{
@@ -34,7 +35,7 @@
     slot: Arc<Slot>,
     open: Open,
 ) {
-    let ticket = ticket(&open);
+    let ticket = ticket(slot.attempt, &open);
     let permit = match wait(&shared, &slot, &ticket).await {
         Ok(permit) => permit,
         Err(refusal) => return slot.finish(refused(refusal)),
@@ -80,16 +81,21 @@
     }
 }
 
-fn ticket(open: &Open) -> Ticket {
-    let prompt_bytes = match &open.work {
-        Some(open::Work::Generate(work)) => work.prompt.len() as u64,
-        _ => 0,
+fn ticket(attempt: Attempt, open: &Open) -> Ticket {
+    let (prompt_bytes, max_tokens) = match &open.work {
+        Some(open::Work::Generate(work)) => (work.prompt.len() as u64, work.max_tokens),
+        _ => (0, 0),
     };
+    let prompt_tokens = prompt_bytes.div_ceil(BYTES_PER_TOKEN);
     Ticket {
+        attempt,
+        route: open.route.as_str().into(),
+        version: open.version.as_str().into(),
         workspace: open.workspace.as_str().into(),
         weight: open.weight.max(1),
         priority: u8::try_from(open.priority).unwrap_or(u8::MAX),
-        prompt_tokens: prompt_bytes.div_ceil(BYTES_PER_TOKEN),
+        prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
+        max_tokens,
         deadline: Time::from_micros(open.deadline_micros),
     }
 }
@@ -209,10 +215,11 @@
                 reason,
             } => {
                 let is_whole = generation == self.slot.attempt && count == self.slot.next_index();
-                match is_whole {
-                    true => Some(Outcome::End { count, reason }),
-                    false => Some(self.died()),
+                if !is_whole {
+                    return Some(self.died());
                 }
+                self.permit.complete();
+                Some(Outcome::End { count, reason })
             }
         }
     }
