Take a new connection for each call that a caller waits for

Cause: order_idle_connections_silent, a new test, silences the connections between agent and service while they are idle. The adapter sent the next order on one of them; nothing came back until the service closed it after 30 s, and the caller was told `unknown` for an order that never ran. The same pool could lose an order to a service that closes an idle connection just as a request goes out.

Change: calls of services, generations, resumptions, cancellations and orders to engines have a connection each; polls and store calls share at most 8 idle ones. A resumption whose answer does not begin within 2 s counts as broken. The site's agents reach their endpoints through a TCP proxy, and new tests cut and silence that link, stall engines, restart an agent, take the platform down, send garbage to both ports and malformed requests to the entry, cross 64 answers, and stop agent and entry with an order in hand.

Two tests that killed a service to have it refuse were wrong behind a proxy that accepts; they now close the proxy, and still demand `not_run`.

Conclusion: dead idle connections beside the agent cost no caller its answer. The price is one connection on loopback per generation or call.

--- a/crates/platform/src/engine/http.rs
+++ b/crates/platform/src/engine/http.rs
@@ -30,19 +30,23 @@
 /// A client of an engine that speaks HTTP.
 #[derive(Clone, Debug)]
 pub struct Client {
-    transport: Transport,
+    /// For generations, each of which has a connection of its own.
+    streams: Transport,
+    /// For short calls that are repeated anyway.
+    polls: Transport,
 }
 
 impl Client {
     /// Returns a client of the engine at this address.
     pub fn new(address: &Address) -> Client {
         Client {
-            transport: Transport::new(address),
+            streams: Transport::unpooled(address),
+            polls: Transport::pooled(address),
         }
     }
 
     async fn open(&self, request: Request<Bytes>) -> Result<Tokens, Error> {
-        let answer = self.transport.send(request).await.map_err(error)?;
+        let answer = self.streams.send(request).await.map_err(error)?;
         check(answer.status())?;
         Ok(Tokens {
             events: answer.into_body().into_data_stream().eventsource(),
@@ -50,15 +54,14 @@
         })
     }
 
-    async fn call(&self, request: Request<Bytes>) -> Result<Answer, Error> {
-        let call = self
-            .transport
-            .call_within(request, MAX_ANSWER_BYTES, CALL_TIMEOUT);
+    async fn call(&self, transport: &Transport, request: Request<Bytes>) -> Result<Answer, Error> {
+        let call = transport.call_within(request, MAX_ANSWER_BYTES, CALL_TIMEOUT);
         call.await.map_err(error)
     }
 
     async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
-        let answer = self.call(self.transport.request(Method::GET, path)).await?;
+        let request = self.polls.request(Method::GET, path);
+        let answer = self.call(&self.polls, request).await?;
         check(answer.status())?;
         read_json(&answer).ok_or(Error::Malformed)
     }
@@ -110,20 +113,22 @@
     type Tokens = Tokens;
 
     async fn generate(&self, prompt: &Prompt) -> Result<Tokens, Error> {
-        let request = self.transport.json(Method::POST, "/v1/generate", prompt);
+        let request = self.streams.json(Method::POST, "/v1/generate", prompt);
         self.open(request).await
     }
 
     async fn resume(&self, generation: Attempt, index: u64) -> Result<Tokens, Error> {
         let path = format!("/v1/generations/{generation}?from={index}");
-        self.open(self.transport.request(Method::GET, &path)).await
+        let opening = self.open(self.streams.request(Method::GET, &path));
+        // The engine holds the generation already, so its answer begins at once.
+        let opened = tokio::time::timeout(CALL_TIMEOUT, opening).await;
+        opened.unwrap_or(Err(Error::Broken))
     }
 
     async fn cancel(&self, generation: Attempt) -> Result<(), Error> {
         let path = format!("/v1/generations/{generation}");
-        let answer = self
-            .call(self.transport.request(Method::DELETE, &path))
-            .await?;
+        let request = self.streams.request(Method::DELETE, &path);
+        let answer = self.call(&self.streams, request).await?;
         match answer.status() {
             StatusCode::NOT_FOUND => Ok(()),
             status => check(status),
@@ -139,8 +144,9 @@
     }
 
     async fn order(&self, order: &Order) -> Result<(), Error> {
-        let request = self.transport.json(Method::POST, "/v1/orders", order);
-        check(self.call(request).await?.status())
+        let request = self.streams.json(Method::POST, "/v1/orders", order);
+        let answer = self.call(&self.streams, request).await?;
+        check(answer.status())
     }
 }
 
--- a/crates/platform/src/roster/http.rs
+++ b/crates/platform/src/roster/http.rs
@@ -23,7 +23,7 @@
     /// Returns a client of the list at this address.
     pub fn new(address: &Address) -> Client {
         Client {
-            transport: Transport::new(address),
+            transport: Transport::pooled(address),
         }
     }
 }
--- a/crates/platform/src/service/http.rs
+++ b/crates/platform/src/service/http.rs
@@ -1,4 +1,7 @@
 //! A plain service over HTTP: the request goes on as it came.
+//!
+//! Each call has a connection of its own, so that no call is lost on one that
+//! died while it was idle.
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response, header};
@@ -34,7 +37,7 @@
     /// Returns a client of the service at this address.
     pub fn new(address: &Address) -> Client {
         Client {
-            transport: Transport::new(address),
+            transport: Transport::unpooled(address),
             max_answer_bytes: MAX_ANSWER_BYTES,
         }
     }
--- a/crates/platform/src/store/http.rs
+++ b/crates/platform/src/store/http.rs
@@ -29,7 +29,7 @@
     /// Returns a client of the store at this address.
     pub fn new(address: &Address) -> Client {
         Client {
-            transport: Transport::new(address),
+            transport: Transport::pooled(address),
             timeout: CALL_TIMEOUT,
         }
     }
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -5,6 +5,10 @@
 //! [`Failure::Unreachable`]; everything after that is [`Failure::Broken`]. The
 //! client repeats a request by itself only where a pooled connection turned out
 //! to be closed before the first byte was written, which keeps the promise.
+//!
+//! A connection that was idle may be dead without either end knowing, or may be
+//! closed just as a request is written to it. Where that would cost a caller its
+//! answer, the adapter takes a new connection for each call.
 
 use std::time::Duration;
 
@@ -22,6 +26,7 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_IDLE: usize = 8;
 
 /// Why no answer came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,13 +50,24 @@
 }
 
 impl Transport {
-    pub(crate) fn new(address: &Address) -> Transport {
+    /// Returns a client that keeps connections for later calls.
+    pub(crate) fn pooled(address: &Address) -> Transport {
+        Transport::new(address, MAX_IDLE)
+    }
+
+    /// Returns a client that makes a new connection for each call.
+    pub(crate) fn unpooled(address: &Address) -> Transport {
+        Transport::new(address, 0)
+    }
+
+    fn new(address: &Address, max_idle: usize) -> Transport {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(max_idle)
             .build(connector);
         Transport {
             address: address.clone(),
--- a/crates/standin/src/proxy/tcp.rs
+++ b/crates/standin/src/proxy/tcp.rs
@@ -16,7 +16,10 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
 };
-use tokio_util::sync::{CancellationToken, DropGuard};
+use tokio_util::{
+    sync::{CancellationToken, DropGuard},
+    task::TaskTracker,
+};
 
 use super::rule::{Direction, Rules, Weather};
 use crate::fault::lock;
@@ -39,6 +42,8 @@
     drop_answers: AtomicU32,
     links: Mutex<Vec<Arc<Link>>>,
     end: CancellationToken,
+    /// The task that holds the listener.
+    tasks: TaskTracker,
 }
 
 #[derive(Debug)]
@@ -81,6 +86,12 @@
         self.shared.refusing.store(true, Ordering::Relaxed);
     }
 
+    /// Closes the listener and all connections for good; later ones are refused.
+    pub async fn close(&self) {
+        self.shared.end.cancel();
+        self.shared.tasks.wait().await;
+    }
+
     /// Holds all data back until [`Handle::heal`], which lets it through.
     pub fn stall(&self) {
         self.shared.rules.set_stalled(true);
@@ -119,11 +130,12 @@
         drop_answers: AtomicU32::new(0),
         links: Mutex::default(),
         end: end.clone(),
+        tasks: TaskTracker::new(),
     });
-    tokio::spawn(
-        end.clone()
-            .run_until_cancelled_owned(accept(shared.clone(), listener)),
-    );
+    let accepting = accept(shared.clone(), listener);
+    let accepting = end.clone().run_until_cancelled_owned(accepting);
+    shared.tasks.spawn(accepting);
+    shared.tasks.close();
     Ok(Handle {
         shared,
         _end: Arc::new(end.drop_guard()),
--- /dev/null
+++ b/tests/integration/endpoint.rs
@@ -0,0 +1,151 @@
+//! Endpoints, and the links to them, that misbehave while their agent lives.
+
+use std::time::Duration;
+
+use cactusroad_standin::{engine, proxy::Direction};
+
+use crate::{
+    caller::{self, Ending, Received, fault},
+    site::{Config, Site},
+};
+
+/// Runs one stream, does something beside the agent on the way, and expects the whole answer.
+async fn crossed(fault: impl AsyncFnOnce(&Site, usize)) {
+    let site = Site::start(Config::default()).await;
+    let prompt = "beside the agent [len=400]";
+    let entry = site.entries[0].address;
+    let mut received = Received::default();
+    let mut stream = caller::start(&site.client, entry, prompt).await.unwrap();
+    received.read(&mut stream, 20).await;
+    let holder = site.holder(prompt).unwrap();
+    fault(&site, holder).await;
+    let ending = received.finish(&mut stream).await;
+    assert_eq!(ending, Ending::Done);
+    received.assert_whole(prompt);
+    let seen = site.generations(prompt);
+    assert_eq!(seen.len(), 1, "a single generation");
+    assert_eq!((seen[0].starts, seen[0].ended), (1, true));
+}
+
+#[tokio::test]
+async fn engine_connection_cut() {
+    crossed(async |site, holder| {
+        assert!(site.engines[holder].near.cut() > 0);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn engine_connection_silent() {
+    for direction in [Direction::FromTarget, Direction::Both] {
+        crossed(async |site, holder| {
+            assert!(site.engines[holder].near.silence(direction) > 0);
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn engine_stalls() {
+    crossed(async |site, holder| {
+        // Longer than an agent waits before it asks over a new connection.
+        site.engines[holder].endpoint.control(&engine::Command {
+            stall_ms: Some(4_000),
+            ..engine::Command::default()
+        });
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn engine_idle_connections_silent() {
+    let site = Site::start(Config::default()).await;
+    let entry = site.entries[0].address;
+    for agent in &site.engines {
+        agent.near.silence(Direction::Both);
+    }
+    for number in 0..8 {
+        let prompt = format!("after the silence {number} [len=5]");
+        let (received, ending) = caller::generate(&site.client, entry, &prompt)
+            .await
+            .unwrap();
+        assert_eq!(ending, Ending::Done);
+        received.assert_whole(&prompt);
+    }
+}
+
+#[tokio::test]
+async fn slow_caller_loses_nothing() {
+    let engine = engine::Config {
+        token_interval_ms: 0,
+        ..engine::Config::default()
+    };
+    let site = Site::start(Config {
+        engine,
+        ..Config::default()
+    })
+    .await;
+    let prompt = "read slowly [len=10000]";
+    let entry = site.entries[0].address;
+    let mut received = Received::default();
+    let mut stream = caller::start(&site.client, entry, prompt).await.unwrap();
+    for _ in 0..4 {
+        received.read(&mut stream, 100).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    assert_eq!(received.finish(&mut stream).await, Ending::Done);
+    received.assert_whole(prompt);
+}
+
+#[tokio::test]
+async fn agent_restarted() {
+    let mut site = Site::start(Config {
+        engines: 1,
+        ..Config::default()
+    })
+    .await;
+    let prompt = "before the restart [len=4000]";
+    let entry = site.entries[0].address;
+    let mut received = Received::default();
+    let mut stream = caller::start(&site.client, entry, prompt).await.unwrap();
+    received.read(&mut stream, 10).await;
+    site.engines[0].process.kill();
+    let directory = site.directory().to_owned();
+    site.engines[0].restart(&directory);
+    let Ending::Error(error) = received.finish(&mut stream).await else {
+        panic!("the caller is told that the stream broke off");
+    };
+    assert_eq!(fault(&error).1, "unknown");
+    received.assert_beginning(prompt);
+
+    let again = "after the restart [len=9]";
+    let trying = async {
+        loop {
+            if let Ok(answer) = caller::generate(&site.client, entry, again).await {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let served = tokio::time::timeout(crate::site::WAIT, trying).await;
+    let (received, ending) = served.expect("the new incarnation serves");
+    assert_eq!(ending, Ending::Done);
+    received.assert_whole(again);
+}
+
+#[tokio::test]
+async fn platform_down() {
+    let site = Site::start(Config {
+        services: 1,
+        ..Config::default()
+    })
+    .await;
+    site.lose_platform().await;
+    for (number, entry) in site.entries.iter().enumerate() {
+        let prompt = format!("in the outage {number} [len=30]");
+        let served = caller::generate(&site.client, entry.address, &prompt).await;
+        let (received, ending) = served.unwrap();
+        assert_eq!(ending, Ending::Done);
+        received.assert_whole(&prompt);
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,8 +2,10 @@
 //! processes behind a fault-injecting proxy.
 
 mod adapters;
+mod bad_input;
 mod caller;
 mod death;
+mod endpoint;
 mod link;
 mod order;
 mod site;
--- a/tests/integration/order.rs
+++ b/tests/integration/order.rs
@@ -1,12 +1,18 @@
 //! Calls that may not run twice.
 
+use std::time::Duration;
+
 use cactusroad::demo::client::Error;
-use cactusroad_standin::{fault, proxy::Direction, service};
+use cactusroad_standin::{
+    fault,
+    proxy::{Direction, Weather},
+    service,
+};
 use serde_json::json;
 
 use crate::{
     caller::fault as told,
-    site::{Config, ORDERS, Site},
+    site::{Agent, Config, ORDERS, Site, WAIT, until},
 };
 
 fn config() -> Config {
@@ -23,7 +29,7 @@
     let entry = site.entries[0].address;
     let body = json!({"legs": 4});
     let called = site.client.call(entry, &path, None, &body);
-    let called = tokio::time::timeout(crate::site::WAIT, called).await;
+    let called = tokio::time::timeout(WAIT, called).await;
     match called.expect("an answer in time") {
         Ok(answer) => Ok(serde_json::from_value(answer).unwrap()),
         Err(Error::Refused(_, body)) => {
@@ -82,7 +88,7 @@
 async fn order_refused_by_all() {
     let site = Site::start(config()).await;
     for agent in &site.services {
-        agent.endpoint.server().kill().await;
+        agent.near.close().await;
     }
     assert_eq!(effect(order(&site, "down").await), "not_run");
     assert_eq!(site.runs("/down"), 0);
@@ -91,7 +97,7 @@
 #[tokio::test]
 async fn order_one_service_down() {
     let site = Site::start(config()).await;
-    site.services[0].endpoint.server().kill().await;
+    site.services[0].near.close().await;
     for number in 0..8 {
         let name = format!("n{number}");
         order(&site, &name).await.unwrap();
@@ -113,7 +119,7 @@
     }
     let ordered = async { order(&site, "slow").await };
     let silenced = async {
-        crate::site::until("a service runs the order", || site.runs("/slow") == 1).await;
+        until("a service runs the order", || site.runs("/slow") == 1).await;
         for agent in &site.services {
             agent.proxy.silence(Direction::Both);
         }
@@ -139,9 +145,8 @@
     let entry = site.entries[0].address;
     let path = format!("{ORDERS}/killed");
     let call = tokio::spawn(async move { client.call(entry, &path, None, &json!({})).await });
-    crate::site::until("a service runs the order", || site.runs("/killed") == 1).await;
-    let ran =
-        |agent: &crate::site::Agent<service::Handle>| agent.endpoint.seen().runs_at("/killed") == 1;
+    until("a service runs the order", || site.runs("/killed") == 1).await;
+    let ran = |agent: &Agent<service::Handle>| agent.endpoint.seen().runs_at("/killed") == 1;
     let holder = site.services.iter().position(ran).unwrap();
     site.services[holder].process.kill();
     let Err(Error::Refused(_, body)) = call.await.unwrap() else {
@@ -150,3 +155,83 @@
     assert_eq!(told(&body).1, "unknown");
     assert_eq!(site.runs("/killed"), 1, "never a second run");
 }
+
+#[tokio::test]
+async fn orders_answered_out_of_order() {
+    let site = Site::start(config()).await;
+    for agent in &site.services {
+        agent.proxy.set_weather(Weather {
+            jitter: Duration::from_millis(30),
+            ..Weather::default()
+        });
+    }
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..64 {
+        let client = site.client.clone();
+        let entry = site.entries[number % 2].address;
+        calls.spawn(async move {
+            let path = format!("{ORDERS}/crossed-{number}");
+            let answer = client
+                .call(entry, &path, None, &json!(number))
+                .await
+                .unwrap();
+            assert_eq!(answer["path"], format!("/crossed-{number}"));
+        });
+    }
+    while let Some(call) = calls.join_next().await {
+        call.expect("each caller gets its own answer");
+    }
+    for number in 0..64 {
+        assert_eq!(site.runs(&format!("/crossed-{number}")), 1);
+    }
+}
+
+#[tokio::test]
+async fn order_finished_before_stop() {
+    let mut site = Site::start(Config {
+        services: 1,
+        ..config()
+    })
+    .await;
+    site.services[0].endpoint.control(&service::Command {
+        faults: fault::Command {
+            lag_ms: Some(1_500),
+            ..fault::Command::default()
+        },
+        ..service::Command::default()
+    });
+    let client = site.client.clone();
+    let entry = site.entries[0].address;
+    let path = format!("{ORDERS}/in-hand");
+    let call = tokio::spawn(async move { client.call(entry, &path, None, &json!({})).await });
+    until("the service runs the order", || site.runs("/in-hand") == 1).await;
+    site.services[0].process.terminate();
+    site.entries[0].process.terminate();
+    assert_eq!(call.await.unwrap().unwrap()["path"], "/in-hand");
+    assert_eq!(site.services[0].process.ended().await.code(), Some(0));
+    assert_eq!(site.entries[0].process.ended().await.code(), Some(0));
+
+    // The other entry tells the truth of an order that no agent takes any more.
+    let entry = site.entries[1].address;
+    let path = format!("{ORDERS}/too-late");
+    let body = json!({});
+    let Err(Error::Refused(_, body)) = site.client.call(entry, &path, None, &body).await else {
+        panic!("a refusal");
+    };
+    assert_eq!(told(&body).1, "not_run");
+    assert_eq!(site.runs("/too-late"), 0);
+}
+
+#[tokio::test]
+async fn order_idle_connections_silent() {
+    let site = Site::start(config()).await;
+    order(&site, "before").await.unwrap();
+    for agent in &site.services {
+        agent.near.silence(Direction::Both);
+    }
+    for number in 0..8 {
+        let name = format!("silent-{number}");
+        order(&site, &name).await.unwrap();
+        assert_eq!(site.runs(&format!("/{name}")), 1);
+    }
+}
--- a/tests/integration/site.rs
+++ b/tests/integration/site.rs
@@ -2,7 +2,8 @@
 //!
 //! Each site has a loopback address of its own, so that every process has a
 //! fixed port and none is taken by another test. An agent is listed under the
-//! address of a proxy that stands in front of it.
+//! address of a proxy that stands in front of it, and reaches its endpoint
+//! through another.
 
 use std::{
     fs::File,
@@ -22,7 +23,10 @@
     platform::{address::Address, store},
 };
 use cactusroad_core::{Time, config::folder};
-use cactusroad_standin::{self as standin, proxy::udp};
+use cactusroad_standin::{
+    self as standin,
+    proxy::{tcp, udp},
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -135,11 +139,23 @@
     pub(crate) address: SocketAddr,
 }
 
-/// An agent, the proxy in front of it and the endpoint beside it.
+/// An agent, the proxies on both of its sides and the endpoint beside it.
 pub(crate) struct Agent<H> {
     pub(crate) process: Process,
+    /// Stands between the entries and the agent.
     pub(crate) proxy: udp::Handle,
+    /// Stands between the agent and its endpoint.
+    pub(crate) near: tcp::Handle,
     pub(crate) endpoint: H,
+    settings: Value,
+}
+
+impl<H> Agent<H> {
+    /// Starts the process again, which must have ended.
+    pub(crate) fn restart(&mut self, directory: &Path) {
+        let name = self.process.name.clone();
+        self.process = Process::start(directory, "agent", &name, &self.settings);
+    }
 }
 
 /// A running site.
@@ -168,15 +184,17 @@
                 ..config.engine.clone()
             };
             let endpoint = standin::engine::spawn(engine, listen().await).unwrap();
-            let base = endpoint.server().base();
-            let agent = site.agent("engine", "model", number, base, endpoint).await;
+            let beside = endpoint.server().address();
+            let agent = site
+                .agent("engine", "model", number, beside, endpoint)
+                .await;
             site.engines.push(agent);
         }
         for number in 1..=config.services {
             let endpoint = standin::service::spawn(Default::default(), listen().await).unwrap();
-            let base = endpoint.server().base();
+            let beside = endpoint.server().address();
             let agent = site
-                .agent("orders", "service", number, base, endpoint)
+                .agent("orders", "service", number, beside, endpoint)
                 .await;
             site.services.push(agent);
         }
@@ -223,15 +241,16 @@
         name: &str,
         kind: &str,
         number: u16,
-        base: String,
+        beside: SocketAddr,
         endpoint: H,
     ) -> Agent<H> {
         let name = format!("{name}-{number}");
         let at = self.vms.len() as u16;
+        let near = tcp::spawn(self.seed, listen().await, beside).unwrap();
         let mut settings = self.settings(&name, at);
         settings["endpoint"] = json!({
             "kind": kind,
-            "address": base,
+            "address": format!("http://{}", near.address()),
             "versions": [version(ORDERS)],
         });
         let front = UdpSocket::bind((self.ip, 0)).await.unwrap();
@@ -247,7 +266,9 @@
         Agent {
             process: Process::start(self.directory.path(), "agent", &name, &settings),
             proxy,
+            near,
             endpoint,
+            settings,
         }
     }
 
@@ -307,6 +328,17 @@
         engines && services.all(|agent| agent.endpoint.seen().runs_at(&path) > 0)
     }
 
+    /// Returns the directory of the site's files.
+    pub(crate) fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+
+    /// Takes the store and the list of VMs down, until the end of the test.
+    pub(crate) async fn lose_platform(&self) {
+        self.store.server().kill().await;
+        self.roster.server().kill().await;
+    }
+
     /// Returns the generations of all engines whose prompt contains a text.
     pub(crate) fn generations(&self, text: &str) -> Vec<standin::engine::Generation> {
         let seen = self.engines.iter().map(|agent| agent.endpoint.seen());
