Keep idempotency keys to one dispatch with a partitioned ledger

Cause: a request on a non-idempotent route must run at most once across repeats, lost answers, deaths and store outages, and the store takes several hundred writes a second for the whole system. Proof: 2 x 1,500 seeded scenarios (2 or 3 agents, lost calls, lost answers, writes that take effect up to 4 s late, outages, crashes).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod admission;
 pub mod blame;
 pub mod config;
+pub mod digest;
 pub mod fairness;
 pub mod id;
 pub mod lease;
--- /dev/null
+++ b/crates/core/tests/ledger.rs
@@ -0,0 +1,491 @@
+//! The ledger under seeded interleavings of agents, a faulty store and crashes.
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    digest::Digest,
+    id::Attempt,
+    ledger::{Claim, Config, Expect, Failure, Op, Partition, Reply, Verdict},
+    refusal::{Effect, Kind},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config as Cases, RngSeed},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const PREFIX: &str = "ledger/orders/00";
+const KEYS: u8 = 12;
+const TIMEOUT: Duration = Duration::from_millis(50);
+/// When faults end.
+const CALM_MS: u64 = 8_000;
+/// When each key is asked for once more.
+const PROBE_MS: u64 = 20_000;
+const END_MS: u64 = 30_000;
+
+#[derive(Clone, Debug)]
+struct Scenario {
+    seed: u64,
+    agents: usize,
+    /// Time, agent, key and whether the body is another one.
+    claims: Vec<(u64, usize, u8, bool)>,
+    /// Start and length, in milliseconds.
+    outages: Vec<(u64, u64)>,
+    /// Time and agent.
+    crashes: Vec<(u64, usize)>,
+    /// Calls in 100 that are lost, lose their answer, or take effect late.
+    lost: u32,
+    unanswered: u32,
+    late: u32,
+    /// Dispatched requests in 100 that the endpoint could not be given.
+    unreachable: u32,
+}
+
+fn scenario(crashes: usize) -> impl Strategy<Value = Scenario> {
+    let claims = prop_oneof![Just(1_000), Just(CALM_MS)].prop_flat_map(|span| {
+        let claim = (0..span, 0..3usize, 0..KEYS, prop::bool::weighted(0.1));
+        prop::collection::vec(claim, 1..80)
+    });
+    (
+        any::<u64>(),
+        2..=3usize,
+        claims,
+        prop::collection::vec((0..CALM_MS, 1..3_000u64), 0..2),
+        prop::collection::vec((0..CALM_MS, 0..3usize), 0..=crashes),
+        (0..20u32, 0..30u32, 0..30u32, 0..30u32),
+    )
+        .prop_map(|(seed, agents, claims, outages, crashes, rates)| Scenario {
+            seed,
+            agents,
+            claims,
+            outages,
+            crashes,
+            lost: rates.0,
+            unanswered: rates.1,
+            late: rates.2,
+            unreachable: rates.3,
+        })
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Claim { agent: usize, key: u8, other: bool },
+    Crash { agent: usize },
+    Wake { agent: usize },
+    Effect { call: usize },
+    Reply { call: usize },
+    End { attempt: usize },
+}
+
+struct Call {
+    agent: usize,
+    life: u64,
+    op: Op,
+    reply: Reply,
+    answered: bool,
+}
+
+struct Agent {
+    partition: Partition,
+    life: u64,
+}
+
+struct Request {
+    agent: usize,
+    life: u64,
+    key: u8,
+    other: bool,
+    verdict: Option<Verdict>,
+    ran: bool,
+}
+
+/// Agents and a store in virtual time; an attempt is the index of its request.
+struct World {
+    scenario: Scenario,
+    config: Config,
+    rng: ChaCha8Rng,
+    now: Time,
+    sequence: u64,
+    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    /// Name, version and value, sorted by name.
+    store: Vec<(String, u64, Bytes)>,
+    version: u64,
+    calls: Vec<Call>,
+    agents: Vec<Agent>,
+    requests: Vec<Request>,
+}
+
+impl World {
+    fn run(scenario: Scenario, config: Config) -> World {
+        let mut world = World {
+            config,
+            rng: ChaCha8Rng::seed_from_u64(scenario.seed),
+            now: Time::ZERO,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            store: Vec::new(),
+            version: 0,
+            calls: Vec::new(),
+            agents: Vec::new(),
+            requests: Vec::new(),
+            scenario: scenario.clone(),
+        };
+        for life in 0..scenario.agents as u64 {
+            let partition = Partition::new(config, PREFIX, life, Time::ZERO);
+            world.agents.push(Agent { partition, life });
+        }
+        for (at, agent, key, other) in scenario.claims {
+            let agent = agent % scenario.agents;
+            world.push(Time::from_millis(at), Event::Claim { agent, key, other });
+        }
+        for (at, agent) in scenario.crashes {
+            let agent = agent % scenario.agents;
+            world.push(Time::from_millis(at), Event::Crash { agent });
+        }
+        for key in 0..KEYS {
+            let agent = usize::from(key) % scenario.agents;
+            let other = false;
+            world.push(
+                Time::from_millis(PROBE_MS),
+                Event::Claim { agent, key, other },
+            );
+        }
+        while let Some(Reverse((at, _, event))) = world.events.pop() {
+            if at > Time::from_millis(END_MS) {
+                break;
+            }
+            world.now = at;
+            world.step(event);
+        }
+        world
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Claim { agent, key, other } => self.claim(agent, key, other),
+            Event::Crash { agent } => {
+                let life = 100 + self.now.as_micros();
+                let partition = Partition::new(self.config, PREFIX, life, self.now);
+                self.agents[agent] = Agent { partition, life };
+            }
+            Event::Wake { agent } => self.drive(agent),
+            Event::Effect { call } => self.effect(call),
+            Event::Reply { call } => self.reply(call),
+            Event::End { attempt } => self.end(attempt),
+        }
+    }
+
+    fn claim(&mut self, agent: usize, key: u8, other: bool) {
+        let attempt = Attempt(self.requests.len() as u128);
+        self.requests.push(Request {
+            agent,
+            life: self.agents[agent].life,
+            key,
+            other,
+            verdict: None,
+            ran: false,
+        });
+        let claim = Claim {
+            key: Digest(key.into()),
+            body: Digest(other.into()),
+            attempt,
+            deadline: self.now + Duration::from_secs(5),
+        };
+        self.agents[agent].partition.claim(claim, self.now);
+        self.drive(agent);
+    }
+
+    fn drive(&mut self, agent: usize) {
+        let now = self.now;
+        if let Some(op) = self.agents[agent].partition.poll(now) {
+            self.call(agent, op);
+        }
+        for (attempt, verdict) in self.agents[agent].partition.take_verdicts() {
+            self.verdict(attempt, verdict);
+        }
+        if let Some(at) = self.agents[agent].partition.wake_at() {
+            let at = at.max(now + Duration::from_micros(1));
+            self.push(at, Event::Wake { agent });
+        }
+    }
+
+    /// Draws the fate of a call.
+    fn call(&mut self, agent: usize, op: Op) {
+        let call = self.calls.len();
+        self.calls.push(Call {
+            agent,
+            life: self.agents[agent].life,
+            op,
+            reply: Reply::Failed(Failure::Unanswered),
+            answered: false,
+        });
+        let now = self.now;
+        let calm = now >= Time::from_millis(CALM_MS);
+        let down = self.scenario.outages.iter().any(|(start, length)| {
+            let start = Time::from_millis(*start);
+            start <= now && now < start + Duration::from_millis(*length)
+        });
+        let latency = Duration::from_micros(self.rng.random_range(1_000..8_000));
+        let dice = self.rng.random_range(0..100u32);
+        let lost = self.scenario.lost;
+        let unanswered = lost + self.scenario.unanswered;
+        let late = unanswered + self.scenario.late;
+        if calm || (!down && dice >= late) {
+            self.calls[call].answered = true;
+            self.push(now + latency, Event::Effect { call });
+            self.push(now + latency * 2, Event::Reply { call });
+            return;
+        }
+        if down && dice < 50 {
+            self.calls[call].reply = Reply::Failed(Failure::Unavailable);
+        } else if !down && dice >= unanswered {
+            let delay = Duration::from_millis(self.rng.random_range(0..4_000));
+            self.push(now + TIMEOUT + delay, Event::Effect { call });
+        } else if !down && dice >= lost {
+            self.push(now + latency, Event::Effect { call });
+        }
+        self.push(now + TIMEOUT, Event::Reply { call });
+    }
+
+    fn effect(&mut self, call: usize) {
+        let op = self.calls[call].op.clone();
+        let reply = self.apply(&op);
+        if self.calls[call].answered {
+            self.calls[call].reply = reply;
+        }
+    }
+
+    fn apply(&mut self, op: &Op) -> Reply {
+        let find = |store: &[(String, u64, Bytes)], name: &String| {
+            store.binary_search_by(|object| object.0.cmp(name))
+        };
+        match op {
+            Op::Get { name } => {
+                let found = find(&self.store, name).ok();
+                Reply::Object(found.map(|at| (self.store[at].1, self.store[at].2.clone())))
+            }
+            Op::Put {
+                name,
+                expect,
+                value,
+            } => {
+                self.version += 1;
+                let object = (name.clone(), self.version, value.clone());
+                match (find(&self.store, name), expect) {
+                    (Ok(at), Expect::At(version)) if self.store[at].1 == *version => {
+                        self.store[at] = object;
+                    }
+                    (Err(at), Expect::Absent) => self.store.insert(at, object),
+                    _ => return Reply::Failed(Failure::Conflict),
+                }
+                Reply::Written(self.version)
+            }
+            Op::List { prefix } => {
+                let names = self.store.iter().map(|object| object.0.clone());
+                Reply::Names(names.filter(|name| name.starts_with(prefix)).collect())
+            }
+            Op::Delete { name } => {
+                self.store.retain(|object| object.0 != *name);
+                Reply::Deleted
+            }
+        }
+    }
+
+    fn reply(&mut self, call: usize) {
+        let agent = self.calls[call].agent;
+        if self.agents[agent].life != self.calls[call].life {
+            return;
+        }
+        let reply = self.calls[call].reply.clone();
+        self.agents[agent].partition.complete(reply, self.now);
+        self.drive(agent);
+    }
+
+    fn verdict(&mut self, attempt: Attempt, verdict: Verdict) {
+        let attempt = attempt.0 as usize;
+        let request = &mut self.requests[attempt];
+        assert!(request.verdict.is_none(), "one verdict for each attempt");
+        let dispatch = verdict == Verdict::Dispatch;
+        request.verdict = Some(verdict);
+        if dispatch {
+            request.ran = self.rng.random_range(0..100u32) >= self.scenario.unreachable;
+            let run = Duration::from_millis(self.rng.random_range(1..400));
+            self.push(self.now + run, Event::End { attempt });
+        }
+    }
+
+    fn end(&mut self, attempt: usize) {
+        let request = &self.requests[attempt];
+        let (agent, ran) = (request.agent, request.ran);
+        if self.agents[agent].life != request.life {
+            return;
+        }
+        let partition = &mut self.agents[agent].partition;
+        let id = Attempt(attempt as u128);
+        if ran {
+            partition.settle(id, answer(attempt), self.now);
+        } else {
+            partition.release(id, self.now);
+        }
+        self.drive(agent);
+    }
+
+    /// The promises that hold whatever happens.
+    fn check(&self) {
+        for key in 0..KEYS {
+            let of_key = |at: &usize| self.requests[*at].key == key;
+            let attempts: Vec<usize> = (0..self.requests.len()).filter(of_key).collect();
+            let ran = |at: &usize| self.requests[*at].ran;
+            let runs: Vec<usize> = attempts.iter().copied().filter(ran).collect();
+            assert!(runs.len() <= 1, "key {key} ran as attempts {runs:?}");
+            for at in attempts {
+                self.check_request(&self.requests[at], runs.first().copied());
+            }
+        }
+    }
+
+    fn check_request(&self, request: &Request, run: Option<usize>) {
+        match &request.verdict {
+            Some(Verdict::Replay(bytes)) => {
+                let run = run.expect("a replay needs a run");
+                assert_eq!(*bytes, answer(run));
+                assert_eq!(request.other, self.requests[run].other);
+            }
+            Some(Verdict::Refuse(refusal)) => {
+                assert!(!request.ran);
+                assert!(refusal.effect != Effect::Ran || run.is_some());
+            }
+            Some(Verdict::Dispatch) => {}
+            None => {
+                let life = self.agents[request.agent].life;
+                assert_ne!(life, request.life, "no verdict from a live agent");
+            }
+        }
+    }
+
+    /// The last request of each key, which was sent long after the faults.
+    fn probes(&self) -> &[Request] {
+        &self.requests[self.requests.len() - usize::from(KEYS)..]
+    }
+}
+
+fn answer(attempt: usize) -> Bytes {
+    Bytes::from(format!("answer\n{attempt}"))
+}
+
+/// Small objects, so that a few orders reach every kind of object.
+fn small() -> Config {
+    Config {
+        max_head_bytes: 700,
+        max_segment_bytes: 900,
+        max_batch: 3,
+        ..Config::default()
+    }
+}
+
+fn cases() -> Cases {
+    Cases {
+        cases: 1_500,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..Cases::default()
+    }
+}
+
+/// A claim that is confirmed after its deadline is not dispatched and is given back.
+#[test]
+fn partition_confirmed_too_late() {
+    let start = Time::from_millis(1_000);
+    let late = start + Duration::from_secs(60);
+    let mut partition = Partition::new(Config::default(), PREFIX, 1, start);
+    partition.claim(
+        Claim {
+            key: Digest(1),
+            body: Digest(1),
+            attempt: Attempt(1),
+            deadline: start + Duration::from_secs(9),
+        },
+        start,
+    );
+    assert!(partition.poll(start).is_some());
+    partition.complete(Reply::Object(None), start);
+    assert!(partition.poll(start).is_some());
+    partition.complete(Reply::Written(1), late);
+    let verdicts = partition.take_verdicts();
+    let [(_, Verdict::Refuse(refusal))] = &verdicts[..] else {
+        panic!("expected a refusal, found {verdicts:?}");
+    };
+    assert_eq!(refusal.effect, Effect::NotRun);
+    let Some(Op::Put { value, .. }) = partition.poll(late) else {
+        panic!("the claim must be released");
+    };
+    assert!(String::from_utf8_lossy(&value).contains("release"));
+}
+
+/// A key may be used again after its deadline and the skew of clocks, not before.
+#[test]
+fn partition_retention() {
+    let config = Config::default();
+    let cases = [
+        (config.retention, false),
+        (config.retention + config.skew, true),
+    ];
+    for (after, free) in cases {
+        let start = Time::from_millis(1_000);
+        let mut partition = Partition::new(config, PREFIX, 1, start);
+        let mut verdict = |attempt, now: Time| {
+            let claim = Claim {
+                key: Digest(1),
+                body: Digest(1),
+                attempt: Attempt(attempt),
+                deadline: now + Duration::from_secs(9),
+            };
+            partition.claim(claim, now);
+            for version in 1.. {
+                match partition.poll(now) {
+                    Some(Op::Get { .. }) => partition.complete(Reply::Object(None), now),
+                    Some(Op::Put { .. }) => partition.complete(Reply::Written(version), now),
+                    _ => break,
+                }
+            }
+            partition.take_verdicts().pop()
+        };
+        let first = verdict(1, start);
+        assert_eq!(first, Some((Attempt(1), Verdict::Dispatch)));
+        let second = verdict(2, start + after);
+        let dispatched = second == Some((Attempt(2), Verdict::Dispatch));
+        assert_eq!(dispatched, free, "after {after:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    /// Crashes may leave a key unknown, but never run it twice.
+    #[test]
+    fn partition_crashes_and_faults(scenario in scenario(3)) {
+        World::run(scenario, small()).check();
+    }
+
+    /// With all agents alive, each key is free or answered once the store works again.
+    #[test]
+    fn partition_faults_without_crash(scenario in scenario(0)) {
+        let world = World::run(scenario, small());
+        world.check();
+        for probe in world.probes() {
+            let free = match probe.verdict.as_ref().expect("a verdict") {
+                Verdict::Dispatch | Verdict::Replay(_) => true,
+                Verdict::Refuse(refusal) => refusal.kind == Kind::KeyConflict,
+            };
+            prop_assert!(free, "key {} is stuck: {:?}", probe.key, probe.verdict);
+        }
+    }
+}
