Claim idempotency keys at the agent before a call is dispatched

Cause: the ledger was a state machine without a driver, so a keyed order repeated through another entry could run twice. Change: a router task and one task per partition in the agent; a call on a route that may not be repeated is claimed first, then waits for room. A grant that is dropped before its dispatch gives the key back; a refusal with `not_run` after the claim waits for the release, so that the entry's next agent finds the key free. Answers are flushed before a planned stop ends. `Agent::start` takes the store.

--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -69,6 +69,11 @@
     Digest::of(&[route.as_bytes(), workspace.as_bytes(), key.as_bytes()])
 }
 
+/// Returns the prefix of a partition's objects in the store.
+pub fn prefix(route: &str, partition: u8) -> String {
+    format!("ledger/{route}/{partition:02}")
+}
+
 /// Returns the partition of a key; entries send all keys of a partition to one agent.
 pub const fn partition_of(key: Digest) -> u8 {
     (key.0 % PARTITIONS as u128) as u8
--- a/crates/core/src/ledger/partition.rs
+++ b/crates/core/src/ledger/partition.rs
@@ -125,7 +125,7 @@
 /// assert!(partition.poll(now).is_some(), "writes the claim");
 /// partition.complete(Reply::Written(1), now);
 /// assert_eq!(partition.take_verdicts(), [(Attempt(1), Verdict::Dispatch)]);
-/// partition.settle(Attempt(1), Bytes::from_static(b"confirmed"), now);
+/// partition.settle(Attempt(1), Some(Bytes::from_static(b"confirmed")), now);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Partition {
@@ -148,6 +148,8 @@
     index: Index,
     waits: Vec<Wait>,
     running: Vec<Running>,
+    /// Claims given back whose release is not in the log yet.
+    releasing: Vec<Running>,
     /// Refused attempts whose claim may yet appear in the log.
     abandoned: Vec<Attempt>,
     unsaved: Vec<Unsaved>,
@@ -188,6 +190,7 @@
             index: Index::default(),
             waits: Vec::new(),
             running: Vec::new(),
+            releasing: Vec::new(),
             abandoned: Vec::new(),
             unsaved: Vec::new(),
             unsaved_bytes: 0,
@@ -219,9 +222,13 @@
 
     /// Tells whether nothing waits, runs or has to be written.
     pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.is_saved()
+    }
+
+    /// Tells whether nothing waits or has to be written.
+    pub fn is_saved(&self) -> bool {
         self.flight.is_none()
             && self.waits.is_empty()
-            && self.running.is_empty()
             && self.abandoned.is_empty()
             && self.unsaved.is_empty()
             && self.outbox.is_empty()
@@ -243,18 +250,18 @@
         self.refuse_while_down(now);
     }
 
-    /// Keeps the answer of a dispatched attempt.
-    pub fn settle(&mut self, attempt: Attempt, answer: Bytes, now: Time) {
+    /// Notes that a dispatched attempt ran, and keeps its answer where there is one.
+    pub fn settle(&mut self, attempt: Attempt, answer: Option<Bytes>, now: Time) {
         self.advance(now);
         let Some(run) = self.take_running(attempt) else {
             return;
         };
-        let fits = answer.len() <= MAX_ANSWER_BYTES
-            && self.unsaved_bytes + answer.len() <= self.config.max_unsaved_bytes;
-        if !fits {
+        let room = self.config.max_unsaved_bytes - self.unsaved_bytes;
+        let most = room.min(MAX_ANSWER_BYTES);
+        let Some(answer) = answer.filter(|answer| answer.len() <= most) else {
             self.settle_at(run.key, run.position, None, now);
             return;
-        }
+        };
         if self.unsaved.is_empty() {
             self.pack_at = now + self.config.answer_wait;
         }
@@ -277,10 +284,21 @@
             let wait = self.waits.swap_remove(at);
             self.abandon(&wait);
         } else if let Some(run) = self.take_running(attempt) {
+            self.releasing.push(run);
             self.release_at(run.key, run.position, now);
         }
     }
 
+    /// Tells whether the release of an attempt is not in the log yet.
+    pub fn is_releasing(&self, attempt: Attempt) -> bool {
+        self.releasing.iter().any(|run| run.attempt == attempt)
+    }
+
+    /// Returns the number of claims that have no verdict yet.
+    pub fn waiting(&self) -> usize {
+        self.waits.len()
+    }
+
     /// Drops an attempt whose outcome will never be known; its key stays `unknown`.
     pub fn forget(&mut self, attempt: Attempt, now: Time) {
         self.advance(now);
@@ -512,6 +530,7 @@
             }
             Record::Release { key, position } => {
                 self.index.change(*key, *position, State::Released);
+                self.releasing.retain(|run| run.position != *position);
                 self.outbox.retain(|queued| queued != record);
             }
         }
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -331,7 +331,7 @@
         let partition = &mut self.agents[agent].partition;
         let id = Attempt(attempt as u128);
         if ran {
-            partition.settle(id, answer(attempt), self.now);
+            partition.settle(id, Some(answer(attempt)), self.now);
         } else {
             partition.release(id, self.now);
         }
--- /dev/null
+++ b/crates/node/src/agent/ledger.rs
@@ -0,0 +1,454 @@
+//! Drives the ledger of idempotency keys against the platform's store.
+//!
+//! Each partition that the agent meets has a task, which is fed over a channel
+//! and has one call to the store under way at a time. A task that has nothing to
+//! do for a while ends and frees its index.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    id::Attempt,
+    ledger::{self, Claim, Config, Failure, Op, Partition, Reply},
+    refusal::{Effect, Kind, Refusal},
+};
+use cactusroad_platform::store::{self, Store, Version};
+use cactusroad_wire::message;
+use prost::Message;
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::JoinHandle,
+    time,
+};
+
+use super::slot::Answer;
+use crate::clock;
+
+/// How long a partition without work stays in memory, in seconds.
+const IDLE_SECONDS: u64 = 600;
+/// How long answers are still written after the handle is gone, in seconds.
+const FLUSH_SECONDS: u64 = 5;
+/// Claims that wait in one partition at the most.
+const MAX_WAITING: usize = 2_048;
+
+/// The ledger of an agent; the tasks end when the last handle is dropped.
+pub(super) struct Ledger {
+    sender: mpsc::UnboundedSender<Order>,
+}
+
+enum Order {
+    Claim(String, Claim, Reporter),
+    Flush(oneshot::Sender<()>),
+}
+
+type Reporter = oneshot::Sender<Result<Verdict, Refusal>>;
+
+/// A key that may be used.
+#[derive(Debug)]
+pub(super) enum Verdict {
+    /// The key is claimed: dispatch the request.
+    Dispatch(Grant),
+    /// The key ran before; this is its answer.
+    Replay(Bytes),
+}
+
+enum Command {
+    Claim(Claim, Reporter),
+    Settle(Attempt, Option<Bytes>),
+    Release(Attempt, Option<oneshot::Sender<()>>),
+    Forget(Attempt),
+    Flush(oneshot::Sender<()>),
+}
+
+/// A claimed key.
+///
+/// A grant that is dropped before [`Grant::dispatch`] gives the key back; one
+/// that is dropped after it leaves the key `unknown`.
+#[derive(Debug)]
+pub(super) struct Grant {
+    attempt: Attempt,
+    dispatched: bool,
+    sender: Option<mpsc::UnboundedSender<Command>>,
+}
+
+impl Grant {
+    /// Notes that the request may reach the endpoint from now on.
+    pub(super) fn dispatch(&mut self) {
+        self.dispatched = true;
+    }
+
+    /// Notes that the request ran, and keeps its answer where there is one.
+    pub(super) fn settle(mut self, answer: Option<Bytes>) {
+        self.send(Command::Settle(self.attempt, answer));
+    }
+
+    /// Gives the key back and waits until the store says so.
+    ///
+    /// The endpoint must not have been given the request, nor be given it later.
+    pub(super) async fn release(mut self) {
+        let (sender, released) = oneshot::channel();
+        self.send(Command::Release(self.attempt, Some(sender)));
+        let wait = Duration::from_secs(1);
+        if time::timeout(wait, released).await.is_err() {
+            log::warn!("the release of a key is still being written");
+        }
+    }
+
+    fn send(&mut self, command: Command) {
+        // The task lives as long as a sender of it does.
+        if let Some(sender) = self.sender.take() {
+            sender.send(command).ok();
+        }
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let command = match self.dispatched {
+            true => Command::Forget(self.attempt),
+            false => Command::Release(self.attempt, None),
+        };
+        self.send(command);
+    }
+}
+
+impl Ledger {
+    /// Starts the ledger over a store.
+    pub(super) fn start<St: Store>(store: St, config: Config) -> Ledger {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let router = Router {
+            store,
+            config,
+            tasks: Vec::new(),
+        };
+        tokio::spawn(router.run(receiver));
+        Ledger { sender }
+    }
+
+    /// Claims a key of a route for an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Refuses where the key is in use or in conflict, and, truly not run, where
+    /// the store does not take the claim in time.
+    pub(super) async fn claim(&self, route: &str, claim: Claim) -> Result<Verdict, Refusal> {
+        let (sender, verdict) = oneshot::channel();
+        let prefix = ledger::prefix(route, ledger::partition_of(claim.key));
+        self.sender.send(Order::Claim(prefix, claim, sender)).ok();
+        verdict.await.unwrap_or_else(|_| Err(stopped()))
+    }
+
+    /// Waits until all answers are in the store, or for a few seconds.
+    pub(super) async fn flush(&self) {
+        let (sender, flushed) = oneshot::channel();
+        self.sender.send(Order::Flush(sender)).ok();
+        let wait = Duration::from_secs(FLUSH_SECONDS);
+        if time::timeout(wait, flushed).await.is_err() {
+            log::warn!("answers to idempotency keys were not stored in time");
+        }
+    }
+}
+
+/// Starts the task of a partition when it is first needed.
+struct Router<St> {
+    store: St,
+    config: Config,
+    /// The partitions in memory, sorted by prefix.
+    tasks: Vec<Task>,
+}
+
+struct Task {
+    prefix: String,
+    sender: mpsc::UnboundedSender<Command>,
+}
+
+impl<St: Store> Router<St> {
+    async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<Order>) {
+        while let Some(order) = receiver.recv().await {
+            match order {
+                Order::Claim(prefix, claim, sender) => self.claim(&prefix, claim, sender),
+                Order::Flush(sender) => self.flush(sender),
+            }
+        }
+    }
+
+    fn claim(&mut self, prefix: &str, claim: Claim, sender: Reporter) {
+        let mut command = Command::Claim(claim, sender);
+        // A task that ended for want of work returns the command, and another is started.
+        while let Err(mpsc::error::SendError(returned)) = self.task(prefix).send(command) {
+            command = returned;
+        }
+    }
+
+    fn flush(&self, sender: oneshot::Sender<()>) {
+        let flushes: Vec<_> = self
+            .tasks
+            .iter()
+            .map(|task| {
+                let (sender, flushed) = oneshot::channel();
+                task.sender.send(Command::Flush(sender)).ok();
+                flushed
+            })
+            .collect();
+        tokio::spawn(async move {
+            for flushed in flushes {
+                flushed.await.ok();
+            }
+            sender.send(()).ok();
+        });
+    }
+
+    fn task(&mut self, prefix: &str) -> &mpsc::UnboundedSender<Command> {
+        self.tasks.retain(|task| !task.sender.is_closed());
+        let at = match self
+            .tasks
+            .binary_search_by(|t| t.prefix.as_str().cmp(prefix))
+        {
+            Ok(at) => at,
+            Err(at) => {
+                let task = self.start(prefix);
+                self.tasks.insert(at, task);
+                at
+            }
+        };
+        &self.tasks[at].sender
+    }
+
+    fn start(&self, prefix: &str) -> Task {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        // Each task has its own writer, so the names of its objects are its own.
+        let partition = Partition::new(self.config, prefix, rand::random(), clock::now());
+        let driver = Driver {
+            store: self.store.clone(),
+            partition,
+            receiver,
+            claims: Vec::new(),
+            releases: Vec::new(),
+            flushes: Vec::new(),
+            sender: sender.downgrade(),
+        };
+        tokio::spawn(driver.run());
+        Task {
+            prefix: prefix.to_owned(),
+            sender,
+        }
+    }
+}
+
+struct Driver<St> {
+    store: St,
+    partition: Partition,
+    receiver: mpsc::UnboundedReceiver<Command>,
+    claims: Vec<(Attempt, Reporter)>,
+    releases: Vec<(Attempt, oneshot::Sender<()>)>,
+    flushes: Vec<oneshot::Sender<()>>,
+    sender: mpsc::WeakUnboundedSender<Command>,
+}
+
+impl<St: Store> Driver<St> {
+    async fn run(mut self) {
+        let mut flight: Option<JoinHandle<Reply>> = None;
+        let mut idle_at = clock::now() + Duration::from_secs(IDLE_SECONDS);
+        let mut open = true;
+        loop {
+            let now = clock::now();
+            if flight.is_none()
+                && let Some(op) = self.partition.poll(now)
+            {
+                flight = Some(tokio::spawn(perform(self.store.clone(), op)));
+            }
+            self.report();
+            if open && !self.partition.is_idle() {
+                idle_at = now + Duration::from_secs(IDLE_SECONDS);
+            }
+            if !open && (self.partition.is_saved() || idle_at.is_past(now)) {
+                return;
+            }
+            let wake_at = self.partition.wake_at().unwrap_or(Time::MAX).min(idle_at);
+            tokio::select! {
+                command = self.receiver.recv(), if open => match command {
+                    Some(command) => self.heed(command),
+                    None => {
+                        open = false;
+                        idle_at = clock::now() + Duration::from_secs(FLUSH_SECONDS);
+                    }
+                },
+                reply = landed(&mut flight), if flight.is_some() => {
+                    flight = None;
+                    self.partition.complete(reply, clock::now());
+                }
+                () = time::sleep_until(clock::instant(wake_at)) => {
+                    if idle_at.is_past(clock::now()) {
+                        self.receiver.close();
+                    }
+                }
+            }
+        }
+    }
+
+    fn heed(&mut self, command: Command) {
+        let now = clock::now();
+        match command {
+            Command::Claim(_, sender) if self.partition.waiting() >= MAX_WAITING => {
+                sender.send(Err(overloaded(now))).ok();
+            }
+            Command::Claim(claim, sender) => {
+                self.claims.push((claim.attempt, sender));
+                self.partition.claim(claim, now);
+            }
+            Command::Settle(attempt, answer) => self.partition.settle(attempt, answer, now),
+            Command::Release(attempt, sender) => {
+                self.partition.release(attempt, now);
+                self.releases.extend(sender.map(|sender| (attempt, sender)));
+            }
+            Command::Forget(attempt) => self.partition.forget(attempt, now),
+            Command::Flush(sender) => self.flushes.push(sender),
+        }
+    }
+
+    /// Passes on what the partition has decided.
+    fn report(&mut self) {
+        for (attempt, verdict) in self.partition.take_verdicts() {
+            let Some(at) = self.claims.iter().position(|(known, _)| *known == attempt) else {
+                continue;
+            };
+            let (_, sender) = self.claims.swap_remove(at);
+            let verdict = match verdict {
+                ledger::Verdict::Dispatch => Ok(Verdict::Dispatch(Grant {
+                    attempt,
+                    dispatched: false,
+                    sender: self.sender.upgrade(),
+                })),
+                ledger::Verdict::Replay(answer) => Ok(Verdict::Replay(answer)),
+                ledger::Verdict::Refuse(refusal) => Err(refusal),
+            };
+            // Where the attempt is gone, dropping the grant gives the key back.
+            drop(sender.send(verdict));
+        }
+        let partition = &self.partition;
+        for (_, sender) in self
+            .releases
+            .extract_if(.., |(attempt, _)| !partition.is_releasing(*attempt))
+        {
+            sender.send(()).ok();
+        }
+        if self.partition.is_saved() {
+            for sender in self.flushes.drain(..) {
+                sender.send(()).ok();
+            }
+        }
+    }
+}
+
+/// Waits for the call under way.
+async fn landed(flight: &mut Option<JoinHandle<Reply>>) -> Reply {
+    match flight {
+        // A call whose task failed may have taken effect.
+        Some(call) => call.await.unwrap_or(Reply::Failed(Failure::Unanswered)),
+        None => std::future::pending().await,
+    }
+}
+
+/// Makes one call to the store.
+async fn perform<St: Store>(store: St, op: Op) -> Reply {
+    let result = match op {
+        Op::Get { name } => store
+            .get(&name)
+            .await
+            .map(|object| Reply::Object(object.map(|object| (object.version.0, object.value)))),
+        Op::Put {
+            name,
+            expect,
+            value,
+        } => {
+            let expect = match expect {
+                ledger::Expect::Absent => store::Expect::Absent,
+                ledger::Expect::At(version) => store::Expect::At(Version(version)),
+            };
+            let written = store.put(&name, expect, value).await;
+            written.map(|version| Reply::Written(version.0))
+        }
+        Op::List { prefix } => store.list(&prefix).await.map(|change| {
+            let names = change.objects.iter().map(|(name, _)| name.to_string());
+            Reply::Names(names.collect())
+        }),
+        Op::Delete { name } => delete(&store, &name).await.map(|()| Reply::Deleted),
+    };
+    result.unwrap_or_else(|error| Reply::Failed(failure(error)))
+}
+
+async fn delete<St: Store>(store: &St, name: &str) -> Result<(), store::Error> {
+    match store.get(name).await? {
+        Some(object) => store.delete(name, object.version).await,
+        None => Ok(()),
+    }
+}
+
+fn failure(error: store::Error) -> Failure {
+    match error {
+        store::Error::Unavailable | store::Error::TooLarge => Failure::Unavailable,
+        store::Error::Conflict => Failure::Conflict,
+        store::Error::Unanswered | store::Error::Malformed => Failure::Unanswered,
+    }
+}
+
+/// Returns the stored form of an answer: the message that carries it between processes.
+pub(super) fn write_answer(answer: &Answer) -> Bytes {
+    let headers = answer.headers.iter().map(|(name, value)| message::Header {
+        name: name.to_string(),
+        value: value.clone(),
+    });
+    let message = message::Answer {
+        attempt: Bytes::new(),
+        status: u32::from(answer.status),
+        headers: headers.collect(),
+        body: answer.body.clone(),
+        replayed: true,
+    };
+    Bytes::from(message.encode_to_vec())
+}
+
+/// Reads the stored form of an answer.
+///
+/// # Errors
+///
+/// Refuses, truly run, where the stored form cannot be read.
+pub(super) fn read_answer(stored: &Bytes) -> Result<Answer, Refusal> {
+    let message = message::Answer::decode(stored.clone()).map_err(|_| unreadable())?;
+    let headers = message.headers.into_iter();
+    Ok(Answer {
+        status: u16::try_from(message.status).map_err(|_| unreadable())?,
+        headers: headers.map(|h| (Arc::from(h.name), h.value)).collect(),
+        body: message.body,
+        replayed: true,
+    })
+}
+
+fn unreadable() -> Refusal {
+    Refusal::new(
+        Kind::Internal,
+        Effect::Ran,
+        "The request ran, but its stored answer cannot be read.",
+        "Ask the service for the result; do not send the request again under a new key.",
+    )
+}
+
+fn overloaded(now: Time) -> Refusal {
+    Refusal::new(
+        Kind::Overloaded,
+        Effect::NotRun,
+        "Too many idempotency keys wait for the store.",
+        "Repeat it later with the same key.",
+    )
+    .retry_at(now + Duration::from_secs(1))
+}
+
+fn stopped() -> Refusal {
+    Refusal::new(
+        Kind::Draining,
+        Effect::NotRun,
+        "The agent stopped before it claimed the idempotency key.",
+        "Repeat it with the same key.",
+    )
+}
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -16,6 +16,7 @@
 //! longer reach the endpoint.
 
 mod gate;
+mod ledger;
 mod run;
 mod serve;
 mod slot;
@@ -27,16 +28,18 @@
 
 use cactusroad_core::{
     id::Incarnation,
+    ledger::Config as LedgerConfig,
     refusal::{Effect, Kind, Refusal},
 };
 use cactusroad_platform::{
     engine::{Engine, Load},
     service::Service,
+    store::Store,
 };
 use cactusroad_wire::message::Status;
 use tokio::{sync::watch, time};
 
-use self::{gate::Gate, table::Table};
+use self::{gate::Gate, ledger::Ledger, table::Table};
 use crate::{
     clock,
     metrics::AgentMetrics,
@@ -67,6 +70,7 @@
     versions: Vec<Arc<str>>,
     gate: Arc<Gate>,
     table: Table,
+    ledger: Ledger,
     load: watch::Sender<Option<Load>>,
     leaving: AtomicBool,
     metrics: AgentMetrics,
@@ -84,9 +88,10 @@
     /// # Errors
     ///
     /// Fails where the certificates cannot be used or the address is taken.
-    pub fn start(
+    pub fn start<St: Store>(
         settings: &settings::Agent,
         backend: Backend<E, S>,
+        store: St,
         metrics: AgentMetrics,
     ) -> Result<Agent<E, S>, transport::Error> {
         let identity = Identity::read(&settings.common.tls)?;
@@ -100,6 +105,7 @@
             versions: endpoint.versions.clone(),
             gate: Gate::new(endpoint.max_running, endpoint.max_queued),
             table: Table::new(),
+            ledger: Ledger::start(store, LedgerConfig::default()),
             load: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
             metrics,
@@ -141,6 +147,7 @@
         while !self.shared.table.is_settled() {
             tick.tick().await;
         }
+        self.shared.ledger.flush().await;
         self.socket.close(0u32.into(), b"stopped");
         self.socket.wait_idle().await;
     }
--- a/crates/node/src/agent/run.rs
+++ b/crates/node/src/agent/run.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use cactusroad_core::{
     Time,
+    digest::Digest,
+    ledger::{self as core, Claim},
     refusal::{Effect, Kind, Refusal},
 };
 use cactusroad_platform::{
@@ -19,6 +21,7 @@
 use super::{
     Backend, Shared,
     gate::{Permit, Ticket},
+    ledger::{self, Grant, Verdict},
     slot::{Answer, Outcome, Slot},
 };
 use crate::clock;
@@ -34,14 +37,27 @@
     slot: Arc<Slot>,
     open: Open,
 ) {
+    let mut grant = match claim(&shared, &slot, &open).await {
+        Ok(Claimed::Free) => None,
+        Ok(Claimed::Grant(grant)) => Some(grant),
+        Ok(Claimed::Replay(answer)) => return slot.finish(Outcome::Answer(answer)),
+        Err(refusal) => return slot.finish(refused(refusal)),
+    };
     let ticket = ticket(&open);
     let permit = match wait(&shared, &slot, &ticket).await {
         Ok(permit) => permit,
-        Err(refusal) => return slot.finish(refused(refusal)),
+        Err(refusal) => {
+            give_back(grant).await;
+            return slot.finish(refused(refusal));
+        }
     };
     if !slot.dispatch() {
+        give_back(grant).await;
         return slot.finish(refused(cancelled(Effect::NotRun)));
     }
+    if let Some(grant) = &mut grant {
+        grant.dispatch();
+    }
     let run = Run {
         shared: &shared,
         slot: &slot,
@@ -56,9 +72,69 @@
         (Backend::Service(service), Some(open::Work::Call(work))) => run.call(service, work).await,
         _ => refused(wrong_kind()),
     };
+    // A refusal that lets the caller repeat the key elsewhere follows the release.
+    conclude(grant, &outcome).await;
     slot.finish(outcome);
 }
 
+/// What the ledger says of an attempt.
+enum Claimed {
+    /// The attempt needs no key.
+    Free,
+    /// The key is claimed for the attempt.
+    Grant(Grant),
+    /// The key ran before.
+    Replay(Answer),
+}
+
+/// Claims the idempotency key of an attempt that must run at most once.
+async fn claim<E: Engine, S: Service>(
+    shared: &Shared<E, S>,
+    slot: &Slot,
+    open: &Open,
+) -> Result<Claimed, Refusal> {
+    let Some(open::Work::Call(call)) = &open.work else {
+        return Ok(Claimed::Free);
+    };
+    if !call.once || call.idempotency_key.is_empty() {
+        return Ok(Claimed::Free);
+    }
+    let workspace = &open.workspace;
+    let claim = Claim {
+        key: core::key(&open.route, workspace, &call.idempotency_key),
+        body: Digest::from_bytes(&open.digest).unwrap_or_else(|| Digest::of(&[&call.body])),
+        attempt: slot.attempt,
+        deadline: Time::from_micros(open.deadline_micros),
+    };
+    match shared.ledger.claim(&open.route, claim).await? {
+        Verdict::Dispatch(grant) => Ok(Claimed::Grant(grant)),
+        Verdict::Replay(stored) => ledger::read_answer(&stored).map(Claimed::Replay),
+    }
+}
+
+async fn give_back(grant: Option<Grant>) {
+    if let Some(grant) = grant {
+        grant.release().await;
+    }
+}
+
+/// Tells the ledger how the attempt of a claimed key ended.
+async fn conclude(grant: Option<Grant>, outcome: &Outcome) {
+    let Some(grant) = grant else {
+        return;
+    };
+    match outcome {
+        Outcome::Answer(answer) => grant.settle(Some(ledger::write_answer(answer))),
+        Outcome::End { .. } => grant.settle(None),
+        Outcome::Refused { refusal, .. } => match refusal.effect {
+            Effect::NotRun => grant.release().await,
+            Effect::Ran => grant.settle(None),
+            // The key stays claimed, and a repeat is told `unknown`.
+            Effect::Unknown => drop(grant),
+        },
+    }
+}
+
 async fn wait<E: Engine, S: Service>(
     shared: &Shared<E, S>,
     slot: &Slot,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -91,7 +91,8 @@
     };
     let exporter = Exporter::new();
     let metrics = AgentMetrics::new(&exporter);
-    let agent = Agent::start(&settings, backend, metrics)?;
+    let store = store::http::Client::new(&address(&settings.common.store)?);
+    let agent = Agent::start(&settings, backend, store, metrics)?;
     admin::start(settings.common.admin, exporter, agent.readiness()).await?;
     log::info!(
         "agent {} listens on {}",
