--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -145,7 +145,8 @@
             },
         };
         let metrics = AgentMetrics::new(&Exporter::new());
-        let agent = Agent::start(&settings, backend, metrics)?;
+        let store = store::http::Client::new(&settings.common.store.parse::<Address>()?);
+        let agent = Agent::start(&settings, backend, store, metrics)?;
         let vm = standin::roster::Vm {
             name: name.into(),
             role: "endpoint".into(),
