Run suspects under a hold and convict requests that crash endpoints

Cause: a request that crashes each endpoint that runs it must be found, while those beside it are served. Change: the list of suspects counts each crash once, however often its write is repeated; the version of a hold's object is its fencing number, so the hold needs none of its own; an agent admits each request against its copy of the list, writes a crash before callers learn of it, and follows the list with one watch. A broken generation counts as a crash only where the engine's incarnation changed or it does not answer. Proof: 200 + 200 seeded runs with up to 300 innocents: one culprit crashes three endpoints in all, everybody else is served.

--- a/crates/core/src/blame.rs
+++ b/crates/core/src/blame.rs
@@ -20,8 +20,9 @@
 //!
 //! # Trade-offs
 //!
-//! A run under a hold cannot be fenced at an endpoint, so a hold lasts beyond the
-//! deadline of its request and is never renewed. A hold that lapses without a
+//! The version of a hold's object is its fencing number: whoever was overtaken
+//! cannot end the hold of another. The run itself cannot be fenced at an endpoint,
+//! so a hold lasts beyond the deadline of its request and is never renewed. A hold that lapses without a
 //! word counts as a crash, since the agent may have gone down with its endpoint.
 //! An innocent request is refused wrongly only where it was in flight at
 //! `MAX_CRASHES` crashes, of which the last two had it among few suspects.
@@ -38,6 +39,8 @@
 
 /// The crashes after which a request is refused everywhere.
 pub const MAX_CRASHES: u32 = 3;
+/// The crashes whose names the list keeps.
+const MAX_NOTED: usize = 256;
 /// The name of the list in the store.
 pub const LIST_KEY: &str = "blame/suspects";
 
@@ -97,16 +100,17 @@
 ///
 /// let now = Time::from_millis(1);
 /// let mut list = List::default();
-/// list.blame(&[Digest(1), Digest(2)], &Config::default(), now);
+/// list.blame(77, &[Digest(1), Digest(2)], &Config::default(), now);
 /// list.clear(Digest(2));
 /// assert_eq!(list.find(Digest(1), now).map(|s| s.crashes), Some(1));
 /// assert!(list.find(Digest(2), now).is_none());
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
 pub struct List {
     /// Sorted by digest.
     suspects: Vec<Suspect>,
+    /// The last crashes that were noted, so that a repeated write counts none twice.
+    noted: Vec<u64>,
 }
 
 impl List {
@@ -121,11 +125,20 @@
         Some(&self.suspects[at]).filter(|suspect| !suspect.until.is_past(now))
     }
 
-    /// Notes a crash with these requests in flight.
+    /// Notes a crash, named by a random number, with these requests in flight.
+    ///
+    /// A crash that was noted before changes nothing, so a write whose answer was
+    /// lost may be repeated.
     ///
     /// Where the list is full, suspects of the fewest crashes and the earliest
     /// deadline are dropped first.
-    pub fn blame(&mut self, in_flight: &[Digest], config: &Config, now: Time) {
+    pub fn blame(&mut self, crash: u64, in_flight: &[Digest], config: &Config, now: Time) {
+        if self.noted.contains(&crash) {
+            return;
+        }
+        self.noted.push(crash);
+        let surplus = self.noted.len().saturating_sub(MAX_NOTED);
+        self.noted.drain(..surplus);
         self.prune(now);
         let until = now + config.suspicion;
         let mut digests = in_flight.to_vec();
@@ -187,12 +200,8 @@
 pub struct Hold {
     /// The process that has the hold.
     pub holder: u64,
-    /// The fencing number; each new hold has a higher one.
-    pub fence: u64,
     /// The deadline of the hold.
     pub until: Time,
-    /// Whether the run ended, so that the hold is free.
-    pub ended: bool,
 }
 
 /// What became of asking for a hold.
@@ -208,6 +217,9 @@
 
 impl Hold {
     /// Asks for the hold of a suspect whose request has this deadline.
+    ///
+    /// A run that ends deletes its hold, so a hold that is there and past its
+    /// deadline has lapsed.
     pub fn take(
         current: Option<&Hold>,
         holder: u64,
@@ -215,29 +227,16 @@
         config: &Config,
         now: Time,
     ) -> Take {
-        let fence = current.map_or(1, |hold| hold.fence + 1);
         let next = Hold {
             holder,
-            fence,
             until: deadline + config.hold_grace,
-            ended: false,
         };
         match current {
-            Some(hold) if !hold.ended && !hold.until.is_past(now) => Take::Busy(hold.until),
-            Some(hold) if !hold.ended => Take::Lapsed(next),
-            _ => Take::Free(next),
+            None => Take::Free(next),
+            Some(hold) if hold.until.is_past(now) => Take::Lapsed(next),
+            Some(hold) => Take::Busy(hold.until),
         }
     }
-
-    /// Returns the hold after its run, or `None` where another one has followed it.
-    pub fn end(&self, current: Option<&Hold>) -> Option<Hold> {
-        let same =
-            current.is_some_and(|hold| hold.fence == self.fence && hold.holder == self.holder);
-        same.then_some(Hold {
-            ended: true,
-            ..*self
-        })
-    }
 }
 
 /// Whether a request may run.
@@ -254,9 +253,10 @@
 /// A request in flight at the endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Flight {
+    number: u64,
     digest: Digest,
-    /// The requests with this digest.
-    count: u32,
+    /// Whether a crash has been noted that ended it.
+    blamed: bool,
 }
 
 /// What one agent knows: its copy of the list and the requests at its endpoint.
@@ -264,10 +264,12 @@
 pub struct Board {
     config: Config,
     list: List,
-    /// The requests in flight, sorted by digest.
+    /// The requests in flight, sorted by number.
     flights: Vec<Flight>,
-    /// The suspects that run here, with their crashes.
+    /// The suspects that may run here, with their crashes.
     running: Vec<(Digest, u32)>,
+    /// The number of the last request.
+    last: u64,
 }
 
 impl Board {
@@ -313,39 +315,58 @@
         self.running.len() < peers.count().div_ceil(self.config.groups)
     }
 
-    /// Notes that a request is given to the endpoint, as a suspect under a hold or freely.
-    pub fn start(&mut self, digest: Digest, suspect: bool, now: Time) {
-        match self.flights.binary_search_by_key(&digest, |f| f.digest) {
-            Ok(at) => self.flights[at].count += 1,
-            Err(at) => self.flights.insert(at, Flight { digest, count: 1 }),
-        }
-        if suspect {
-            let crashes = self.list.find(digest, now).map_or(0, |s| s.crashes);
-            self.running.push((digest, crashes));
+    /// Takes room for a suspect.
+    pub fn reserve(&mut self, digest: Digest, now: Time) {
+        let crashes = self.list.find(digest, now).map_or(0, |s| s.crashes);
+        self.running.push((digest, crashes));
+    }
+
+    /// Gives the room of a suspect back.
+    pub fn release(&mut self, digest: Digest) {
+        if let Some(at) = self.running.iter().position(|(d, _)| *d == digest) {
+            self.running.swap_remove(at);
         }
     }
 
+    /// Notes that a request is given to the endpoint, and returns its number.
+    pub fn start(&mut self, digest: Digest) -> u64 {
+        self.last += 1;
+        self.flights.push(Flight {
+            number: self.last,
+            digest,
+            blamed: false,
+        });
+        self.last
+    }
+
     /// Notes that a request has left the endpoint.
-    pub fn finish(&mut self, digest: Digest, suspect: bool) {
-        if let Ok(at) = self.flights.binary_search_by_key(&digest, |f| f.digest) {
-            self.flights[at].count -= 1;
-            if self.flights[at].count == 0 {
-                self.flights.remove(at);
-            }
-        }
-        if suspect && let Some(at) = self.running.iter().position(|(d, _)| *d == digest) {
-            self.running.swap_remove(at);
+    pub fn finish(&mut self, number: u64) {
+        if let Ok(at) = self.flights.binary_search_by_key(&number, |f| f.number) {
+            self.flights.remove(at);
         }
     }
 
-    /// Returns the requests in flight, each digest once.
-    pub fn in_flight(&self) -> Vec<Digest> {
-        self.flights.iter().map(|flight| flight.digest).collect()
+    /// Notes a crash of the endpoint and returns the requests that it ended.
+    ///
+    /// Each request learns of the crash by itself; only the first gets them all,
+    /// and the others none.
+    pub fn crash(&mut self, number: u64) -> Vec<Digest> {
+        let at = self.flights.binary_search_by_key(&number, |f| f.number);
+        if !at.is_ok_and(|at| !self.flights[at].blamed) {
+            return Vec::new();
+        }
+        let ended = self.flights.iter_mut().filter(|flight| !flight.blamed);
+        ended
+            .map(|flight| {
+                flight.blamed = true;
+                flight.digest
+            })
+            .collect()
     }
 
     /// Adds a crash to the own copy of the list, ahead of the store.
-    pub fn blame(&mut self, in_flight: &[Digest], now: Time) {
-        self.list.blame(in_flight, &self.config, now);
+    pub fn blame(&mut self, crash: u64, in_flight: &[Digest], now: Time) {
+        self.list.blame(crash, in_flight, &self.config, now);
     }
 
     /// Clears a suspect in the own copy of the list, ahead of the store.
@@ -389,3 +410,14 @@
     )
     .retry_at(retry_at)
 }
+
+/// The refusal of a request that came under suspicion while it waited for room.
+pub fn suspected(retry_at: Time) -> Refusal {
+    Refusal::new(
+        Kind::Unavailable,
+        Effect::NotRun,
+        "An equal request was in flight at a crash while this one waited for room.",
+        "Send it again after the stated time.",
+    )
+    .retry_at(retry_at)
+}
--- /dev/null
+++ b/crates/core/tests/blame.rs
@@ -0,0 +1,298 @@
+//! Endpoints that crash on marked requests, in seeded orders of events.
+
+use std::time::Duration;
+
+use cactusroad_core::{
+    Time,
+    blame::{Board, Config, Hold, List, MAX_CRASHES, Take, Verdict},
+    digest::Digest,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config as Cases, RngSeed},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Asked,
+    /// At an endpoint, as a suspect or freely.
+    Running(usize, bool, u64),
+    Served,
+    Refused,
+}
+
+struct Endpoint {
+    board: Board,
+    crashes: usize,
+}
+
+/// Requests whose callers repeat them until they are served or refused for good.
+struct World {
+    now: Time,
+    list: List,
+    holds: Vec<Option<Hold>>,
+    endpoints: Vec<Endpoint>,
+    requests: Vec<State>,
+    culprits: usize,
+}
+
+impl World {
+    /// The first `culprits` of the requests crash their endpoint.
+    fn new(endpoints: usize, requests: usize, culprits: usize) -> World {
+        let endpoint = || Endpoint {
+            board: Board::new(Config::default()),
+            crashes: 0,
+        };
+        World {
+            now: Time::from_millis(1),
+            list: List::default(),
+            holds: vec![None; requests],
+            endpoints: (0..endpoints).map(|_| endpoint()).collect(),
+            requests: vec![State::Asked; requests],
+            culprits,
+        }
+    }
+
+    fn run(&mut self, rng: &mut ChaCha8Rng, beside: usize) {
+        for _ in 0..self.requests.len() * 5_000 {
+            let is_over = |state: &State| matches!(state, State::Served | State::Refused);
+            if self.requests.iter().all(is_over) {
+                return;
+            }
+            self.now = self.now + Duration::from_micros(100);
+            let at = rng.random_range(0..self.requests.len());
+            match self.requests[at] {
+                State::Asked => self.start(at, rng.random_range(0..self.endpoints.len())),
+                State::Running(endpoint, ..) if at < self.culprits => {
+                    // A crash comes late enough for others to be in flight.
+                    let crowd = self.running(endpoint).len();
+                    if crowd > beside || rng.random_bool(0.2) {
+                        self.crash(endpoint);
+                    }
+                }
+                State::Running(..) => {
+                    if rng.random_bool(0.1) {
+                        self.finish(at);
+                    }
+                }
+                State::Served | State::Refused => {}
+            }
+        }
+    }
+
+    fn running(&self, endpoint: usize) -> Vec<usize> {
+        let here =
+            |at: &usize| matches!(self.requests[*at], State::Running(e, ..) if e == endpoint);
+        (0..self.requests.len()).filter(here).collect()
+    }
+
+    fn start(&mut self, at: usize, endpoint: usize) {
+        let digest = Digest(at as u128);
+        let board = &mut self.endpoints[endpoint].board;
+        let suspect = match board.check(digest, self.now) {
+            Verdict::Free => false,
+            Verdict::Refuse(_) => {
+                self.requests[at] = State::Refused;
+                return;
+            }
+            Verdict::Suspect if !board.has_room(digest, self.now) => return,
+            Verdict::Suspect => true,
+        };
+        if suspect {
+            let config = Config::default();
+            let deadline = self.now + Duration::from_secs(30);
+            let hold = self.holds[at].as_ref();
+            match Hold::take(hold, endpoint as u64, deadline, &config, self.now) {
+                Take::Free(hold) => self.holds[at] = Some(hold),
+                other => panic!("the hold of {at} is not free: {other:?}"),
+            }
+        }
+        if suspect {
+            board.reserve(digest, self.now);
+        }
+        let number = board.start(digest);
+        self.requests[at] = State::Running(endpoint, suspect, number);
+    }
+
+    fn finish(&mut self, at: usize) {
+        if self.leave(at) {
+            self.list.clear(Digest(at as u128));
+            self.spread();
+        }
+        self.requests[at] = State::Served;
+    }
+
+    /// Takes a request off its endpoint; `true` where it ran as a suspect.
+    fn leave(&mut self, at: usize) -> bool {
+        let State::Running(endpoint, suspect, number) = self.requests[at] else {
+            panic!("{at} does not run");
+        };
+        let board = &mut self.endpoints[endpoint].board;
+        board.finish(number);
+        if suspect {
+            board.release(Digest(at as u128));
+            self.holds[at] = None;
+        }
+        suspect
+    }
+
+    /// Lets an endpoint crash; each request at it learns so by itself.
+    fn crash(&mut self, endpoint: usize) {
+        self.endpoints[endpoint].crashes += 1;
+        let crash = self.now.as_micros();
+        let ended = self.running(endpoint);
+        let mut blamed = 0;
+        for at in ended.iter().copied() {
+            let State::Running(_, _, number) = self.requests[at] else {
+                panic!("{at} does not run");
+            };
+            let in_flight = self.endpoints[endpoint].board.crash(number);
+            blamed += in_flight.len();
+            let config = Config::default();
+            // The answer to the write is lost, so it is repeated.
+            self.list.blame(crash, &in_flight, &config, self.now);
+            self.list.blame(crash, &in_flight, &config, self.now);
+        }
+        assert_eq!(blamed, ended.len());
+        for at in ended {
+            self.leave(at);
+            self.requests[at] = State::Asked;
+        }
+        self.spread();
+    }
+
+    fn spread(&mut self) {
+        for endpoint in &mut self.endpoints {
+            endpoint.board.replace(self.list.clone());
+        }
+    }
+
+    fn crashes(&self) -> usize {
+        self.endpoints.iter().map(|e| e.crashes).sum()
+    }
+}
+
+fn cases() -> Cases {
+    Cases {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Cases::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    /// One culprit crashes three endpoints in all, and everybody else is served.
+    #[test]
+    fn board_one_culprit(seed: u64, endpoints in 1..12usize, innocents in 0..300usize) {
+        let mut world = World::new(endpoints, innocents + 1, 1);
+        let beside = innocents / endpoints;
+        world.run(&mut ChaCha8Rng::seed_from_u64(seed), beside);
+        prop_assert_eq!(world.requests[0], State::Refused);
+        prop_assert_eq!(world.crashes(), MAX_CRASHES as usize);
+        let unserved = world.requests[1..].iter().filter(|s| **s != State::Served);
+        prop_assert_eq!(unserved.count(), 0);
+    }
+
+    /// Several culprits crash three endpoints each at the most.
+    #[test]
+    fn board_several_culprits(seed: u64, endpoints in 1..12usize, culprits in 2..5usize) {
+        let mut world = World::new(endpoints, culprits + 60, culprits);
+        world.run(&mut ChaCha8Rng::seed_from_u64(seed), 4);
+        prop_assert!(world.crashes() <= culprits * MAX_CRASHES as usize);
+        for culprit in &world.requests[..culprits] {
+            prop_assert_eq!(*culprit, State::Refused);
+        }
+    }
+}
+
+/// A conviction ends at its deadline.
+#[test]
+fn list_conviction_deadline() {
+    let config = Config::default();
+    let now = Time::from_millis(1);
+    let mut board = Board::new(config);
+    for crash in 0..MAX_CRASHES {
+        board.blame(crash.into(), &[Digest(1)], now);
+    }
+    let late = now + config.suspicion;
+    let Verdict::Refuse(refusal) = board.check(Digest(1), now) else {
+        panic!("three crashes must convict");
+    };
+    assert_eq!(refusal.retry_at, Some(late));
+    assert_eq!(board.check(Digest(1), late), Verdict::Free);
+    board.clear(Digest(1));
+    let still = board.check(Digest(1), now);
+    assert_ne!(still, Verdict::Free, "a late answer clears no conviction");
+}
+
+/// A full list keeps those who were at the most crashes.
+#[test]
+fn list_full() {
+    let config = Config {
+        max_suspects: 3,
+        ..Config::default()
+    };
+    let now = Time::from_millis(1);
+    let mut list = List::default();
+    list.blame(1, &[Digest(9)], &config, now);
+    list.blame(2, &[Digest(9)], &config, now);
+    list.blame(3, &[1, 2, 3, 4].map(Digest), &config, now);
+    assert_eq!(list.suspects().len(), 3);
+    assert_eq!(list.find(Digest(9), now).map(|s| s.crashes), Some(2));
+}
+
+#[test]
+fn hold_take_cases() {
+    let config = Config::default();
+    let now = Time::from_millis(100_000);
+    let deadline = now + Duration::from_secs(30);
+    let hold = |until| Hold { holder: 1, until };
+    let next = Hold {
+        holder: 2,
+        until: deadline + config.hold_grace,
+    };
+    let cases = [
+        (None, Take::Free(next)),
+        (Some(hold(deadline)), Take::Busy(deadline)),
+        (Some(hold(now)), Take::Lapsed(next)),
+    ];
+    for (current, expected) in cases {
+        let take = Hold::take(current.as_ref(), 2, deadline, &config, now);
+        assert_eq!(take, expected, "{current:?}");
+    }
+}
+
+/// Suspects of two crashes run alone, those of one crash in groups.
+#[test]
+fn board_room_cases() {
+    let now = Time::from_millis(1);
+    let mut board = Board::new(Config::default());
+    let many: Vec<Digest> = (1..=40).map(Digest).collect();
+    board.blame(1, &many, now);
+    board.blame(2, &many[..3], now);
+    // Digests 1 to 3 were at two crashes, 4 to 40 at one: groups of three.
+    let cases: [(&[u128], u128, bool); 6] = [
+        (&[], 1, true),
+        (&[1], 2, false),
+        (&[1], 4, false),
+        (&[4], 1, false),
+        (&[4, 5], 6, true),
+        (&[4, 5, 6], 7, false),
+    ];
+    for (running, asks, room) in cases {
+        let mut board = board.clone();
+        for digest in running {
+            board.reserve(Digest(*digest), now);
+        }
+        assert_eq!(
+            board.has_room(Digest(asks), now),
+            room,
+            "{running:?} {asks}"
+        );
+    }
+}
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -15,6 +15,7 @@
 //! then finds it barred. So `not_run` is said only of attempts that can no
 //! longer reach the endpoint.
 
+mod blame;
 mod gate;
 mod ledger;
 mod run;
@@ -39,7 +40,7 @@
 use cactusroad_wire::message::Status;
 use tokio::{sync::watch, time};
 
-use self::{gate::Gate, ledger::Ledger, table::Table};
+use self::{blame::Blame, gate::Gate, ledger::Ledger, table::Table};
 use crate::{
     clock,
     metrics::AgentMetrics,
@@ -71,6 +72,7 @@
     gate: Arc<Gate>,
     table: Table,
     ledger: Ledger,
+    blame: Blame,
     load: watch::Sender<Option<Load>>,
     leaving: AtomicBool,
     metrics: AgentMetrics,
@@ -105,7 +107,8 @@
             versions: endpoint.versions.clone(),
             gate: Gate::new(endpoint.max_running, endpoint.max_queued),
             table: Table::new(),
-            ledger: Ledger::start(store, LedgerConfig::default()),
+            ledger: Ledger::start(store.clone(), LedgerConfig::default()),
+            blame: Blame::start(store),
             load: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
             metrics,
@@ -224,6 +227,11 @@
         }
     }
 
+    /// The incarnation of the engine, as its last report says.
+    fn engine_incarnation(&self) -> Option<u64> {
+        self.load.borrow().as_ref().map(|load| load.incarnation)
+    }
+
     /// Says why no new work is taken, if that is so.
     fn refusal(&self, incarnation: Incarnation) -> Option<Refusal> {
         if incarnation != self.incarnation && incarnation != Incarnation::default() {
--- a/crates/node/src/agent/run.rs
+++ b/crates/node/src/agent/run.rs
@@ -28,6 +28,8 @@
 
 /// An engine that sends nothing for so long is asked again over a new connection, in milliseconds.
 const ENGINE_SILENCE_MS: u64 = 3_000;
+/// How long the engine's report is awaited after a generation broke off, in milliseconds.
+const REPORT_WAIT_MS: u64 = 500;
 /// Bytes of text that count as one token of a prompt.
 const BYTES_PER_TOKEN: u64 = 4;
 
@@ -37,44 +39,95 @@
     slot: Arc<Slot>,
     open: Open,
 ) {
-    let mut grant = match claim(&shared, &slot, &open).await {
-        Ok(Claimed::Free) => None,
-        Ok(Claimed::Grant(grant)) => Some(grant),
-        Ok(Claimed::Replay(answer)) => return slot.finish(Outcome::Answer(answer)),
-        Err(refusal) => return slot.finish(refused(refusal)),
+    let outcome = match claim(&shared, &slot, &open).await {
+        Ok(Claimed::Free) => dispatch(&shared, &slot, open, None).await,
+        Ok(Claimed::Grant(grant)) => dispatch(&shared, &slot, open, Some(grant)).await,
+        Ok(Claimed::Replay(answer)) => Outcome::Answer(answer),
+        Err(refusal) => refused(refusal),
     };
-    let ticket = ticket(&open);
-    let permit = match wait(&shared, &slot, &ticket).await {
-        Ok(permit) => permit,
-        Err(refusal) => {
-            give_back(grant).await;
-            return slot.finish(refused(refusal));
-        }
+    slot.finish(outcome);
+}
+
+/// Runs an attempt whose key, if it has one, is claimed.
+async fn dispatch<E: Engine, S: Service>(
+    shared: &Shared<E, S>,
+    slot: &Slot,
+    open: Open,
+    mut grant: Option<Grant>,
+) -> Outcome {
+    let outcome = match guarded(shared, slot, open, grant.as_mut()).await {
+        Ok(outcome) => outcome,
+        Err(refusal) => refused(refusal),
     };
+    // A refusal that lets the caller repeat the key elsewhere follows the release.
+    if let Some(grant) = grant {
+        conclude(grant, &outcome).await;
+    }
+    outcome
+}
+
+/// Runs an attempt that may crash the endpoint.
+///
+/// # Errors
+///
+/// Refuses, truly not run, what was not given to the endpoint.
+async fn guarded<E: Engine, S: Service>(
+    shared: &Shared<E, S>,
+    slot: &Slot,
+    open: Open,
+    grant: Option<&mut Grant>,
+) -> Result<Outcome, Refusal> {
+    let ticket = ticket(&open);
+    let digest = Digest::from_bytes(&open.digest).unwrap_or_else(|| Digest::of(&[&open.digest]));
+    let admitted = shared.blame.admit(digest, open.suspect, ticket.deadline);
+    let mut pass = admitted.await?;
+    let permit = wait(shared, slot, &ticket).await?;
+    pass.start()?;
     if !slot.dispatch() {
-        give_back(grant).await;
-        return slot.finish(refused(cancelled(Effect::NotRun)));
+        return Err(cancelled(Effect::NotRun));
     }
-    if let Some(grant) = &mut grant {
+    if let Some(grant) = grant {
         grant.dispatch();
     }
+    let before = shared.engine_incarnation();
     let run = Run {
-        shared: &shared,
-        slot: &slot,
+        shared,
+        slot,
         deadline: ticket.deadline,
         permit,
     };
     let outcome = match (&shared.backend, open.work) {
         (Backend::Model(engine), Some(open::Work::Generate(work))) => {
-            let prompt = prompt(&slot, &open.version, open.priority, &work);
+            let prompt = prompt(slot, &open.version, open.priority, &work);
             run.generate(engine, &prompt).await
         }
         (Backend::Service(service), Some(open::Work::Call(work))) => run.call(service, work).await,
         _ => refused(wrong_kind()),
     };
-    // A refusal that lets the caller repeat the key elsewhere follows the release.
-    conclude(grant, &outcome).await;
-    slot.finish(outcome);
+    match &outcome {
+        Outcome::End { .. } | Outcome::Answer(_) => pass.finish(),
+        Outcome::Refused {
+            endpoint_died: true,
+            ..
+        } if has_crashed(shared, before).await => pass.crash().await,
+        // The request was not run to its end, so nothing is known of it.
+        Outcome::Refused { .. } => drop(pass),
+    }
+    Ok(outcome)
+}
+
+/// Tells whether the endpoint crashed, rather than one connection to it.
+///
+/// A plain service has no report, so a broken call counts as a crash.
+async fn has_crashed<E: Engine, S: Service>(shared: &Shared<E, S>, before: Option<u64>) -> bool {
+    let Backend::Model(engine) = &shared.backend else {
+        return true;
+    };
+    let wait = Duration::from_millis(REPORT_WAIT_MS);
+    match time::timeout(wait, engine.load()).await {
+        Ok(Ok(load)) => Some(load.incarnation) != before,
+        _ => true,
+    }
 }
 
 /// What the ledger says of an attempt.
@@ -112,17 +165,8 @@
     }
 }
 
-async fn give_back(grant: Option<Grant>) {
-    if let Some(grant) = grant {
-        grant.release().await;
-    }
-}
-
 /// Tells the ledger how the attempt of a claimed key ended.
-async fn conclude(grant: Option<Grant>, outcome: &Outcome) {
-    let Some(grant) = grant else {
-        return;
-    };
+async fn conclude(grant: Grant, outcome: &Outcome) {
     match outcome {
         Outcome::Answer(answer) => grant.settle(Some(ledger::write_answer(answer))),
         Outcome::End { .. } => grant.settle(None),
