--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -105,7 +105,11 @@
             incarnation: Incarnation(clock::now().as_micros()),
             backend,
             versions: endpoint.versions.clone(),
-            gate: Gate::new(endpoint.max_running, endpoint.max_queued),
+            gate: Gate::new(
+                endpoint.max_running,
+                endpoint.max_queued,
+                metrics.queue_seconds.clone(),
+            ),
             table: Table::new(),
             ledger: Ledger::start(store.clone(), LedgerConfig::default()),
             blame: Blame::start(store),
--- a/tests/integration/adapters.rs
+++ b/tests/integration/adapters.rs
@@ -316,6 +316,46 @@
     assert_eq!(stood.seen().crashes, 1);
 }
 
+#[tokio::test]
+async fn engine_under_model() {
+    let config = standin::engine::Config {
+        model: true,
+        blocks_total: 30,
+        ..Default::default()
+    };
+    let (stood, client) = engine(config).await;
+    let prompts = [1, 2, 3].map(|number| prompt(number, "[len=200]"));
+    let mut streams = Vec::new();
+    for prompt in &prompts {
+        streams.push(client.generate(prompt).await.unwrap());
+    }
+    // Each needs 13 blocks in the end, so memory for all three is 9 blocks short.
+    for (prompt, tokens) in prompts.iter().zip(streams) {
+        assert_eq!(read_all(tokens).await, whole(prompt, 0));
+    }
+    let reported = async {
+        // The report lags behind.
+        while client.load().await.unwrap().preemptions == 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(WAIT, reported)
+        .await
+        .expect("a preemption is reported");
+    let cancelled = client.generate(&prompt(4, "[len=200]")).await.unwrap();
+    client.cancel(Attempt(4)).await.unwrap();
+    assert_eq!(
+        read_all(cancelled).await.last(),
+        Some(&Err(engine::Error::Broken))
+    );
+    let marked = client
+        .generate(&prompt(5, "[crash] [len=200]"))
+        .await
+        .unwrap();
+    assert_eq!(read_all(marked).await, [Err(engine::Error::Broken)]);
+    assert_eq!(stood.seen().crashes, 1);
+}
+
 #[tokio::test]
 async fn engine_fencing() {
     let (stood, client) = engine(Default::default()).await;
