--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -15,7 +15,9 @@
 //! then finds it barred. So `not_run` is said only of attempts that can no
 //! longer reach the endpoint.
 
+mod blame;
 mod gate;
+mod ledger;
 mod run;
 mod serve;
 mod slot;
@@ -27,16 +29,18 @@
 
 use cactusroad_core::{
     id::Incarnation,
+    ledger::Config as LedgerConfig,
     refusal::{Effect, Kind, Refusal},
 };
 use cactusroad_platform::{
     engine::{Engine, Load},
     service::Service,
+    store::Store,
 };
 use cactusroad_wire::message::Status;
 use tokio::{sync::watch, time};
 
-use self::{gate::Gate, table::Table};
+use self::{blame::Blame, gate::Gate, ledger::Ledger, table::Table};
 use crate::{
     clock,
     metrics::AgentMetrics,
@@ -67,6 +71,8 @@
     versions: Vec<Arc<str>>,
     gate: Arc<Gate>,
     table: Table,
+    ledger: Ledger,
+    blame: Blame,
     load: watch::Sender<Option<Load>>,
     leaving: AtomicBool,
     metrics: AgentMetrics,
@@ -84,9 +90,10 @@
     /// # Errors
     ///
     /// Fails where the certificates cannot be used or the address is taken.
-    pub fn start(
+    pub fn start<St: Store>(
         settings: &settings::Agent,
         backend: Backend<E, S>,
+        store: St,
         metrics: AgentMetrics,
     ) -> Result<Agent<E, S>, transport::Error> {
         let identity = Identity::read(&settings.common.tls)?;
@@ -104,6 +111,8 @@
                 metrics.queue_seconds.clone(),
             ),
             table: Table::new(),
+            ledger: Ledger::start(store.clone(), LedgerConfig::default()),
+            blame: Blame::start(store),
             load: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
             metrics,
@@ -145,6 +154,7 @@
         while !self.shared.table.is_settled(clock::now()) {
             tick.tick().await;
         }
+        self.shared.ledger.flush().await;
         self.socket.close(0u32.into(), b"stopped");
         self.socket.wait_idle().await;
     }
@@ -221,6 +231,11 @@
         }
     }
 
+    /// The incarnation of the engine, as its last report says.
+    fn engine_incarnation(&self) -> Option<u64> {
+        self.load.borrow().as_ref().map(|load| load.incarnation)
+    }
+
     /// Says why no new work is taken, if that is so.
     fn refusal(&self, incarnation: Incarnation) -> Option<Refusal> {
         if incarnation != self.incarnation && incarnation != Incarnation::default() {
