--- a/crates/ops/src/error.rs
+++ b/crates/ops/src/error.rs
@@ -63,7 +63,7 @@
         changes: Vec<Change>,
     },
     /// The store cannot be reached, and nothing was applied.
-    #[error("nothing was applied: {0}")]
+    #[error("{0}")]
     Store(store::Error),
     /// It is not known whether the configuration was applied.
     #[error(
@@ -130,8 +130,8 @@
             writeln!(f, "{fault}")?;
         }
         match self.0.len() {
-            1 => f.write_str("1 fault; nothing was applied"),
-            count => write!(f, "{count} faults; nothing was applied"),
+            1 => f.write_str("1 fault"),
+            count => write!(f, "{count} faults"),
         }
     }
 }
