Choose the version of each request by its plan, and count its attempts

Cause: plans moved no traffic. Change: the entry keeps one rollout per plan in force, chooses the side of a request by the digest of route and body (or the idempotency key), counts the ends of attempts with the endpoint's load, first token and longest gap, and records the outcome by a conditional write.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -61,10 +61,11 @@
     let roster = roster::http::Client::new(&address(&settings.common.roster)?);
     let exporter = Exporter::new();
     let metrics = EntryMetrics::new(&exporter);
-    let config = source::config(store);
+    let config = source::config(store.clone());
     let vms = source::endpoints(roster.clone());
     let entry = Entry::start(&settings, config, vms, metrics).await?;
     entry.follow_entries(source::entries(roster));
+    entry.follow_rollouts(store);
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
     log::info!(
         "entry {} listens on {}",
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -22,6 +22,7 @@
     attempt::{self, Session},
     directory::{Target, Want},
     guard,
+    rollout::Trial,
 };
 use crate::{
     clock,
@@ -38,6 +39,8 @@
 pub(super) struct Job {
     pub(super) route: Arc<str>,
     pub(super) version: Arc<str>,
+    /// Counts the attempts where a plan moves the route.
+    pub(super) trial: Option<Trial>,
     pub(super) workspace: Arc<str>,
     pub(super) weight: u32,
     pub(super) priority: u8,
@@ -91,8 +94,17 @@
         tried.push(name.clone());
         shared.guard.sent(&shared.directory, &job.route, &name);
         let sent_at = clock::now();
+        if let Some(trial) = &job.trial {
+            trial.begin(target.load);
+        }
         let result = once(shared, job, target).await;
         let outcome = outcome(&result, sent_at);
+        if let Some(trial) = &job.trial {
+            if let Err(refusal) = &result {
+                trial.refused(refusal, false, &name);
+            }
+            trial.ended(outcome);
+        }
         shared
             .guard
             .ended(&shared.directory, &job.route, &name, outcome);
--- a/crates/node/src/entry/directory.rs
+++ b/crates/node/src/entry/directory.rs
@@ -66,14 +66,20 @@
 /// Counts an attempt at an endpoint for as long as it lives.
 pub(super) struct Target {
     pub(super) endpoint: Endpoint,
+    /// The load of the endpoint when it was chosen, in thousandths.
+    pub(super) load: u16,
     sent_at: Time,
 }
 
 impl Target {
-    fn new(endpoint: Endpoint) -> Target {
+    fn new(endpoint: Endpoint, load: u16) -> Target {
         let sent_at = clock::now();
         lock(&endpoint.table).sent(&endpoint.listed.name, sent_at);
-        Target { endpoint, sent_at }
+        Target {
+            endpoint,
+            load,
+            sent_at,
+        }
     }
 }
 
@@ -84,6 +90,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the load is bounded to a whole share first"
+)]
+fn thousandths(load: f64) -> u16 {
+    (load.clamp(0.0, 1.0) * 1_000.0) as u16
+}
+
 fn lock(table: &Mutex<Table>) -> MutexGuard<'_, Table> {
     table.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -111,7 +126,7 @@
     pub(super) fn find(&self, name: &str) -> Option<Target> {
         let listed = self.listed(name)?;
         let incarnation = self.table().incarnation(name);
-        Some(self.target(listed, incarnation))
+        Some(self.target(listed, incarnation, 0))
     }
 
     /// Chooses an endpoint; `random` decides between equals.
@@ -135,13 +150,14 @@
         let Candidate {
             endpoint,
             incarnation,
+            load,
             ..
         } = match want.key {
             Some(key) => self.table().choose_keyed(&request, key, now),
             None => self.table().choose(&request, random, now),
         }?;
         let listed = self.listed(&endpoint)?;
-        Some(self.target(listed, incarnation))
+        Some(self.target(listed, incarnation, thousandths(load)))
     }
 
     /// Keeps an endpoint out of choices until a deadline.
@@ -171,12 +187,13 @@
         Some(listed[at].clone())
     }
 
-    fn target(&self, listed: Listed, incarnation: Incarnation) -> Target {
-        Target::new(Endpoint {
+    fn target(&self, listed: Listed, incarnation: Incarnation, load: u16) -> Target {
+        let endpoint = Endpoint {
             listed,
             incarnation,
             table: Arc::clone(&self.table),
-        })
+        };
+        Target::new(endpoint, load)
     }
 
     /// Takes over a new list and returns the VMs that were not on the last one.
--- a/crates/node/src/entry/generate.rs
+++ b/crates/node/src/entry/generate.rs
@@ -24,6 +24,7 @@
     directory::{Target, Want},
     guard::{self, Meter},
     pump::{Finish, Pump},
+    rollout::Trial,
 };
 use crate::clock;
 
@@ -36,6 +37,8 @@
 pub(super) struct Job {
     pub(super) route: Arc<str>,
     pub(super) version: Arc<str>,
+    /// Counts the attempts where a plan moves the route.
+    pub(super) trial: Option<Trial>,
     pub(super) workspace: Workspace,
     pub(super) priority: u8,
     pub(super) deadline: Time,
@@ -148,14 +151,25 @@
             arrived,
             prefixes: &prefixes,
         };
+        if let Some(trial) = &job.trial {
+            trial.begin(aim.target.load);
+        }
         let finish = once(shared, job, aim, meter, output).await;
         let outcome = match &finish {
             Finish::Done(outcome) => *outcome,
             Finish::Failed {
                 refusal,
                 endpoint_died,
-            } => guard::evidence(refusal, *endpoint_died),
+            } => {
+                if let Some(trial) = &job.trial {
+                    trial.refused(refusal, *endpoint_died, &name);
+                }
+                guard::evidence(refusal, *endpoint_died)
+            }
         };
+        if let Some(trial) = &job.trial {
+            trial.ended(outcome);
+        }
         shared
             .guard
             .ended(&shared.directory, &job.route, &name, outcome);
@@ -240,6 +254,7 @@
     };
     let mut pump = Pump::new(&session, 0, arrived, output);
     pump.meter = Some(meter);
+    pump.trial = job.trial.as_ref();
     pump.run(call).await
 }
 
--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -252,13 +252,16 @@
     }
     let id = shared.draw().to_string();
     let head = head(ask.form, ask.model.clone(), &id);
+    let digest = digest(&route.name, ask.prompt.as_bytes());
+    let choice = shared.choose_version(route, &digest);
     let job = generate::Job {
         route: route.name.clone(),
-        version: route.version.clone(),
+        version: choice.version,
+        trial: choice.trial,
         workspace,
         priority: route.priority,
         deadline,
-        digest: digest(&route.name, ask.prompt.as_bytes()),
+        digest,
         prompt: ask.prompt,
         max_tokens: ask.max_tokens,
         traceparent: auth::text(headers, "traceparent").unwrap_or("").to_owned(),
@@ -345,25 +348,32 @@
         Some(query) => format!("/{path}?{query}"),
         None => format!("/{path}"),
     };
+    let key = key(&headers)?;
+    let digest = digest(
+        &route.name,
+        &[method.as_bytes(), path.as_bytes(), &body].concat(),
+    );
+    let choice = match key.as_str() {
+        "" => shared.choose_version(route, &digest),
+        key => shared.choose_version(route, key.as_bytes()),
+    };
     let job = call::Job {
         route: route.name.clone(),
-        version: route.version.clone(),
+        version: choice.version,
+        trial: choice.trial,
         workspace: workspace.name,
         weight: workspace.weight,
         priority: route.priority,
         deadline,
         idempotent: route.idempotent,
-        digest: digest(
-            &route.name,
-            &[method.as_bytes(), path.as_bytes(), &body].concat(),
-        ),
+        digest,
         work: Call {
             method,
             path,
             headers: passed_on(&headers),
             body,
             once: !route.idempotent,
-            idempotency_key: key(&headers)?,
+            idempotency_key: key,
         },
         traceparent: auth::text(&headers, "traceparent").unwrap_or("").to_owned(),
         config_generation: config.generation.0,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -13,16 +13,21 @@
 mod http;
 mod openai;
 mod pump;
+mod rollout;
 mod sse;
 
 use std::{
     net::SocketAddr, sync::Arc, sync::atomic::AtomicBool, sync::atomic::Ordering, time::Duration,
 };
 
-use cactusroad_core::{config::Snapshot, id::Attempt};
+use cactusroad_core::{
+    config::{Route, Snapshot},
+    id::Attempt,
+};
+use cactusroad_platform::store::Store;
 use tokio::{net::TcpListener, sync::watch, time};
 
-use self::{directory::Directory, guard::Guard};
+use self::{directory::Directory, guard::Guard, rollout::Rollouts};
 use crate::{
     metrics::EntryMetrics,
     settings,
@@ -41,6 +46,7 @@
     config: watch::Receiver<Arc<Snapshot>>,
     directory: Directory,
     guard: Guard,
+    rollouts: Rollouts,
     dialer: Dialer,
     leaving: AtomicBool,
     metrics: EntryMetrics,
@@ -52,6 +58,22 @@
         Attempt(rand::random())
     }
 
+    /// Chooses the version of a request by the plan that moves its route, if any.
+    fn choose_version(&self, route: &Route, key: &[u8]) -> rollout::Choice {
+        self.rollouts
+            .choose(route, key, |version| self.reaches(version))
+    }
+
+    /// Tells whether an endpoint with the version is known.
+    fn reaches(&self, version: &str) -> bool {
+        let want = directory::Want {
+            version,
+            tried: &[],
+            key: None,
+        };
+        self.directory.choose(&want, 0).is_some()
+    }
+
     fn snapshot(&self) -> Arc<Snapshot> {
         self.config.borrow().clone()
     }
@@ -95,6 +117,7 @@
             config,
             directory,
             guard: Guard::new(settings.common.name.clone()),
+            rollouts: Rollouts::new(settings.common.name.clone()),
             dialer,
             leaving: AtomicBool::new(false),
             metrics,
@@ -123,6 +146,11 @@
         });
     }
 
+    /// Runs the rollout plans in force, and records their outcomes in the store.
+    pub fn follow_rollouts<S: Store>(&self, store: S) {
+        tokio::spawn(rollout::follow(Arc::downgrade(&self.shared), store));
+    }
+
     /// The address on which the entry listens for callers.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
@@ -157,12 +185,7 @@
 
     /// Tells whether an endpoint with the version is known.
     pub fn reaches(&self, version: &str) -> bool {
-        let want = directory::Want {
-            version,
-            tried: &[],
-            key: None,
-        };
-        self.0.directory.choose(&want, 0).is_some()
+        self.0.reaches(version)
     }
 }
 
--- a/crates/node/src/entry/pump.rs
+++ b/crates/node/src/entry/pump.rs
@@ -15,6 +15,7 @@
     attempt::{self, Session},
     generate::{Item, refuse},
     guard::{self, Meter},
+    rollout::Trial,
 };
 use crate::{clock, transport::Call};
 
@@ -52,6 +53,7 @@
     /// The time to the first token over this entry, in milliseconds.
     latency_ms: Option<u64>,
     pub(super) meter: Option<&'a mut Meter<'m>>,
+    pub(super) trial: Option<&'a Trial>,
     /// A token has reached the caller, so no other attempt may take over.
     pub(super) is_final: bool,
 }
@@ -77,6 +79,7 @@
             last_token: arrived,
             latency_ms: None,
             meter: None,
+            trial: None,
             is_final: false,
         }
     }
@@ -91,6 +94,10 @@
                 refusal,
                 endpoint_died,
             } if self.is_final => {
+                if let Some(trial) = self.trial {
+                    let endpoint = &self.session.target.endpoint.listed.name;
+                    trial.refused(&refusal, endpoint_died, endpoint);
+                }
                 let outcome = guard::evidence(&refusal, endpoint_died);
                 refuse(self.output, refusal).await;
                 Finish::Done(outcome)
@@ -256,6 +263,9 @@
         let metrics = &self.session.shared.metrics;
         match self.is_final {
             true => {
+                if let Some(trial) = self.trial {
+                    trial.gap(now.since(self.last_token));
+                }
                 metrics.between_tokens_seconds.observe(seconds);
                 metrics
                     .stall_seconds
