Test rollouts with real processes: bad, late, good, deadline, store down

Change: the site of the integration tests can hold services of a next version and put plans in force; five tests with a real entry and real agents. Conclusion: a version that answers 500 is withdrawn with the store down as with it up, and the outcome is recorded when it is back.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,5 +6,6 @@
 mod death;
 mod link;
 mod order;
+mod rollout;
 mod site;
 mod stop;
--- /dev/null
+++ b/tests/integration/rollout.rs
@@ -0,0 +1,211 @@
+//! Moves of traffic between versions: bad ones are taken back, good ones are done.
+
+use std::time::Duration;
+
+use cactusroad::platform::{
+    address::Address,
+    store::{Store, http},
+};
+use cactusroad_core::{
+    Time,
+    rollout::{End, Outcome, Reason, outcome_key},
+};
+use cactusroad_standin::{fault, service};
+use serde_json::json;
+
+use crate::site::{self, Config, ORDERS, Site, WAIT, next_version};
+
+/// The pause between two calls.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// A site with two services of the old version and one of the next.
+async fn site() -> Site {
+    let config = Config {
+        entries: 1,
+        engines: 0,
+        services: 2,
+        next_services: 1,
+        ..Config::default()
+    };
+    Site::start(config).await
+}
+
+fn now() -> Time {
+    let since = std::time::UNIX_EPOCH.elapsed().expect("the clock is set");
+    Time::ZERO + since
+}
+
+/// Puts a plan in force that has one step and this long until its deadline.
+async fn plan(site: &Site, deadline: Duration) {
+    let now = now();
+    let plan = json!({"p": {
+        "route": ORDERS,
+        "from": format!("{ORDERS}-1"),
+        "to": next_version(ORDERS),
+        "steps": [{"share": 1000, "not_before": now.as_micros()}],
+        "deadline": (now + deadline).as_micros(),
+        "unproven_share": 300,
+    }});
+    site::apply(&site.store, plan, now).await;
+}
+
+async fn outcome(site: &Site) -> Option<Outcome> {
+    let address: Address = site.store.server().address().into();
+    let client = http::Client::new(&address);
+    let object = client.get(&outcome_key("p")).await.ok()??;
+    Some(serde_json::from_slice(&object.value).expect("an outcome"))
+}
+
+/// Sends calls one after the other, each with a body of its own.
+struct Calls<'a> {
+    site: &'a Site,
+    sent: u64,
+}
+
+impl Calls<'_> {
+    async fn send(&mut self) {
+        self.sent += 1;
+        let entry = self.site.entries[0].address;
+        let path = format!("{ORDERS}/order");
+        let body = json!({"number": self.sent});
+        let called = self.site.client.call(entry, &path, None, &body);
+        // A version that fails is what some of these tests are about.
+        let _ = tokio::time::timeout(WAIT, called)
+            .await
+            .expect("an answer in time");
+        tokio::time::sleep(PAUSE).await;
+    }
+
+    /// Sends calls until the outcome of the plan stands in the store.
+    async fn until_outcome(&mut self) -> Outcome {
+        let sending = async {
+            loop {
+                if let Some(outcome) = outcome(self.site).await {
+                    return outcome;
+                }
+                self.send().await;
+            }
+        };
+        let sent = tokio::time::timeout(WAIT, sending).await;
+        sent.expect("the plan ends in time")
+    }
+
+    /// Sends so many calls and returns how many of them the next version ran.
+    async fn count_next(&mut self, count: u64) -> u64 {
+        let before = next_runs(self.site);
+        for _ in 0..count {
+            self.send().await;
+        }
+        next_runs(self.site) - before
+    }
+}
+
+fn next_runs(site: &Site) -> u64 {
+    site.services[2].endpoint.seen().total
+}
+
+fn break_next(site: &Site) {
+    site.services[2].endpoint.control(&service::Command {
+        status: Some(500),
+        ..service::Command::default()
+    });
+}
+
+#[tokio::test]
+async fn rollout_bad_version_reversed() {
+    let site = site().await;
+    break_next(&site);
+    plan(&site, Duration::from_secs(120)).await;
+    let mut calls = Calls {
+        site: &site,
+        sent: 0,
+    };
+    let outcome = calls.until_outcome().await;
+    let found = (outcome.end, outcome.reason);
+    assert_eq!(found, (End::Reversed, Some(Reason::Failures)));
+    assert!(next_runs(&site) > 0, "the next version was tried");
+    assert_eq!(calls.count_next(200).await, 0, "and gets nothing any more");
+}
+
+#[tokio::test]
+async fn rollout_fault_comes_late() {
+    let site = site().await;
+    plan(&site, Duration::from_secs(120)).await;
+    let mut calls = Calls {
+        site: &site,
+        sent: 0,
+    };
+    while next_runs(&site) < 50 {
+        calls.send().await;
+    }
+    break_next(&site);
+    let outcome = calls.until_outcome().await;
+    let found = (outcome.end, outcome.reason);
+    assert_eq!(found, (End::Reversed, Some(Reason::Failures)));
+    assert_eq!(calls.count_next(200).await, 0);
+}
+
+#[tokio::test]
+async fn rollout_good_version_done() {
+    let site = site().await;
+    plan(&site, Duration::from_secs(300)).await;
+    let mut calls = Calls {
+        site: &site,
+        sent: 0,
+    };
+    let outcome = calls.until_outcome().await;
+    assert_eq!((outcome.end, outcome.reason), (End::Done, None));
+    assert_eq!(calls.count_next(50).await, 50, "all traffic has moved");
+}
+
+/// Without traffic nothing is proven, so the plan is taken back at its deadline.
+#[tokio::test]
+async fn rollout_deadline_missed() {
+    let site = site().await;
+    plan(&site, Duration::from_secs(31)).await;
+    let waiting = async {
+        loop {
+            if let Some(outcome) = outcome(&site).await {
+                return outcome;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    };
+    let outcome = tokio::time::timeout(WAIT, waiting).await.expect("in time");
+    let found = (outcome.end, outcome.reason);
+    assert_eq!(found, (End::Reversed, Some(Reason::DeadlineMissed)));
+    let mut calls = Calls {
+        site: &site,
+        sent: 0,
+    };
+    assert_eq!(calls.count_next(50).await, 0);
+}
+
+/// A bad version is withdrawn with the store down, and recorded when it is back.
+#[tokio::test]
+async fn rollout_store_down_throughout() {
+    let site = site().await;
+    plan(&site, Duration::from_secs(300)).await;
+    let mut calls = Calls {
+        site: &site,
+        sent: 0,
+    };
+    while next_runs(&site) == 0 {
+        calls.send().await;
+    }
+    site.store.control(&fault::Command {
+        drop_requests: Some(u32::MAX),
+        ..fault::Command::default()
+    });
+    break_next(&site);
+    let withdrawing = async { while calls.count_next(50).await > 0 {} };
+    let withdrawn = tokio::time::timeout(WAIT, withdrawing).await;
+    withdrawn.expect("withdrawn in time");
+    assert_eq!(calls.count_next(100).await, 0);
+    site.store.control(&fault::Command {
+        drop_requests: Some(0),
+        ..fault::Command::default()
+    });
+    let outcome = calls.until_outcome().await;
+    assert_eq!(outcome.end, End::Reversed);
+}
--- a/tests/integration/site.rs
+++ b/tests/integration/site.rs
@@ -18,7 +18,7 @@
 
 use cactusroad::{
     demo::client::{Client, WORKSPACE},
-    ops::{apply, keys},
+    ops::{self, keys},
     platform::{address::Address, store},
 };
 use cactusroad_core::{Time, config::folder};
@@ -51,6 +51,8 @@
     pub(crate) entries: u16,
     pub(crate) engines: u16,
     pub(crate) services: u16,
+    /// Further services, which hold the next version of the orders.
+    pub(crate) next_services: u16,
     pub(crate) engine: standin::engine::Config,
     /// Draws the moments of faults and the weather of the proxies.
     pub(crate) seed: u64,
@@ -62,6 +64,7 @@
             entries: 2,
             engines: 2,
             services: 0,
+            next_services: 0,
             engine: standin::engine::Config::default(),
             seed: 1,
         }
@@ -150,6 +153,8 @@
     pub(crate) store: standin::store::Handle,
     pub(crate) client: Client,
     pub(crate) random: ChaCha8Rng,
+    /// The services before those of the next version, which no probe reaches.
+    old_services: usize,
     roster: standin::roster::Handle,
     vms: Vec<standin::roster::Vm>,
     seed: u64,
@@ -162,6 +167,7 @@
     pub(crate) async fn start(config: Config) -> Site {
         let mut site = Site::empty(config.seed).await;
         configure(&site.store).await;
+        site.old_services = usize::from(config.services);
         for number in 1..=config.engines {
             let engine = standin::engine::Config {
                 versions: vec![version(MODEL).into()],
@@ -169,14 +175,20 @@
             };
             let endpoint = standin::engine::spawn(engine, listen().await).unwrap();
             let base = endpoint.server().base();
-            let agent = site.agent("engine", "model", number, base, endpoint).await;
+            let agent = site
+                .agent("engine", "model", number, (base, ""), endpoint)
+                .await;
             site.engines.push(agent);
         }
-        for number in 1..=config.services {
+        for number in 1..=config.services + config.next_services {
+            let held = match number <= config.services {
+                true => version(ORDERS),
+                false => next_version(ORDERS),
+            };
             let endpoint = standin::service::spawn(Default::default(), listen().await).unwrap();
             let base = endpoint.server().base();
             let agent = site
-                .agent("orders", "service", number, base, endpoint)
+                .agent("orders", "service", number, (base, &held), endpoint)
                 .await;
             site.services.push(agent);
         }
@@ -201,6 +213,7 @@
             store: standin::store::spawn(Default::default(), listen().await).unwrap(),
             client: Client::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
+            old_services: 0,
             roster: standin::roster::spawn(Default::default(), listen().await).unwrap(),
             vms: Vec::new(),
             seed,
@@ -223,7 +236,7 @@
         name: &str,
         kind: &str,
         number: u16,
-        base: String,
+        (base, held): (String, &str),
         endpoint: H,
     ) -> Agent<H> {
         let name = format!("{name}-{number}");
@@ -232,7 +245,7 @@
         settings["endpoint"] = json!({
             "kind": kind,
             "address": base,
-            "versions": [version(ORDERS)],
+            "versions": [held],
         });
         let front = UdpSocket::bind((self.ip, 0)).await.unwrap();
         let target = SocketAddr::new(self.ip, INNER_PORT + at);
@@ -298,7 +311,7 @@
     fn has_probed(&self, number: usize) -> bool {
         let text = probe(number);
         let mut engines = self.engines.iter();
-        let mut services = self.services.iter();
+        let mut services = self.services.iter().take(self.old_services);
         let engines = engines.all(|agent| {
             let seen = agent.endpoint.seen();
             seen.of_prompt(&text).next().is_some()
@@ -343,13 +356,25 @@
     TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
 
+/// Returns the version that a plan may move a route to.
+pub(crate) fn next_version(route: &str) -> String {
+    format!("{route}-2")
+}
+
 /// Puts a configuration with both routes in force.
 async fn configure(store: &standin::store::Handle) {
+    apply(store, json!({}), Time::from_millis(1)).await;
+}
+
+/// Puts the configuration of the site with these plans in force.
+pub(crate) async fn apply(store: &standin::store::Handle, plans: Value, now: Time) {
     let content = json!({
+        "plans": plans,
         "data_centres": {DATA_CENTRE: {"region": "sahel"}},
         "versions": {
             version(MODEL): {"artifact": "weights/1"},
             version(ORDERS): {"artifact": "builds/1"},
+            next_version(ORDERS): {"artifact": "builds/2"},
         },
         "routes": {
             MODEL: {"kind": "model", "version": version(MODEL)},
@@ -363,14 +388,14 @@
     };
     let folder = folder::read(vec![file], &|_| None).unwrap();
     let address: Address = store.server().address().into();
-    let request = apply::Request {
+    let request = ops::apply::Request {
         author: Arc::from("test"),
         on: None,
-        id: Arc::from("test"),
-        now: Time::from_millis(1),
+        id: format!("test-{}", now.as_micros()).into(),
+        now,
     };
     let client = store::http::Client::new(&address);
-    apply::apply(&client, &folder, &request).await.unwrap();
+    ops::apply::apply(&client, &folder, &request).await.unwrap();
 }
 
 /// Waits until a condition holds.
