--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,5 +8,6 @@
 mod endpoint;
 mod link;
 mod order;
+mod rollout;
 mod site;
 mod stop;
