Split the report of a rollout into parts of a kilobyte

Change: rollout::part splits a report by span and group and joins what arrived; the tally keeps the windows that a later report leaves out.

--- a/crates/core/src/rollout/evidence.rs
+++ b/crates/core/src/rollout/evidence.rs
@@ -28,9 +28,13 @@
 /// The lengths of windows, in milliseconds; of each, the last two are kept.
 pub const WINDOWS_MS: [u64; 2] = [10_000, 60_000];
 
+/// The number of groups into which counters can be cut; each is half the load levels of a version.
+pub const GROUPS: usize = 4;
+
 const CELL: usize = 2 + 2 * BUCKETS;
 const SIDE: usize = LEVELS * CELL;
 const COUNTERS: usize = 2 * SIDE;
+const GROUP: usize = COUNTERS / GROUPS;
 /// Buckets for each doubling of a latency.
 const BUCKETS_PER_OCTAVE: f64 = 2.0;
 /// Deaths of endpoints that a recorder remembers, so that each counts once.
@@ -110,6 +114,35 @@
         }
     }
 
+    /// Lists the counts of a group that are not zero, each after the places since the last one.
+    pub(super) fn group(&self, group: usize) -> Vec<u32> {
+        let mut pairs = Vec::new();
+        let mut gap = 0;
+        for count in &self.0[group * GROUP..(group + 1) * GROUP] {
+            gap += 1;
+            if *count > 0 {
+                pairs.extend([gap, *count]);
+                gap = 0;
+            }
+        }
+        pairs
+    }
+
+    /// Sets the counts of a group from such a list; what lies out of range is left out.
+    pub(super) fn set_group(&mut self, group: usize, pairs: &[u32]) {
+        let Some(counts) = self.0.chunks_exact_mut(GROUP).nth(group) else {
+            return;
+        };
+        let mut end = 0_usize;
+        for pair in pairs.chunks_exact(2) {
+            let gap = usize::try_from(pair[0]).unwrap_or(usize::MAX);
+            end = end.saturating_add(gap);
+            if let Some(count) = end.checked_sub(1).and_then(|at| counts.get_mut(at)) {
+                *count = pair[1];
+            }
+        }
+    }
+
     fn record(&mut self, sample: &Sample, failed: bool) {
         let start = start(sample.side, level(sample.load));
         self.increment(start);
@@ -202,6 +235,19 @@
     pub old: Counters,
 }
 
+impl Report {
+    /// Keeps windows of an earlier report that this one leaves out.
+    fn keep_windows(&mut self, before: Report) {
+        for ([newer, older], known) in self.windows.iter_mut().zip(before.windows) {
+            for window in known {
+                if window.number < newer.number && window.number > older.number {
+                    *older = window;
+                }
+            }
+        }
+    }
+}
+
 /// Counts the answers of one entry.
 #[derive(Clone, Debug)]
 pub struct Recorder {
@@ -297,9 +343,11 @@
         match known {
             Err(at) => self.reports.insert(at, report.clone()),
             Ok(at) => {
+                let known = &mut self.reports[at];
                 let age = |report: &Report| (report.incarnation, report.sequence);
-                if age(&self.reports[at]) < age(report) {
-                    self.reports[at] = report.clone();
+                if age(known) < age(report) {
+                    let before = std::mem::replace(known, report.clone());
+                    known.keep_windows(before);
                 }
             }
         }
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -52,6 +52,7 @@
 pub mod judge;
 mod machine;
 mod outcome;
+pub mod part;
 
 pub use machine::{Action, Message, Rollout};
 pub use outcome::{End, OUTCOME_PREFIX, Outcome, Reason, outcome_key};
--- /dev/null
+++ b/crates/core/src/rollout/part.rs
@@ -0,0 +1,147 @@
+//! A report in parts that fit a small message.
+//!
+//! The spread between processes carries items of a kilobyte, of which the newest
+//! replaces the one before it. A [`Report`] is larger, so it travels as one
+//! [`Part`] for each span of time and each group of counters. Parts may arrive in
+//! any order and from different moments; each is a whole count of its own, so a
+//! mixture is merely a little older in places.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::evidence::{Counters, GROUPS, Report, WINDOWS_MS, Window};
+use crate::id::Incarnation;
+
+/// The span of time that a part counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Span {
+    /// A step, by its number.
+    Step(usize),
+    /// A window of the first length, by its number.
+    Short(u64),
+    /// A window of the second length, by its number.
+    Long(u64),
+    /// The old version since the start.
+    Old,
+}
+
+/// One group of counters over one span.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// The plan.
+    pub plan: Arc<str>,
+    /// The process that counted.
+    pub source: Arc<str>,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// The sequence of the report.
+    pub sequence: u64,
+    /// The span of time.
+    pub span: Span,
+    /// The group of counters.
+    pub group: usize,
+    /// For each count that is not zero, the places since the last one and the count.
+    pub counts: Vec<u32>,
+}
+
+impl Part {
+    /// Returns the name of what this part replaces, under its plan and source.
+    pub fn slot(&self) -> String {
+        let span = match self.span {
+            Span::Step(_) => "step",
+            Span::Short(_) => "short",
+            Span::Long(_) => "long",
+            Span::Old => "old",
+        };
+        format!("{span}-{}", self.group)
+    }
+}
+
+/// Splits a report; groups without a count are left out.
+pub fn split(plan: &Arc<str>, report: &Report) -> Vec<Part> {
+    let [short, long] = &report.windows;
+    let spans = [
+        (Span::Step(report.step), &report.in_step),
+        (Span::Short(short[0].number), &short[0].counters),
+        (Span::Long(long[0].number), &long[0].counters),
+        (Span::Old, &report.old),
+    ];
+    let mut parts = Vec::new();
+    for (span, counters) in spans {
+        for group in 0..GROUPS {
+            let counts = counters.group(group);
+            if !counts.is_empty() {
+                parts.push(Part {
+                    plan: plan.clone(),
+                    source: report.source.clone(),
+                    incarnation: report.incarnation,
+                    sequence: report.sequence,
+                    span,
+                    group,
+                    counts,
+                });
+            }
+        }
+    }
+    parts
+}
+
+/// Puts the parts of one source together; parts of an earlier life, step or window are left out.
+///
+/// Returns `None` where there is no part.
+pub fn join(parts: &[Part]) -> Option<Report> {
+    let incarnation = parts.iter().map(|part| part.incarnation).max()?;
+    let living = || parts.iter().filter(|part| part.incarnation == incarnation);
+    let newest = |number: fn(&Span) -> Option<u64>| {
+        let numbers = living().filter_map(|part| number(&part.span));
+        numbers.max().unwrap_or(0)
+    };
+    let step = living().filter_map(|part| match part.span {
+        Span::Step(step) => Some(step),
+        _ => None,
+    });
+    let step = step.max().unwrap_or(0);
+    let numbers = [
+        newest(|span| match span {
+            Span::Short(number) => Some(*number),
+            _ => None,
+        }),
+        newest(|span| match span {
+            Span::Long(number) => Some(*number),
+            _ => None,
+        }),
+    ];
+    let counters = |span: Span| {
+        let mut counters = Counters::default();
+        for part in living().filter(|part| part.span == span) {
+            counters.set_group(part.group, &part.counts);
+        }
+        counters
+    };
+    let window = |number: u64, span: Span| Window {
+        number,
+        counters: counters(span),
+    };
+    let windows: [[Window; 2]; WINDOWS_MS.len()] = [
+        [
+            window(numbers[0], Span::Short(numbers[0])),
+            Window::default(),
+        ],
+        [
+            window(numbers[1], Span::Long(numbers[1])),
+            Window::default(),
+        ],
+    ];
+    Some(Report {
+        source: parts.first()?.source.clone(),
+        incarnation,
+        sequence: living().map(|part| part.sequence).max()?,
+        step,
+        in_step: counters(Span::Step(step)),
+        windows,
+        old: counters(Span::Old),
+    })
+}
--- a/crates/core/tests/rollout/rules.rs
+++ b/crates/core/tests/rollout/rules.rs
@@ -4,6 +4,7 @@
     rollout::{
         Action, End, Outcome, Progress, Reason, Rollout, Side, Withdrawal,
         evidence::{Ending, Recorder, Report, Tally},
+        part::{self, Part, Span},
         share, side,
     },
 };
@@ -143,6 +144,85 @@
     assert_eq!(&read, recorder.report());
 }
 
+/// Parts in any order give the report again, but for the older windows, which the tally keeps.
+#[test]
+fn part_split_join_in_any_order() {
+    let mut recorder = Recorder::new("entry-1".into(), Incarnation(1));
+    let mut tally = Tally::default();
+    let plan = "p".into();
+    for at in 0..30_000_u32 {
+        let side = if at % 20 == 0 { Side::New } else { Side::Old };
+        let mut sample = sample(side, Ending::Complete);
+        sample.load = u16::try_from(at % 1_000).expect("below 1000");
+        sample.first_token_ms = Some(100 + at % 700);
+        sample.token_gap_ms = Some(20 + at % 60);
+        recorder.record(&sample, 1, after(u64::from(at / 1_000)));
+        if at % 2_000 == 1_999 {
+            let mut parts = part::split(&plan, recorder.report());
+            let largest = parts
+                .iter()
+                .map(|part| serde_json::to_string(part).expect("JSON").len());
+            assert!(
+                largest.max() <= Some(1_024),
+                "each part fits an item of the spread"
+            );
+            let shift = usize::try_from(at).expect("small") % parts.len();
+            parts.rotate_left(shift);
+            let joined = part::join(&parts).expect("there are parts");
+            assert_eq!(joined.in_step, recorder.report().in_step);
+            assert_eq!(
+                joined.old.cell(Side::Old, 1),
+                recorder.report().old.cell(Side::Old, 1)
+            );
+            tally.merge(&joined);
+        }
+    }
+    let mut whole = Tally::default();
+    whole.merge(recorder.report());
+    assert_eq!(tally.sum(1, after(29)), whole.sum(1, after(29)));
+}
+
+/// Parts of an earlier life, step or window are left out.
+#[test]
+fn part_join_leaves_out_earlier() {
+    let mut recorder = Recorder::new("entry-1".into(), Incarnation(1));
+    recorder.record(&sample(Side::New, Ending::Failed), 0, after(1));
+    let first = part::split(&"p".into(), recorder.report());
+    recorder.record(&sample(Side::New, Ending::Complete), 1, after(31));
+    let second = part::split(&"p".into(), recorder.report());
+    let joined = part::join(&[second.clone(), first.clone()].concat()).expect("parts");
+    assert_eq!(joined.in_step.cell(Side::New, 1).failed, 0);
+    let mut restarted = Recorder::new("entry-1".into(), Incarnation(2));
+    restarted.record(&sample(Side::New, Ending::Complete), 0, after(32));
+    let third = part::split(&"p".into(), restarted.report());
+    let joined = part::join(&[first, second, third].concat()).expect("parts");
+    assert_eq!(&joined, restarted.report());
+    assert_eq!(part::join(&[]), None);
+}
+
+/// A part that does not follow the form does no harm.
+#[test]
+fn part_join_garbage() {
+    let garbage = Part {
+        plan: "p".into(),
+        source: "entry-1".into(),
+        incarnation: Incarnation(1),
+        sequence: u64::MAX,
+        span: Span::Short(u64::MAX),
+        group: usize::MAX,
+        counts: vec![u32::MAX, 1, 0, 7, u32::MAX, 1, 3],
+    };
+    let odd = Part {
+        group: 0,
+        ..garbage.clone()
+    };
+    let joined = part::join(&[garbage, odd]).expect("parts");
+    let mut tally = Tally::default();
+    tally.merge(&joined);
+    let sum = tally.sum(0, after(1));
+    assert_eq!(sum.recent[0].cell(Side::New, 0).total, 0);
+}
+
 #[test]
 fn tally_old_and_repeated_reports_change_nothing() {
     let mut recorder = Recorder::new("entry-1".into(), Incarnation(1));
