Keep new work out of a data centre until its return begins

Cause: placement gave a data centre whose back_at lies ahead a tenth of its load at once, and computed the ramp a second time. Change: it uses the ramp of config::drain and passes over endpoints whose return is awaited; return_ms is gone. The rollout machine takes progress and reports apart, for the spread. Figures: choose_awaited_data_centre failed before (agent-0 was chosen), passes now.

--- a/crates/core/src/placement/choose.rs
+++ b/crates/core/src/placement/choose.rs
@@ -61,7 +61,8 @@
 
     fn is_usable(&self, at: u32, request: &Request<'_>, now: Time) -> bool {
         let endpoint = &self.endpoints[at as usize];
-        !endpoint.is_ejected(now) && !is_tried(endpoint, request.tried)
+        let is_kept_out = endpoint.is_ejected(now) || endpoint.is_awaited(now);
+        !is_kept_out && !is_tried(endpoint, request.tried)
     }
 
     fn cost(&self, at: u32, now: Time) -> f64 {
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -5,14 +5,15 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Config, Status, Vm};
-use crate::{Time, id::Incarnation};
+use crate::{
+    Time,
+    config::{WHOLE_SHARE, drain},
+    id::Incarnation,
+};
 
 /// Sends that are kept with their times; older ones count as reported.
 const MAX_SENT: usize = 256;
 
-/// The part of its capacity with which a data centre starts to come back.
-const MIN_RETURN_SHARE: f64 = 0.1;
-
 /// One endpoint in the table of an entry.
 #[derive(Clone, Debug)]
 pub(super) struct Endpoint {
@@ -159,7 +160,7 @@
         } else {
             0.0
         };
-        slots.max(memory) / self.return_share(config, now)
+        slots.max(memory) / self.return_share(now)
     }
 
     /// Returns the load with the penalty for distance, by which endpoints compare.
@@ -175,12 +176,15 @@
         used + each * (sent + f64::from(self.queued))
     }
 
-    fn return_share(&self, config: &Config, now: Time) -> f64 {
-        let Some(back_at) = self.back_at else {
-            return 1.0;
-        };
-        let elapsed_ms = now.since(back_at).as_millis() as f64;
-        let share = elapsed_ms / config.return_ms.max(1) as f64;
-        share.clamp(MIN_RETURN_SHARE, 1.0)
+    /// Tells whether the data centre's return still lies ahead.
+    pub(super) fn is_awaited(&self, now: Time) -> bool {
+        self.back_at.is_some_and(|back_at| !back_at.is_past(now))
+    }
+
+    fn return_share(&self, now: Time) -> f64 {
+        let share = self.back_at.map_or(WHOLE_SHARE, |back_at| {
+            drain::ramp(back_at, now).max(drain::FIRST_SHARE)
+        });
+        f64::from(share) / f64::from(WHOLE_SHARE)
     }
 }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -106,8 +106,6 @@
     pub near_penalty: f64,
     /// Load added for an endpoint in another region; 0.2 by default.
     pub far_penalty: f64,
-    /// Milliseconds until a data centre that came back counts in full; 60,000 by default.
-    pub return_ms: u64,
     /// Attempts that an endpoint is taken to bear before its first report; 4 by default.
     pub unknown_limit: u32,
 }
@@ -125,7 +123,6 @@
             affinity_slack: 0.1,
             near_penalty: 0.02,
             far_penalty: 0.2,
-            return_ms: 60_000,
             unknown_limit: 4,
         }
     }
--- a/crates/core/src/rollout/machine.rs
+++ b/crates/core/src/rollout/machine.rs
@@ -142,9 +142,19 @@
         if message.plan != self.plan.name {
             return;
         }
+        self.learn(&message.progress);
+        self.count(&message.report);
+    }
+
+    /// Takes in what another process knows of the plan.
+    pub fn learn(&mut self, progress: &Progress) {
         self.informed = true;
-        self.progress.merge(&message.progress);
-        self.tally.merge(&message.report);
+        self.progress.merge(progress);
+    }
+
+    /// Takes in what another process has counted.
+    pub fn count(&mut self, report: &Report) {
+        self.tally.merge(report);
     }
 
     /// Takes in the outcome that the store holds.
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -313,6 +313,33 @@
     assert!(share(60) > 90);
 }
 
+/// A return that lies ahead lets nothing in before its time.
+#[test]
+fn choose_awaited_data_centre() {
+    let mut table = table("entry-0", &[], 2);
+    let away = Status {
+        data_centre: "dc-2".into(),
+        ..status("agent-0")
+    };
+    table.observe(&away, NOW);
+    let back_at = NOW + std::time::Duration::from_secs(30);
+    table.set_data_centres(&[DataCentre {
+        name: "dc-2".into(),
+        region: "r".into(),
+        out: false,
+        back_at: Some(back_at),
+    }]);
+    let goes_there = |now| {
+        let chosen = (0..100).filter_map(|random| table.choose(&ANY, random, now));
+        let keyed = (0..100).filter_map(|key| table.choose_keyed(&ANY, key, now));
+        chosen
+            .chain(keyed)
+            .any(|choice| &*choice.endpoint == "agent-0")
+    };
+    assert!(!goes_there(NOW + std::time::Duration::from_millis(29_999)));
+    assert!(goes_there(back_at + std::time::Duration::from_secs(60)));
+}
+
 #[test]
 fn choose_by_prefix() {
     let prefixes = prefix_hashes(&"pattern book ".repeat(200));
