Keep keyed calls out of a data centre until its return begins, too

Change: the choice by key leaves awaited endpoints out, as it leaves out those of a data centre that is out.

--- a/crates/core/src/placement/choose.rs
+++ b/crates/core/src/placement/choose.rs
@@ -43,7 +43,10 @@
         let pool = self.pool(request.version)?;
         let at = pool
             .window(key)
-            .filter(|&at| !is_tried(&self.endpoints[at as usize], request.tried))
+            .filter(|&at| {
+                let endpoint = &self.endpoints[at as usize];
+                !endpoint.is_awaited(now) && !is_tried(endpoint, request.tried)
+            })
             .max_by_key(|&at| pool::rendezvous(self.endpoints[at as usize].hash, key))?;
         Some(self.candidate(at, Reason::Key, now))
     }
