--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -285,8 +285,9 @@
         let endpoint = field()?;
         let incarnation = u64::from_str_radix(field()?, 16).map_err(|_| EventIdError)?;
         let attempt = field()?.parse().map_err(|_| EventIdError)?;
-        let index = field()?.parse().map_err(|_| EventIdError)?;
-        if endpoint.is_empty() || fields.next().is_some() {
+        let index: u64 = field()?.parse().map_err(|_| EventIdError)?;
+        // The stream is taken up after the index, so there must be an index after it.
+        if endpoint.is_empty() || index == u64::MAX || fields.next().is_some() {
             return Err(EventIdError);
         }
         Ok(EventId {
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -134,6 +134,10 @@
     mut incoming: Incoming,
 ) -> Result<(), Error> {
     let mut ping = first;
+    incoming
+        .receiver
+        .count(shared.metrics.control.received.clone());
+    incoming.sender.count(shared.metrics.control.sent.clone());
     loop {
         let pong = Pong {
             sequence: ping.sequence,
--- a/crates/node/src/entry/error.rs
+++ b/crates/node/src/entry/error.rs
@@ -49,6 +49,11 @@
     }
 }
 
+/// Returns a refusal as JSON.
+pub(super) fn json(refusal: &Refusal) -> String {
+    serde_json::to_string(&Body::from(refusal)).expect("the types of this interface serialise")
+}
+
 /// Returns the HTTP status of a refusal.
 pub(super) fn status(kind: Kind) -> StatusCode {
     match kind {
--- a/crates/node/src/entry/generate.rs
+++ b/crates/node/src/entry/generate.rs
@@ -75,6 +75,13 @@
     Refused(Refusal),
 }
 
+impl Item {
+    /// Tells whether no item follows.
+    pub(super) fn is_last(&self) -> bool {
+        !matches!(self, Item::Token { .. })
+    }
+}
+
 /// Starts a generation and returns its stream.
 ///
 /// Dropping the receiver cancels the generation.
@@ -450,8 +457,9 @@
 }
 
 async fn refuse(output: &mpsc::Sender<Item>, refusal: Refusal) {
-    // A caller that is gone needs no answer.
-    let _ = output.send(Item::Refused(refusal)).await;
+    // A caller that is gone needs no answer, and one that does not read gets none.
+    let patience = Duration::from_secs(SLOW_CALLER_SECONDS);
+    let _ = output.send_timeout(Item::Refused(refusal), patience).await;
 }
 
 fn lost(is_final: bool) -> Refusal {
--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -1,31 +1,26 @@
 //! The interface for callers over HTTP.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use axum::{
     Router,
     body::Body,
-    extract::{DefaultBodyLimit, Path, Request, State},
-    http::{HeaderMap, HeaderName, HeaderValue, StatusCode},
+    extract::{DefaultBodyLimit, Request, State},
+    http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri},
     response::{IntoResponse, Response},
     routing::{any, get, post},
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cactusroad_core::{
     config::{Kind as RouteKind, Route},
     refusal::{Effect, Kind, Refusal},
     stream::EventId,
 };
 use cactusroad_wire::message::{Answer, Call, Header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-    service::TowerToHyperService,
-};
+use http_body_util::BodyExt;
 use serde::de::DeserializeOwned;
 use sha2::{Digest, Sha256};
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use super::{
     Shared, auth, call, error,
@@ -37,10 +32,12 @@
 
 /// The largest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
-/// How long a caller may take to send its headers, in seconds.
-const HEADER_SECONDS: u64 = 10;
 /// How long a caller may take to send its body, in seconds.
 const BODY_SECONDS: u64 = 30;
+/// Bytes of bodies that may be half received at once, over all callers.
+pub(super) const MAX_PARTIAL_BYTES: usize = 64 * 1024 * 1024;
+/// When a caller whose body found no room may try again, in milliseconds.
+const RETRY_MS: u64 = 1_000;
 /// The longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 255;
 
@@ -58,92 +55,16 @@
     "x-workspace",
 ];
 
-/// Serves callers until it is stopped.
-pub(super) struct Server {
-    address: SocketAddr,
-    stop: watch::Sender<bool>,
-    task: JoinHandle<()>,
-}
-
-impl Server {
-    pub(super) fn start(listener: TcpListener, router: Router) -> Server {
-        let address = listener
-            .local_addr()
-            .expect("a bound listener has an address");
-        let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept(listener, router, stopped));
-        Server {
-            address,
-            stop,
-            task,
-        }
-    }
-
-    pub(super) fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Closes the listener and waits until every request in hand is finished.
-    pub(super) async fn stop(self) {
-        self.stop.send_replace(true);
-        if let Err(cause) = self.task.await {
-            log::error!("the server for callers failed: {cause}");
-        }
-    }
-
-    /// Drops every connection at once.
-    pub(super) fn abort(self) {
-        self.task.abort();
-    }
-}
-
-async fn accept(listener: TcpListener, router: Router, mut stopped: watch::Receiver<bool>) {
-    let graceful = GracefulShutdown::new();
-    // Aborting the server's task drops the set, which ends every connection with it.
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(cause) => {
-                    log::warn!("a caller cannot be accepted: {cause}");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
-                    continue;
-                }
-            },
-            Some(_) = connections.join_next() => continue,
-            _ = stopped.changed() => break,
-        };
-        if let Err(cause) = stream.set_nodelay(true) {
-            log::debug!("a connection keeps its delay: {cause}");
-        }
-        let service = TowerToHyperService::new(router.clone());
-        let connection = hyper::server::conn::http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_secs(HEADER_SECONDS))
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        connections.spawn(async move {
-            if let Err(cause) = connection.await {
-                log::debug!("a connection ended: {cause}");
-            }
-        });
-    }
-    drop(listener);
-    graceful.shutdown().await;
-    while connections.join_next().await.is_some() {}
-}
-
 /// Returns the routes of the interface.
 pub(super) fn router(shared: Arc<Shared>) -> Router {
     Router::new()
         .route("/v1/completions", post(completions))
         .route("/v1/chat/completions", post(chat))
         .route("/v1/stream", get(stream))
-        .route("/services/{route}", any(service_root))
-        .route("/services/{route}/{*path}", any(service))
+        .route("/services/{*path}", any(service))
         .route("/healthz", get(|| async { StatusCode::OK }))
         .route("/readyz", get(ready))
+        .method_not_allowed_fallback(|| async { wrong_method() })
         .fallback(|| async { error::response(&no_such_path()) })
         .layer(DefaultBodyLimit::disable())
         .with_state(shared)
@@ -158,7 +79,7 @@
 
 async fn completions(State(shared): State<Arc<Shared>>, request: Request) -> Response {
     answer(&shared, async {
-        let (headers, body) = read(request).await?;
+        let (headers, body) = read(&shared, request).await?;
         let parsed: Completion = parse(&body)?;
         let text = parsed
             .prompt
@@ -178,7 +99,7 @@
 
 async fn chat(State(shared): State<Arc<Shared>>, request: Request) -> Response {
     answer(&shared, async {
-        let (headers, body) = read(request).await?;
+        let (headers, body) = read(&shared, request).await?;
         let parsed: Chat = parse(&body)?;
         let ask = Ask {
             form: Form::Chat,
@@ -195,14 +116,14 @@
 /// A stream that is taken up again by its event id alone.
 async fn stream(State(shared): State<Arc<Shared>>, request: Request) -> Response {
     answer(&shared, async {
-        let (headers, _) = read(request).await?;
+        let (headers, _) = read(&shared, request).await?;
         let workspace = auth::workspace(&headers, &shared.snapshot())?;
         let id = event_id(&headers)?
             .ok_or_else(|| bad_request("The header Last-Event-ID is missing."))?;
         let deadline = clock::now() + Duration::from_secs(RESUMED_SECONDS);
         let head = head(Form::Completion, String::new(), &id.attempt.to_string());
         let items = generate::resume(shared.clone(), id, workspace.name, deadline);
-        Ok(streamed(head, items).await)
+        streamed(&shared, head, items).await
     })
     .await
 }
@@ -248,7 +169,7 @@
     if let Some(id) = event_id(headers)? {
         let head = head(ask.form, ask.model, &id.attempt.to_string());
         let items = generate::resume(shared.clone(), id, workspace.name, deadline);
-        return Ok(streamed(head, items).await);
+        return streamed(shared, head, items).await;
     }
     let id = shared.draw().to_string();
     let head = head(ask.form, ask.model.clone(), &id);
@@ -267,17 +188,24 @@
     };
     let items = generate::start(shared.clone(), job);
     match ask.stream {
-        true => Ok(streamed(head, items).await),
+        true => streamed(&shared, head, items).await,
         false => whole(head, items).await,
     }
 }
 
 /// Answers with a stream, or with an error where nothing came before the refusal.
-async fn streamed(head: Head, mut items: tokio::sync::mpsc::Receiver<Item>) -> Response {
+async fn streamed(
+    shared: &Shared,
+    head: Head,
+    mut items: tokio::sync::mpsc::Receiver<Item>,
+) -> Result<Response, Refusal> {
     match items.recv().await {
-        Some(Item::Refused(refusal)) => error::response(&refusal),
-        Some(first) => sse::response(head, first, items),
-        None => error::response(&internal()),
+        Some(Item::Refused(refusal)) => Err(refusal),
+        Some(first) => {
+            let refusals = shared.metrics.refusals.clone();
+            Ok(sse::response(head, first, items, refusals))
+        }
+        None => Err(internal()),
     }
 }
 
@@ -312,40 +240,19 @@
     }
 }
 
-async fn service_root(
-    State(shared): State<Arc<Shared>>,
-    Path(route): Path<String>,
-    request: Request,
-) -> Response {
-    answer(&shared, pass_on(&shared, route, String::new(), request)).await
+async fn service(State(shared): State<Arc<Shared>>, request: Request) -> Response {
+    answer(&shared, pass_on(&shared, request)).await
 }
 
-async fn service(
-    State(shared): State<Arc<Shared>>,
-    Path((route, path)): Path<(String, String)>,
-    request: Request,
-) -> Response {
-    answer(&shared, pass_on(&shared, route, path, request)).await
-}
-
-async fn pass_on(
-    shared: &Shared,
-    route: String,
-    path: String,
-    request: Request,
-) -> Result<Response, Refusal> {
+async fn pass_on(shared: &Shared, request: Request) -> Result<Response, Refusal> {
     let method = request.method().to_string();
-    let query = request.uri().query().map(str::to_owned);
-    let (headers, body) = read(request).await?;
+    let (route, path) = split(request.uri());
+    let (headers, body) = read(shared, request).await?;
     let config = shared.snapshot();
     let workspace = auth::workspace(&headers, &config)?;
     let route = auth::route(&route, &config)?;
     expect_kind(route, RouteKind::Service)?;
     let deadline = auth::deadline(&headers, route)?;
-    let path = match query {
-        Some(query) => format!("/{path}?{query}"),
-        None => format!("/{path}"),
-    };
     let job = call::Job {
         route: route.name.clone(),
         version: route.version.clone(),
@@ -372,6 +279,20 @@
     call::run(shared, &job).await.map(response)
 }
 
+/// Splits `/services/ROUTE/PATH?QUERY` into the route and what the service is asked for.
+///
+/// The path goes on exactly as the caller wrote it, since decoding would change its meaning.
+fn split(uri: &Uri) -> (String, String) {
+    let path = uri.path();
+    let rest = path.strip_prefix("/services/").unwrap_or(path);
+    let (route, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let path = match uri.query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    (route.to_owned(), path)
+}
+
 fn key(headers: &HeaderMap) -> Result<String, Refusal> {
     let Some(value) = headers.get("idempotency-key") else {
         return Ok(String::new());
@@ -419,22 +340,40 @@
 }
 
 /// Reads the whole body of a request, within its bounds of size and time.
-async fn read(request: Request) -> Result<(HeaderMap, Bytes), Refusal> {
+async fn read(shared: &Shared, request: Request) -> Result<(HeaderMap, Bytes), Refusal> {
     let (parts, body) = request.into_parts();
-    let reading = Limited::new(body, MAX_BODY_BYTES).collect();
-    let collected = tokio::time::timeout(Duration::from_secs(BODY_SECONDS), reading)
+    let reading = collect(&shared.partial_bytes, body);
+    let body = tokio::time::timeout(Duration::from_secs(BODY_SECONDS), reading)
         .await
-        .map_err(|_| bad_request("The body did not arrive in time."))?;
-    match collected {
-        Ok(body) => Ok((parts.headers, body.to_bytes())),
-        Err(cause) if cause.is::<LengthLimitError>() => Err(Refusal::new(
-            Kind::TooLarge,
-            Effect::NotRun,
-            format!("The body is larger than {MAX_BODY_BYTES} bytes."),
-            "Send less at once.",
-        )),
-        Err(_) => Err(bad_request("The body broke off.")),
+        .map_err(|_| bad_request("The body did not arrive in time."))??;
+    Ok((parts.headers, body))
+}
+
+/// Collects a body while there is room for half-received ones.
+async fn collect(room: &Semaphore, mut body: Body) -> Result<Bytes, Refusal> {
+    let stated = usize::try_from(hyper::body::Body::size_hint(&body).lower());
+    if stated.is_ok_and(|bytes| bytes > MAX_BODY_BYTES) {
+        return Err(too_large());
+    }
+    let mut collected = BytesMut::new();
+    let mut held: Option<SemaphorePermit<'_>> = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| bad_request("The body broke off."))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > MAX_BODY_BYTES {
+            return Err(too_large());
+        }
+        let size = u32::try_from(data.len()).map_err(|_| too_large())?;
+        let permit = room.try_acquire_many(size).map_err(|_| no_room())?;
+        match held.as_mut() {
+            Some(held) => held.merge(permit),
+            None => held = Some(permit),
+        }
+        collected.extend_from_slice(&data);
     }
+    Ok(collected.freeze())
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
@@ -447,9 +386,14 @@
     let Some(text) = auth::text(headers, "last-event-id") else {
         return Ok(None);
     };
-    let id = text
-        .parse()
-        .map_err(|cause: cactusroad_core::stream::EventIdError| bad_request(cause.to_string()))?;
+    let id = text.parse().map_err(|_| {
+        Refusal::new(
+            Kind::BadRequest,
+            Effect::NotRun,
+            "The header Last-Event-ID cannot be read.",
+            "Send back the last `id:` field exactly as it came.",
+        )
+    })?;
     Ok(Some(id))
 }
 
@@ -481,6 +425,31 @@
     )
 }
 
+fn too_large() -> Refusal {
+    Refusal::new(
+        Kind::TooLarge,
+        Effect::NotRun,
+        format!("The body is larger than {MAX_BODY_BYTES} bytes."),
+        "Send less at once.",
+    )
+}
+
+fn no_room() -> Refusal {
+    Refusal::new(
+        Kind::Overloaded,
+        Effect::NotRun,
+        "The entry is receiving too many bodies at once.",
+        "Send the request again later.",
+    )
+    .retry_at(clock::now() + Duration::from_millis(RETRY_MS))
+}
+
+fn wrong_method() -> Response {
+    let mut response = error::response(&bad_request("The path does not take this method."));
+    *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
+    response
+}
+
 fn no_such_path() -> Refusal {
     Refusal::new(
         Kind::NotFound,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod error;
 mod generate;
 mod http;
+mod listen;
 mod openai;
 mod sse;
 
@@ -18,7 +19,11 @@
 };
 
 use cactusroad_core::{config::Snapshot, id::Attempt};
-use tokio::{net::TcpListener, sync::watch, time};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    time,
+};
 
 use self::directory::Directory;
 use crate::{
@@ -41,6 +46,8 @@
     dialer: Dialer,
     leaving: AtomicBool,
     metrics: EntryMetrics,
+    /// Room for bodies that are half received, in bytes.
+    partial_bytes: Semaphore,
 }
 
 impl Shared {
@@ -57,7 +64,7 @@
 /// A running entry.
 pub struct Entry {
     shared: Arc<Shared>,
-    server: http::Server,
+    server: listen::Server,
 }
 
 impl Entry {
@@ -76,7 +83,11 @@
         metrics: EntryMetrics,
     ) -> Result<Entry, transport::Error> {
         let identity = Identity::read(&settings.common.tls)?;
-        let dialer = Dialer::new(settings.common.name.clone(), &identity);
+        let dialer = Dialer::new(
+            settings.common.name.clone(),
+            &identity,
+            metrics.control.clone(),
+        );
         let directory = Directory::new(settings.common.data_centre.clone());
         let listener =
             TcpListener::bind(settings.listen)
@@ -91,9 +102,15 @@
             dialer,
             leaving: AtomicBool::new(false),
             metrics,
+            partial_bytes: Semaphore::new(http::MAX_PARTIAL_BYTES),
         });
         tokio::spawn(directory::follow(Arc::downgrade(&shared), vms));
-        let server = http::Server::start(listener, http::router(shared.clone()));
+        let server = listen::Server::start(
+            listener,
+            http::router(shared.clone()),
+            settings.max_connections,
+            shared.metrics.clone(),
+        );
         Ok(Entry { shared, server })
     }
 
--- a/crates/node/src/entry/sse.rs
+++ b/crates/node/src/entry/sse.rs
@@ -1,12 +1,11 @@
 //! A generation as server-sent events.
 
-use std::convert::Infallible;
-
 use axum::response::{
     IntoResponse, Response,
     sse::{Event, KeepAlive, Sse},
 };
-use futures_util::{Stream, StreamExt, stream};
+use futures_util::{StreamExt, stream};
+use prometheus::IntCounterVec;
 use tokio::sync::mpsc;
 
 use super::{error, generate::Item, openai::Head};
@@ -17,22 +16,45 @@
 const ERROR_EVENT: &str = "error";
 
 /// Returns a response that streams a generation, whose first item has been read.
-pub(super) fn response(head: Head, first: Item, items: mpsc::Receiver<Item>) -> Response {
-    let rest = stream::unfold(items, |mut items| async move {
-        let item = items.recv().await?;
-        Some((item, items))
+///
+/// A stream that stops without an end or an error breaks the connection, so that
+/// a caller never takes a part for the whole.
+pub(super) fn response(
+    head: Head,
+    first: Item,
+    items: mpsc::Receiver<Item>,
+    refusals: IntCounterVec,
+) -> Response {
+    let rest = stream::unfold(Some(items), |items| async move {
+        let mut items = items?;
+        match items.recv().await {
+            Some(item) if item.is_last() => Some((Ok(item), None)),
+            Some(item) => Some((Ok(item), Some(items))),
+            None => Some((Err(Cut), None)),
+        }
     });
-    let events = stream::once(async { first })
+    let rest = stream::iter((!first.is_last()).then_some(rest)).flatten();
+    let events = stream::once(async { Ok(first) })
         .chain(rest)
-        .flat_map(move |item| stream::iter(events(&head, item)));
-    Sse::new(infallible(events))
+        .flat_map(move |item| {
+            if let Ok(Item::Refused(refusal)) = &item {
+                let labels: [&str; 2] = [refusal.kind.into(), refusal.effect.into()];
+                refusals.with_label_values(&labels).inc();
+            }
+            stream::iter(match item {
+                Ok(item) => events(&head, item).into_iter().map(Ok).collect(),
+                Err(cut) => vec![Err(cut)],
+            })
+        });
+    Sse::new(events)
         .keep_alive(KeepAlive::default())
         .into_response()
 }
 
-fn infallible(events: impl Stream<Item = Event>) -> impl Stream<Item = Result<Event, Infallible>> {
-    events.map(Ok)
-}
+/// A stream that stopped without an end.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the stream stopped without an end; take it up again with the last event id")]
+struct Cut;
 
 fn events(head: &Head, item: Item) -> Vec<Event> {
     match item {
@@ -45,7 +67,7 @@
             Event::default().data(DONE),
         ],
         Item::Refused(refusal) => {
-            let data = json(&error::Body::from(&refusal));
+            let data = error::json(&refusal);
             vec![Event::default().event(ERROR_EVENT).data(data)]
         }
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -73,6 +73,32 @@
         .expect("each metric is registered once");
 }
 
+/// Bytes of messages that carry no request: heartbeats and shared state.
+///
+/// The headers of QUIC and UDP come on top.
+#[derive(Clone, Debug)]
+pub struct Control {
+    /// What was sent.
+    pub(crate) sent: IntCounter,
+    /// What was received.
+    pub(crate) received: IntCounter,
+}
+
+impl Control {
+    fn new(exporter: &Exporter) -> Control {
+        Control {
+            sent: exporter.counter(
+                "cactusroad_control_sent_bytes_total",
+                "Bytes of heartbeats and shared state sent to other processes.",
+            ),
+            received: exporter.counter(
+                "cactusroad_control_received_bytes_total",
+                "Bytes of heartbeats and shared state received from other processes.",
+            ),
+        }
+    }
+}
+
 /// The metrics of an agent.
 #[derive(Clone, Debug)]
 pub struct AgentMetrics {
@@ -84,6 +110,8 @@
     pub(crate) endpoint_deaths: IntCounter,
     pub(crate) foreign_frames: IntCounter,
     pub(crate) queue_seconds: Histogram,
+    pub(crate) refusals: IntCounterVec,
+    pub(crate) control: Control,
 }
 
 impl AgentMetrics {
@@ -123,6 +151,12 @@
                 "cactusroad_agent_queue_seconds",
                 "Time that requests waited for room at the endpoint.",
             ),
+            refusals: exporter.counters(
+                "cactusroad_agent_refusals_total",
+                "Attempts that were refused or broke off, by kind and effect.",
+                &["kind", "effect"],
+            ),
+            control: Control::new(exporter),
         }
     }
 }
@@ -143,9 +177,17 @@
     pub(crate) first_token_seconds: Histogram,
     pub(crate) between_tokens_seconds: Histogram,
     pub(crate) stall_seconds: prometheus::Counter,
+    pub(crate) open_connections: IntGauge,
+    pub(crate) turned_away: IntCounter,
+    pub(crate) control: Control,
 }
 
 impl EntryMetrics {
+    /// Returns the counters of control bytes, for a dialer.
+    pub fn control(&self) -> Control {
+        self.control.clone()
+    }
+
     /// Registers the metrics.
     ///
     /// # Panics
@@ -209,6 +251,15 @@
                 "Time between two tokens of a stream.",
             ),
             stall_seconds,
+            open_connections: exporter.gauge(
+                "cactusroad_entry_open_connections",
+                "Connections that callers have open.",
+            ),
+            turned_away: exporter.counter(
+                "cactusroad_entry_turned_away_total",
+                "Connections of callers beyond the bound.",
+            ),
+            control: Control::new(exporter),
         }
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -39,6 +39,8 @@
     pub common: Common,
     /// The TCP address for callers.
     pub listen: SocketAddr,
+    /// The most connections that callers may have open.
+    pub max_connections: usize,
 }
 
 /// The settings of an agent.
@@ -77,6 +79,8 @@
     Service,
 }
 
+/// Connections that callers may have open where the settings are silent.
+pub const DEFAULT_MAX_CONNECTIONS: usize = 8_192;
 /// Requests that a plain service is given at once where the settings are silent.
 const DEFAULT_MAX_RUNNING: u64 = 64;
 /// Requests that wait at an agent where the settings are silent.
@@ -129,9 +133,14 @@
         let mut fields = Fields::parse(json)?;
         let common = common(&mut fields);
         let listen = fields.address("listen");
+        let max_connections = fields.count("max_connections", DEFAULT_MAX_CONNECTIONS as u64);
         let faults = fields.finish();
-        match (common, listen) {
-            (Some(common), Some(listen)) if faults.is_empty() => Ok(Entry { common, listen }),
+        match (common, listen, max_connections) {
+            (Some(common), Some(listen), Some(max_connections)) if faults.is_empty() => Ok(Entry {
+                common,
+                listen,
+                max_connections,
+            }),
             _ => Err(Error { faults }),
         }
     }
--- a/crates/node/src/transport/dialer.rs
+++ b/crates/node/src/transport/dialer.rs
@@ -13,6 +13,7 @@
     Error, Identity,
     link::{self, Finish, Link},
 };
+use crate::metrics::Control;
 
 /// How long a handshake may take, in milliseconds.
 const DIAL_TIMEOUT_MS: u64 = 1_000;
@@ -29,6 +30,7 @@
 struct Inner {
     process: Arc<str>,
     client: ClientConfig,
+    control: Control,
     socket: Mutex<Option<Endpoint>>,
     peers: Mutex<Vec<Arc<Peer>>>,
 }
@@ -41,10 +43,11 @@
 
 impl Dialer {
     /// Returns a dialer without links; `process` is the name that peers are told.
-    pub fn new(process: Arc<str>, identity: &Identity) -> Dialer {
+    pub fn new(process: Arc<str>, identity: &Identity, control: Control) -> Dialer {
         Dialer(Arc::new(Inner {
             process,
             client: identity.client.clone(),
+            control,
             socket: Mutex::new(None),
             peers: Mutex::new(Vec::new()),
         }))
@@ -121,7 +124,11 @@
             .map_err(|cause| unreachable(cause.to_string()))?;
         let timeout = Duration::from_millis(DIAL_TIMEOUT_MS);
         match time::timeout(timeout, connecting).await {
-            Ok(Ok(connection)) => Ok(Link::new(connection, self.process.clone())),
+            Ok(Ok(connection)) => Ok(Link::new(
+                connection,
+                self.process.clone(),
+                self.control.clone(),
+            )),
             Ok(Err(cause)) => Err(unreachable(cause.to_string())),
             Err(_) => {
                 self.renew_socket();
@@ -169,7 +176,7 @@
 /// # Errors
 ///
 /// Fails where the address cannot be bound.
-pub(crate) fn listen(identity: &Identity, address: SocketAddr) -> Result<Endpoint, Error> {
+pub fn listen(identity: &Identity, address: SocketAddr) -> Result<Endpoint, Error> {
     Endpoint::server(identity.server.clone(), address).map_err(|cause| Error::Bind {
         address: address.to_string(),
         cause: cause.to_string(),
--- a/crates/node/src/transport/link.rs
+++ b/crates/node/src/transport/link.rs
@@ -17,7 +17,7 @@
     Error,
     frame::{Receiver, Sender},
 };
-use crate::clock;
+use crate::{clock, metrics::Control};
 
 /// How often a link is looked at, in milliseconds.
 const CHECK_MS: u64 = 100;
@@ -44,6 +44,7 @@
     used: AtomicU64,
     calls: AtomicUsize,
     status: watch::Sender<Option<Status>>,
+    control: Control,
 }
 
 /// A stream that this side opened.
@@ -66,7 +67,7 @@
 }
 
 impl Link {
-    pub(super) fn new(connection: Connection, process: Arc<str>) -> Arc<Link> {
+    pub(super) fn new(connection: Connection, process: Arc<str>, control: Control) -> Arc<Link> {
         let now = clock::now().as_micros();
         Arc::new(Link {
             connection,
@@ -75,6 +76,7 @@
             used: AtomicU64::new(now),
             calls: AtomicUsize::new(0),
             status: watch::Sender::new(None),
+            control,
         })
     }
 
@@ -193,8 +195,11 @@
 async fn open(link: &Weak<Link>) -> Option<(Sender<Request>, Receiver<Reply>)> {
     let link = link.upgrade()?;
     let (send, receive) = link.connection.open_bi().await.ok()?;
-    let receiver = Receiver::new(receive, link.heard.clone());
-    Some((Sender::new(send), receiver))
+    let mut receiver = Receiver::new(receive, link.heard.clone());
+    receiver.count(link.control.received.clone());
+    let mut sender = Sender::new(send);
+    sender.count(link.control.sent.clone());
+    Some((sender, receiver))
 }
 
 async fn ping(
--- a/crates/node/src/transport/mod.rs
+++ b/crates/node/src/transport/mod.rs
@@ -23,10 +23,10 @@
 mod tls;
 
 pub use self::{
-    dialer::Dialer,
+    dialer::{Dialer, listen},
     frame::{Receiver, Sender},
     link::{Call, Link},
-    serve::Incoming,
+    serve::{Incoming, serve},
     tls::{Files, Identity},
 };
 
@@ -64,5 +64,3 @@
         cause: String,
     },
 }
-
-pub(crate) use self::{dialer::listen, serve::serve};
--- a/crates/node/src/transport/serve.rs
+++ b/crates/node/src/transport/serve.rs
@@ -16,7 +16,7 @@
 }
 
 /// Accepts links until the socket is closed; each stream runs as a task of its own.
-pub(crate) async fn serve<F, H>(socket: Endpoint, handler: H)
+pub async fn serve<F, H>(socket: Endpoint, handler: H)
 where
     H: Fn(Incoming) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -22,9 +22,11 @@
 /// The route of the demo's plain service.
 pub const SERVICE_ROUTE: &str = "orders";
 
-const MODEL_VERSION: &str = "catalogue-1";
+/// The version of the demo's model.
+pub const MODEL_VERSION: &str = "catalogue-1";
 const SERVICE_VERSION: &str = "orders-1";
-const DATA_CENTRE: &str = "kairouan";
+/// The data centre of the demo.
+pub const DATA_CENTRE: &str = "kairouan";
 const READY_TRIES: u32 = 200;
 const READY_TICK_MS: u64 = 50;
 
@@ -42,6 +44,12 @@
     pub engines: usize,
     /// How the engines behave.
     pub engine: standin::engine::Config,
+    /// The workspaces, as the operators' folder states them.
+    pub workspaces: serde_json::Value,
+    /// The most connections that callers may have open at one entry.
+    pub max_connections: usize,
+    /// Where traces go, or nowhere.
+    pub traces: Option<Arc<str>>,
 }
 
 impl Default for Config {
@@ -50,6 +58,9 @@
             entries: 2,
             engines: 2,
             engine: standin::engine::Config::default(),
+            workspaces: json!({super::client::WORKSPACE: {}}),
+            max_connections: settings::DEFAULT_MAX_CONNECTIONS,
+            traces: None,
         }
     }
 }
@@ -66,8 +77,14 @@
     pub service: standin::service::Handle,
     /// The store.
     pub store: standin::store::Handle,
-    roster: standin::roster::Handle,
-    _keys: TempDir,
+    /// The list of VMs.
+    pub roster: standin::roster::Handle,
+    /// The metrics of the entries, in the order of their names.
+    pub entry_metrics: Vec<Exporter>,
+    /// The metrics of the agents, in their order.
+    pub agent_metrics: Vec<Exporter>,
+    traces: Option<Arc<str>>,
+    keys: TempDir,
 }
 
 impl Site {
@@ -81,7 +98,7 @@
         keys::authority(keys.path())?;
         let store = standin::store::spawn(standin::store::Config::default(), listener().await?)?;
         let roster = standin::roster::spawn(standin::roster::Config::default(), listener().await?)?;
-        configure(&store).await?;
+        configure(&store, &config.workspaces).await?;
         let mut site = Site {
             entries: Vec::new(),
             agents: Vec::new(),
@@ -92,11 +109,14 @@
             )?,
             store,
             roster,
-            _keys: keys,
+            entry_metrics: Vec::new(),
+            agent_metrics: Vec::new(),
+            traces: config.traces.clone(),
+            keys,
         };
         site.start_agents(config).await?;
         for number in 1..=config.entries {
-            let entry = site.start_entry(&format!("entry-{number}")).await?;
+            let entry = site.start_entry(&format!("entry-{number}"), config).await?;
             site.entries.push(entry);
         }
         site.ready().await?;
@@ -144,7 +164,9 @@
                 checks_orders: true,
             },
         };
-        let metrics = AgentMetrics::new(&Exporter::new());
+        let exporter = Exporter::new();
+        let metrics = AgentMetrics::new(&exporter);
+        self.agent_metrics.push(exporter);
         let agent = Agent::start(&settings, backend, metrics)?;
         let vm = standin::roster::Vm {
             name: name.into(),
@@ -157,21 +179,29 @@
         Ok(vm)
     }
 
-    async fn start_entry(&self, name: &str) -> Result<Entry, Error> {
+    async fn start_entry(&mut self, name: &str, config: &Config) -> Result<Entry, Error> {
         let settings = settings::Entry {
             common: self.common(name)?,
             listen: loopback(),
+            max_connections: config.max_connections,
         };
         let store = store::http::Client::new(&settings.common.store.parse::<Address>()?);
         let roster = roster::http::Client::new(&settings.common.roster.parse::<Address>()?);
-        let metrics = EntryMetrics::new(&Exporter::new());
+        let exporter = Exporter::new();
+        let metrics = EntryMetrics::new(&exporter);
+        self.entry_metrics.push(exporter);
         let config = source::config(store);
         let vms = source::endpoints(roster);
         Ok(Entry::start(&settings, config, vms, metrics).await?)
     }
 
-    fn common(&self, name: &str) -> Result<settings::Common, Error> {
-        let directory = self._keys.path();
+    /// Returns the settings of one more process of the site, with certificates for its name.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the certificates cannot be written.
+    pub fn common(&self, name: &str) -> Result<settings::Common, Error> {
+        let directory = self.keys.path();
         let written = keys::process(directory, directory, name, 1)?;
         let path = |path: &Path| path.display().to_string();
         Ok(settings::Common {
@@ -186,7 +216,7 @@
             },
             store: self.store.server().base().into(),
             roster: self.roster.server().base().into(),
-            traces: None,
+            traces: self.traces.clone(),
         })
     }
 
@@ -219,7 +249,10 @@
 }
 
 /// Applies the demo's folder.
-async fn configure(store: &standin::store::Handle) -> Result<(), Error> {
+async fn configure(
+    store: &standin::store::Handle,
+    workspaces: &serde_json::Value,
+) -> Result<(), Error> {
     let files = [
         (
             "10-data-centres.json",
@@ -239,10 +272,7 @@
                 SERVICE_ROUTE: {"kind": "service", "version": SERVICE_VERSION, "idempotent": false},
             }}),
         ),
-        (
-            "40-workspaces.json",
-            json!({"workspaces": {super::client::WORKSPACE: {}}}),
-        ),
+        ("40-workspaces.json", json!({"workspaces": workspaces})),
     ];
     let files = files.map(|(name, content)| folder::File {
         name: name.into(),
--- /dev/null
+++ b/tests/integration/input.rs
@@ -0,0 +1,415 @@
+//! Bad input at each port: a typed error or a closed connection, and service goes on.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use cactusroad::{
+    demo::site::{Config, Site},
+    node::{
+        metrics::{EntryMetrics, Exporter},
+        transport::{Dialer, Files, Identity},
+    },
+    ops::keys,
+    wire::message::{Ack, Open, Request, Settle, request::Body},
+};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use tokio::{net::UdpSocket, task::JoinSet, time};
+
+use crate::caller::{self, completion, request};
+
+async fn site(config: Config) -> Site {
+    let config = Config {
+        entries: 1,
+        engines: 1,
+        ..config
+    };
+    Site::start(&config).await.unwrap()
+}
+
+/// Checks that the entry still serves.
+async fn assert_serves(address: SocketAddr) {
+    let prompt = "Still there? [len=3]";
+    let answer = caller::send(address, &completion(prompt, false, &[])).await;
+    assert_eq!(answer.unwrap().status, 200);
+}
+
+/// A request and what it must be answered with.
+struct Case {
+    name: &'static str,
+    bytes: Vec<u8>,
+    verdict: &'static str,
+}
+
+const WORKSHOP: (&str, &str) = ("x-workspace", "workshop");
+const CLOSED: (&str, &str) = ("x-workspace", "closed");
+const KEY: &str = "sesame";
+
+fn case(name: &'static str, bytes: Vec<u8>, verdict: &'static str) -> Case {
+    Case {
+        name,
+        bytes,
+        verdict,
+    }
+}
+
+fn completions(headers: &[(&str, &str)], body: &str) -> Vec<u8> {
+    request("POST /v1/completions", headers, body)
+}
+
+fn bodies() -> Vec<Case> {
+    let long = "x".repeat(3 * 1024 * 1024);
+    let chunked = |data: &str| {
+        let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nx-workspace: workshop\r\n\
+             transfer-encoding: chunked\r\nconnection: close\r\n\r\n";
+        format!("{head}{:x}\r\n{data}\r\n0\r\n\r\n", data.len()).into_bytes()
+    };
+    let two = r#"{"model": "catalogue", "prompt": ["a", "b"]}"#;
+    let elsewhere = r#"{"model": "nowhere", "prompt": "a"}"#;
+    let service = r#"{"model": "orders", "prompt": "a"}"#;
+    let typed = r#"{"model": "catalogue", "prompt": "a", "max_tokens": "many"}"#;
+    let bad = "400 bad_request not_run";
+    vec![
+        case("no JSON", completions(&[WORKSHOP], "{\"model\":"), bad),
+        case("an empty body", completions(&[WORKSHOP], ""), bad),
+        case("a wrong type", completions(&[WORKSHOP], typed), bad),
+        case("two prompts", completions(&[WORKSHOP], two), bad),
+        case("a service's route", completions(&[WORKSHOP], service), bad),
+        case("a broken chunk", chunked("").replacen(b"0", b"z"), bad),
+        case(
+            "an unknown route",
+            completions(&[WORKSHOP], elsewhere),
+            "404 not_found not_run",
+        ),
+        case(
+            "a large body",
+            completions(&[WORKSHOP], &long),
+            "413 too_large not_run",
+        ),
+        case(
+            "a large body of unstated length",
+            chunked(&long),
+            "413 too_large not_run",
+        ),
+    ]
+}
+
+trait Replacen {
+    fn replacen(self, from: &[u8], to: &[u8]) -> Vec<u8>;
+}
+
+impl Replacen for Vec<u8> {
+    /// Replaces the last run of `from`.
+    fn replacen(mut self, from: &[u8], to: &[u8]) -> Vec<u8> {
+        let at = self.windows(from.len()).rposition(|part| part == from);
+        let at = at.expect("the text is there");
+        self.splice(at..at + from.len(), to.iter().copied());
+        self
+    }
+}
+
+fn headers() -> Vec<Case> {
+    let with = |headers: &[(&str, &str)]| completion("a [len=2]", true, headers);
+    let body = json!({"model": "catalogue", "prompt": "a [len=2]"}).to_string();
+    let wrong = [CLOSED, ("authorization", "Bearer open")];
+    let basic = [CLOSED, ("authorization", "Basic c2VzYW1l")];
+    let bad = "400 bad_request not_run";
+    let unauthorized = "401 unauthorized not_run";
+    let id = |index: &str| format!("engine-1~1~00000000000000000000000000000005~{index}");
+    let last = |id: &str| with(&[("last-event-id", id)]);
+    vec![
+        case("no workspace", completions(&[], &body), bad),
+        case(
+            "an unknown workspace",
+            completions(&[("x-workspace", "nobody")], &body),
+            "404 not_found not_run",
+        ),
+        case("no key", completions(&[CLOSED], &body), unauthorized),
+        case("a wrong key", completions(&wrong, &body), unauthorized),
+        case("another scheme", completions(&basic, &body), unauthorized),
+        case("a wrong timeout", with(&[("x-timeout-ms", "soon")]), bad),
+        case("a negative timeout", with(&[("x-timeout-ms", "-1")]), bad),
+        case("a wrong deadline", with(&[("x-deadline-ms", "1e3")]), bad),
+        case(
+            "a past deadline",
+            with(&[("x-deadline-ms", "1000")]),
+            "504 deadline_exceeded not_run",
+        ),
+        case("a wrong event id", last("seven"), bad),
+        case("a long event id", last(&"7~".repeat(400)), bad),
+        case(
+            "the last event id of all",
+            last(&id("18446744073709551615")),
+            bad,
+        ),
+        case(
+            "an event id of no stream",
+            last(&id("3")),
+            "410 stream_gone unknown",
+        ),
+        case(
+            "an event id of no endpoint",
+            last("nowhere~1~05~3"),
+            "410 stream_gone unknown",
+        ),
+        case(
+            "an event id alone, and none",
+            request("GET /v1/stream", &[WORKSHOP], ""),
+            bad,
+        ),
+    ]
+}
+
+fn paths() -> Vec<Case> {
+    let call = |line: &str, headers: &[(&str, &str)]| {
+        let mut all = vec![WORKSHOP];
+        all.extend_from_slice(headers);
+        request(line, &all, "{}")
+    };
+    let long = "k".repeat(300);
+    let bad = "400 bad_request not_run";
+    let missing = "404 not_found not_run";
+    vec![
+        case(
+            "an unknown path",
+            call("POST /v2/completions", &[]),
+            missing,
+        ),
+        case("no route", call("POST /services/", &[]), missing),
+        case(
+            "an unknown service",
+            call("POST /services/none/a", &[]),
+            missing,
+        ),
+        case(
+            "a path of no text",
+            call("POST /services/%ff/a", &[]),
+            missing,
+        ),
+        case(
+            "a model's route",
+            call("POST /services/catalogue/a", &[]),
+            bad,
+        ),
+        case(
+            "a wrong method",
+            call("DELETE /v1/completions", &[]),
+            "405 bad_request not_run",
+        ),
+        case(
+            "an empty idempotency key",
+            call("POST /services/orders/a", &[("idempotency-key", "")]),
+            bad,
+        ),
+        case(
+            "a long idempotency key",
+            call("POST /services/orders/a", &[("idempotency-key", &long)]),
+            bad,
+        ),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_bad() {
+    let digest = hex::encode(Sha256::digest(KEY));
+    let site = site(Config {
+        workspaces: json!({"workshop": {}, "closed": {"key_digests": [digest]}}),
+        ..Config::default()
+    })
+    .await;
+    let address = site.entries[0].address();
+    for case in bodies().into_iter().chain(headers()).chain(paths()) {
+        let answer = caller::send(address, &case.bytes).await;
+        let answer = answer.unwrap_or_else(|| panic!("{}: no answer", case.name));
+        assert_eq!(answer.verdict(), case.verdict, "{}: {answer:?}", case.name);
+        for field in ["message", "remedy"] {
+            let text = answer.error()[field].as_str().unwrap_or("").to_owned();
+            assert!(text.ends_with('.'), "{}: {field} {text:?}", case.name);
+        }
+        let effect = case.verdict.rsplit(' ').next().unwrap();
+        let header = format!("x-cactusroad-effect: {effect}");
+        assert!(answer.head.contains(&header), "{}: {answer:?}", case.name);
+    }
+    // What was refused as not run was not run.
+    assert_eq!(site.engines[0].seen().generations, []);
+    assert_eq!(site.service.seen().total, 0);
+    let key = format!("Bearer {KEY}");
+    let body = json!({"model": "catalogue", "prompt": "a [len=2]"}).to_string();
+    let admitted = completions(&[CLOSED, ("authorization", &key)], &body);
+    assert_eq!(caller::send(address, &admitted).await.unwrap().status, 200);
+    assert_serves(address).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn service_path_kept() {
+    let site = site(Config::default()).await;
+    let line = "POST /services/orders/a%20b%3Fc/%2e?q=%26";
+    let bytes = request(line, &[WORKSHOP], "{}");
+    let answer = caller::send(site.entries[0].address(), &bytes)
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.body.contains("/a%20b%3Fc/%2e"), "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn listen_garbage() {
+    let site = site(Config::default()).await;
+    let address = site.entries[0].address();
+    let noise: Vec<u8> = (0..200_000u32)
+        .map(|n| (n.wrapping_mul(2_654_435_761) >> 13) as u8)
+        .collect();
+    let header = format!("GET / HTTP/1.1\r\nx-long: {}\r\n\r\n", "y".repeat(1 << 20));
+    let many = "x-a: b\r\n".repeat(1_000);
+    let many = format!("GET / HTTP/1.1\r\n{many}\r\n");
+    for bytes in [&noise[..], header.as_bytes(), many.as_bytes()] {
+        let status = caller::send(address, bytes)
+            .await
+            .map(|answer| answer.status);
+        assert!(
+            status.is_none_or(|status| (400..500).contains(&status)),
+            "{status:?}"
+        );
+    }
+    assert_serves(address).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn headers_slow() {
+    let site = site(Config::default()).await;
+    let address = site.entries[0].address();
+    let half = caller::open(address, b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n").await;
+    let silent = caller::open(address, b"").await;
+    assert_serves(address).await;
+    // Both reads give up with the entry's patience, or fail.
+    let (half, silent) = tokio::join!(caller::read(half), caller::read(silent));
+    let status = half.map(|answer| answer.status);
+    assert!(status.is_none_or(|status| status == 408), "{status:?}");
+    assert!(silent.is_none());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_many() {
+    let site = site(Config {
+        max_connections: 4,
+        ..Config::default()
+    })
+    .await;
+    let address = site.entries[0].address();
+    let mut held = Vec::new();
+    for _ in 0..4 {
+        held.push(caller::open(address, b"").await);
+    }
+    caller::until("a fifth connection is turned away", async || {
+        let answer = caller::read(caller::open(address, b"").await).await;
+        answer.is_some_and(|answer| answer.verdict() == "503 overloaded not_run")
+    })
+    .await;
+    drop(held);
+    caller::until("room is given back", async || {
+        let bytes = completion("a [len=2]", false, &[]);
+        let answer = caller::send(address, &bytes).await;
+        answer.is_some_and(|answer| answer.status == 200)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_partial() {
+    let site = site(Config::default()).await;
+    let address = site.entries[0].address();
+    // Each body lacks its last byte, so that the entry must keep what came before.
+    let mut half = completions(&[WORKSHOP], &"x".repeat(2 * 1024 * 1024));
+    half.pop();
+    let mut readers = JoinSet::new();
+    for _ in 0..34 {
+        let held = caller::open(address, &half).await;
+        readers.spawn(caller::read(held));
+    }
+    // There is room for 32 of them, so at least two are refused.
+    for _ in 0..2 {
+        let refused = readers.join_next().await.unwrap().unwrap();
+        assert_eq!(refused.unwrap().verdict(), "503 overloaded not_run");
+    }
+    drop(readers);
+    let small = completion("a [len=2]", false, &[]);
+    caller::until("the room is given back", async || {
+        let answer = caller::send(address, &small).await;
+        answer.is_some_and(|answer| answer.status == 200)
+    })
+    .await;
+}
+
+fn files(directory: &Path, name: &str) -> Files {
+    let written = keys::process(directory, directory, name, 1).unwrap();
+    let path = |path: &Path| path.display().to_string();
+    Files {
+        ca: path(&written.ca),
+        certificate: path(&written.certificate),
+        key: path(&written.key),
+    }
+}
+
+fn dialer(files: &Files) -> Dialer {
+    let control = EntryMetrics::new(&Exporter::new()).control();
+    Dialer::new("stranger".into(), &Identity::read(files).unwrap(), control)
+}
+
+/// Sends one message and tells whether the peer answered.
+async fn is_answered(dialer: &Dialer, peer: SocketAddr, body: Option<Body>) -> bool {
+    let Ok(link) = dialer.link("engine-1", peer).await else {
+        return false;
+    };
+    let Ok(mut call) = link.call(&Request { body }).await else {
+        return false;
+    };
+    let reply = time::timeout(Duration::from_secs(5), call.receiver.next()).await;
+    matches!(reply.expect("the stream ends"), Ok(Some(_)))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn inner_garbage() {
+    let site = site(Config::default()).await;
+    let peer = site.agents[0].address();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for size in [0, 1, 20, 1_200, 1_400] {
+        let noise: Vec<u8> = (0..size).map(|n| (n * 37 + size) as u8).collect();
+        socket.send_to(&noise, peer).await.unwrap();
+    }
+    let known = site.common("entry-9").unwrap().tls;
+    let known = dialer(&known);
+    let short = bytes::Bytes::from_static(b"short");
+    let bodies = [
+        None,
+        Some(Body::Ack(Ack { next_index: 7 })),
+        Some(Body::Open(Box::new(Open {
+            attempt: short.clone(),
+            ..Open::default()
+        }))),
+        Some(Body::Settle(Settle {
+            attempt: short,
+            ..Settle::default()
+        })),
+    ];
+    for body in bodies {
+        let text = format!("{body:?}");
+        assert!(!is_answered(&known, peer, body).await, "{text}");
+    }
+    assert_eq!(site.engines[0].seen().generations, []);
+    assert_serves(site.entries[0].address()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn inner_stranger() {
+    let site = site(Config::default()).await;
+    let peer = site.agents[0].address();
+    let own = tempfile::tempdir().unwrap();
+    keys::authority(own.path()).unwrap();
+    let mut files = files(own.path(), "entry-9");
+    // The stranger trusts the site, but the site does not trust the stranger.
+    files.ca = site.common("entry-8").unwrap().tls.ca;
+    let ping = Some(Body::Ping(Default::default()));
+    assert!(!is_answered(&dialer(&files), peer, ping.clone()).await);
+    let known = dialer(&site.common("entry-7").unwrap().tls);
+    assert!(is_answered(&known, peer, ping).await);
+    assert_serves(site.entries[0].address()).await;
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,3 +1,6 @@
-//! Integration tests with real processes.
+//! Integration tests: the whole path, its outside systems and what goes wrong.
 
 mod adapters;
+mod caller;
+mod input;
+mod path;
--- /dev/null
+++ b/tests/integration/path.rs
@@ -0,0 +1,210 @@
+//! What a caller is promised while nothing breaks: whole answers, deadlines, hang-ups, pace.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cactusroad::{
+    demo::{
+        client::{Client, Piece},
+        site::{Config, MODEL_ROUTE, Site},
+    },
+    standin::engine::{self, Generation, text},
+};
+use serde_json::{Value, json};
+use tokio::{io::AsyncReadExt, net::TcpSocket};
+
+use crate::caller::{self, completion, request};
+
+const WORKSHOP: (&str, &str) = ("x-workspace", "workshop");
+
+async fn site(engine: engine::Config) -> Site {
+    let config = Config {
+        entries: 1,
+        engines: 1,
+        engine,
+        ..Config::default()
+    };
+    Site::start(&config).await.unwrap()
+}
+
+fn address(site: &Site) -> SocketAddr {
+    site.entries[0].address()
+}
+
+/// What the engine saw of a prompt that it started once.
+fn seen(site: &Site, prompt: &str) -> Generation {
+    let seen = site.engines[0].seen();
+    let found: Vec<&Generation> = seen.of_prompt(prompt).collect();
+    assert_eq!(found.len(), 1, "{found:?}");
+    found[0].clone()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn completion_whole() {
+    let site = site(engine::Config::default()).await;
+    let prompt = "Sort these soles. [len=30]";
+    let bytes = completion(prompt, false, &[]);
+    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    let body: Value = serde_json::from_str(&answer.body).unwrap();
+    let tokens = text::tokens(prompt, 1_000);
+    assert_eq!(body["object"], "text_completion");
+    assert_eq!(body["choices"][0]["text"], tokens.concat());
+    assert_eq!(body["choices"][0]["finish_reason"], "stop");
+    assert_eq!(body["usage"]["completion_tokens"], 30);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_whole() {
+    let site = site(engine::Config::default()).await;
+    let body = json!({
+        "model": MODEL_ROUTE,
+        "messages": [{"role": "user", "content": "Which dye? [len=30]"}],
+        "max_tokens": 20,
+    });
+    let bytes = request("POST /v1/chat/completions", &[WORKSHOP], &body.to_string());
+    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    let body: Value = serde_json::from_str(&answer.body).unwrap();
+    let prompt = "user: Which dye? [len=30]\nassistant: ";
+    let message = &body["choices"][0]["message"];
+    assert_eq!(body["object"], "chat.completion");
+    assert_eq!(message["role"], "assistant");
+    assert_eq!(message["content"], text::tokens(prompt, 20).concat());
+    assert_eq!(body["choices"][0]["finish_reason"], "length");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_stream() {
+    let site = site(engine::Config::default()).await;
+    let prompt = "Too long a plan. [len=100000]";
+    let bytes = completion(prompt, true, &[("x-timeout-ms", "400")]);
+    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(answer.body.contains("event: error"), "{}", answer.body);
+    assert!(
+        answer
+            .body
+            .contains(r#""code":"deadline_exceeded","effect":"unknown""#)
+    );
+    assert!(!answer.body.contains("[DONE]"));
+    caller::until("the engine is told", async || {
+        seen(&site, prompt).cancels > 0
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_whole() {
+    let site = site(engine::Config::default()).await;
+    let prompt = "Too long a plan. [len=100000]";
+    let bytes = completion(prompt, false, &[("x-timeout-ms", "400")]);
+    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    assert_eq!(answer.verdict(), "504 deadline_exceeded unknown");
+    caller::until("the engine is told", async || {
+        seen(&site, prompt).cancels > 0
+    })
+    .await;
+}
+
+/// Hangs up on a generation, and waits until the engine is told.
+async fn hang_up(site: &Site, prompt: &str, stream: bool) {
+    let connection = caller::open(address(site), &completion(prompt, stream, &[])).await;
+    caller::until("the engine generates", async || {
+        let seen = site.engines[0].seen();
+        seen.of_prompt(prompt).any(|seen| seen.generated > 3)
+    })
+    .await;
+    drop(connection);
+    caller::until("the engine is told", async || {
+        seen(site, prompt).cancels > 0
+    })
+    .await;
+    // Well before the generation would have ended by itself.
+    let seen = seen(site, prompt);
+    assert!(seen.generated < 50_000 && !seen.ended, "{seen:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hang_up_stream() {
+    let site = site(engine::Config::default()).await;
+    hang_up(&site, "Never mind. [len=100000]", true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hang_up_whole() {
+    let site = site(engine::Config::default()).await;
+    hang_up(&site, "Never mind the whole. [len=100000]", false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_slow() {
+    const TOKENS: u64 = 300_000;
+    let site = site(engine::Config {
+        token_interval_ms: 0,
+        ..engine::Config::default()
+    })
+    .await;
+    let prompt = format!("A long catalogue. [len={TOKENS}]");
+    let body = json!({
+        "model": MODEL_ROUTE, "prompt": prompt, "stream": true, "max_tokens": TOKENS,
+    });
+    let bytes = request("POST /v1/completions", &[WORKSHOP], &body.to_string());
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(8 * 1024).unwrap();
+    let mut slow = socket.connect(address(&site)).await.unwrap();
+    tokio::io::AsyncWriteExt::write_all(&mut slow, &bytes)
+        .await
+        .unwrap();
+    caller::until("the engine is ahead", async || {
+        let seen = site.engines[0].seen();
+        seen.of_prompt(&prompt).any(|seen| seen.generated == TOKENS)
+    })
+    .await;
+    // The engine has it all, but nobody has taken it.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let held_back = seen(&site, &prompt).sent;
+    assert!(held_back < TOKENS / 2, "the agent took {held_back} tokens");
+    let kept = metric(
+        &site.agent_metrics[0].render(),
+        "cactusroad_agent_buffer_bytes",
+    );
+    assert!(kept < 1_200_000.0, "{kept} bytes");
+    // A caller that reads after all gets the rest.
+    let mut text = String::new();
+    slow.read_to_string(&mut text).await.unwrap();
+    assert!(text.contains("[DONE]"), "the stream is whole");
+    assert_eq!(text.matches("\nid: ").count() as u64, TOKENS);
+    assert_eq!(seen(&site, &prompt).starts, 1);
+}
+
+/// Returns the value of a metric without labels.
+fn metric(text: &str, name: &str) -> f64 {
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    let value = line.and_then(|rest| rest.trim().parse().ok());
+    value.unwrap_or_else(|| panic!("{name} is missing"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_alone_resumed() {
+    let site = site(engine::Config::default()).await;
+    let prompt = "Find the rest of it. [len=40]";
+    let client = Client::new();
+    let mut generation = client
+        .generate(address(&site), MODEL_ROUTE, prompt, 1_000, None)
+        .await
+        .unwrap();
+    let mut last = None;
+    for _ in 0..10 {
+        let Some(Piece::Token { id, .. }) = generation.next().await.unwrap() else {
+            panic!("the stream is short");
+        };
+        last = Some(id);
+    }
+    drop(generation);
+    let id = last.unwrap().to_string();
+    let headers = [WORKSHOP, ("last-event-id", &*id)];
+    let bytes = request("GET /v1/stream", &headers, "");
+    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.body.matches("id: engine-1").count(), 30);
+    assert!(answer.body.contains("[DONE]"));
+    assert_eq!(seen(&site, prompt).starts, 1);
+}
