--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -62,8 +62,9 @@
     let exporter = Exporter::new();
     let metrics = EntryMetrics::new(&exporter);
     let config = source::config(store);
-    let vms = source::endpoints(roster);
+    let vms = source::endpoints(roster.clone());
     let entry = Entry::start(&settings, config, vms, metrics).await?;
+    entry.follow_entries(source::entries(roster));
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
     log::info!(
         "entry {} listens on {}",
@@ -91,7 +92,8 @@
     };
     let exporter = Exporter::new();
     let metrics = AgentMetrics::new(&exporter);
-    let agent = Agent::start(&settings, backend, metrics)?;
+    let store = store::http::Client::new(&address(&settings.common.store)?);
+    let agent = Agent::start(&settings, backend, store, metrics)?;
     admin::start(settings.common.admin, exporter, agent.readiness()).await?;
     log::info!(
         "agent {} listens on {}",
--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -176,8 +176,7 @@
     let job = generate::Job {
         route: route.name.clone(),
         version: route.version.clone(),
-        workspace: workspace.name,
-        weight: workspace.weight,
+        workspace,
         priority: route.priority,
         deadline,
         digest: digest(&route.name, ask.prompt.as_bytes()),
@@ -188,7 +187,7 @@
     };
     let items = generate::start(shared.clone(), job);
     match ask.stream {
-        true => streamed(&shared, head, items).await,
+        true => streamed(shared, head, items).await,
         false => whole(head, items).await,
     }
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -9,9 +9,11 @@
 mod directory;
 mod error;
 mod generate;
+mod guard;
 mod http;
 mod listen;
 mod openai;
+mod pump;
 mod sse;
 
 use std::{
@@ -25,7 +27,7 @@
     time,
 };
 
-use self::directory::Directory;
+use self::{directory::Directory, guard::Guard};
 use crate::{
     metrics::EntryMetrics,
     settings,
@@ -43,6 +45,7 @@
 pub(super) struct Shared {
     config: watch::Receiver<Arc<Snapshot>>,
     directory: Directory,
+    guard: Guard,
     dialer: Dialer,
     leaving: AtomicBool,
     metrics: EntryMetrics,
@@ -88,7 +91,10 @@
             &identity,
             metrics.control.clone(),
         );
-        let directory = Directory::new(settings.common.data_centre.clone());
+        let directory = Directory::new(
+            settings.common.name.clone(),
+            settings.common.data_centre.clone(),
+        );
         let listener =
             TcpListener::bind(settings.listen)
                 .await
@@ -99,6 +105,7 @@
         let shared = Arc::new(Shared {
             config,
             directory,
+            guard: Guard::new(settings.common.name.clone()),
             dialer,
             leaving: AtomicBool::new(false),
             metrics,
@@ -114,6 +121,25 @@
         Ok(Entry { shared, server })
     }
 
+    /// Follows the names of the entries of the site, which share its links and limits.
+    pub fn follow_entries(&self, mut names: watch::Receiver<Vec<Arc<str>>>) {
+        let shared = Arc::downgrade(&self.shared);
+        tokio::spawn(async move {
+            loop {
+                let entries = names.borrow_and_update().clone();
+                let Some(shared) = shared.upgrade() else {
+                    return;
+                };
+                shared.directory.set_entries(&entries);
+                shared.guard.set_entries(entries.len());
+                drop(shared);
+                if names.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+
     /// The address on which the entry listens for callers.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
--- a/tests/integration/caller.rs
+++ b/tests/integration/caller.rs
@@ -1,95 +1,137 @@
-//! A caller that writes its requests byte by byte, so that they can be wrong.
-
-use std::{future::Future, net::SocketAddr, time::Duration};
-
-use serde_json::{Value, json};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time,
-};
-
-/// Longer than anything that these tests wait for.
-const WAIT: Duration = Duration::from_secs(25);
-
-/// What came back.
-#[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: u16,
-    pub(crate) head: String,
-    pub(crate) body: String,
+//! A caller that checks each token of a stream.
+
+use std::net::SocketAddr;
+
+use cactusroad::demo::client::{Client, Error, Generation, Piece};
+use cactusroad_core::stream::EventId;
+use cactusroad_standin::engine::text;
+use serde_json::Value;
+
+use crate::site::{MODEL, WAIT};
+
+/// The most tokens that a caller asks for.
+pub(crate) const MAX_TOKENS: u32 = 10_000;
+
+/// How a stream ended.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Ending {
+    /// It is whole.
+    Done,
+    /// The system said that it broke off.
+    Error(Value),
+    /// The connection broke.
+    Cut,
+}
+
+/// What a caller has of one generation.
+#[derive(Default)]
+pub(crate) struct Received {
+    /// The tokens, in the order in which they came.
+    pub(crate) tokens: Vec<String>,
+    /// The id of the last event.
+    pub(crate) last: Option<EventId>,
 }
 
-impl Answer {
-    /// The error in the body; null where there is none.
-    pub(crate) fn error(&self) -> Value {
-        let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
-        body["error"].clone()
+impl Received {
+    /// Takes one token in.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the token is not the next one of the same generation.
+    fn take(&mut self, id: EventId, text: String) {
+        assert_eq!(id.index, self.tokens.len() as u64, "the next index");
+        if let Some(last) = &self.last {
+            assert_eq!(last.attempt, id.attempt, "a single generation");
+        }
+        self.tokens.push(text);
+        self.last = Some(id);
+    }
+
+    /// Reads so many tokens of a stream.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the stream ends before, or a token is out of place.
+    pub(crate) async fn read(&mut self, stream: &mut Generation, count: usize) {
+        let until = self.tokens.len() + count;
+        while self.tokens.len() < until {
+            match next(stream).await {
+                Ok(Some(Piece::Token { id, text })) => self.take(id, text),
+                other => panic!("a token, not {other:?}"),
+            }
+        }
+    }
+
+    /// Reads a stream to its end.
+    ///
+    /// # Panics
+    ///
+    /// Panics where a token is out of place.
+    pub(crate) async fn finish(&mut self, stream: &mut Generation) -> Ending {
+        loop {
+            match next(stream).await {
+                Ok(Some(Piece::Token { id, text })) => self.take(id, text),
+                Ok(Some(Piece::Done)) => return Ending::Done,
+                Ok(Some(Piece::Error(error))) => return Ending::Error(error),
+                Ok(None) | Err(_) => return Ending::Cut,
+            }
+        }
     }
 
-    /// Status, kind and effect, as one text.
-    pub(crate) fn verdict(&self) -> String {
-        let error = self.error();
-        let text = |field: &str| error[field].as_str().unwrap_or("-").to_owned();
-        format!("{} {} {}", self.status, text("code"), text("effect"))
+    /// Checks that the tokens are the whole answer.
+    pub(crate) fn assert_whole(&self, prompt: &str) {
+        assert_eq!(self.tokens, text::tokens(prompt, MAX_TOKENS));
     }
-}
 
-/// Returns a request with a body whose length is stated.
-pub(crate) fn request(line: &str, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
-    let mut text = format!("{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n");
-    for (name, value) in headers {
-        text.push_str(&format!("{name}: {value}\r\n"));
+    /// Checks that the tokens are the beginning of the answer.
+    pub(crate) fn assert_beginning(&self, prompt: &str) {
+        let whole = text::tokens(prompt, MAX_TOKENS);
+        assert!(self.tokens.len() < whole.len(), "not the whole answer");
+        assert_eq!(self.tokens, whole[..self.tokens.len()]);
     }
-    text.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
-    text.into_bytes()
 }
 
-/// Returns a request for a generation.
-pub(crate) fn completion(prompt: &str, stream: bool, headers: &[(&str, &str)]) -> Vec<u8> {
-    let body = json!({"model": "catalogue", "prompt": prompt, "stream": stream});
-    let mut all = vec![("x-workspace", "workshop")];
-    all.extend_from_slice(headers);
-    request("POST /v1/completions", &all, &body.to_string())
+async fn next(stream: &mut Generation) -> Result<Option<Piece>, Error> {
+    let piece = tokio::time::timeout(WAIT, stream.next()).await;
+    piece.expect("a piece in time")
 }
 
-/// Sends bytes and returns the connection.
-pub(crate) async fn open(address: SocketAddr, bytes: &[u8]) -> TcpStream {
-    let mut stream = TcpStream::connect(address).await.unwrap();
-    // The entry may have answered and closed before it was sent everything.
-    let _ = stream.write_all(bytes).await;
-    stream
+/// Starts a stream.
+pub(crate) async fn start(
+    client: &Client,
+    entry: SocketAddr,
+    prompt: &str,
+) -> Result<Generation, Error> {
+    resume(client, entry, prompt, None).await
 }
 
-/// Reads until the peer closes; `None` where it sent nothing.
-pub(crate) async fn read(mut stream: TcpStream) -> Option<Answer> {
-    let mut bytes = Vec::new();
-    let reading = stream.read_to_end(&mut bytes);
-    // A reset after the answer loses nothing of it.
-    let _ = time::timeout(WAIT, reading)
-        .await
-        .expect("the entry closes the connection");
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    Some(Answer {
-        status: head.split(' ').nth(1)?.parse().ok()?,
-        head: head.to_ascii_lowercase(),
-        body: body.to_owned(),
-    })
+/// Takes a stream up after an event.
+pub(crate) async fn resume(
+    client: &Client,
+    entry: SocketAddr,
+    prompt: &str,
+    last: Option<&EventId>,
+) -> Result<Generation, Error> {
+    let started = client.generate(entry, MODEL, prompt, MAX_TOKENS, last);
+    let started = tokio::time::timeout(WAIT, started).await;
+    started.expect("an answer in time")
 }
 
-/// Sends bytes and reads the answer.
-pub(crate) async fn send(address: SocketAddr, bytes: &[u8]) -> Option<Answer> {
-    read(open(address, bytes).await).await
+/// Runs a generation to its end.
+pub(crate) async fn generate(
+    client: &Client,
+    entry: SocketAddr,
+    prompt: &str,
+) -> Result<(Received, Ending), Error> {
+    let mut stream = start(client, entry, prompt).await?;
+    let mut received = Received::default();
+    let ending = received.finish(&mut stream).await;
+    Ok((received, ending))
 }
 
-/// Waits until a condition holds.
-pub(crate) async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
-    let waiting = async {
-        while !holds().await {
-            time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    let waited = time::timeout(WAIT, waiting).await;
-    assert!(waited.is_ok(), "{what}");
+/// Returns the kind and the effect that an error body names.
+pub(crate) fn fault(error: &Value) -> (&str, &str) {
+    let detail = &error["error"];
+    let text = |field: &str| detail[field].as_str().unwrap_or_default();
+    (text("code"), text("effect"))
 }
--- a/tests/integration/input.rs
+++ b/tests/integration/input.rs
@@ -15,7 +15,7 @@
 use sha2::{Digest, Sha256};
 use tokio::{net::UdpSocket, task::JoinSet, time};
 
-use crate::caller::{self, completion, request};
+use crate::raw::{self, completion, request};
 
 async fn site(config: Config) -> Site {
     let config = Config {
@@ -29,7 +29,7 @@
 /// Checks that the entry still serves.
 async fn assert_serves(address: SocketAddr) {
     let prompt = "Still there? [len=3]";
-    let answer = caller::send(address, &completion(prompt, false, &[])).await;
+    let answer = raw::send(address, &completion(prompt, false, &[])).await;
     assert_eq!(answer.unwrap().status, 200);
 }
 
@@ -218,7 +218,7 @@
     .await;
     let address = site.entries[0].address();
     for case in bodies().into_iter().chain(headers()).chain(paths()) {
-        let answer = caller::send(address, &case.bytes).await;
+        let answer = raw::send(address, &case.bytes).await;
         let answer = answer.unwrap_or_else(|| panic!("{}: no answer", case.name));
         assert_eq!(answer.verdict(), case.verdict, "{}: {answer:?}", case.name);
         for field in ["message", "remedy"] {
@@ -235,7 +235,7 @@
     let key = format!("Bearer {KEY}");
     let body = json!({"model": "catalogue", "prompt": "a [len=2]"}).to_string();
     let admitted = completions(&[CLOSED, ("authorization", &key)], &body);
-    assert_eq!(caller::send(address, &admitted).await.unwrap().status, 200);
+    assert_eq!(raw::send(address, &admitted).await.unwrap().status, 200);
     assert_serves(address).await;
 }
 
@@ -244,9 +244,7 @@
     let site = site(Config::default()).await;
     let line = "POST /services/orders/a%20b%3Fc/%2e?q=%26";
     let bytes = request(line, &[WORKSHOP], "{}");
-    let answer = caller::send(site.entries[0].address(), &bytes)
-        .await
-        .unwrap();
+    let answer = raw::send(site.entries[0].address(), &bytes).await.unwrap();
     assert_eq!(answer.status, 200, "{answer:?}");
     assert!(answer.body.contains("/a%20b%3Fc/%2e"), "{answer:?}");
 }
@@ -262,9 +260,7 @@
     let many = "x-a: b\r\n".repeat(1_000);
     let many = format!("GET / HTTP/1.1\r\n{many}\r\n");
     for bytes in [&noise[..], header.as_bytes(), many.as_bytes()] {
-        let status = caller::send(address, bytes)
-            .await
-            .map(|answer| answer.status);
+        let status = raw::send(address, bytes).await.map(|answer| answer.status);
         assert!(
             status.is_none_or(|status| (400..500).contains(&status)),
             "{status:?}"
@@ -277,11 +273,11 @@
 async fn headers_slow() {
     let site = site(Config::default()).await;
     let address = site.entries[0].address();
-    let half = caller::open(address, b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n").await;
-    let silent = caller::open(address, b"").await;
+    let half = raw::open(address, b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n").await;
+    let silent = raw::open(address, b"").await;
     assert_serves(address).await;
     // Both reads give up with the entry's patience, or fail.
-    let (half, silent) = tokio::join!(caller::read(half), caller::read(silent));
+    let (half, silent) = tokio::join!(raw::read(half), raw::read(silent));
     let status = half.map(|answer| answer.status);
     assert!(status.is_none_or(|status| status == 408), "{status:?}");
     assert!(silent.is_none());
@@ -297,17 +293,17 @@
     let address = site.entries[0].address();
     let mut held = Vec::new();
     for _ in 0..4 {
-        held.push(caller::open(address, b"").await);
+        held.push(raw::open(address, b"").await);
     }
-    caller::until("a fifth connection is turned away", async || {
-        let answer = caller::read(caller::open(address, b"").await).await;
+    raw::until("a fifth connection is turned away", async || {
+        let answer = raw::read(raw::open(address, b"").await).await;
         answer.is_some_and(|answer| answer.verdict() == "503 overloaded not_run")
     })
     .await;
     drop(held);
-    caller::until("room is given back", async || {
+    raw::until("room is given back", async || {
         let bytes = completion("a [len=2]", false, &[]);
-        let answer = caller::send(address, &bytes).await;
+        let answer = raw::send(address, &bytes).await;
         answer.is_some_and(|answer| answer.status == 200)
     })
     .await;
@@ -322,8 +318,8 @@
     half.pop();
     let mut readers = JoinSet::new();
     for _ in 0..34 {
-        let held = caller::open(address, &half).await;
-        readers.spawn(caller::read(held));
+        let held = raw::open(address, &half).await;
+        readers.spawn(raw::read(held));
     }
     // There is room for 32 of them, so at least two are refused.
     for _ in 0..2 {
@@ -332,8 +328,8 @@
     }
     drop(readers);
     let small = completion("a [len=2]", false, &[]);
-    caller::until("the room is given back", async || {
-        let answer = caller::send(address, &small).await;
+    raw::until("the room is given back", async || {
+        let answer = raw::send(address, &small).await;
         answer.is_some_and(|answer| answer.status == 200)
     })
     .await;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,13 @@
-//! Integration tests: the whole path, its outside systems and what goes wrong.
+//! Integration tests: the adapters against the stand-ins, and sites of real
+//! processes behind a fault-injecting proxy.
 
 mod adapters;
 mod caller;
+mod death;
 mod input;
+mod link;
+mod order;
 mod path;
+mod raw;
+mod site;
+mod stop;
--- a/tests/integration/path.rs
+++ b/tests/integration/path.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use tokio::{io::AsyncReadExt, net::TcpSocket};
 
-use crate::caller::{self, completion, request};
+use crate::raw::{self, completion, request};
 
 const WORKSHOP: (&str, &str) = ("x-workspace", "workshop");
 
@@ -43,7 +43,7 @@
     let site = site(engine::Config::default()).await;
     let prompt = "Sort these soles. [len=30]";
     let bytes = completion(prompt, false, &[]);
-    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    let answer = raw::send(address(&site), &bytes).await.unwrap();
     let body: Value = serde_json::from_str(&answer.body).unwrap();
     let tokens = text::tokens(prompt, 1_000);
     assert_eq!(body["object"], "text_completion");
@@ -61,7 +61,7 @@
         "max_tokens": 20,
     });
     let bytes = request("POST /v1/chat/completions", &[WORKSHOP], &body.to_string());
-    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    let answer = raw::send(address(&site), &bytes).await.unwrap();
     let body: Value = serde_json::from_str(&answer.body).unwrap();
     let prompt = "user: Which dye? [len=30]\nassistant: ";
     let message = &body["choices"][0]["message"];
@@ -76,7 +76,7 @@
     let site = site(engine::Config::default()).await;
     let prompt = "Too long a plan. [len=100000]";
     let bytes = completion(prompt, true, &[("x-timeout-ms", "400")]);
-    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    let answer = raw::send(address(&site), &bytes).await.unwrap();
     assert_eq!(answer.status, 200);
     assert!(answer.body.contains("event: error"), "{}", answer.body);
     assert!(
@@ -85,7 +85,7 @@
             .contains(r#""code":"deadline_exceeded","effect":"unknown""#)
     );
     assert!(!answer.body.contains("[DONE]"));
-    caller::until("the engine is told", async || {
+    raw::until("the engine is told", async || {
         seen(&site, prompt).cancels > 0
     })
     .await;
@@ -96,9 +96,9 @@
     let site = site(engine::Config::default()).await;
     let prompt = "Too long a plan. [len=100000]";
     let bytes = completion(prompt, false, &[("x-timeout-ms", "400")]);
-    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    let answer = raw::send(address(&site), &bytes).await.unwrap();
     assert_eq!(answer.verdict(), "504 deadline_exceeded unknown");
-    caller::until("the engine is told", async || {
+    raw::until("the engine is told", async || {
         seen(&site, prompt).cancels > 0
     })
     .await;
@@ -106,14 +106,14 @@
 
 /// Hangs up on a generation, and waits until the engine is told.
 async fn hang_up(site: &Site, prompt: &str, stream: bool) {
-    let connection = caller::open(address(site), &completion(prompt, stream, &[])).await;
-    caller::until("the engine generates", async || {
+    let connection = raw::open(address(site), &completion(prompt, stream, &[])).await;
+    raw::until("the engine generates", async || {
         let seen = site.engines[0].seen();
         seen.of_prompt(prompt).any(|seen| seen.generated > 3)
     })
     .await;
     drop(connection);
-    caller::until("the engine is told", async || {
+    raw::until("the engine is told", async || {
         seen(site, prompt).cancels > 0
     })
     .await;
@@ -153,7 +153,7 @@
     tokio::io::AsyncWriteExt::write_all(&mut slow, &bytes)
         .await
         .unwrap();
-    caller::until("the engine is ahead", async || {
+    raw::until("the engine is ahead", async || {
         let seen = site.engines[0].seen();
         seen.of_prompt(&prompt).any(|seen| seen.generated == TOKENS)
     })
@@ -202,7 +202,7 @@
     let id = last.unwrap().to_string();
     let headers = [WORKSHOP, ("last-event-id", &*id)];
     let bytes = request("GET /v1/stream", &headers, "");
-    let answer = caller::send(address(&site), &bytes).await.unwrap();
+    let answer = raw::send(address(&site), &bytes).await.unwrap();
     assert_eq!(answer.status, 200, "{answer:?}");
     assert_eq!(answer.body.matches("id: engine-1").count(), 30);
     assert!(answer.body.contains("[DONE]"));
