--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,5 +9,6 @@
 mod order;
 mod path;
 mod raw;
+mod rollout;
 mod site;
 mod stop;
