--- a/benches/path.rs
+++ b/benches/path.rs
@@ -168,6 +168,7 @@
                 token_interval_ms: interval_ms,
                 ..standin::engine::Config::default()
             },
+            ..Config::default()
         })
         .await?;
         let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
--- a/crates/node/src/agent/run.rs
+++ b/crates/node/src/agent/run.rs
@@ -45,6 +45,10 @@
         Ok(Claimed::Replay(answer)) => Outcome::Answer(answer),
         Err(refusal) => refused(refusal),
     };
+    if let Outcome::Refused { refusal, .. } = &outcome {
+        let labels: [&str; 2] = [refusal.kind.into(), refusal.effect.into()];
+        shared.metrics.refusals.with_label_values(&labels).inc();
+    }
     slot.finish(outcome);
 }
 
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod generate;
 mod guard;
 mod http;
+mod listen;
 mod openai;
 mod pump;
 mod rollout;
@@ -25,7 +26,11 @@
     id::Attempt,
 };
 use cactusroad_platform::store::Store;
-use tokio::{net::TcpListener, sync::watch, time};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    time,
+};
 
 use self::{directory::Directory, guard::Guard, rollout::Rollouts};
 use crate::{
@@ -50,6 +55,8 @@
     dialer: Dialer,
     leaving: AtomicBool,
     metrics: EntryMetrics,
+    /// Room for bodies that are half received, in bytes.
+    partial_bytes: Semaphore,
 }
 
 impl Shared {
@@ -82,7 +89,7 @@
 /// A running entry.
 pub struct Entry {
     shared: Arc<Shared>,
-    server: http::Server,
+    server: listen::Server,
 }
 
 impl Entry {
@@ -101,7 +108,11 @@
         metrics: EntryMetrics,
     ) -> Result<Entry, transport::Error> {
         let identity = Identity::read(&settings.common.tls)?;
-        let dialer = Dialer::new(settings.common.name.clone(), &identity);
+        let dialer = Dialer::new(
+            settings.common.name.clone(),
+            &identity,
+            metrics.control.clone(),
+        );
         let directory = Directory::new(
             settings.common.name.clone(),
             settings.common.data_centre.clone(),
@@ -121,9 +132,15 @@
             dialer,
             leaving: AtomicBool::new(false),
             metrics,
+            partial_bytes: Semaphore::new(http::MAX_PARTIAL_BYTES),
         });
         tokio::spawn(directory::follow(Arc::downgrade(&shared), vms));
-        let server = http::Server::start(listener, http::router(shared.clone()));
+        let server = listen::Server::start(
+            listener,
+            http::router(shared.clone()),
+            settings.max_connections,
+            shared.metrics.clone(),
+        );
         Ok(Entry { shared, server })
     }
 
