--- a/crates/node/src/entry/generate.rs
+++ b/crates/node/src/entry/generate.rs
@@ -4,7 +4,7 @@
 //! one at another endpoint. After it, the attempt is final: its stream may move
 //! to a new link, but when its endpoint dies the caller is told so.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cactusroad_core::{
@@ -23,7 +23,7 @@
     attempt::{self, Session},
     directory::{Target, Want},
     guard::{self, Meter},
-    pump::{Finish, Pump},
+    pump::{Finish, Pump, SLOW_CALLER_SECONDS},
     rollout::Trial,
 };
 use crate::clock;
@@ -70,6 +70,13 @@
     Refused(Refusal),
 }
 
+impl Item {
+    /// Tells whether no item follows.
+    pub(super) fn is_last(&self) -> bool {
+        !matches!(self, Item::Token { .. })
+    }
+}
+
 /// Starts a generation and returns its stream.
 ///
 /// Dropping the receiver cancels the generation.
@@ -305,8 +312,9 @@
 }
 
 pub(super) async fn refuse(output: &mpsc::Sender<Item>, refusal: Refusal) {
-    // A caller that is gone needs no answer.
-    let _ = output.send(Item::Refused(refusal)).await;
+    // A caller that is gone needs no answer, and one that does not read gets none.
+    let patience = Duration::from_secs(SLOW_CALLER_SECONDS);
+    let _ = output.send_timeout(Item::Refused(refusal), patience).await;
 }
 
 fn gone() -> Refusal {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,8 +4,11 @@
 mod adapters;
 mod caller;
 mod death;
+mod input;
 mod link;
 mod order;
+mod path;
+mod raw;
 mod rollout;
 mod site;
 mod stop;
