Test crashing requests and idempotency keys with real processes

Cause: blame and the ledger of keys had joined the path without a test that brings their failures about across processes.

Change: crash.rs sends a request that crashes each engine that runs it, beside six innocent streams, again and again through both entries: at most MAX_CRASHES engines crash, then it is refused everywhere without a run, and every innocent request gets its whole answer. key.rs repeats keys in turn and at once, changes the body, loses the service's answer, kills the agent in mid-run, takes the store down and loses the answers of claims; the service's count of runs decides. A site can leave the proxy beside the agent out, because a proxy accepts where a crashed engine refuses, which would blame innocent requests.

--- /dev/null
+++ b/tests/integration/key.rs
@@ -0,0 +1,173 @@
+//! Orders under an idempotency key run at most once.
+
+use cactusroad::demo::client::Error;
+use cactusroad_standin::{fault, service};
+use serde_json::{Value, json};
+
+use crate::{
+    caller::fault as told,
+    site::{Agent, Config, ORDERS, Site, WAIT, until},
+};
+
+fn config() -> Config {
+    Config {
+        engines: 0,
+        services: 2,
+        ..Config::default()
+    }
+}
+
+/// Sends an order under a key and returns the answer, or kind and effect.
+async fn order(
+    site: &Site,
+    entry: usize,
+    key: &str,
+    body: &Value,
+) -> Result<Value, (String, String)> {
+    let path = format!("{ORDERS}/keyed");
+    let entry = site.entries[entry].address;
+    let called = site.client.call(entry, &path, Some(key), body);
+    let called = tokio::time::timeout(WAIT, called).await;
+    match called.expect("an answer in time") {
+        Ok(answer) => Ok(answer),
+        Err(Error::Refused(_, body)) => {
+            let (kind, effect) = told(&body);
+            Err((kind.to_owned(), effect.to_owned()))
+        }
+        Err(other) => panic!("{other}"),
+    }
+}
+
+fn refused(result: Result<Value, (String, String)>) -> (String, String) {
+    result.expect_err("a refusal")
+}
+
+fn runs(site: &Site, key: &str) -> u64 {
+    let seen = site.services.iter().map(|agent| agent.endpoint.seen());
+    seen.map(|seen| seen.runs_of(key)).sum()
+}
+
+fn command(site: &Site, faults: &fault::Command) {
+    for agent in &site.services {
+        agent.endpoint.control(&service::Command {
+            faults: faults.clone(),
+            ..service::Command::default()
+        });
+    }
+}
+
+#[tokio::test]
+async fn key_repeated() {
+    let site = Site::start(config()).await;
+    let body = json!({"legs": 4});
+    let first = order(&site, 0, "k", &body).await.unwrap();
+    for entry in [1, 0, 1] {
+        assert_eq!(order(&site, entry, "k", &body).await.unwrap(), first);
+    }
+    let other = order(&site, 1, "k", &json!({"legs": 3})).await;
+    let (kind, effect) = refused(other);
+    assert_eq!((&*kind, &*effect), ("key_conflict", "not_run"));
+    assert_eq!(runs(&site, "k"), 1);
+}
+
+#[tokio::test]
+async fn key_repeated_at_once() {
+    let site = Site::start(config()).await;
+    command(
+        &site,
+        &fault::Command {
+            lag_ms: Some(300),
+            ..fault::Command::default()
+        },
+    );
+    let body = json!({"legs": 4});
+    let calls = (0..16).map(|number| order(&site, number % 2, "k", &body));
+    let mut answers = 0;
+    for told in futures_util::future::join_all(calls).await {
+        match told {
+            Ok(_) => answers += 1,
+            Err((_, effect)) => assert_eq!(effect, "unknown"),
+        }
+    }
+    assert!(answers > 0, "whoever came first has its answer");
+    assert_eq!(runs(&site, "k"), 1);
+}
+
+#[tokio::test]
+async fn key_answer_lost() {
+    let site = Site::start(config()).await;
+    command(
+        &site,
+        &fault::Command {
+            drop_answers: Some(1),
+            ..fault::Command::default()
+        },
+    );
+    let body = json!({"legs": 4});
+    for entry in [0, 1, 0] {
+        assert_eq!(refused(order(&site, entry, "k", &body).await).1, "unknown");
+    }
+    assert_eq!(runs(&site, "k"), 1, "never a second run");
+}
+
+#[tokio::test]
+async fn key_agent_killed() {
+    let mut site = Site::start(config()).await;
+    command(
+        &site,
+        &fault::Command {
+            lag_ms: Some(10_000),
+            ..fault::Command::default()
+        },
+    );
+    let client = site.client.clone();
+    let entry = site.entries[0].address;
+    let path = format!("{ORDERS}/keyed");
+    let call = tokio::spawn(async move { client.call(entry, &path, Some("k"), &json!(1)).await });
+    until("a service runs the order", || runs(&site, "k") == 1).await;
+    let ran = |agent: &Agent<service::Handle>| agent.endpoint.seen().runs_of("k") == 1;
+    let holder = site.services.iter().position(ran).unwrap();
+    site.services[holder].process.kill();
+    let Err(Error::Refused(_, body)) = call.await.unwrap() else {
+        panic!("a refusal");
+    };
+    assert_eq!(told(&body).1, "unknown");
+    let again = refused(order(&site, 1, "k", &json!(1)).await);
+    assert_eq!(again.1, "unknown");
+    assert_eq!(runs(&site, "k"), 1, "never a second run");
+}
+
+#[tokio::test]
+async fn key_store_down() {
+    let site = Site::start(config()).await;
+    site.store.server().down();
+    for entry in [0, 1] {
+        let told = refused(order(&site, entry, "k", &json!(1)).await);
+        assert_eq!(told.1, "not_run");
+    }
+    assert_eq!(runs(&site, "k"), 0);
+    site.store.server().up();
+    let trying = async {
+        while order(&site, 0, "k", &json!(1)).await.is_err() {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+    };
+    let served = tokio::time::timeout(WAIT, trying).await;
+    served.expect("the key works after the outage");
+    assert_eq!(runs(&site, "k"), 1);
+}
+
+#[tokio::test]
+async fn key_claim_answers_lost() {
+    let site = Site::start(config()).await;
+    for round in 0..5 {
+        site.store.control(&fault::Command {
+            drop_answers: Some(1),
+            ..fault::Command::default()
+        });
+        let key = format!("k{round}");
+        let answer = order(&site, round % 2, &key, &json!(round)).await;
+        answer.expect("a claim whose answer is lost is read back");
+        assert_eq!(runs(&site, &key), 1);
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,9 +4,11 @@
 mod adapters;
 mod bad_input;
 mod caller;
+mod crash;
 mod death;
 mod endpoint;
 mod input;
+mod key;
 mod link;
 mod order;
 mod path;
--- a/tests/integration/site.rs
+++ b/tests/integration/site.rs
@@ -58,6 +58,8 @@
     /// Further services, which hold the next version of the orders.
     pub(crate) next_services: u16,
     pub(crate) engine: standin::engine::Config,
+    /// Agents reach their endpoints without a proxy, so that one that is down refuses.
+    pub(crate) direct: bool,
     /// Draws the moments of faults and the weather of the proxies.
     pub(crate) seed: u64,
 }
@@ -70,6 +72,7 @@
             services: 0,
             next_services: 0,
             engine: standin::engine::Config::default(),
+            direct: false,
             seed: 1,
         }
     }
@@ -174,6 +177,7 @@
     roster: standin::roster::Handle,
     vms: Vec<standin::roster::Vm>,
     seed: u64,
+    direct: bool,
     ip: IpAddr,
     directory: TempDir,
 }
@@ -181,7 +185,7 @@
 impl Site {
     /// Starts a site and waits until every entry reaches every endpoint.
     pub(crate) async fn start(config: Config) -> Site {
-        let mut site = Site::empty(config.seed).await;
+        let mut site = Site::empty(config.seed, config.direct).await;
         configure(&site.store).await;
         site.old_services = usize::from(config.services);
         for number in 1..=config.engines {
@@ -217,7 +221,7 @@
         site
     }
 
-    async fn empty(seed: u64) -> Site {
+    async fn empty(seed: u64, direct: bool) -> Site {
         let directory = tempfile::tempdir().unwrap();
         keys::authority(directory.path()).unwrap();
         let process = std::process::id().to_be_bytes();
@@ -233,6 +237,7 @@
             roster: standin::roster::spawn(Default::default(), listen().await).unwrap(),
             vms: Vec::new(),
             seed,
+            direct,
             ip: Ipv4Addr::new(127, 1 + process[2] % 250, process[3], number).into(),
             directory,
         }
@@ -261,7 +266,7 @@
         let mut settings = self.settings(&name, at);
         settings["endpoint"] = json!({
             "kind": kind,
-            "address": format!("http://{}", near.address()),
+            "address": format!("http://{}", if self.direct { beside } else { near.address() }),
             "versions": [held],
         });
         let front = UdpSocket::bind((self.ip, 0)).await.unwrap();
