--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -45,6 +45,7 @@
     clock,
     metrics::AgentMetrics,
     settings,
+    trace::Tracer,
     transport::{self, Identity},
 };
 
@@ -76,6 +77,7 @@
     load: watch::Sender<Option<Load>>,
     leaving: AtomicBool,
     metrics: AgentMetrics,
+    tracer: Tracer,
 }
 
 /// A running agent.
@@ -116,6 +118,7 @@
             load: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
             metrics,
+            tracer: Tracer::start(&settings.common.name, settings.common.traces.as_deref()),
         });
         tokio::spawn(sweep(Arc::downgrade(&shared)));
         tokio::spawn(report(Arc::downgrade(&shared)));
@@ -155,6 +158,7 @@
             tick.tick().await;
         }
         self.shared.ledger.flush().await;
+        self.shared.tracer.flush().await;
         self.socket.close(0u32.into(), b"stopped");
         self.socket.wait_idle().await;
     }
--- a/crates/node/src/agent/run.rs
+++ b/crates/node/src/agent/run.rs
@@ -13,7 +13,7 @@
     engine::{self, Engine, Event, Prompt},
     service::{self, Service},
 };
-use cactusroad_wire::message::{Call, Generate, Open, open};
+use cactusroad_wire::message::{Call, Generate, Header, Open, open};
 use futures_util::StreamExt;
 use http::Request;
 use tokio::time;
@@ -24,12 +24,14 @@
     ledger::{self, Grant, Verdict},
     slot::{Answer, Outcome, Slot},
 };
-use crate::clock;
+use crate::{clock, trace::SpanKind};
 
 /// An engine that sends nothing for so long is asked again over a new connection, in milliseconds.
 const ENGINE_SILENCE_MS: u64 = 3_000;
 /// How long the engine's report is awaited after a generation broke off, in milliseconds.
 const REPORT_WAIT_MS: u64 = 500;
+/// The header of the W3C trace context.
+const TRACEPARENT_HEADER: &str = "traceparent";
 /// Bytes of text that count as one token of a prompt.
 const BYTES_PER_TOKEN: u64 = 4;
 
@@ -85,7 +87,12 @@
     let digest = Digest::from_bytes(&open.digest).unwrap_or_else(|| Digest::of(&[&open.digest]));
     let admitted = shared.blame.admit(digest, open.suspect, ticket.deadline);
     let mut pass = admitted.await?;
-    let permit = wait(shared, slot, &ticket).await?;
+    let permit = {
+        let _queue = shared
+            .tracer
+            .span("queue", SpanKind::Internal, &open.traceparent);
+        wait(shared, slot, &ticket).await?
+    };
     pass.start()?;
     if !slot.dispatch() {
         return Err(cancelled(Effect::NotRun));
@@ -94,6 +101,9 @@
         grant.dispatch();
     }
     let before = shared.engine_incarnation();
+    let span = shared
+        .tracer
+        .span("endpoint", SpanKind::Client, &open.traceparent);
     let run = Run {
         shared,
         slot,
@@ -105,9 +115,16 @@
             let prompt = prompt(slot, &open.version, open.priority, &work);
             run.generate(engine, &prompt).await
         }
-        (Backend::Service(service), Some(open::Work::Call(work))) => run.call(service, work).await,
+        (Backend::Service(service), Some(open::Work::Call(mut work))) => {
+            carry(&mut work.headers, span.traceparent());
+            run.call(service, work).await
+        }
         _ => refused(wrong_kind()),
     };
+    if let Outcome::Refused { refusal, .. } = &outcome {
+        span.refuse(refusal);
+    }
+    drop(span);
     match &outcome {
         Outcome::End { .. } | Outcome::Answer(_) => pass.finish(),
         Outcome::Refused {
@@ -383,6 +400,17 @@
     }
 }
 
+/// Lets the service join the trace of its caller.
+fn carry(headers: &mut Vec<Header>, traceparent: &str) {
+    headers.retain(|header| !header.name.eq_ignore_ascii_case(TRACEPARENT_HEADER));
+    if !traceparent.is_empty() {
+        headers.push(Header {
+            name: TRACEPARENT_HEADER.to_owned(),
+            value: Bytes::copy_from_slice(traceparent.as_bytes()),
+        });
+    }
+}
+
 fn request(call: Call) -> Result<Request<Bytes>, Refusal> {
     let mut builder = Request::builder()
         .method(call.method.as_str())
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -26,6 +26,7 @@
 };
 use crate::{
     clock,
+    trace::{Span, SpanKind},
     transport::{Call, Error},
 };
 
@@ -48,7 +49,7 @@
     pub(super) idempotent: bool,
     pub(super) work: Work,
     pub(super) digest: Bytes,
-    pub(super) traceparent: String,
+    pub(super) span: Span,
     pub(super) config_generation: u64,
 }
 
@@ -61,6 +62,9 @@
     let streams = shared.metrics.open_streams.clone();
     streams.inc();
     let answer = attempts(shared, job).await;
+    if let Err(refusal) = &answer {
+        job.span.refuse(refusal);
+    }
     streams.dec();
     answer
 }
@@ -163,19 +167,35 @@
         workspace: job.workspace.clone(),
         deadline: job.deadline,
     };
-    let mut call = match session.open(message(job, &session)).await {
+    let span = shared
+        .tracer
+        .span("attempt", SpanKind::Client, job.span.traceparent());
+    span.note("endpoint", &session.target.endpoint.listed.name);
+    span.note("attempt", session.attempt);
+    let mut open = message(job, &session);
+    open.traceparent = span.traceparent().to_owned();
+    let answer = settled(&session, open).await;
+    if let Err(refusal) = &answer {
+        span.refuse(refusal);
+    }
+    answer
+}
+
+/// Follows an attempt over one link after another until its end is known.
+async fn settled(session: &Session<'_>, open: Open) -> Result<Answer, Refusal> {
+    let mut call = match session.open(open).await {
         Ok(call) => Some(call),
         Err(Error::Unreachable { .. }) => return Err(attempt::unavailable()),
         Err(_) => None,
     };
     loop {
         if let Some(current) = call.take() {
-            match follow(&session, current).await {
+            match follow(session, current).await {
                 Some(answer) => return answer,
                 None => log::debug!("a call lost its link"),
             }
         }
-        let until = (clock::now() + Duration::from_millis(SETTLE_MS)).min(job.deadline);
+        let until = (clock::now() + Duration::from_millis(SETTLE_MS)).min(session.deadline);
         match session.settle(until).await {
             Some(State::NotRun) => return Err(attempt::unavailable()),
             Some(State::Dispatched | State::Done) => {
@@ -198,7 +218,7 @@
         workspace: job.workspace.to_string(),
         deadline_micros: job.deadline.as_micros(),
         priority: u32::from(job.priority),
-        traceparent: job.traceparent.clone(),
+        traceparent: String::new(),
         config_generation: job.config_generation,
         digest: job.digest.clone(),
         suspect: false,
--- a/crates/node/src/entry/generate.rs
+++ b/crates/node/src/entry/generate.rs
@@ -26,7 +26,10 @@
     pump::{Finish, Pump, SLOW_CALLER_SECONDS},
     rollout::Trial,
 };
-use crate::clock;
+use crate::{
+    clock,
+    trace::{Span, SpanKind},
+};
 
 /// Items that wait for a caller before its stream is held back.
 const OUTPUT_ITEMS: usize = 64;
@@ -45,7 +48,7 @@
     pub(super) prompt: String,
     pub(super) max_tokens: u32,
     pub(super) digest: Bytes,
-    pub(super) traceparent: String,
+    pub(super) span: Span,
     pub(super) config_generation: u64,
 }
 
@@ -116,6 +119,7 @@
         Err(refusal) => Some(refusal),
     };
     if let Some(refusal) = refusal {
+        job.span.refuse(&refusal);
         refuse(&output, refusal).await;
     }
 }
@@ -248,7 +252,13 @@
         workspace: job.workspace.name.clone(),
         deadline: job.deadline,
     };
-    let open = message(job, &session, suspect, prefixes);
+    let span = shared
+        .tracer
+        .span("attempt", SpanKind::Client, job.span.traceparent());
+    span.note("endpoint", &session.target.endpoint.listed.name);
+    span.note("attempt", session.attempt);
+    let mut open = message(job, &session, suspect, prefixes);
+    open.traceparent = span.traceparent().to_owned();
     let call = match session.open(open).await {
         Ok(call) => Some(call),
         Err(crate::transport::Error::Unreachable { .. }) => {
@@ -262,7 +272,11 @@
     let mut pump = Pump::new(&session, 0, arrived, output);
     pump.meter = Some(meter);
     pump.trial = job.trial.as_ref();
-    pump.run(call).await
+    let finish = pump.run(call).await;
+    if let Finish::Failed { refusal, .. } = &finish {
+        span.refuse(refusal);
+    }
+    finish
 }
 
 fn message(job: &Job, session: &Session<'_>, suspect: bool, prefixes: &[u64]) -> Open {
@@ -274,7 +288,7 @@
         workspace: job.workspace.name.to_string(),
         deadline_micros: job.deadline.as_micros(),
         priority: u32::from(job.priority),
-        traceparent: job.traceparent.clone(),
+        traceparent: String::new(),
         config_generation: job.config_generation,
         digest: job.digest.clone(),
         suspect,
--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -28,7 +28,10 @@
     openai::{Chat, Completion, Form, Head, prompt},
     sse,
 };
-use crate::clock;
+use crate::{
+    clock,
+    trace::{Span, SpanKind},
+};
 
 /// The largest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -38,6 +41,8 @@
 pub(super) const MAX_PARTIAL_BYTES: usize = 64 * 1024 * 1024;
 /// When a caller whose body found no room may try again, in milliseconds.
 const RETRY_MS: u64 = 1_000;
+/// The longest trace context that is passed on, in bytes.
+const MAX_TRACEPARENT_BYTES: usize = 128;
 /// The longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 255;
 
@@ -185,7 +190,7 @@
         digest,
         prompt: ask.prompt,
         max_tokens: ask.max_tokens,
-        traceparent: auth::text(headers, "traceparent").unwrap_or("").to_owned(),
+        span: request_span(shared, headers, &route.name),
         config_generation: config.generation.0,
     };
     let items = generate::start(shared.clone(), job);
@@ -282,7 +287,7 @@
             once: !route.idempotent,
             idempotency_key: key,
         },
-        traceparent: auth::text(&headers, "traceparent").unwrap_or("").to_owned(),
+        span: request_span(shared, &headers, &route.name),
         config_generation: config.generation.0,
     };
     call::run(shared, &job).await.map(response)
@@ -302,6 +307,16 @@
     (route.to_owned(), path)
 }
 
+/// Begins the span of a request under the caller's, if it sent one.
+fn request_span(shared: &Shared, headers: &HeaderMap, route: &str) -> Span {
+    let traceparent = auth::text(headers, "traceparent")
+        .filter(|text| text.len() <= MAX_TRACEPARENT_BYTES)
+        .unwrap_or("");
+    let span = shared.tracer.span("request", SpanKind::Server, traceparent);
+    span.note("route", route);
+    span
+}
+
 fn key(headers: &HeaderMap) -> Result<String, Refusal> {
     let Some(value) = headers.get("idempotency-key") else {
         return Ok(String::new());
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -36,6 +36,7 @@
 use crate::{
     metrics::EntryMetrics,
     settings,
+    trace::Tracer,
     transport::{self, Dialer, Identity},
 };
 
@@ -55,6 +56,7 @@
     dialer: Dialer,
     leaving: AtomicBool,
     metrics: EntryMetrics,
+    tracer: Tracer,
     /// Room for bodies that are half received, in bytes.
     partial_bytes: Semaphore,
 }
@@ -132,6 +134,7 @@
             dialer,
             leaving: AtomicBool::new(false),
             metrics,
+            tracer: Tracer::start(&settings.common.name, settings.common.traces.as_deref()),
             partial_bytes: Semaphore::new(http::MAX_PARTIAL_BYTES),
         });
         tokio::spawn(directory::follow(Arc::downgrade(&shared), vms));
@@ -183,6 +186,7 @@
         self.shared.leaving.store(true, Ordering::Relaxed);
         time::sleep(Duration::from_millis(UNREADY_MS)).await;
         self.server.stop().await;
+        self.shared.tracer.flush().await;
     }
 
     /// Ends the entry at once, as a crash would; for tests and the demo.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod metrics;
 pub mod settings;
 pub mod source;
+pub mod trace;
 pub mod transport;
--- /dev/null
+++ b/tests/integration/trace.rs
@@ -0,0 +1,161 @@
+//! The spans of one request, as a collector receives them.
+
+use std::sync::{Arc, Mutex};
+
+use axum::{Json, Router, extract::State, routing::post};
+use cactusroad::demo::site::{Config, Site};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use crate::raw::{self, completion, request};
+
+/// A span and the process that made it.
+#[derive(Clone, Debug)]
+struct Span {
+    process: String,
+    name: String,
+    trace: String,
+    id: String,
+    parent: String,
+}
+
+type Spans = Arc<Mutex<Vec<Span>>>;
+
+/// Starts a collector and returns its address and what it receives.
+async fn collector() -> (String, Spans) {
+    let spans = Spans::default();
+    let router = Router::new()
+        .route("/v1/traces", post(take))
+        .with_state(spans.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    (address, spans)
+}
+
+async fn take(State(spans): State<Spans>, Json(body): Json<Value>) -> Json<Value> {
+    for resource in list(&body["resourceSpans"]) {
+        let attributes = list(&resource["resource"]["attributes"]);
+        let instance = attributes
+            .iter()
+            .find(|attribute| attribute["key"] == "service.instance.id");
+        let process = instance.map_or("", |found| text(&found["value"]["stringValue"]));
+        let scopes = list(&resource["scopeSpans"]);
+        let received = scopes.iter().flat_map(|scope| list(&scope["spans"]));
+        spans.lock().unwrap().extend(received.map(|span| Span {
+            process: process.to_owned(),
+            name: text(&span["name"]).to_owned(),
+            trace: text(&span["traceId"]).to_owned(),
+            id: text(&span["spanId"]).to_owned(),
+            parent: text(&span["parentSpanId"]).to_owned(),
+        }));
+    }
+    Json(json!({}))
+}
+
+fn list(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("")
+}
+
+async fn site(traces: String) -> Site {
+    let config = Config {
+        entries: 1,
+        engines: 1,
+        traces: Some(traces.into()),
+        ..Config::default()
+    };
+    Site::start(&config).await.unwrap()
+}
+
+/// Returns the spans of a trace once there are four.
+async fn four(spans: &Spans, trace: &str) -> Vec<Span> {
+    let of_trace = || -> Vec<Span> {
+        let spans = spans.lock().unwrap();
+        let found = spans.iter().filter(|span| span.trace == trace);
+        found.cloned().collect()
+    };
+    raw::until("a span for each hop", async || of_trace().len() >= 4).await;
+    of_trace()
+}
+
+fn named<'a>(spans: &'a [Span], name: &str) -> &'a Span {
+    let found: Vec<&Span> = spans.iter().filter(|span| span.name == name).collect();
+    assert_eq!(found.len(), 1, "{name} in {spans:?}");
+    found[0]
+}
+
+const CALLER: &str = "00f067aa0ba902b7";
+
+/// Checks that each hop made one span under the hop before it.
+fn assert_joined(spans: &[Span], agent: &str) {
+    let hops = [
+        ("request", "entry-1", None),
+        ("attempt", "entry-1", Some("request")),
+        ("queue", agent, Some("attempt")),
+        ("endpoint", agent, Some("attempt")),
+    ];
+    for (name, process, parent) in hops {
+        let span = named(spans, name);
+        let parent = parent.map_or(CALLER, |parent| &named(spans, parent).id);
+        assert_eq!(span.parent, parent, "{span:?}");
+        assert_eq!(span.process, process, "{span:?}");
+    }
+    assert_eq!(spans.len(), hops.len());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn trace_joined() {
+    let (address, spans) = collector().await;
+    let site = site(address).await;
+    let entry = site.entries[0].address();
+
+    let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+    let parent = format!("00-{trace}-{CALLER}-01");
+    let bytes = completion("a [len=5]", true, &[("traceparent", &parent)]);
+    assert_eq!(raw::send(entry, &bytes).await.unwrap().status, 200);
+    assert_joined(&four(&spans, trace).await, "engine-1");
+
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let parent = format!("00-{trace}-{CALLER}-01");
+    let headers = [("x-workspace", "workshop"), ("traceparent", &*parent)];
+    let bytes = request("POST /services/orders/place", &headers, "{}");
+    assert_eq!(raw::send(entry, &bytes).await.unwrap().status, 200);
+    assert_joined(&four(&spans, trace).await, "orders-1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn trace_unsampled_and_bad() {
+    let (address, spans) = collector().await;
+    let site = site(address).await;
+    let entry = site.entries[0].address();
+    let unsampled = format!("00-4bf92f3577b34da6a3ce929d0e0e4736-{CALLER}-00");
+    let long = "0".repeat(4_000);
+    for parent in [&unsampled, "00-xyz", &long] {
+        let bytes = completion("a [len=5]", false, &[("traceparent", parent)]);
+        assert_eq!(raw::send(entry, &bytes).await.unwrap().status, 200);
+    }
+    // Each of the two that are unreadable begins a trace of its own.
+    raw::until("two new traces", async || spans.lock().unwrap().len() >= 8).await;
+    let spans = spans.lock().unwrap().clone();
+    let roots = spans.iter().filter(|span| span.parent.is_empty());
+    assert_eq!(roots.count(), 2, "{spans:?}");
+    assert!(spans.iter().all(|span| !unsampled.contains(&span.trace)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn trace_collector_down() {
+    // Nobody listens on the port once this listener is dropped.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let site = site(address).await;
+    for _ in 0..20 {
+        let bytes = completion("a [len=5]", false, &[]);
+        let answer = raw::send(site.entries[0].address(), &bytes).await;
+        assert_eq!(answer.unwrap().status, 200);
+    }
+}
