--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -15,7 +15,9 @@
 //! then finds it barred. So `not_run` is said only of attempts that can no
 //! longer reach the endpoint.
 
+mod blame;
 mod gate;
+mod ledger;
 mod run;
 mod serve;
 mod slot;
@@ -28,20 +30,23 @@
 use cactusroad_core::{
     config::Objective,
     id::Incarnation,
+    ledger::Config as LedgerConfig,
     refusal::{Effect, Kind, Refusal},
 };
 use cactusroad_platform::{
     engine::{Engine, Load},
     service::Service,
+    store::Store,
 };
 use cactusroad_wire::message::Status;
 use tokio::{sync::watch, time};
 
-use self::{gate::Gate, table::Table};
+use self::{blame::Blame, gate::Gate, ledger::Ledger, table::Table};
 use crate::{
     clock,
     metrics::AgentMetrics,
     settings,
+    trace::Tracer,
     transport::{self, Identity},
 };
 
@@ -68,9 +73,12 @@
     versions: Vec<Arc<str>>,
     gate: Arc<Gate>,
     table: Table,
+    ledger: Ledger,
+    blame: Blame,
     load: watch::Sender<Option<Load>>,
     leaving: AtomicBool,
     metrics: AgentMetrics,
+    tracer: Tracer,
 }
 
 /// A running agent.
@@ -85,9 +93,10 @@
     /// # Errors
     ///
     /// Fails where the certificates cannot be used or the address is taken.
-    pub fn start(
+    pub fn start<St: Store>(
         settings: &settings::Agent,
         backend: Backend<E, S>,
+        store: St,
         metrics: AgentMetrics,
     ) -> Result<Agent<E, S>, transport::Error> {
         let identity = Identity::read(&settings.common.tls)?;
@@ -105,9 +114,12 @@
                 metrics.queue_seconds.clone(),
             ),
             table: Table::new(),
+            ledger: Ledger::start(store.clone(), LedgerConfig::default()),
+            blame: Blame::start(store),
             load: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
             metrics,
+            tracer: Tracer::start(&settings.common.name, settings.common.traces.as_deref()),
         });
         tokio::spawn(sweep(Arc::downgrade(&shared)));
         tokio::spawn(report(Arc::downgrade(&shared)));
@@ -146,6 +158,8 @@
         while !self.shared.table.is_settled(clock::now()) {
             tick.tick().await;
         }
+        self.shared.ledger.flush().await;
+        self.shared.tracer.flush().await;
         self.socket.close(0u32.into(), b"stopped");
         self.socket.wait_idle().await;
     }
@@ -224,6 +238,11 @@
         }
     }
 
+    /// The incarnation of the engine, as its last report says.
+    fn engine_incarnation(&self) -> Option<u64> {
+        self.load.borrow().as_ref().map(|load| load.incarnation)
+    }
+
     /// Says why no new work is taken, if that is so.
     fn refusal(&self, incarnation: Incarnation) -> Option<Refusal> {
         if incarnation != self.incarnation && incarnation != Incarnation::default() {
--- a/crates/node/src/entry/generate.rs
+++ b/crates/node/src/entry/generate.rs
@@ -4,7 +4,7 @@
 //! one at another endpoint. After it, the attempt is final: its stream may move
 //! to a new link, but when its endpoint dies the caller is told so.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cactusroad_core::{
@@ -23,9 +23,13 @@
     attempt::{self, Session},
     directory::{Target, Want},
     guard::{self, Meter},
-    pump::{Finish, Pump},
+    pump::{Finish, Pump, SLOW_CALLER_SECONDS},
+    rollout::Trial,
+};
+use crate::{
+    clock,
+    trace::{Span, SpanKind},
 };
-use crate::clock;
 
 /// Items that wait for a caller before its stream is held back.
 const OUTPUT_ITEMS: usize = 64;
@@ -36,13 +40,15 @@
 pub(super) struct Job {
     pub(super) route: Arc<str>,
     pub(super) version: Arc<str>,
+    /// Counts the attempts where a plan moves the route.
+    pub(super) trial: Option<Trial>,
     pub(super) workspace: Workspace,
     pub(super) priority: u8,
     pub(super) deadline: Time,
     pub(super) prompt: String,
     pub(super) max_tokens: u32,
     pub(super) digest: Bytes,
-    pub(super) traceparent: String,
+    pub(super) span: Span,
     pub(super) config_generation: u64,
 }
 
@@ -67,6 +73,13 @@
     Refused(Refusal),
 }
 
+impl Item {
+    /// Tells whether no item follows.
+    pub(super) fn is_last(&self) -> bool {
+        !matches!(self, Item::Token { .. })
+    }
+}
+
 /// Starts a generation and returns its stream.
 ///
 /// Dropping the receiver cancels the generation.
@@ -106,6 +119,7 @@
         Err(refusal) => Some(refusal),
     };
     if let Some(refusal) = refusal {
+        job.span.refuse(&refusal);
         refuse(&output, refusal).await;
     }
 }
@@ -148,14 +162,25 @@
             arrived,
             prefixes: &prefixes,
         };
+        if let Some(trial) = &job.trial {
+            trial.begin(aim.target.load);
+        }
         let finish = once(shared, job, aim, meter, output).await;
         let outcome = match &finish {
             Finish::Done(outcome) => *outcome,
             Finish::Failed {
                 refusal,
                 endpoint_died,
-            } => guard::evidence(refusal, *endpoint_died),
+            } => {
+                if let Some(trial) = &job.trial {
+                    trial.refused(refusal, *endpoint_died, &name);
+                }
+                guard::evidence(refusal, *endpoint_died)
+            }
         };
+        if let Some(trial) = &job.trial {
+            trial.ended(outcome);
+        }
         shared
             .guard
             .ended(&shared.directory, &job.route, &name, outcome);
@@ -227,7 +252,13 @@
         workspace: job.workspace.name.clone(),
         deadline: job.deadline,
     };
-    let open = message(job, &session, suspect, prefixes);
+    let span = shared
+        .tracer
+        .span("attempt", SpanKind::Client, job.span.traceparent());
+    span.note("endpoint", &session.target.endpoint.listed.name);
+    span.note("attempt", session.attempt);
+    let mut open = message(job, &session, suspect, prefixes);
+    open.traceparent = span.traceparent().to_owned();
     let call = match session.open(open).await {
         Ok(call) => Some(call),
         Err(crate::transport::Error::Unreachable { .. }) => {
@@ -240,7 +271,12 @@
     };
     let mut pump = Pump::new(&session, 0, arrived, output);
     pump.meter = Some(meter);
-    pump.run(call).await
+    pump.trial = job.trial.as_ref();
+    let finish = pump.run(call).await;
+    if let Finish::Failed { refusal, .. } = &finish {
+        span.refuse(refusal);
+    }
+    finish
 }
 
 fn message(job: &Job, session: &Session<'_>, suspect: bool, prefixes: &[u64]) -> Open {
@@ -252,7 +288,7 @@
         workspace: job.workspace.name.to_string(),
         deadline_micros: job.deadline.as_micros(),
         priority: u32::from(job.priority),
-        traceparent: job.traceparent.clone(),
+        traceparent: String::new(),
         config_generation: job.config_generation,
         digest: job.digest.clone(),
         suspect,
@@ -290,8 +326,9 @@
 }
 
 pub(super) async fn refuse(output: &mpsc::Sender<Item>, refusal: Refusal) {
-    // A caller that is gone needs no answer.
-    let _ = output.send(Item::Refused(refusal)).await;
+    // A caller that is gone needs no answer, and one that does not read gets none.
+    let patience = Duration::from_secs(SLOW_CALLER_SECONDS);
+    let _ = output.send_timeout(Item::Refused(refusal), patience).await;
 }
 
 fn gone() -> Refusal {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -11,21 +11,32 @@
 mod generate;
 mod guard;
 mod http;
+mod listen;
 mod openai;
 mod pump;
+mod rollout;
 mod sse;
 
 use std::{
     net::SocketAddr, sync::Arc, sync::atomic::AtomicBool, sync::atomic::Ordering, time::Duration,
 };
 
-use cactusroad_core::{config::Snapshot, id::Attempt};
-use tokio::{net::TcpListener, sync::watch, time};
+use cactusroad_core::{
+    config::{Route, Snapshot},
+    id::Attempt,
+};
+use cactusroad_platform::store::Store;
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    time,
+};
 
-use self::{directory::Directory, guard::Guard};
+use self::{directory::Directory, guard::Guard, rollout::Rollouts};
 use crate::{
     metrics::EntryMetrics,
     settings,
+    trace::Tracer,
     transport::{self, Dialer, Identity},
 };
 
@@ -41,9 +52,13 @@
     config: watch::Receiver<Arc<Snapshot>>,
     directory: Directory,
     guard: Guard,
+    rollouts: Rollouts,
     dialer: Dialer,
     leaving: AtomicBool,
     metrics: EntryMetrics,
+    tracer: Tracer,
+    /// Room for bodies that are half received, in bytes.
+    partial_bytes: Semaphore,
 }
 
 impl Shared {
@@ -52,6 +67,22 @@
         Attempt(rand::random())
     }
 
+    /// Chooses the version of a request by the plan that moves its route, if any.
+    fn choose_version(&self, route: &Route, key: &[u8]) -> rollout::Choice {
+        self.rollouts
+            .choose(route, key, |version| self.reaches(version))
+    }
+
+    /// Tells whether an endpoint with the version is known.
+    fn reaches(&self, version: &str) -> bool {
+        let want = directory::Want {
+            version,
+            tried: &[],
+            key: None,
+        };
+        self.directory.choose(&want, 0).is_some()
+    }
+
     fn snapshot(&self) -> Arc<Snapshot> {
         self.config.borrow().clone()
     }
@@ -60,7 +91,7 @@
 /// A running entry.
 pub struct Entry {
     shared: Arc<Shared>,
-    server: http::Server,
+    server: listen::Server,
 }
 
 impl Entry {
@@ -79,7 +110,11 @@
         metrics: EntryMetrics,
     ) -> Result<Entry, transport::Error> {
         let identity = Identity::read(&settings.common.tls)?;
-        let dialer = Dialer::new(settings.common.name.clone(), &identity);
+        let dialer = Dialer::new(
+            settings.common.name.clone(),
+            &identity,
+            metrics.control.clone(),
+        );
         let directory = Directory::new(
             settings.common.name.clone(),
             settings.common.data_centre.clone(),
@@ -95,12 +130,20 @@
             config,
             directory,
             guard: Guard::new(settings.common.name.clone()),
+            rollouts: Rollouts::new(settings.common.name.clone()),
             dialer,
             leaving: AtomicBool::new(false),
             metrics,
+            tracer: Tracer::start(&settings.common.name, settings.common.traces.as_deref()),
+            partial_bytes: Semaphore::new(http::MAX_PARTIAL_BYTES),
         });
         tokio::spawn(directory::follow(Arc::downgrade(&shared), vms));
-        let server = http::Server::start(listener, http::router(shared.clone()));
+        let server = listen::Server::start(
+            listener,
+            http::router(shared.clone()),
+            settings.max_connections,
+            shared.metrics.clone(),
+        );
         Ok(Entry { shared, server })
     }
 
@@ -123,6 +166,11 @@
         });
     }
 
+    /// Runs the rollout plans in force, and records their outcomes in the store.
+    pub fn follow_rollouts<S: Store>(&self, store: S) {
+        tokio::spawn(rollout::follow(Arc::downgrade(&self.shared), store));
+    }
+
     /// The address on which the entry listens for callers.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
@@ -138,6 +186,7 @@
         self.shared.leaving.store(true, Ordering::Relaxed);
         time::sleep(Duration::from_millis(UNREADY_MS)).await;
         self.server.stop().await;
+        self.shared.tracer.flush().await;
     }
 
     /// Ends the entry at once, as a crash would; for tests and the demo.
@@ -157,12 +206,7 @@
 
     /// Tells whether an endpoint with the version is known.
     pub fn reaches(&self, version: &str) -> bool {
-        let want = directory::Want {
-            version,
-            tried: &[],
-            key: None,
-        };
-        self.0.directory.choose(&want, 0).is_some()
+        self.0.reaches(version)
     }
 }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,8 +3,17 @@
 
 mod adapters;
 mod caller;
+mod crash;
 mod death;
+mod endpoint;
+mod input;
+mod key;
 mod link;
+mod metrics;
 mod order;
+mod path;
+mod raw;
+mod rollout;
 mod site;
 mod stop;
+mod trace;
--- a/tests/integration/site.rs
+++ b/tests/integration/site.rs
@@ -2,7 +2,8 @@
 //!
 //! Each site has a loopback address of its own, so that every process has a
 //! fixed port and none is taken by another test. An agent is listed under the
-//! address of a proxy that stands in front of it.
+//! address of a proxy that stands in front of it, and reaches its endpoint
+//! through another.
 
 use std::{
     fs::File,
@@ -18,11 +19,14 @@
 
 use cactusroad::{
     demo::client::{Client, WORKSPACE},
-    ops::{apply, keys},
+    ops::{self, keys},
     platform::{address::Address, store},
 };
 use cactusroad_core::{Time, config::folder};
-use cactusroad_standin::{self as standin, proxy::udp};
+use cactusroad_standin::{
+    self as standin,
+    proxy::{tcp, udp},
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -51,7 +55,11 @@
     pub(crate) entries: u16,
     pub(crate) engines: u16,
     pub(crate) services: u16,
+    /// Further services, which hold the next version of the orders.
+    pub(crate) next_services: u16,
     pub(crate) engine: standin::engine::Config,
+    /// Agents reach their endpoints without a proxy, so that one that is down refuses.
+    pub(crate) direct: bool,
     /// Draws the moments of faults and the weather of the proxies.
     pub(crate) seed: u64,
 }
@@ -62,7 +70,9 @@
             entries: 2,
             engines: 2,
             services: 0,
+            next_services: 0,
             engine: standin::engine::Config::default(),
+            direct: false,
             seed: 1,
         }
     }
@@ -135,11 +145,23 @@
     pub(crate) address: SocketAddr,
 }
 
-/// An agent, the proxy in front of it and the endpoint beside it.
+/// An agent, the proxies on both of its sides and the endpoint beside it.
 pub(crate) struct Agent<H> {
     pub(crate) process: Process,
+    /// Stands between the entries and the agent.
     pub(crate) proxy: udp::Handle,
+    /// Stands between the agent and its endpoint.
+    pub(crate) near: tcp::Handle,
     pub(crate) endpoint: H,
+    settings: Value,
+}
+
+impl<H> Agent<H> {
+    /// Starts the process again, which must have ended.
+    pub(crate) fn restart(&mut self, directory: &Path) {
+        let name = self.process.name.clone();
+        self.process = Process::start(directory, "agent", &name, &self.settings);
+    }
 }
 
 /// A running site.
@@ -150,9 +172,12 @@
     pub(crate) store: standin::store::Handle,
     pub(crate) client: Client,
     pub(crate) random: ChaCha8Rng,
+    /// The services before those of the next version, which no probe reaches.
+    old_services: usize,
     roster: standin::roster::Handle,
     vms: Vec<standin::roster::Vm>,
     seed: u64,
+    direct: bool,
     ip: IpAddr,
     directory: TempDir,
 }
@@ -160,23 +185,30 @@
 impl Site {
     /// Starts a site and waits until every entry reaches every endpoint.
     pub(crate) async fn start(config: Config) -> Site {
-        let mut site = Site::empty(config.seed).await;
+        let mut site = Site::empty(config.seed, config.direct).await;
         configure(&site.store).await;
+        site.old_services = usize::from(config.services);
         for number in 1..=config.engines {
             let engine = standin::engine::Config {
                 versions: vec![version(MODEL).into()],
                 ..config.engine.clone()
             };
             let endpoint = standin::engine::spawn(engine, listen().await).unwrap();
-            let base = endpoint.server().base();
-            let agent = site.agent("engine", "model", number, base, endpoint).await;
+            let beside = endpoint.server().address();
+            let agent = site
+                .agent("engine", "model", number, (beside, ""), endpoint)
+                .await;
             site.engines.push(agent);
         }
-        for number in 1..=config.services {
+        for number in 1..=config.services + config.next_services {
+            let held = match number <= config.services {
+                true => version(ORDERS),
+                false => next_version(ORDERS),
+            };
             let endpoint = standin::service::spawn(Default::default(), listen().await).unwrap();
-            let base = endpoint.server().base();
+            let beside = endpoint.server().address();
             let agent = site
-                .agent("orders", "service", number, base, endpoint)
+                .agent("orders", "service", number, (beside, &held), endpoint)
                 .await;
             site.services.push(agent);
         }
@@ -189,7 +221,7 @@
         site
     }
 
-    async fn empty(seed: u64) -> Site {
+    async fn empty(seed: u64, direct: bool) -> Site {
         let directory = tempfile::tempdir().unwrap();
         keys::authority(directory.path()).unwrap();
         let process = std::process::id().to_be_bytes();
@@ -201,9 +233,11 @@
             store: standin::store::spawn(Default::default(), listen().await).unwrap(),
             client: Client::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
+            old_services: 0,
             roster: standin::roster::spawn(Default::default(), listen().await).unwrap(),
             vms: Vec::new(),
             seed,
+            direct,
             ip: Ipv4Addr::new(127, 1 + process[2] % 250, process[3], number).into(),
             directory,
         }
@@ -223,16 +257,17 @@
         name: &str,
         kind: &str,
         number: u16,
-        base: String,
+        (beside, held): (SocketAddr, &str),
         endpoint: H,
     ) -> Agent<H> {
         let name = format!("{name}-{number}");
         let at = self.vms.len() as u16;
+        let near = tcp::spawn(self.seed, listen().await, beside).unwrap();
         let mut settings = self.settings(&name, at);
         settings["endpoint"] = json!({
             "kind": kind,
-            "address": base,
-            "versions": [version(ORDERS)],
+            "address": format!("http://{}", if self.direct { beside } else { near.address() }),
+            "versions": [held],
         });
         let front = UdpSocket::bind((self.ip, 0)).await.unwrap();
         let target = SocketAddr::new(self.ip, INNER_PORT + at);
@@ -247,7 +282,9 @@
         Agent {
             process: Process::start(self.directory.path(), "agent", &name, &settings),
             proxy,
+            near,
             endpoint,
+            settings,
         }
     }
 
@@ -298,7 +335,7 @@
     fn has_probed(&self, number: usize) -> bool {
         let text = probe(number);
         let mut engines = self.engines.iter();
-        let mut services = self.services.iter();
+        let mut services = self.services.iter().take(self.old_services);
         let engines = engines.all(|agent| {
             let seen = agent.endpoint.seen();
             seen.of_prompt(&text).next().is_some()
@@ -307,6 +344,23 @@
         engines && services.all(|agent| agent.endpoint.seen().runs_at(&path) > 0)
     }
 
+    /// Returns the directory of the site's files.
+    pub(crate) fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+
+    /// Lets the platform announce that the VM of an engine will go.
+    pub(crate) fn announce_leaving(&mut self, engine: usize) {
+        self.vms[engine].leaving = true;
+        self.roster.set(self.vms.clone());
+    }
+
+    /// Takes the store and the list of VMs down, until the end of the test.
+    pub(crate) async fn lose_platform(&self) {
+        self.store.server().kill().await;
+        self.roster.server().kill().await;
+    }
+
     /// Returns the generations of all engines whose prompt contains a text.
     pub(crate) fn generations(&self, text: &str) -> Vec<standin::engine::Generation> {
         let seen = self.engines.iter().map(|agent| agent.endpoint.seen());
@@ -343,13 +397,25 @@
     TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
 
+/// Returns the version that a plan may move a route to.
+pub(crate) fn next_version(route: &str) -> String {
+    format!("{route}-2")
+}
+
 /// Puts a configuration with both routes in force.
 async fn configure(store: &standin::store::Handle) {
+    apply(store, json!({}), Time::from_millis(1)).await;
+}
+
+/// Puts the configuration of the site with these plans in force.
+pub(crate) async fn apply(store: &standin::store::Handle, plans: Value, now: Time) {
     let content = json!({
+        "plans": plans,
         "data_centres": {DATA_CENTRE: {"region": "sahel"}},
         "versions": {
             version(MODEL): {"artifact": "weights/1"},
             version(ORDERS): {"artifact": "builds/1"},
+            next_version(ORDERS): {"artifact": "builds/2"},
         },
         "routes": {
             MODEL: {"kind": "model", "version": version(MODEL)},
@@ -363,14 +429,14 @@
     };
     let folder = folder::read(vec![file], &|_| None).unwrap();
     let address: Address = store.server().address().into();
-    let request = apply::Request {
+    let request = ops::apply::Request {
         author: Arc::from("test"),
         on: None,
-        id: Arc::from("test"),
-        now: Time::from_millis(1),
+        id: format!("test-{}", now.as_micros()).into(),
+        now,
     };
     let client = store::http::Client::new(&address);
-    apply::apply(&client, &folder, &request).await.unwrap();
+    ops::apply::apply(&client, &folder, &request).await.unwrap();
 }
 
 /// Waits until a condition holds.
