--- /dev/null
+++ b/tests/integration/cold.rs
@@ -0,0 +1,56 @@
+//! A cold engine is given no more than it bears, however many callers come.
+
+use std::sync::Arc;
+
+use cactusroad::demo::client::{Client, Error};
+use tokio::task::JoinSet;
+
+use crate::{
+    caller::{self, Ending},
+    site::{Config, Site},
+};
+
+const CALLERS: usize = 12;
+
+#[tokio::test]
+async fn cold_engine_many_callers() {
+    let engine = cactusroad_standin::engine::Config {
+        cold: true,
+        ..Default::default()
+    };
+    let site = Site::start(Config {
+        engines: 1,
+        engine,
+        ..Config::default()
+    })
+    .await;
+    let entries: Arc<[_]> = site.entries.iter().map(|entry| entry.address).collect();
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let entries = entries.clone();
+        callers.spawn(async move {
+            // Few tokens in all, so that the limit does not grow meanwhile.
+            let prompt = format!("cold caller {number} [len=6]");
+            let entry = entries[number % entries.len()];
+            match caller::generate(&Client::new(), entry, &prompt).await {
+                Ok((received, ending)) => {
+                    assert_eq!(ending, Ending::Done, "{prompt}");
+                    received.assert_whole(&prompt);
+                    true
+                }
+                Err(Error::Refused(_, body)) => {
+                    assert_eq!(caller::fault(&body).1, "not_run", "{prompt}");
+                    false
+                }
+                Err(other) => panic!("{prompt}: {other}"),
+            }
+        });
+    }
+    let answered = callers.join_all().await;
+    let seen = site.engines[0].endpoint.seen();
+    assert_eq!(seen.overloads, 0);
+    // Each was answered whole or not run at all.
+    let ran = site.generations("cold caller").len();
+    assert_eq!(ran, answered.iter().filter(|&&whole| whole).count());
+    assert!(ran >= 2);
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,7 @@
 
 mod adapters;
 mod caller;
+mod cold;
 mod crash;
 mod death;
 mod endpoint;
