Spread configuration, membership and shared records among processes

Cause: the store counts each call and each waiting watch and has outages, so 980 processes cannot each watch it. Change: `member` keeps records with a join; `spread` is a pure state machine that sends markers and records over three rings of neighbours, fetches content by hash, repairs by digests and elects few watchers.

--- a/crates/core/src/spread.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Not yet written.
--- /dev/null
+++ b/crates/core/src/spread/graph.rs
@@ -0,0 +1,117 @@
+//! Who talks to whom, and who watches the store.
+//!
+//! Each process finds its neighbours from the membership alone. The members
+//! are put in a ring three times over: by region, data centre and hash; by
+//! region and another hash; by a third hash alone. The neighbours of a process
+//! are the ones next to it on each ring, so it has at most six, the relation is
+//! symmetric where two processes hold the same membership, and each ring alone
+//! connects the whole fleet. Neighbours on the first ring are nearly all in the
+//! same data centre and those on the second in the same region, which keeps
+//! most traffic cheap; the third crosses regions. The union of random rings is
+//! an expander, so the number of hops grows with the logarithm of the fleet. A
+//! process that comes or goes moves two edges on each ring.
+
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::member::Member;
+
+/// The number of rings.
+const RINGS: u64 = 3;
+/// The seed of the hash that ranks watchers.
+const WATCHER_SEED: u64 = 100;
+/// The number of watchers of the store in each region.
+pub const WATCHERS: usize = 2;
+
+/// The region of each data centre, sorted by data centre.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Regions(Vec<(Arc<str>, Arc<str>)>);
+
+impl Regions {
+    /// Returns the map from pairs of a data centre and its region.
+    pub fn new(mut pairs: Vec<(Arc<str>, Arc<str>)>) -> Regions {
+        pairs.sort();
+        Regions(pairs)
+    }
+
+    /// Returns the region of a data centre, or nothing where it is not known.
+    pub fn of(&self, data_centre: &str) -> &str {
+        let found = self
+            .0
+            .binary_search_by(|pair| pair.0.as_ref().cmp(data_centre));
+        found.map_or("", |at| &self.0[at].1)
+    }
+}
+
+/// The place of a member on a ring.
+fn position<'a>(
+    ring: u64,
+    regions: &'a Regions,
+    member: &'a Member,
+) -> (&'a str, &'a str, u64, &'a str) {
+    let hash = xxh3_64_with_seed(member.name.as_bytes(), ring);
+    let name = member.name.as_ref();
+    match ring {
+        0 => (
+            regions.of(&member.data_centre),
+            &member.data_centre,
+            hash,
+            name,
+        ),
+        1 => (regions.of(&member.data_centre), "", hash, name),
+        _ => ("", "", hash, name),
+    }
+}
+
+/// Returns the names of the neighbours of `own`, sorted, out of the members that may be used.
+pub fn neighbours<'a>(
+    own: &'a Member,
+    usable: &[&'a Member],
+    regions: &'a Regions,
+) -> Vec<Arc<str>> {
+    let mut names = Vec::new();
+    for ring in 0..RINGS {
+        let here = position(ring, regions, own);
+        let others = || {
+            let all = usable.iter().filter(|member| member.name != own.name);
+            all.map(|member| (position(ring, regions, member), &member.name))
+        };
+        let next = others().filter(|other| other.0 > here).min();
+        let previous = others().filter(|other| other.0 < here).max();
+        let ends = [
+            next.or_else(|| others().min()),
+            previous.or_else(|| others().max()),
+        ];
+        names.extend(ends.into_iter().flatten().map(|end| Arc::clone(end.1)));
+    }
+    names.sort();
+    names.dedup();
+    names
+}
+
+/// Returns the place of `own` among the members that may watch the store for its region.
+///
+/// The first of each data centre come before the second of any, so that the
+/// watchers of a region stand in different data centres.
+pub fn watcher_rank(own: &Member, usable: &[&Member], regions: &Regions) -> usize {
+    let region = regions.of(&own.data_centre);
+    let weigh = |member: &Member| xxh3_64_with_seed(member.name.as_bytes(), WATCHER_SEED);
+    let mut ranked: Vec<_> = usable
+        .iter()
+        .filter(|member| regions.of(&member.data_centre) == region && member.name != own.name)
+        .chain([&own])
+        .map(|member| (&member.data_centre, weigh(member), &member.name))
+        .collect();
+    ranked.sort_unstable();
+    let mut rounds = Vec::with_capacity(ranked.len());
+    let mut round = 0;
+    for (at, candidate) in ranked.iter().enumerate() {
+        let same = at > 0 && ranked[at - 1].0 == candidate.0;
+        round = if same { round + 1 } else { 0 };
+        rounds.push((round, candidate.1, candidate.2));
+    }
+    rounds.sort_unstable();
+    let own_place = rounds.iter().position(|place| place.2 == &own.name);
+    own_place.unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/core/src/spread/pull.rs
@@ -0,0 +1,250 @@
+//! Fetches a configuration piece by piece and moves forward only.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+
+use super::message::{Hash, Manifest, Marker};
+use crate::Time;
+
+/// How long one request for content may take.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The requests to peers before the store is asked.
+const MAX_PEER_TRIES: u32 = 3;
+/// The requests after which a configuration that nobody serves is forgotten.
+const MAX_TRIES: u32 = 12;
+/// The most peers that are remembered as holding a configuration.
+const MAX_HOLDERS: usize = 6;
+/// The most contents that one request asks for.
+const MAX_WANTED: usize = 8;
+/// The most bytes of content in one message.
+const MAX_CONTENT_BYTES: usize = 2 * 1024 * 1024;
+
+/// Where missing content is asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Ask {
+    /// A peer that announced it.
+    Peer(Arc<str>, Vec<Hash>),
+    /// The store, for parts.
+    Store(Vec<Hash>),
+    /// The store, for the manifest.
+    StoredManifest,
+}
+
+/// A configuration that became complete.
+#[derive(Clone, Debug)]
+pub(super) struct Complete<M> {
+    pub(super) marker: Marker,
+    pub(super) manifest: M,
+    pub(super) parts: Vec<(Hash, Bytes)>,
+}
+
+/// The configuration in force and the one that is being fetched.
+#[derive(Clone, Debug)]
+pub(super) struct Pull<M> {
+    in_force: Option<Marker>,
+    contents: Vec<(Hash, Bytes)>,
+    target: Option<Target<M>>,
+}
+
+#[derive(Clone, Debug)]
+struct Target<M> {
+    marker: Marker,
+    manifest: Option<M>,
+    holders: Vec<Arc<str>>,
+    asked: Vec<Hash>,
+    tries: u32,
+    retry_at: Time,
+}
+
+impl<M: Manifest> Pull<M> {
+    pub(super) fn new() -> Pull<M> {
+        Pull {
+            in_force: None,
+            contents: Vec::new(),
+            target: None,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub(super) fn in_force(&self) -> Option<Marker> {
+        self.in_force
+    }
+
+    /// Tells whether a configuration is being fetched.
+    pub(super) fn is_fetching(&self) -> bool {
+        self.target.is_some()
+    }
+
+    /// Returns the held ones of the wanted contents, within one message's size.
+    pub(super) fn serve(&self, wanted: &[Hash]) -> Vec<Bytes> {
+        let mut size = 0;
+        let held = wanted.iter().filter_map(|hash| self.content(*hash));
+        let fitting = held.take_while(|content| {
+            let first = size == 0;
+            size += content.len();
+            first || size <= MAX_CONTENT_BYTES
+        });
+        fitting.cloned().collect()
+    }
+
+    fn content(&self, hash: Hash) -> Option<&Bytes> {
+        let at = self.contents.binary_search_by_key(&hash, |c| c.0).ok()?;
+        Some(&self.contents[at].1)
+    }
+
+    /// Takes in an announcement and tells whether it is news.
+    pub(super) fn announce(&mut self, marker: Marker, from: Option<&Arc<str>>, now: Time) -> bool {
+        let current = self.in_force.map_or(0, |m| m.generation.0);
+        if marker.generation.0 <= current {
+            return false;
+        }
+        if let Some(target) = &mut self.target {
+            if target.marker == marker {
+                target.add_holder(from);
+                return false;
+            }
+            if target.marker.generation >= marker.generation {
+                return false;
+            }
+        }
+        let mut target = Target {
+            marker,
+            manifest: None,
+            holders: Vec::new(),
+            asked: Vec::new(),
+            tries: 0,
+            retry_at: now,
+        };
+        target.add_holder(from);
+        self.target = Some(target);
+        true
+    }
+
+    /// Takes in the manifest as the store holds it; a stale one changes nothing.
+    pub(super) fn announce_stored(&mut self, content: Bytes, now: Time) {
+        let Some(manifest) = M::read(&content) else {
+            return;
+        };
+        let marker = Marker {
+            generation: manifest.generation(),
+            hash: Hash::of(&content),
+            accepted_at: manifest.accepted_at(),
+        };
+        self.announce(marker, None, now);
+        let wanted = self.target.as_ref().is_some_and(|t| t.marker == marker);
+        if wanted {
+            self.insert(content, now);
+        }
+    }
+
+    /// Takes in a content; one that nobody asked for is dropped.
+    pub(super) fn insert(&mut self, content: Bytes, now: Time) {
+        let hash = Hash::of(&content);
+        let Some(target) = &mut self.target else {
+            return;
+        };
+        if target.manifest.is_none() && target.marker.hash == hash {
+            let manifest = M::read(&content);
+            target.manifest = manifest.filter(|m| m.generation() == target.marker.generation);
+            if target.manifest.is_none() {
+                self.target = None;
+                return;
+            }
+        } else if !target.needs(hash) {
+            return;
+        }
+        target.tries = 0;
+        target.asked.retain(|asked| *asked != hash);
+        if target.asked.is_empty() {
+            target.retry_at = now;
+        }
+        if let Err(at) = self.contents.binary_search_by_key(&hash, |c| c.0) {
+            self.contents.insert(at, (hash, content));
+        }
+    }
+
+    /// Ends a request whose answer came, though perhaps not with everything.
+    pub(super) fn end_request(&mut self, now: Time) {
+        if let Some(target) = &mut self.target {
+            target.asked.clear();
+            target.retry_at = now;
+        }
+    }
+
+    fn missing(&self, target: &Target<M>) -> Vec<Hash> {
+        let Some(manifest) = &target.manifest else {
+            return vec![target.marker.hash];
+        };
+        let parts = manifest.parts();
+        let absent = parts
+            .into_iter()
+            .filter(|part| self.content(*part).is_none());
+        absent.collect()
+    }
+
+    /// Returns the configuration that is complete now, once.
+    pub(super) fn take_complete(&mut self) -> Option<Complete<M>> {
+        let target = self.target.as_ref()?;
+        if !self.missing(target).is_empty() {
+            return None;
+        }
+        let target = self.target.take()?;
+        let manifest = target.manifest?;
+        let mut kept = manifest.parts();
+        kept.sort_unstable();
+        let parts = self
+            .contents
+            .iter()
+            .filter(|c| kept.binary_search(&c.0).is_ok());
+        let parts: Vec<_> = parts.cloned().collect();
+        let own = target.marker.hash;
+        self.contents
+            .retain(|c| c.0 == own || kept.binary_search(&c.0).is_ok());
+        self.in_force = Some(target.marker);
+        Some(Complete {
+            marker: target.marker,
+            manifest,
+            parts,
+        })
+    }
+
+    /// Returns what to ask for where a request is due, and notes that it was asked.
+    pub(super) fn take_request(&mut self, now: Time) -> Option<Ask> {
+        let target = self.target.as_ref().filter(|t| t.retry_at.is_past(now))?;
+        let mut missing = self.missing(target);
+        missing.truncate(MAX_WANTED);
+        let target = self.target.as_mut()?;
+        if target.tries >= MAX_TRIES {
+            self.target = None;
+            return None;
+        }
+        let tries = target.tries;
+        target.tries += 1;
+        target.retry_at = now + REQUEST_TIMEOUT * (tries / MAX_PEER_TRIES + 1);
+        if tries < MAX_PEER_TRIES && !target.holders.is_empty() {
+            let at = tries as usize % target.holders.len();
+            target.asked.clone_from(&missing);
+            return Some(Ask::Peer(Arc::clone(&target.holders[at]), missing));
+        }
+        if target.manifest.is_none() {
+            return Some(Ask::StoredManifest);
+        }
+        target.asked.clone_from(&missing);
+        Some(Ask::Store(missing))
+    }
+}
+
+impl<M: Manifest> Target<M> {
+    fn add_holder(&mut self, from: Option<&Arc<str>>) {
+        let new = from.filter(|name| !self.holders.contains(name));
+        if let Some(name) = new.filter(|_| self.holders.len() < MAX_HOLDERS) {
+            self.holders.push(Arc::clone(name));
+        }
+    }
+
+    fn needs(&self, hash: Hash) -> bool {
+        let manifest = self.manifest.as_ref();
+        manifest.is_some_and(|manifest| manifest.parts().contains(&hash))
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/table.rs
@@ -0,0 +1,290 @@
+//! A sorted table of records that merge, with digests for repair.
+
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{Time, member::Member};
+
+/// The number of buckets that a table is compared by.
+pub const BUCKETS: usize = 64;
+
+/// A record with a name, a hash of its state and a join.
+pub trait Record: Clone {
+    /// Returns the name that the table is sorted by.
+    fn key(&self) -> &Arc<str>;
+    /// Returns a hash of the whole state.
+    fn digest(&self) -> u64;
+    /// Merges another record of the same name and tells whether this one changed.
+    fn join(&mut self, other: &Self, now: Time) -> bool;
+    /// Returns a value that only grows while the record lives, to tell late records.
+    fn order(&self) -> (u64, u64);
+    /// Tells whether the record is dropped at `now`.
+    fn is_over(&self, now: Time) -> bool;
+    /// Tells whether a change is sent at once instead of with the next batch.
+    fn is_urgent(&self, before: Option<&Self>) -> bool;
+}
+
+impl Record for Member {
+    fn key(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    fn digest(&self) -> u64 {
+        Member::digest(self)
+    }
+
+    fn join(&mut self, other: &Member, now: Time) -> bool {
+        Member::join(self, other, now)
+    }
+
+    fn order(&self) -> (u64, u64) {
+        (self.incarnation.0, self.sequence)
+    }
+
+    fn is_over(&self, now: Time) -> bool {
+        self.remove_at.is_some_and(|deadline| deadline.is_past(now))
+    }
+
+    fn is_urgent(&self, before: Option<&Member>) -> bool {
+        self.leaving && !before.is_some_and(|before| before.leaving)
+    }
+}
+
+/// What became of a record that was merged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The table changed and now holds the sender's state or a join of both.
+    Changed {
+        /// Whether the change is sent on at once.
+        urgent: bool,
+        /// Whether the table now holds more than the sender's state.
+        joined: bool,
+    },
+    /// The table held exactly this state.
+    Same,
+    /// The table holds a later state.
+    Newer,
+    /// The record was refused: it is over, was removed, or the table is full.
+    Refused,
+}
+
+/// A record that was dropped, so that a late copy doesn't bring it back.
+#[derive(Clone, Debug)]
+struct Tombstone {
+    key: Arc<str>,
+    order: (u64, u64),
+    until: Time,
+}
+
+/// Records sorted by name.
+#[derive(Clone, Debug)]
+pub struct Table<R> {
+    records: Vec<Slot<R>>,
+    tombstones: Vec<Tombstone>,
+    buckets: [u64; BUCKETS],
+    capacity: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Slot<R> {
+    hash: u64,
+    digest: u64,
+    record: R,
+}
+
+/// Returns the hash of a name, by which tables are split into buckets.
+pub(super) fn hash_key(key: &str) -> u64 {
+    xxh3_64(key.as_bytes())
+}
+
+/// Returns the bucket of a name's hash.
+pub(super) const fn bucket_of(hash: u64) -> usize {
+    (hash % BUCKETS as u64) as usize
+}
+
+impl<R: Record> Table<R> {
+    /// Returns an empty table for at most this many records and tombstones.
+    pub fn new(capacity: usize) -> Table<R> {
+        Table {
+            records: Vec::new(),
+            tombstones: Vec::new(),
+            buckets: [0; BUCKETS],
+            capacity,
+        }
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether the table holds no record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Finds a record by its name.
+    pub fn get(&self, key: &str) -> Option<&R> {
+        let at = self.find(key).ok()?;
+        Some(&self.records[at].record)
+    }
+
+    /// Returns the records in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = &R> {
+        self.records.iter().map(|slot| &slot.record)
+    }
+
+    /// Returns the records whose names start with the prefix.
+    pub fn prefixed<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a R> {
+        let start = self
+            .records
+            .partition_point(|slot| slot.record.key().as_ref() < prefix);
+        self.records[start..]
+            .iter()
+            .map(|slot| &slot.record)
+            .take_while(move |record| record.key().starts_with(prefix))
+    }
+
+    /// Returns the hash of the state of one record, or `None` where it is absent.
+    pub fn digest_of(&self, key: &str) -> Option<u64> {
+        let at = self.find(key).ok()?;
+        Some(self.records[at].digest)
+    }
+
+    /// Returns the hash of each bucket.
+    pub fn buckets(&self) -> &[u64; BUCKETS] {
+        &self.buckets
+    }
+
+    /// Returns one hash of the whole table.
+    pub fn root(&self) -> u64 {
+        let mut bytes = [0; BUCKETS * 8];
+        for (chunk, bucket) in bytes.chunks_exact_mut(8).zip(&self.buckets) {
+            chunk.copy_from_slice(&bucket.to_le_bytes());
+        }
+        xxh3_64(&bytes)
+    }
+
+    /// Returns the name's hash and state's hash of each record in a bucket.
+    pub fn inventory(&self, bucket: usize) -> Vec<(u64, u64)> {
+        let inside = self
+            .records
+            .iter()
+            .filter(|slot| bucket_of(slot.hash) == bucket);
+        let mut list: Vec<_> = inside.map(|slot| (slot.hash, slot.digest)).collect();
+        list.sort_unstable();
+        list
+    }
+
+    /// Returns the records whose names' hashes are in the sorted list.
+    pub fn by_hashes(&self, hashes: &[u64]) -> Vec<R> {
+        let inside = |slot: &&Slot<R>| hashes.binary_search(&slot.hash).is_ok();
+        let found = self.records.iter().filter(inside);
+        found.map(|slot| slot.record.clone()).collect()
+    }
+
+    /// Merges a record.
+    pub fn merge(&mut self, record: &R, now: Time) -> Outcome {
+        if record.is_over(now) || self.is_buried(record) {
+            return Outcome::Refused;
+        }
+        match self.find(record.key()) {
+            Ok(at) => self.join_at(at, record, now),
+            Err(_) if self.records.len() >= self.capacity => Outcome::Refused,
+            Err(at) => {
+                let hash = hash_key(record.key());
+                let digest = record.digest();
+                self.buckets[bucket_of(hash)] ^= digest;
+                let slot = Slot {
+                    hash,
+                    digest,
+                    record: record.clone(),
+                };
+                self.records.insert(at, slot);
+                Outcome::Changed {
+                    urgent: record.is_urgent(None),
+                    joined: false,
+                }
+            }
+        }
+    }
+
+    fn join_at(&mut self, at: usize, record: &R, now: Time) -> Outcome {
+        let slot = &mut self.records[at];
+        let digest = record.digest();
+        if slot.digest == digest {
+            return Outcome::Same;
+        }
+        let mut joined = slot.record.clone();
+        if !joined.join(record, now) {
+            return Outcome::Newer;
+        }
+        let urgent = joined.is_urgent(Some(&slot.record));
+        self.replace(at, joined);
+        Outcome::Changed {
+            urgent,
+            joined: self.records[at].digest != digest,
+        }
+    }
+
+    /// Changes a record in place and tells whether its state is another now.
+    pub fn update(&mut self, key: &str, change: impl FnOnce(&mut R)) -> bool {
+        let Ok(at) = self.find(key) else {
+            return false;
+        };
+        let before = self.records[at].digest;
+        let mut record = self.records[at].record.clone();
+        change(&mut record);
+        self.replace(at, record);
+        self.records[at].digest != before
+    }
+
+    fn replace(&mut self, at: usize, record: R) {
+        let slot = &mut self.records[at];
+        let bucket = &mut self.buckets[bucket_of(slot.hash)];
+        *bucket ^= slot.digest;
+        slot.digest = record.digest();
+        slot.record = record;
+        *bucket ^= slot.digest;
+    }
+
+    /// Drops the records that are over, remembers them until `until`, and returns their number.
+    pub fn expire(&mut self, now: Time, until: Time) -> usize {
+        self.tombstones.retain(|stone| !stone.until.is_past(now));
+        let over: Vec<usize> = (0..self.records.len())
+            .filter(|&at| self.records[at].record.is_over(now))
+            .collect();
+        for &at in over.iter().rev() {
+            let slot = self.records.remove(at);
+            self.buckets[bucket_of(slot.hash)] ^= slot.digest;
+            self.bury(&slot.record, until);
+        }
+        over.len()
+    }
+
+    fn bury(&mut self, record: &R, until: Time) {
+        let stone = Tombstone {
+            key: Arc::clone(record.key()),
+            order: record.order(),
+            until,
+        };
+        match self.tombstones.binary_search_by(|s| s.key.cmp(&stone.key)) {
+            Ok(at) => self.tombstones[at] = stone,
+            Err(at) if self.tombstones.len() < self.capacity => self.tombstones.insert(at, stone),
+            Err(_) => {}
+        }
+    }
+
+    fn is_buried(&self, record: &R) -> bool {
+        let found = self
+            .tombstones
+            .binary_search_by(|stone| stone.key.cmp(record.key()));
+        found.is_ok_and(|at| record.order() <= self.tombstones[at].order)
+    }
+
+    fn find(&self, key: &str) -> Result<usize, usize> {
+        self.records
+            .binary_search_by(|slot| slot.record.key().as_ref().cmp(key))
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/upkeep.rs
@@ -0,0 +1,241 @@
+//! What a process does by the clock, and what the platform's list tells it.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Item, Node,
+    graph::{self},
+    link::{Kind, Link},
+    message::{Action, Listed, Manifest, Summary},
+    node::SIGN_PREFIX,
+};
+use crate::{
+    Time,
+    member::{DOUBT_LIFETIME, Doubt, Member},
+};
+
+/// How long a dropped record is remembered.
+const TOMBSTONE_LIFETIME: Duration = Duration::from_secs(600);
+/// How often neighbours are chosen anew while the membership changes.
+const GRAPH_INTERVAL: Duration = Duration::from_secs(1);
+/// How often records that are over are dropped.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// A doubt is renewed once it has less than this left.
+const RENEW_BEFORE: Duration = Duration::from_secs(10);
+/// The most doubted members that are asked again beside the neighbours.
+const MAX_DOUBTED_LINKS: usize = 4;
+/// The time between two signs of a watcher that the store answers.
+const SIGN_INTERVAL: Duration = Duration::from_secs(8);
+/// How long such a sign is held.
+const SIGN_LIFETIME: Duration = Duration::from_secs(60);
+
+impl<M: Manifest> Node<M> {
+    /// Lets a process that was paused hear its peers again before it doubts them.
+    pub(super) fn resume(&mut self, now: Time) {
+        for link in &mut self.links {
+            link.excuse(now);
+        }
+        self.watch.heard(now);
+    }
+
+    pub(super) fn expire(&mut self, now: Time) {
+        if !self.expire_at.is_past(now) {
+            return;
+        }
+        self.expire_at = now + EXPIRE_INTERVAL;
+        let until = now + TOMBSTONE_LIFETIME;
+        self.refute(now);
+        let dropped = self.members.expire(now, until) + self.items.expire(now, until);
+        let doubted: Vec<_> = self
+            .members
+            .iter()
+            .filter(|member| member.doubts.iter().any(|d| d.until.is_past(now)))
+            .map(|member| Arc::clone(&member.name))
+            .collect();
+        for name in &doubted {
+            self.members.update(name, |member| {
+                member.expire(now);
+            });
+        }
+        if dropped + doubted.len() > 0 {
+            self.changed = true;
+            self.graph_stale = true;
+        }
+    }
+
+    /// Doubts the neighbours that have been silent for too long.
+    ///
+    /// Where nobody at all is heard, this process is more likely to be the one
+    /// that is cut off, so it doubts nobody unless it has only a few neighbours.
+    pub(super) fn doubt_silent(&mut self, now: Time) {
+        let silent = self.links.iter().filter(|link| link.is_silent(now));
+        let silent: Vec<_> = silent.map(|link| Arc::clone(&link.name)).collect();
+        if silent.len() == self.links.len() && silent.len() > 2 {
+            return;
+        }
+        let doubt = Doubt {
+            peer: self.own_hash,
+            until: now + DOUBT_LIFETIME,
+        };
+        for name in silent {
+            let renewed = self.members.update(&name, |member| {
+                let held = member.doubts.iter().find(|held| held.peer == doubt.peer);
+                if held.is_none_or(|held| held.until.since(now) < RENEW_BEFORE) {
+                    member.doubt(doubt, now);
+                }
+            });
+            if renewed {
+                self.spread(Kind::Member, &name, None, false, now);
+            }
+        }
+    }
+
+    pub(super) fn choose_neighbours(&mut self, now: Time) {
+        if !self.graph_stale || !self.graph_at.is_past(now) {
+            return;
+        }
+        self.graph_stale = false;
+        self.graph_at = now + GRAPH_INTERVAL;
+        let Some(own) = self.members.get(&self.own) else {
+            return;
+        };
+        let fleet = self.members.len();
+        let all = self.members.iter();
+        let usable: Vec<_> = all.filter(|m| !m.is_suspected(fleet, now)).collect();
+        let mut names = graph::neighbours(own, &usable, &self.regions);
+        let own_doubt = |m: &&Member| m.doubts.iter().any(|d| d.peer == self.own_hash);
+        let doubted = self.members.iter().filter(own_doubt);
+        names.extend(doubted.take(MAX_DOUBTED_LINKS).map(|m| Arc::clone(&m.name)));
+        let heard = usable.iter().filter(|m| !m.leaving);
+        let candidates: Vec<&Member> = heard.copied().collect();
+        let was_watcher = self.watch.is_watcher(self.rank, now);
+        self.rank = graph::watcher_rank(own, &candidates, &self.regions);
+        if !was_watcher && self.watch.is_watcher(self.rank, now) {
+            self.watch.hasten_list(now);
+        }
+        names.sort();
+        names.dedup();
+        self.set_links(&names, now);
+    }
+
+    pub(super) fn set_links(&mut self, names: &[Arc<str>], now: Time) {
+        self.links
+            .retain(|link| names.binary_search(&link.name).is_ok());
+        for name in names {
+            let Some(member) = self.members.get(name) else {
+                continue;
+            };
+            match self.links.binary_search_by(|link| link.name.cmp(name)) {
+                Ok(at) => self.links[at].address = member.address,
+                Err(at) => {
+                    let link = Link::new(Arc::clone(name), member.address, now);
+                    self.links.insert(at, link);
+                }
+            }
+        }
+    }
+
+    /// Asks the neighbours that are due whether they hold the same.
+    pub(super) fn compare(&mut self, now: Time) {
+        let due = self
+            .links
+            .iter_mut()
+            .filter_map(|link| link.take_comparison(now).then_some(&*link));
+        let due: Vec<_> = due
+            .map(|link| (Arc::clone(&link.name), link.address, link.is_met()))
+            .collect();
+        if due.is_empty() {
+            return;
+        }
+        let summary = self.summary();
+        let marker = self.pull.in_force();
+        let own = self.members.get(&self.own).cloned();
+        for (name, address, met) in due {
+            let message = self.outgoing(&name, address);
+            message.summary = Some(summary);
+            message.marker = marker;
+            message.members.extend(own.iter().filter(|_| !met).cloned());
+        }
+    }
+
+    pub(super) fn summary(&self) -> Summary {
+        Summary {
+            members: self.members.root(),
+            items: self.items.root(),
+        }
+    }
+
+    pub(super) fn ask_platform(&mut self, now: Time) {
+        let watcher = self.is_watcher(now) && !self.graph_stale;
+        if watcher {
+            if let Some(position) = self.watch.take_watch(now) {
+                self.actions.push(Action::Watch { position });
+            }
+            if self.watch.take_read(now) {
+                self.actions.push(Action::ReadManifest);
+            }
+        }
+        let needy = self.pull.in_force().is_none() && !self.pull.is_fetching();
+        if self
+            .watch
+            .take_fallback(needy && !watcher, self.members.len(), now)
+        {
+            self.actions.push(Action::ReadManifest);
+        }
+        let isolated = self.links.iter().all(|link| link.is_silent(now));
+        if self.watch.take_list(watcher, isolated, now) {
+            self.actions.push(Action::ReadList);
+        }
+    }
+
+    /// Tells the others that the store answered this watcher.
+    pub(super) fn sign(&mut self, now: Time) {
+        self.watch.heard(now);
+        if !self.sign_at.is_past(now) {
+            return;
+        }
+        self.sign_at = now + SIGN_INTERVAL;
+        let Some(own) = self.members.get(&self.own) else {
+            return;
+        };
+        let region = self.regions.of(&own.data_centre);
+        let sign = Item {
+            key: format!("{SIGN_PREFIX}{region}/{}", self.own).into(),
+            version: now.as_millis(),
+            body: "".into(),
+            until: now + SIGN_LIFETIME,
+            urgent: false,
+        };
+        self.merge_item(&sign, None, now);
+    }
+
+    pub(super) fn take_list(&mut self, list: &[Listed], now: Time) {
+        for vm in list {
+            let listed = Member::new(
+                Arc::clone(&vm.name),
+                vm.role,
+                vm.address,
+                Arc::clone(&vm.data_centre),
+            );
+            if self.members.get(&vm.name).is_none() {
+                self.merge_member(&listed, None, now);
+            }
+            if vm.leaving {
+                self.observe(&vm.name, |member| member.listed_leaving(now), now);
+            }
+        }
+        let fleet = self.members.len();
+        let listed = |member: &&Member| list.iter().any(|vm| vm.name == member.name);
+        let absent = self.members.iter().filter(|m| !listed(m));
+        let absent: Vec<_> = absent.map(|m| Arc::clone(&m.name)).collect();
+        for name in absent {
+            self.observe(&name, |member| member.unlisted(fleet, now), now);
+        }
+    }
+
+    pub(super) fn observe(&mut self, name: &Arc<str>, change: impl FnOnce(&mut Member), now: Time) {
+        if self.members.update(name, change) {
+            self.spread(Kind::Member, name, None, true, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/member.rs
@@ -0,0 +1,171 @@
+//! Tests of `member`: the join of records and what others observe.
+
+use std::{sync::Arc, time::Duration};
+
+use cactusroad_core::{
+    Time,
+    id::Incarnation,
+    member::{Doubt, LIST_LAG, MAX_DOUBTS, Member, REMOVAL_DELAY, Role},
+    spread::{Outcome, Table},
+};
+use proptest::prelude::*;
+
+const NOW: Time = Time::from_millis(500_000);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn member(incarnation: u64, sequence: u64) -> Member {
+    let address = "127.0.0.1:7000".parse().expect("a valid address");
+    let mut member = Member::new("vm-1", Role::Endpoint, address, "sousse");
+    member.incarnation = Incarnation(incarnation);
+    member.sequence = sequence;
+    member
+}
+
+fn doubt(peer: u32, until: Time) -> Doubt {
+    Doubt { peer, until }
+}
+
+fn any_member() -> impl Strategy<Value = Member> {
+    let doubts = prop::collection::vec((0_u32..6, 400_u64..700), 0..5);
+    let remove_at = prop::option::of(400_u64..700);
+    (
+        0_u64..3,
+        0_u64..3,
+        any::<[bool; 2]>(),
+        0_u8..3,
+        doubts,
+        remove_at,
+    )
+        .prop_map(
+            |(incarnation, sequence, [leaving, cold], version, doubts, remove_at)| {
+                let mut member = member(incarnation, sequence);
+                member.leaving = leaving;
+                member.cold = cold;
+                member.versions = vec![Arc::from(format!("v{version}"))];
+                for (peer, until) in doubts {
+                    member.doubt(doubt(peer, Time::from_millis(until * 1_000)), NOW);
+                }
+                member.remove_at = remove_at.map(|at| Time::from_millis(at * 1_000));
+                member
+            },
+        )
+}
+
+fn joined(a: &Member, b: &Member) -> Member {
+    let mut joined = a.clone();
+    joined.join(b, NOW);
+    joined
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn join_laws(a in any_member(), b in any_member(), c in any_member()) {
+        prop_assert_eq!(joined(&a, &a), a.clone());
+        prop_assert_eq!(joined(&a, &b), joined(&b, &a));
+        prop_assert_eq!(joined(&joined(&a, &b), &c), joined(&a, &joined(&b, &c)));
+        let mut again = joined(&a, &b);
+        prop_assert!(!again.join(&b, NOW));
+    }
+
+    #[test]
+    fn join_forward(a in any_member(), b in any_member()) {
+        let both = joined(&a, &b);
+        prop_assert!((both.incarnation, both.sequence) >= (a.incarnation, a.sequence));
+        prop_assert!(both.incarnation != a.incarnation || both.leaving >= a.leaving);
+        prop_assert!(both.doubts.len() <= MAX_DOUBTS);
+    }
+}
+
+#[test]
+fn join_old_incarnation() {
+    let mut held = member(7, 0);
+    let mut late = member(6, 900);
+    late.leaving = true;
+    assert!(!held.join(&late, NOW));
+    assert_eq!(held, member(7, 0));
+}
+
+#[test]
+fn join_sequence_refutes() {
+    let mut held = member(7, 1);
+    held.doubt(doubt(1, Time::MAX), NOW);
+    held.doubt(doubt(2, Time::MAX), NOW);
+    held.remove_at = Some(Time::MAX);
+    assert!(held.is_suspected(10, NOW));
+    assert!(held.join(&member(7, 2), NOW));
+    assert!(!held.is_suspected(10, NOW) && held.remove_at.is_none());
+}
+
+#[test]
+fn suspect_needs_two() {
+    let mut held = member(7, 1);
+    held.doubt(doubt(1, NOW + SECOND), NOW);
+    assert!(!held.is_suspected(10, NOW));
+    assert!(
+        held.is_suspected(2, NOW),
+        "a small fleet has no second witness"
+    );
+    held.doubt(doubt(2, NOW + SECOND), NOW);
+    assert!(held.is_suspected(10, NOW));
+    assert!(
+        !held.is_suspected(10, NOW + SECOND),
+        "doubts end at their deadline"
+    );
+}
+
+#[test]
+fn list_leaving_lag() {
+    let started = Incarnation(NOW.as_micros());
+    let mut held = member(started.0, 0);
+    held.listed_leaving(NOW + SECOND);
+    assert!(!held.leaving, "the list may speak of the life before");
+    held.listed_leaving(NOW + LIST_LAG);
+    assert!(held.leaving);
+}
+
+#[test]
+fn remove_only_unheard() {
+    let now = NOW + LIST_LAG;
+    let mut held = member(NOW.as_micros(), 0);
+    held.unlisted(10, now);
+    assert_eq!(held.remove_at, None, "its peers still hear it");
+    held.doubt(doubt(1, Time::MAX), now);
+    held.doubt(doubt(2, Time::MAX), now);
+    held.unlisted(10, now);
+    assert_eq!(held.remove_at, Some(now + REMOVAL_DELAY));
+}
+
+#[test]
+fn table_removed_stays() {
+    let mut table = Table::new(8);
+    let mut gone = member(7, 3);
+    gone.remove_at = Some(NOW + SECOND);
+    table.merge(&gone, NOW);
+    let later = NOW + 2 * SECOND;
+    assert_eq!(table.expire(later, later + 60 * SECOND), 1);
+    assert_eq!(table.merge(&member(7, 3), later), Outcome::Refused);
+    assert_eq!(table.root(), Table::<Member>::new(8).root());
+    let alive = table.merge(&member(7, 4), later);
+    assert!(
+        matches!(alive, Outcome::Changed { .. }),
+        "it was alive after all"
+    );
+}
+
+#[test]
+fn table_full_refuses() {
+    let mut table = Table::new(2);
+    for (name, held) in [("a", true), ("b", true), ("c", false), ("a", true)] {
+        let mut member = member(1, 0);
+        member.name = name.into();
+        let outcome = table.merge(&member, NOW);
+        assert_eq!(outcome != Outcome::Refused, held, "{name}");
+    }
+    assert_eq!(table.len(), 2);
+}
