--- /dev/null
+++ b/crates/node/src/fleet/driver.rs
@@ -0,0 +1,289 @@
+//! The task that owns the node and carries out what it decides.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    config::{
+        Snapshot,
+        parts::{self, Digest, Manifest},
+    },
+    id::Incarnation,
+    member::{Member, Role},
+    spread::{Action, Hash, Item, Marker, Message, Node, graph::Regions},
+};
+use cactusroad_platform::{roster::Roster, store::Store};
+use cactusroad_wire::message::reply;
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
+
+use super::{Event, View, codec, peer, platform, request, wrap};
+use crate::{
+    clock,
+    entry::Listed,
+    transport::{Dialer, Error},
+};
+
+/// The time between two ticks of the node.
+const TICK_MS: u64 = 100;
+/// How long one exchange with a peer may take, in milliseconds.
+const EXCHANGE_TIMEOUT_MS: u64 = 2_000;
+
+/// Publishes what the node learns.
+pub(super) struct Publisher {
+    config: watch::Sender<Arc<Snapshot>>,
+    endpoints: watch::Sender<Vec<Listed>>,
+    items: watch::Sender<Arc<Vec<Item>>>,
+    delay_ms: watch::Sender<Option<u64>>,
+}
+
+impl Publisher {
+    pub(super) fn new() -> (Publisher, View) {
+        let (config, config_view) = watch::channel(Arc::new(Snapshot::default()));
+        let (endpoints, endpoints_view) = watch::channel(Vec::new());
+        let (items, items_view) = watch::channel(Arc::new(Vec::new()));
+        let (delay_ms, delay_view) = watch::channel(None);
+        let view = View {
+            config: config_view,
+            endpoints: endpoints_view,
+            items: items_view,
+            delay_ms: delay_view,
+        };
+        let publisher = Publisher {
+            config,
+            endpoints,
+            items,
+            delay_ms,
+        };
+        (publisher, view)
+    }
+}
+
+/// Drives the node of one process.
+pub(super) struct Driver<S, R> {
+    pub(super) node: Node<Manifest>,
+    pub(super) name: Arc<str>,
+    pub(super) incarnation: Incarnation,
+    pub(super) dialer: Dialer,
+    pub(super) store: S,
+    pub(super) roster: R,
+    /// Weak, so that the task's own sender doesn't keep it running.
+    pub(super) events: mpsc::WeakSender<Event>,
+    pub(super) publisher: Publisher,
+}
+
+impl<S: Store, R: Roster> Driver<S, R> {
+    /// Runs until the last handle is dropped or a later life of the process is heard of.
+    pub(super) async fn run(mut self, mut events: mpsc::Receiver<Event>) {
+        let mut tick = time::interval(Duration::from_millis(TICK_MS));
+        tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            let running = tokio::select! {
+                _ = tick.tick() => {
+                    let actions = self.node.tick(clock::now());
+                    self.carry_out(actions)
+                }
+                event = events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+            };
+            if !running {
+                log::error!("another process named {} started later; this one leaves", self.name);
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) -> bool {
+        let now = clock::now();
+        let actions = match event {
+            Event::Message(from, message, answer) => {
+                let actions = self.node.message(&from, *message, now);
+                let (reply, actions) = split_reply(actions, &from.name);
+                // A peer that is gone has no use for the answer.
+                let _ = answer.send(reply);
+                actions
+            }
+            Event::Reply(from, message) => self.node.message(&from, *message, now),
+            Event::Answer(answer) => self.node.answer(answer, now),
+            Event::Put(item) => self.node.put(&item, now),
+            Event::Report(report) => {
+                let change = |own: &mut Member| {
+                    own.leaving |= report.leaving;
+                    own.cold = report.cold;
+                    own.versions = report.versions;
+                };
+                self.node.report(change, now)
+            }
+        };
+        self.carry_out(actions)
+    }
+
+    /// Carries out actions and tells whether the task goes on.
+    fn carry_out(&mut self, actions: Vec<Action<Manifest>>) -> bool {
+        for action in actions {
+            match action {
+                Action::Send {
+                    to,
+                    address,
+                    message,
+                } => self.send(to, address, &message),
+                Action::Watch { position } => {
+                    let store = self.store.clone();
+                    self.answer(async move { platform::watch(&store, position).await });
+                }
+                Action::ReadManifest => {
+                    let store = self.store.clone();
+                    self.answer(async move { platform::manifest(&store).await });
+                }
+                Action::ReadPart(hash) => {
+                    let store = self.store.clone();
+                    self.answer(async move { platform::part(&store, hash).await });
+                }
+                Action::ReadList => {
+                    let roster = self.roster.clone();
+                    self.answer(async move { platform::list(&roster).await });
+                }
+                Action::Apply {
+                    marker,
+                    manifest,
+                    parts,
+                } => self.apply(marker, &manifest, &parts),
+                Action::Changed => self.publish(),
+                Action::Superseded => return false,
+            }
+        }
+        true
+    }
+
+    fn answer<F>(&self, call: F)
+    where
+        F: Future<Output = cactusroad_core::spread::Answer> + Send + 'static,
+    {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let answer = call.await;
+            if let Some(events) = events.upgrade() {
+                // The task ends with the last handle and then needs no answer.
+                let _ = events.send(Event::Answer(answer)).await;
+            }
+        });
+    }
+
+    fn send(&self, to: Arc<str>, address: SocketAddr, message: &Message) {
+        let dialer = self.dialer.clone();
+        let exchange = request(wrap(&self.name, self.incarnation, message));
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let call = exchange_with(&dialer, &to, address, &exchange);
+            let timeout = Duration::from_millis(EXCHANGE_TIMEOUT_MS);
+            match time::timeout(timeout, call).await {
+                Ok(Ok(Some(event))) => {
+                    if let Some(events) = events.upgrade() {
+                        let _ = events.send(event).await;
+                    }
+                }
+                Ok(Ok(None)) => {}
+                Ok(Err(cause)) => log::debug!("{to} was not reached: {cause}"),
+                Err(_) => log::debug!("{to} did not answer an exchange in time"),
+            }
+        });
+    }
+
+    fn apply(&mut self, marker: Marker, manifest: &Manifest, parts: &[(Hash, Bytes)]) {
+        let find = |digest: &Digest| {
+            let hash = digest.to_hash()?;
+            let at = parts.binary_search_by_key(&hash, |part| part.0).ok()?;
+            Some(parts[at].1.clone())
+        };
+        let snapshot = match parts::join(manifest, find) {
+            Ok(snapshot) => snapshot,
+            Err(cause) => {
+                log::error!("configuration {} is not in force: {cause}", marker.generation.0);
+                return;
+            }
+        };
+        let pairs = snapshot.data_centres.iter();
+        let pairs = pairs.map(|dc| (Arc::clone(&dc.name), Arc::clone(&dc.region)));
+        self.node.set_regions(Regions::new(pairs.collect()));
+        let delay = self.node.delay().unwrap_or_default();
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.publisher.config.send_replace(Arc::new(snapshot));
+        self.publisher.delay_ms.send_replace(Some(delay_ms));
+        log::info!(
+            "configuration {} is in force {delay_ms} ms after it was accepted",
+            marker.generation.0
+        );
+    }
+
+    fn publish(&self) {
+        let members = self.node.members();
+        let now = clock::now();
+        let usable = members.iter().filter(|member| {
+            member.role == Role::Endpoint && !member.is_suspected(members.len(), now)
+        });
+        let endpoints: Vec<Listed> = usable.map(listed).collect();
+        self.publisher.endpoints.send_if_modified(|current| {
+            let differs = *current != endpoints;
+            *current = endpoints;
+            differs
+        });
+        let items: Vec<Item> = self.node.items().iter().cloned().collect();
+        self.publisher.items.send_if_modified(|current| {
+            let differs = **current != items;
+            if differs {
+                *current = Arc::new(items);
+            }
+            differs
+        });
+    }
+}
+
+fn listed(member: &Member) -> Listed {
+    Listed {
+        name: Arc::clone(&member.name),
+        address: member.address,
+        data_centre: Arc::clone(&member.data_centre),
+        leaving: member.leaving,
+    }
+}
+
+/// Takes the message for one peer out of the actions.
+fn split_reply(
+    mut actions: Vec<Action<Manifest>>,
+    peer: &Arc<str>,
+) -> (Message, Vec<Action<Manifest>>) {
+    let found = actions
+        .iter()
+        .position(|action| matches!(action, Action::Send { to, .. } if to == peer));
+    let reply = found.map(|at| actions.swap_remove(at));
+    match reply {
+        Some(Action::Send { message, .. }) => (*message, actions),
+        _ => (Message::default(), actions),
+    }
+}
+
+/// Sends a message to a peer and returns what it answers, where that is anything.
+async fn exchange_with(
+    dialer: &Dialer,
+    to: &str,
+    address: SocketAddr,
+    exchange: &cactusroad_wire::message::Request,
+) -> Result<Option<Event>, Error> {
+    let link = dialer.link(to, address).await?;
+    let mut call = link.call(exchange).await?;
+    call.sender.finish();
+    let reply = call.receiver.next().await?;
+    let Some(reply::Body::Exchange(answer)) = reply.and_then(|reply| reply.body) else {
+        return Err(Error::Protocol);
+    };
+    if answer.body.is_empty() {
+        return Ok(None);
+    }
+    let from = peer(&answer);
+    let message = codec::decode(answer.body).map_err(|_| Error::Protocol)?;
+    Ok(Some(Event::Reply(from, Box::new(message))))
+}
--- /dev/null
+++ b/crates/node/src/fleet/platform.rs
@@ -0,0 +1,57 @@
+//! The calls to the store and the VM list that the spread asks for.
+
+use std::time::Duration;
+
+use cactusroad_core::{
+    config::parts::{MANIFEST_KEY, PARTS_PREFIX},
+    member::Role,
+    spread::{Answer, Hash, Listed, Watched},
+};
+use cactusroad_platform::{
+    roster::{self, Roster, Vm},
+    store::Store,
+};
+
+/// The longest that a watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Watches the manifest.
+pub(super) async fn watch(store: &impl Store, position: u64) -> Answer {
+    let end = store.watch(MANIFEST_KEY, position, WATCH_WAIT).await;
+    Answer::Watched(end.ok().map(|change| Watched {
+        position: change.position,
+        changed: !change.objects.is_empty(),
+    }))
+}
+
+/// Reads the manifest.
+pub(super) async fn manifest(store: &impl Store) -> Answer {
+    let read = store.get(MANIFEST_KEY).await;
+    Answer::Manifest(read.ok().map(|object| object.map(|object| object.value)))
+}
+
+/// Reads a part.
+pub(super) async fn part(store: &impl Store, hash: Hash) -> Answer {
+    let read = store.get(&format!("{PARTS_PREFIX}{hash}")).await;
+    let content = read.ok().flatten().map(|object| object.value);
+    Answer::Part(hash, content)
+}
+
+/// Reads the list of VMs.
+pub(super) async fn list(roster: &impl Roster) -> Answer {
+    let vms = roster.vms().await.ok();
+    Answer::List(vms.map(|vms| vms.into_iter().map(listed).collect()))
+}
+
+fn listed(vm: Vm) -> Listed {
+    Listed {
+        name: vm.name,
+        role: match vm.role {
+            roster::Role::Entry => Role::Entry,
+            roster::Role::Endpoint => Role::Endpoint,
+        },
+        address: vm.address,
+        data_centre: vm.data_centre,
+        leaving: vm.leaving,
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,13 @@
     include!("generated.rs");
 }
 
+/// The generated types of what processes spread among themselves.
+#[expect(missing_docs, reason = "the proto file documents the generated types")]
+#[rustfmt::skip]
+pub mod spread {
+    include!("spread.rs");
+}
+
 /// The largest message that a process reads, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
--- a/tools/protogen/src/main.rs
+++ b/tools/protogen/src/main.rs
@@ -1,4 +1,4 @@
-//! Regenerates `crates/wire/src/generated.rs` from `crates/wire/proto/inner.proto`.
+//! Regenerates `crates/wire/src/generated.rs` and `spread.rs` beside it from the files in `crates/wire/proto`.
 //!
 //! Run it from the root of the repository after a change to the proto file:
 //! `cargo run -p cactusroad-protogen`. The generated file is committed, so that
@@ -7,10 +7,13 @@
 use std::{error::Error, fs, path::Path};
 
 const PROTO_DIR: &str = "crates/wire/proto";
-const OUT_FILE: &str = "crates/wire/src/generated.rs";
+const OUT_FILES: [(&str, &str); 2] = [
+    ("cactusroad.inner.rs", "crates/wire/src/generated.rs"),
+    ("cactusroad.spread.rs", "crates/wire/src/spread.rs"),
+];
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let descriptors = protox::compile(["inner.proto"], [PROTO_DIR])?;
+    let descriptors = protox::compile(["inner.proto", "spread.proto"], [PROTO_DIR])?;
     let out_dir = std::env::temp_dir().join("cactusroad-protogen");
     fs::create_dir_all(&out_dir)?;
     prost_build::Config::new()
@@ -18,6 +21,8 @@
         .boxed(".cactusroad.inner.Request.body.open")
         .out_dir(&out_dir)
         .compile_fds(descriptors)?;
-    fs::copy(out_dir.join("cactusroad.inner.rs"), Path::new(OUT_FILE))?;
+    for (made, kept) in OUT_FILES {
+        fs::copy(out_dir.join(made), Path::new(kept))?;
+    }
     Ok(())
 }
