--- a/crates/core/src/spread/message.rs
+++ b/crates/core/src/spread/message.rs
@@ -8,7 +8,7 @@
 use super::{Item, table::BUCKETS};
 use crate::{
     Time,
-    config::Generation,
+    config::{Generation, parts},
     id::Incarnation,
     member::{Member, Role},
 };
@@ -23,6 +23,13 @@
         Hash(Sha256::digest(content).into())
     }
 
+    /// Reads a digest in hexadecimal, or returns `None` where it is not one.
+    pub fn from_hex(text: &str) -> Option<Hash> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text, &mut bytes).ok()?;
+        Some(Hash(bytes))
+    }
+
     /// Reads a digest, or returns `None` where it is not 32 bytes long.
     pub fn from_bytes(bytes: &[u8]) -> Option<Hash> {
         Some(Hash(bytes.try_into().ok()?))
@@ -64,6 +71,27 @@
     fn parts(&self) -> Vec<Hash>;
 }
 
+impl Manifest for parts::Manifest {
+    fn read(content: &[u8]) -> Option<parts::Manifest> {
+        parts::Manifest::parse(content).ok()
+    }
+
+    fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    fn accepted_at(&self) -> Time {
+        self.applied_at
+    }
+
+    fn parts(&self) -> Vec<Hash> {
+        let hashes = self
+            .digests()
+            .map(|digest| Hash::from_hex(&digest.to_string()));
+        hashes.flatten().collect()
+    }
+}
+
 /// Hashes of all that a process holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Summary {
--- a/crates/core/src/spread/upkeep.rs
+++ b/crates/core/src/spread/upkeep.rs
@@ -225,7 +225,9 @@
             }
         }
         let fleet = self.members.len();
-        let listed = |member: &&Member| list.iter().any(|vm| vm.name == member.name);
+        let mut names: Vec<_> = list.iter().map(|vm| &vm.name).collect();
+        names.sort_unstable();
+        let listed = |member: &&Member| names.binary_search(&&member.name).is_ok();
         let absent = self.members.iter().filter(|m| !listed(m));
         let absent: Vec<_> = absent.map(|m| Arc::clone(&m.name)).collect();
         for name in absent {
--- /dev/null
+++ b/crates/core/tests/lease.rs
@@ -0,0 +1,181 @@
+//! Tests of `lease`: one holder at a time whatever is lost, paused or late.
+
+use std::time::Duration;
+
+use cactusroad_core::{
+    Time,
+    id::Incarnation,
+    lease::{LIFETIME, Lease, MAX_SKEW, Outcome, Record, Step},
+};
+use proptest::prelude::*;
+
+const NOW: Time = Time::from_millis(1_000_000);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The record in the store with its version.
+#[derive(Default)]
+struct Store {
+    record: Option<(Record, u64)>,
+    writes: u64,
+}
+
+impl Store {
+    fn write(&mut self, version: Option<u64>, record: Record) -> Outcome {
+        if self.record.as_ref().map(|r| r.1) != version {
+            return Outcome::Conflict;
+        }
+        self.writes += 1;
+        self.record = Some((record, self.writes));
+        Outcome::Written(self.writes)
+    }
+
+    /// Runs the steps of a process until it waits.
+    fn settle(&mut self, lease: &mut Lease, now: Time) {
+        loop {
+            match lease.step(now) {
+                Step::Wait(_) => return,
+                Step::Read => lease.read(self.record.clone(), now),
+                Step::Write { version, record } => {
+                    let outcome = self.write(version, record);
+                    lease.written(outcome);
+                }
+            }
+        }
+    }
+}
+
+fn lease(name: &str) -> Lease {
+    Lease::new(name, Incarnation(1), name.len() as u64)
+}
+
+#[test]
+fn take_one_of_two() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (lease("a"), lease("bb"));
+    store.settle(&mut a, NOW);
+    store.settle(&mut b, NOW);
+    assert_eq!((a.number(NOW), b.number(NOW)), (Some(1), None));
+}
+
+#[test]
+fn race_one_wins() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (lease("a"), lease("bb"));
+    for lease in [&mut a, &mut b] {
+        assert_eq!(lease.step(NOW), Step::Read);
+        lease.read(None, NOW);
+    }
+    store.settle(&mut b, NOW);
+    store.settle(&mut a, NOW);
+    assert!(b.holds(NOW) && !a.holds(NOW));
+}
+
+#[test]
+fn renew_keeps_number() {
+    let mut store = Store::default();
+    let mut a = lease("a");
+    for second in 0..120 {
+        let now = NOW + second * SECOND;
+        store.settle(&mut a, now);
+        assert_eq!(a.number(now), Some(1), "second {second}");
+    }
+}
+
+#[test]
+fn paused_holder_wakes() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (lease("a"), lease("bb"));
+    store.settle(&mut a, NOW);
+    let later = NOW + 2 * LIFETIME;
+    store.settle(&mut b, later);
+    assert_eq!(b.number(later), Some(2));
+    assert!(!a.holds(later), "before it reads anything");
+    store.settle(&mut a, later);
+    assert!(!a.holds(later) && b.holds(later));
+}
+
+#[test]
+fn write_answer_lost() {
+    let mut store = Store::default();
+    let mut a = lease("a");
+    assert_eq!(a.step(NOW), Step::Read);
+    a.read(None, NOW);
+    let Step::Write { version, record } = a.step(NOW) else {
+        panic!("the lease is free");
+    };
+    store.write(version, record);
+    a.written(Outcome::Unanswered);
+    assert!(
+        !a.holds(NOW),
+        "it is not known whether the write took effect"
+    );
+    let later = NOW + 3 * SECOND;
+    store.settle(&mut a, later);
+    assert_eq!(a.number(later), Some(1), "the record was read back");
+    assert_eq!(store.writes, 1);
+}
+
+#[test]
+fn restart_is_other_holder() {
+    let mut store = Store::default();
+    let mut a = lease("a");
+    store.settle(&mut a, NOW);
+    let mut again = Lease::new("a", Incarnation(2), 1);
+    store.settle(&mut again, NOW);
+    assert!(!again.holds(NOW), "the earlier life may still act");
+    let later = NOW + 2 * LIFETIME;
+    store.settle(&mut again, later);
+    assert_eq!(again.number(later), Some(2));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Each step: who moves, how its call ends, and how far time goes on.
+    #[test]
+    fn hold_alone(steps in prop::collection::vec((0_usize..3, 0_u8..5, 0_u64..9_000), 1..200)) {
+        let mut store = Store::default();
+        let names = ["a", "bb", "ccc"];
+        let mut leases = names.map(lease);
+        let mut pending: [Option<Step>; 3] = [None, None, None];
+        let mut now = NOW;
+        let mut last_number = 0;
+        for (who, end, millis) in steps {
+            now = now + Duration::from_millis(millis);
+            let lease = &mut leases[who];
+            match pending[who].take() {
+                None => match lease.step(now) {
+                    Step::Wait(_) => {}
+                    step => pending[who] = Some(step),
+                },
+                Some(Step::Read) if end == 0 => lease.failed(now),
+                Some(Step::Read) => lease.read(store.record.clone(), now),
+                Some(Step::Write { version, record }) => match end {
+                    0 => lease.written(Outcome::Failed),
+                    1 => {
+                        store.write(version, record);
+                        lease.written(Outcome::Unanswered);
+                    }
+                    _ => {
+                        let outcome = store.write(version, record);
+                        lease.written(outcome);
+                    }
+                },
+                Some(Step::Wait(_)) => {}
+            }
+            let holders: Vec<_> = leases.iter().filter_map(|l| l.number(now)).collect();
+            prop_assert!(holders.len() <= 1, "two holders: {holders:?}");
+            if let Some(&number) = holders.first() {
+                prop_assert!(number >= last_number, "the number went back");
+                last_number = number;
+                let record = store.record.as_ref().map(|r| &r.0);
+                let deadline = record.map_or(Time::ZERO, |r| r.deadline);
+                prop_assert!(!deadline.is_past(now + MAX_SKEW));
+            }
+        }
+    }
+}
--- a/crates/node/src/fleet/codec.rs
+++ b/crates/node/src/fleet/codec.rs
@@ -39,8 +39,16 @@
         items: message.items.iter().map(from_item).collect(),
         summary,
         buckets,
-        member_inventories: message.member_inventories.iter().map(from_inventory).collect(),
-        item_inventories: message.item_inventories.iter().map(from_inventory).collect(),
+        member_inventories: message
+            .member_inventories
+            .iter()
+            .map(from_inventory)
+            .collect(),
+        item_inventories: message
+            .item_inventories
+            .iter()
+            .map(from_inventory)
+            .collect(),
         want_members: message.want_members.clone(),
         want_items: message.want_items.clone(),
         want_contents: wanted.map(|hash| Bytes::copy_from_slice(&hash.0)).collect(),
@@ -61,15 +69,27 @@
     });
     let mut decoded = Message {
         marker: message.marker.map(to_marker).transpose()?,
-        members: message.members.into_iter().map(to_member).collect::<Result<_, _>>()?,
-        items: message.items.into_iter().map(to_item).collect::<Result<_, _>>()?,
+        members: message
+            .members
+            .into_iter()
+            .map(to_member)
+            .collect::<Result<_, _>>()?,
+        items: message
+            .items
+            .into_iter()
+            .map(to_item)
+            .collect::<Result<_, _>>()?,
         summary,
         buckets: message.buckets.map(to_buckets).transpose()?,
         member_inventories: to_inventories(message.member_inventories)?,
         item_inventories: to_inventories(message.item_inventories)?,
         want_members: message.want_members,
         want_items: message.want_items,
-        want_contents: message.want_contents.iter().map(to_hash).collect::<Result<_, _>>()?,
+        want_contents: message
+            .want_contents
+            .iter()
+            .map(to_hash)
+            .collect::<Result<_, _>>()?,
         contents: message.contents,
     };
     decoded.want_members.sort_unstable();
--- a/crates/node/src/fleet/driver.rs
+++ b/crates/node/src/fleet/driver.rs
@@ -91,7 +91,10 @@
                 },
             };
             if !running {
-                log::error!("another process named {} started later; this one leaves", self.name);
+                log::error!(
+                    "another process named {} started later; this one leaves",
+                    self.name
+                );
                 return;
             }
         }
@@ -181,12 +184,11 @@
             let call = exchange_with(&dialer, &to, address, &exchange);
             let timeout = Duration::from_millis(EXCHANGE_TIMEOUT_MS);
             match time::timeout(timeout, call).await {
-                Ok(Ok(Some(event))) => {
+                Ok(Ok(event)) => {
                     if let Some(events) = events.upgrade() {
                         let _ = events.send(event).await;
                     }
                 }
-                Ok(Ok(None)) => {}
                 Ok(Err(cause)) => log::debug!("{to} was not reached: {cause}"),
                 Err(_) => log::debug!("{to} did not answer an exchange in time"),
             }
@@ -195,14 +197,17 @@
 
     fn apply(&mut self, marker: Marker, manifest: &Manifest, parts: &[(Hash, Bytes)]) {
         let find = |digest: &Digest| {
-            let hash = digest.to_hash()?;
+            let hash = Hash::from_hex(&digest.to_string())?;
             let at = parts.binary_search_by_key(&hash, |part| part.0).ok()?;
             Some(parts[at].1.clone())
         };
         let snapshot = match parts::join(manifest, find) {
             Ok(snapshot) => snapshot,
             Err(cause) => {
-                log::error!("configuration {} is not in force: {cause}", marker.generation.0);
+                log::error!(
+                    "configuration {} is not in force: {cause}",
+                    marker.generation.0
+                );
                 return;
             }
         };
@@ -266,13 +271,13 @@
     }
 }
 
-/// Sends a message to a peer and returns what it answers, where that is anything.
+/// Sends a message to a peer and returns what it answers; an empty answer shows that it lives.
 async fn exchange_with(
     dialer: &Dialer,
     to: &str,
     address: SocketAddr,
     exchange: &cactusroad_wire::message::Request,
-) -> Result<Option<Event>, Error> {
+) -> Result<Event, Error> {
     let link = dialer.link(to, address).await?;
     let mut call = link.call(exchange).await?;
     call.sender.finish();
@@ -280,10 +285,7 @@
     let Some(reply::Body::Exchange(answer)) = reply.and_then(|reply| reply.body) else {
         return Err(Error::Protocol);
     };
-    if answer.body.is_empty() {
-        return Ok(None);
-    }
     let from = peer(&answer);
     let message = codec::decode(answer.body).map_err(|_| Error::Protocol)?;
-    Ok(Some(Event::Reply(from, Box::new(message))))
+    Ok(Event::Reply(from, Box::new(message)))
 }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -148,7 +148,8 @@
         let peer = peer(&exchange);
         let message = codec::decode(exchange.body).map_err(|_| Error::Protocol)?;
         let (answer, answered) = oneshot::channel();
-        self.send(Event::Message(peer, Box::new(message), answer)).await;
+        self.send(Event::Message(peer, Box::new(message), answer))
+            .await;
         let answer = answered.await.unwrap_or_default();
         let body = wrap(&self.name, self.incarnation, &answer);
         let reply = Reply {
@@ -230,7 +231,11 @@
     Exchange {
         process: name.to_owned(),
         incarnation: incarnation.0,
-        body: if empty { Bytes::new() } else { codec::encode(message) },
+        body: if empty {
+            Bytes::new()
+        } else {
+            codec::encode(message)
+        },
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod daemon;
 pub mod entry;
+pub mod fleet;
 pub mod logging;
 pub mod metrics;
 pub mod settings;
