Run the spread in the daemons in place of the direct readers

Cause: the daemons read the store and the VM list every half second each, which grows with the fleet. Change: entry and agent join the fleet; agents answer exchanges on their inner socket and announce leaving, cold and versions; two metrics show the generation in force and its delay.

--- a/crates/core/src/spread/node.rs
+++ b/crates/core/src/spread/node.rs
@@ -181,7 +181,7 @@
         if known.is_some_and(|member| member.incarnation > from.incarnation) {
             return Vec::new();
         }
-        self.watch.acquaint();
+        self.watch.meet();
         if let Some(link) = self.links.iter_mut().find(|link| link.name == from.name) {
             link.heard(now);
         }
--- a/crates/core/src/spread/watch.rs
+++ b/crates/core/src/spread/watch.rs
@@ -18,9 +18,7 @@
 /// How often a watcher reads the manifest although its watch is quiet.
 const REREAD: Duration = Duration::from_secs(60);
 /// How often a watcher reads the list.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
-/// How often any other process reads the list while it hears no peer.
-const ISOLATED_LIST_INTERVAL: Duration = Duration::from_secs(30);
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
 /// The span for each member over which processes without a configuration spread their reads.
 const SPAN_PER_MEMBER: Duration = Duration::from_millis(20);
 /// How long a process that knows no other waits before it counts as the whole fleet.
@@ -41,7 +39,8 @@
     acquainted: bool,
     acquainted_at: Time,
     failures: u32,
-    list_failures: u32,
+    /// Reads of the list in a row that failed or that a process without peers made.
+    list_tries: u32,
     retry_at: Time,
     read_at: Time,
     list_at: Time,
@@ -61,7 +60,7 @@
             acquainted: false,
             acquainted_at: now + MAX_SOLITUDE,
             failures: 0,
-            list_failures: 0,
+            list_tries: 0,
             retry_at: now,
             read_at: now,
             list_at: now + spread(seed, 0, FIRST_LIST_SPAN),
@@ -75,7 +74,13 @@
         self.heard_at = now;
     }
 
-    /// Notes that the process knows its fleet: it read the list or heard a peer.
+    /// Notes that a peer was heard.
+    pub(super) fn meet(&mut self) {
+        self.acquainted = true;
+        self.list_tries = 0;
+    }
+
+    /// Notes that the process knows its fleet, because it read the list.
     pub(super) fn acquaint(&mut self) {
         self.acquainted = true;
     }
@@ -191,14 +196,11 @@
     /// Takes in the end of a read of the list.
     pub(super) fn listed(&mut self, answered: bool, watcher: bool, now: Time) {
         self.listing = false;
-        self.list_failures = if answered { 0 } else { self.list_failures + 1 };
-        let wait = match (answered, watcher) {
-            (false, _) => self.backoff(self.list_failures),
-            (true, true) => LIST_INTERVAL,
-            (true, false) => {
-                let half = ISOLATED_LIST_INTERVAL / 2;
-                half + spread(self.seed, now.as_millis(), half)
-            }
+        let content = answered && watcher;
+        self.list_tries = if content { 0 } else { self.list_tries + 1 };
+        let wait = match content {
+            true => LIST_INTERVAL,
+            false => self.backoff(self.list_tries),
         };
         self.list_at = now + wait;
     }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -22,7 +22,12 @@
 mod table;
 
 use std::{
-    net::SocketAddr, sync::Arc, sync::atomic::AtomicBool, sync::atomic::Ordering, time::Duration,
+    net::SocketAddr,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use cactusroad_core::{
@@ -38,7 +43,7 @@
 
 use self::{gate::Gate, table::Table};
 use crate::{
-    clock,
+    clock, fleet,
     metrics::AgentMetrics,
     settings,
     transport::{self, Identity},
@@ -48,6 +53,8 @@
 const SWEEP_MS: u64 = 1_000;
 /// How often the endpoint's report is read, in milliseconds.
 const REPORT_MS: u64 = 250;
+/// How often what the agent says of itself is compared with what it said last, in milliseconds.
+const ANNOUNCE_MS: u64 = 250;
 
 /// The endpoint beside an agent.
 #[derive(Clone, Debug)]
@@ -69,6 +76,7 @@
     table: Table,
     load: watch::Sender<Option<Load>>,
     leaving: AtomicBool,
+    fleet: OnceLock<fleet::Handle>,
     metrics: AgentMetrics,
 }
 
@@ -106,6 +114,7 @@
             table: Table::new(),
             load: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
+            fleet: OnceLock::new(),
             metrics,
         });
         tokio::spawn(sweep(Arc::downgrade(&shared)));
@@ -133,6 +142,18 @@
         Drain(self.shared.clone())
     }
 
+    /// Returns the life of this agent.
+    pub fn incarnation(&self) -> Incarnation {
+        self.shared.incarnation
+    }
+
+    /// Lets the agent answer its peers and tell them of itself; a second call changes nothing.
+    pub fn join(&self, fleet: fleet::Handle) {
+        if self.shared.fleet.set(fleet).is_ok() {
+            tokio::spawn(announce(Arc::downgrade(&self.shared)));
+        }
+    }
+
     /// Takes no new work from now on.
     pub fn drain(&self) {
         self.shared.leaving.store(true, Ordering::Relaxed);
@@ -180,6 +201,32 @@
     }
 }
 
+/// Tells the fleet what the agent says of itself, whenever that changes.
+async fn announce<E: Engine, S: Service>(shared: std::sync::Weak<Shared<E, S>>) {
+    let mut tick = time::interval(Duration::from_millis(ANNOUNCE_MS));
+    let mut last = fleet::Report::default();
+    loop {
+        tick.tick().await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        let status = shared.status();
+        let mut versions: Vec<Arc<str>> = status.versions.into_iter().map(Arc::from).collect();
+        versions.sort();
+        let report = fleet::Report {
+            leaving: status.leaving,
+            cold: status.cold,
+            versions,
+        };
+        if report != last
+            && let Some(fleet) = shared.fleet.get()
+        {
+            fleet.report(report.clone()).await;
+            last = report;
+        }
+    }
+}
+
 /// Reads the engine's report again and again.
 async fn report<E: Engine, S: Service>(shared: std::sync::Weak<Shared<E, S>>) {
     let mut tick = time::interval(Duration::from_millis(REPORT_MS));
@@ -217,10 +264,15 @@
             running: level.running as u32,
             queued: level.queued as u32,
             limit: level.limit as u32,
-            config_generation: 0,
+            config_generation: self.config_generation(),
         }
     }
 
+    fn config_generation(&self) -> u64 {
+        let fleet = self.fleet.get();
+        fleet.map_or(0, |fleet| fleet.config_generation())
+    }
+
     /// Says why no new work is taken, if that is so.
     fn refusal(&self, incarnation: Incarnation) -> Option<Refusal> {
         if incarnation != self.incarnation && incarnation != Incarnation::default() {
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -41,6 +41,10 @@
         Some(request::Body::Attach(message)) => attach(&shared, message, incoming).await,
         Some(request::Body::Settle(message)) => settle(&shared, message, incoming).await,
         Some(request::Body::Ping(message)) => pings(&shared, message, incoming).await,
+        Some(request::Body::Exchange(message)) => match shared.fleet.get() {
+            Some(fleet) => fleet.serve(message, incoming).await,
+            None => Err(Error::Protocol),
+        },
         _ => Err(Error::Protocol),
     };
     if let Err(cause) = served {
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,17 +1,23 @@
 //! The daemons: settings in, signals heeded, exit code out.
 
-use std::{fmt, path::Path};
+use std::{fmt, net::SocketAddr, path::Path};
 
+use cactusroad_core::{
+    id::Incarnation,
+    member::{Member, Role},
+};
 use cactusroad_platform::{address::Address, engine, roster, service, store};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     admin::{self, Readiness},
     agent::{Agent, Backend, Drain},
+    clock,
     entry::{Entry, Ready},
-    logging,
+    fleet, logging,
     metrics::{AgentMetrics, EntryMetrics, Exporter},
-    settings, source, transport,
+    settings,
+    transport::{self, Dialer, Identity},
 };
 
 /// Why a daemon did not start.
@@ -57,13 +63,16 @@
 pub async fn entry(file: &Path) -> Result<(), Error> {
     let settings = read(file, settings::Entry::parse)?;
     logging::start(&settings.common.name);
-    let store = store::http::Client::new(&address(&settings.common.store)?);
-    let roster = roster::http::Client::new(&address(&settings.common.roster)?);
+    let common = &settings.common;
     let exporter = Exporter::new();
     let metrics = EntryMetrics::new(&exporter);
-    let config = source::config(store);
-    let vms = source::endpoints(roster);
-    let entry = Entry::start(&settings, config, vms, metrics).await?;
+    let identity = Identity::read(&common.tls)?;
+    let incarnation = Incarnation(clock::now().as_micros());
+    let fleet = join(common, Role::Entry, incarnation, common.inner, &identity)?;
+    let socket = fleet::listen(&identity, common.inner, &fleet)?;
+    let view = fleet.view();
+    exporter.follow(view.clone());
+    let entry = Entry::start(&settings, view.config, view.endpoints, metrics).await?;
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
     log::info!(
         "entry {} listens on {}",
@@ -72,7 +81,13 @@
     );
     terminated().await?;
     log::info!("entry {} stops", settings.common.name);
+    let leaving = fleet::Report {
+        leaving: true,
+        ..fleet::Report::default()
+    };
+    fleet.report(leaving).await;
     entry.stop().await;
+    socket.close(0u32.into(), b"stopped");
     Ok(())
 }
 
@@ -92,6 +107,12 @@
     let exporter = Exporter::new();
     let metrics = AgentMetrics::new(&exporter);
     let agent = Agent::start(&settings, backend, metrics)?;
+    let common = &settings.common;
+    let identity = Identity::read(&common.tls)?;
+    let (life, inner) = (agent.incarnation(), agent.address());
+    let fleet = join(common, Role::Endpoint, life, inner, &identity)?;
+    exporter.follow(fleet.view());
+    agent.join(fleet);
     admin::start(settings.common.admin, exporter, agent.readiness()).await?;
     log::info!(
         "agent {} listens on {}",
@@ -104,6 +125,22 @@
     Ok(())
 }
 
+/// Starts the task by which this process learns what the fleet knows.
+fn join(
+    common: &settings::Common,
+    role: Role,
+    incarnation: Incarnation,
+    inner: SocketAddr,
+    identity: &Identity,
+) -> Result<fleet::Handle, Error> {
+    let store = store::http::Client::new(&address(&common.store)?);
+    let roster = roster::http::Client::new(&address(&common.roster)?);
+    let dialer = Dialer::new(common.name.clone(), identity);
+    let mut own = Member::new(common.name.clone(), role, inner, common.data_centre.clone());
+    own.incarnation = incarnation;
+    Ok(fleet::start(own, Vec::new(), dialer, store, roster))
+}
+
 impl Readiness for Ready {
     fn is_ready(&self) -> bool {
         Ready::is_ready(self)
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -123,6 +123,11 @@
         self.view.clone()
     }
 
+    /// Returns the number of the configuration in force here.
+    pub fn config_generation(&self) -> u64 {
+        self.view.config.borrow().generation.0
+    }
+
     /// Tells the fleet what this process says of itself.
     pub async fn report(&self, report: Report) {
         self.send(Event::Report(report)).await;
@@ -200,7 +205,7 @@
         let status = Status {
             process: handle.name.to_string(),
             incarnation: handle.incarnation.0,
-            config_generation: handle.view.config.borrow().generation.0,
+            config_generation: handle.config_generation(),
             ..Status::default()
         };
         let pong = Pong {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,6 +40,30 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 
+    /// Shows the configuration in force and its delay, until the process ends.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the exporter shows them already.
+    pub fn follow(&self, mut view: crate::fleet::View) {
+        let generation = self.gauge(
+            "cactusroad_config_generation",
+            "Number of the configuration in force here.",
+        );
+        let delay = self.gauge(
+            "cactusroad_config_delay_ms",
+            "Milliseconds from the acceptance of the configuration until it was in force here.",
+        );
+        tokio::spawn(async move {
+            while view.delay_ms.changed().await.is_ok() {
+                let number = view.config.borrow().generation.0;
+                generation.set(i64::try_from(number).unwrap_or(i64::MAX));
+                let millis = view.delay_ms.borrow_and_update().unwrap_or(0);
+                delay.set(i64::try_from(millis).unwrap_or(i64::MAX));
+            }
+        });
+    }
+
     fn counter(&self, name: &str, help: &str) -> IntCounter {
         let counter = IntCounter::new(name, help).expect("the name of a metric is valid");
         register(&self.registry, counter.clone());
