Test the fleet over real sockets and carry out leases in the store

Cause: the driver had not been run. Change: integration tests (start with the store down, all restarted anew, leaving and items, leases) and a lease driver. The list's address of a process goes before its own setting, since peers may have to go through another one. They found one fault: a record with a deadline near the epoch made the lease overflow; fixed, with a test.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -165,8 +165,7 @@
             return self.start_write(None, 1, now);
         };
         if self.is_own(&record) && self.held.is_some() {
-            let renew_at =
-                Time::from_micros(record.deadline.as_micros() - RENEW_BEFORE.as_micros() as u64);
+            let renew_at = earlier(record.deadline, RENEW_BEFORE);
             if !renew_at.is_past(now) {
                 return Step::Wait(renew_at);
             }
@@ -232,9 +231,7 @@
                 self.state = State::Unknown(Time::ZERO);
             }
             Outcome::Failed | Outcome::Unanswered => {
-                let retry_at =
-                    Time::from_micros(record.deadline.as_micros() - LIFETIME.as_micros() as u64)
-                        + RETRY;
+                let retry_at = earlier(record.deadline, LIFETIME) + RETRY;
                 self.state = State::Unknown(retry_at);
             }
         }
@@ -249,3 +246,9 @@
         Duration::from_micros(hash % SPREAD.as_micros() as u64)
     }
 }
+
+/// Returns the time that lies this long before a deadline, which may come from a faulty record.
+fn earlier(deadline: Time, span: Duration) -> Time {
+    let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+    Time::from_micros(deadline.as_micros().saturating_sub(micros))
+}
--- a/crates/core/src/spread/upkeep.rs
+++ b/crates/core/src/spread/upkeep.rs
@@ -1,6 +1,6 @@
 //! What a process does by the clock, and what the platform's list tells it.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
     Item, Node,
@@ -211,6 +211,10 @@
 
     pub(super) fn take_list(&mut self, list: &[Listed], now: Time) {
         for vm in list {
+            if vm.name == self.own {
+                self.adopt_address(vm.address, now);
+                continue;
+            }
             let listed = Member::new(
                 Arc::clone(&vm.name),
                 vm.role,
@@ -235,6 +239,20 @@
         }
     }
 
+    /// Takes this process's address from the list, since peers may have to go through another one.
+    fn adopt_address(&mut self, address: SocketAddr, now: Time) {
+        let own = Arc::clone(&self.own);
+        let moved = self.members.update(&own, |own| {
+            if own.address != address {
+                own.address = address;
+                own.sequence += 1;
+            }
+        });
+        if moved {
+            self.spread(Kind::Member, &own, None, true, now);
+        }
+    }
+
     pub(super) fn observe(&mut self, name: &Arc<str>, change: impl FnOnce(&mut Member), now: Time) {
         if self.members.update(name, change) {
             self.spread(Kind::Member, name, None, true, now);
--- a/crates/core/src/spread/watch.rs
+++ b/crates/core/src/spread/watch.rs
@@ -19,6 +19,8 @@
 const REREAD: Duration = Duration::from_secs(60);
 /// How often a watcher reads the list.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// How often any other process that has read the list does so again.
+const RECHECK: Duration = Duration::from_secs(600);
 /// The span for each member over which processes without a configuration spread their reads.
 const SPAN_PER_MEMBER: Duration = Duration::from_millis(20);
 /// How long a process that knows no other waits before it counts as the whole fleet.
@@ -44,6 +46,8 @@
     retry_at: Time,
     read_at: Time,
     list_at: Time,
+    /// When a process that is no watcher reads the list again, for its own address.
+    recheck_at: Time,
     fallback_at: Option<Time>,
     /// When a watcher of the region was last heard to have reached the store.
     heard_at: Time,
@@ -64,6 +68,7 @@
             retry_at: now,
             read_at: now,
             list_at: now + spread(seed, 0, FIRST_LIST_SPAN),
+            recheck_at: Time::MAX,
             fallback_at: None,
             heard_at: now,
         }
@@ -186,7 +191,8 @@
 
     /// Tells whether the list is read now, and notes that it is.
     pub(super) fn take_list(&mut self, watcher: bool, isolated: bool, now: Time) -> bool {
-        let due = !self.listing && self.list_at.is_past(now) && (watcher || isolated);
+        let wanted = watcher || isolated || self.recheck_at.is_past(now);
+        let due = !self.listing && self.list_at.is_past(now) && wanted;
         if due {
             self.listing = true;
         }
@@ -197,6 +203,10 @@
     pub(super) fn listed(&mut self, answered: bool, watcher: bool, now: Time) {
         self.listing = false;
         let content = answered && watcher;
+        if answered {
+            let half = RECHECK / 2;
+            self.recheck_at = now + half + spread(self.seed, now.as_millis(), half);
+        }
         self.list_tries = if content { 0 } else { self.list_tries + 1 };
         let wait = match content {
             true => LIST_INTERVAL,
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -128,6 +128,21 @@
     assert_eq!(again.number(later), Some(2));
 }
 
+#[test]
+fn read_deadline_near_epoch() {
+    let mut a = lease("a");
+    assert_eq!(a.step(NOW), Step::Read);
+    let record = Record {
+        holder: "a".into(),
+        incarnation: Incarnation(1),
+        deadline: Time::from_millis(1),
+        number: 6,
+    };
+    a.read(Some((record, 1)), NOW);
+    assert!(!a.holds(NOW));
+    assert!(matches!(a.step(NOW), Step::Write { record, .. } if record.number == 7));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(4),
--- /dev/null
+++ b/crates/node/src/fleet/lease.rs
@@ -0,0 +1,52 @@
+//! Carries out the steps of a [`Lease`] in the platform's store.
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    lease::{Lease, Outcome, Record, Step},
+};
+use cactusroad_platform::store::{Error, Expect, Store, Version};
+
+use crate::clock;
+
+/// Does what is due for a lease and returns when the next step is.
+///
+/// The caller asks [`Lease::holds`] again before each use, since the process may
+/// have been paused after this returned.
+pub async fn advance(store: &impl Store, key: &str, lease: &mut Lease) -> Time {
+    loop {
+        match lease.step(clock::now()) {
+            Step::Wait(until) => return until,
+            Step::Read => match read(store, key).await {
+                Ok(found) => lease.read(found, clock::now()),
+                Err(cause) => {
+                    log::debug!("the lease {key} was not read: {cause}");
+                    lease.failed(clock::now());
+                }
+            },
+            Step::Write { version, record } => {
+                let outcome = write(store, key, version, &record).await;
+                lease.written(outcome);
+            }
+        }
+    }
+}
+
+async fn read(store: &impl Store, key: &str) -> Result<Option<(Record, u64)>, Error> {
+    let Some(object) = store.get(key).await? else {
+        return Ok(None);
+    };
+    let record = serde_json::from_slice(&object.value).map_err(|_| Error::Malformed)?;
+    Ok(Some((record, object.version.0)))
+}
+
+async fn write(store: &impl Store, key: &str, version: Option<u64>, record: &Record) -> Outcome {
+    let expect = version.map_or(Expect::Absent, |version| Expect::At(Version(version)));
+    let value = serde_json::to_vec(record).expect("a record has only text keys");
+    match store.put(key, expect, Bytes::from(value)).await {
+        Ok(version) => Outcome::Written(version.0),
+        Err(Error::Conflict) => Outcome::Conflict,
+        Err(Error::Unavailable | Error::TooLarge) => Outcome::Failed,
+        Err(Error::Unanswered | Error::Malformed) => Outcome::Unanswered,
+    }
+}
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod codec;
 mod driver;
+pub mod lease;
 mod platform;
 
 use std::sync::Arc;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,3 +1,4 @@
 //! Integration tests with real processes.
 
 mod adapters;
+mod fleet;
