--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -15,6 +15,9 @@
 //! * Within an incarnation a higher sequence, which only the process itself
 //!   counts up, replaces what the process said before.
 //! * `leaving` is sticky within an incarnation: no record takes it back.
+//! * What the list says of leaving holds for as long as watchers go on reading
+//!   it there: a deadline, of which the later counts. It isn't sticky, because a
+//!   lagging list may speak of an earlier VM of the same name.
 //! * Observations of others, a [`Doubt`] of a peer and the deadline of removal,
 //!   belong to one incarnation and sequence. A process that hears of them and
 //!   lives refutes them by counting its sequence up.
@@ -62,6 +65,8 @@
 pub const MAX_DOUBTS: usize = 3;
 /// How long a doubt lasts unless its peer renews it.
 pub const DOUBT_LIFETIME: Duration = Duration::from_secs(30);
+/// How long the list's word that a VM leaves holds unless it is read again.
+pub const LEAVING_LIFETIME: Duration = Duration::from_secs(30);
 /// How long the list may lag behind the start of a process.
 pub const LIST_LAG: Duration = Duration::from_secs(60);
 /// The time from the mark of removal to the removal.
@@ -129,6 +134,8 @@
     pub doubts: Vec<Doubt>,
     /// When it is removed unless it is heard.
     pub remove_at: Option<Time>,
+    /// Until when it counts as leaving because the list said so.
+    pub leaving_until: Option<Time>,
 }
 
 impl Member {
@@ -151,6 +158,7 @@
             versions: Vec::new(),
             doubts: Vec::new(),
             remove_at: None,
+            leaving_until: None,
         }
     }
 
@@ -190,6 +198,7 @@
         }
         let before = self.digest();
         let leaving = self.leaving || other.leaving;
+        let leaving_until = self.leaving_until.max(other.leaving_until);
         if other.sequence > self.sequence {
             *self = other.clone();
             self.doubts.retain(|doubt| !doubt.until.is_past(now));
@@ -198,6 +207,7 @@
             self.join_seen(other, now);
         }
         self.leaving = leaving;
+        self.leaving_until = leaving_until;
         self.digest() != before
     }
 
@@ -251,20 +261,28 @@
         self.doubts.truncate(MAX_DOUBTS);
     }
 
-    /// Drops the doubts that are over and tells whether any was.
-    pub fn expire(&mut self, now: Time) -> bool {
-        let before = self.doubts.len();
+    /// Drops the doubts and the list's word of leaving that are over.
+    pub fn expire(&mut self, now: Time) {
         self.doubts.retain(|doubt| !doubt.until.is_past(now));
-        self.doubts.len() != before
+        self.leaving_until = self.leaving_until.filter(|until| !until.is_past(now));
     }
 
-    /// Takes in what the platform's list says of this VM.
-    ///
-    /// The list lags, so it doesn't mark a process that started after the
-    /// list's last change could have been read.
+    /// Tells whether [`Member::expire`] has something to drop.
+    pub fn is_stale(&self, now: Time) -> bool {
+        let doubted = self.doubts.iter().any(|doubt| doubt.until.is_past(now));
+        doubted || self.leaving_until.is_some_and(|until| until.is_past(now))
+    }
+
+    /// Tells whether the process itself or the list says that it leaves.
+    pub fn is_leaving(&self, now: Time) -> bool {
+        self.leaving || self.leaving_until.is_some_and(|until| !until.is_past(now))
+    }
+
+    /// Takes in that the platform's list says that this VM leaves.
     pub fn listed_leaving(&mut self, now: Time) {
-        if self.is_older_than(LIST_LAG, now) {
-            self.leaving = true;
+        let ends_soon = |until: Time| until.is_past(now + LEAVING_LIFETIME / 2);
+        if self.leaving_until.is_none_or(ends_soon) {
+            self.leaving_until = Some(now + LEAVING_LIFETIME);
         }
     }
 
--- a/crates/core/src/spread/table.rs
+++ b/crates/core/src/spread/table.rs
@@ -47,7 +47,8 @@
     }
 
     fn is_urgent(&self, before: Option<&Member>) -> bool {
-        self.leaving && !before.is_some_and(|before| before.leaving)
+        let leaves = |member: &Member| member.leaving || member.leaving_until.is_some();
+        leaves(self) && !before.is_some_and(leaves)
     }
 }
 
--- a/crates/core/src/spread/upkeep.rs
+++ b/crates/core/src/spread/upkeep.rs
@@ -49,13 +49,11 @@
         let doubted: Vec<_> = self
             .members
             .iter()
-            .filter(|member| member.doubts.iter().any(|d| d.until.is_past(now)))
+            .filter(|member| member.is_stale(now))
             .map(|member| Arc::clone(&member.name))
             .collect();
         for name in &doubted {
-            self.members.update(name, |member| {
-                member.expire(now);
-            });
+            self.members.update(name, |member| member.expire(now));
         }
         if dropped + doubted.len() > 0 {
             self.changed = true;
@@ -106,7 +104,7 @@
         let own_doubt = |m: &&Member| m.doubts.iter().any(|d| d.peer == self.own_hash);
         let doubted = self.members.iter().filter(own_doubt);
         names.extend(doubted.take(MAX_DOUBTED_LINKS).map(|m| Arc::clone(&m.name)));
-        let heard = usable.iter().filter(|m| !m.leaving);
+        let heard = usable.iter().filter(|m| !m.is_leaving(now));
         let candidates: Vec<&Member> = heard.copied().collect();
         let was_watcher = self.watch.is_watcher(self.rank, now);
         self.rank = graph::watcher_rank(own, &candidates, &self.regions);
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -73,6 +73,7 @@
     let view = fleet.view();
     exporter.follow(view.clone());
     let entry = Entry::start(&settings, view.config, view.endpoints, metrics).await?;
+    entry.follow_entries(view.entries);
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
     log::info!(
         "entry {} listens on {}",
--- a/crates/node/src/fleet/codec.rs
+++ b/crates/node/src/fleet/codec.rs
@@ -119,6 +119,7 @@
         versions: member.versions.iter().map(|v| v.to_string()).collect(),
         doubts: doubts.collect(),
         remove_at: member.remove_at.map_or(0, Time::as_micros),
+        leaving_until: member.leaving_until.map_or(0, Time::as_micros),
     }
 }
 
@@ -145,10 +146,15 @@
         };
         decoded.doubt(doubt, Time::ZERO);
     }
-    decoded.remove_at = (member.remove_at > 0).then(|| Time::from_micros(member.remove_at));
+    decoded.remove_at = to_deadline(member.remove_at);
+    decoded.leaving_until = to_deadline(member.leaving_until);
     Ok(decoded)
 }
 
+fn to_deadline(micros: u64) -> Option<Time> {
+    (micros > 0).then(|| Time::from_micros(micros))
+}
+
 fn to_ip(bytes: &[u8]) -> Result<IpAddr, Error> {
     let four: Result<[u8; 4], _> = bytes.try_into();
     let sixteen: Result<[u8; 16], _> = bytes.try_into();
--- a/crates/node/src/fleet/driver.rs
+++ b/crates/node/src/fleet/driver.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cactusroad_core::{
+    Time,
     config::{
         Snapshot,
         parts::{self, Digest, Manifest},
@@ -35,6 +36,7 @@
 pub(super) struct Publisher {
     config: watch::Sender<Arc<Snapshot>>,
     endpoints: watch::Sender<Vec<Listed>>,
+    entries: watch::Sender<Vec<Arc<str>>>,
     items: watch::Sender<Arc<Vec<Item>>>,
     delay_ms: watch::Sender<Option<u64>>,
 }
@@ -43,17 +45,20 @@
     pub(super) fn new() -> (Publisher, View) {
         let (config, config_view) = watch::channel(Arc::new(Snapshot::default()));
         let (endpoints, endpoints_view) = watch::channel(Vec::new());
+        let (entries, entries_view) = watch::channel(Vec::new());
         let (items, items_view) = watch::channel(Arc::new(Vec::new()));
         let (delay_ms, delay_view) = watch::channel(None);
         let view = View {
             config: config_view,
             endpoints: endpoints_view,
+            entries: entries_view,
             items: items_view,
             delay_ms: delay_view,
         };
         let publisher = Publisher {
             config,
             endpoints,
+            entries,
             items,
             delay_ms,
         };
@@ -227,32 +232,34 @@
     fn publish(&self) {
         let members = self.node.members();
         let now = clock::now();
-        let usable = members.iter().filter(|member| {
-            member.role == Role::Endpoint && !member.is_suspected(members.len(), now)
-        });
-        let endpoints: Vec<Listed> = usable.map(listed).collect();
-        self.publisher.endpoints.send_if_modified(|current| {
-            let differs = *current != endpoints;
-            *current = endpoints;
-            differs
-        });
+        let usable = |role: Role| {
+            let all = members.iter().filter(move |member| member.role == role);
+            all.filter(|member| !member.is_suspected(members.len(), now))
+        };
+        let endpoints = usable(Role::Endpoint).map(|member| listed(member, now));
+        replace(&self.publisher.endpoints, endpoints.collect());
+        let entries = usable(Role::Entry).map(|member| Arc::clone(&member.name));
+        replace(&self.publisher.entries, entries.collect());
         let items: Vec<Item> = self.node.items().iter().cloned().collect();
-        self.publisher.items.send_if_modified(|current| {
-            let differs = **current != items;
-            if differs {
-                *current = Arc::new(items);
-            }
-            differs
-        });
+        replace(&self.publisher.items, Arc::new(items));
     }
 }
 
-fn listed(member: &Member) -> Listed {
+/// Publishes a value where it differs from the last one.
+fn replace<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
+    sender.send_if_modified(|current| {
+        let differs = *current != value;
+        *current = value;
+        differs
+    });
+}
+
+fn listed(member: &Member, now: Time) -> Listed {
     Listed {
         name: Arc::clone(&member.name),
         address: member.address,
         data_centre: Arc::clone(&member.data_centre),
-        leaving: member.leaving,
+        leaving: member.is_leaving(now),
     }
 }
 
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -68,6 +68,8 @@
     pub config: watch::Receiver<Arc<Snapshot>>,
     /// The endpoints, sorted by name.
     pub endpoints: watch::Receiver<Vec<Listed>>,
+    /// The names of the entries, sorted.
+    pub entries: watch::Receiver<Vec<Arc<str>>>,
     /// The items that modules share, sorted by key.
     pub items: watch::Receiver<Arc<Vec<Item>>>,
     /// The milliseconds from the acceptance of the configuration until it was in force here.
--- a/crates/wire/src/spread.rs
+++ b/crates/wire/src/spread.rs
@@ -64,6 +64,9 @@
     /// Zero where none is set.
     #[prost(uint64, tag = "12")]
     pub remove_at: u64,
+    /// Zero where none is set.
+    #[prost(uint64, tag = "13")]
+    pub leaving_until: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Doubt {
