--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -74,6 +74,7 @@
     exporter.follow(view.clone());
     let entry = Entry::start(&settings, view.config, view.endpoints, metrics).await?;
     entry.follow_entries(view.entries);
+    entry.follow_rollouts(store::http::Client::new(&address(&common.store)?));
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
     log::info!(
         "entry {} listens on {}",
@@ -107,7 +108,8 @@
     };
     let exporter = Exporter::new();
     let metrics = AgentMetrics::new(&exporter);
-    let agent = Agent::start(&settings, backend, metrics)?;
+    let store = store::http::Client::new(&address(&settings.common.store)?);
+    let agent = Agent::start(&settings, backend, store, metrics)?;
     let common = &settings.common;
     let identity = Identity::read(&common.tls)?;
     let (life, inner) = (agent.incarnation(), agent.address());
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,5 +7,6 @@
 mod fleet;
 mod link;
 mod order;
+mod rollout;
 mod site;
 mod stop;
