--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -15,7 +15,7 @@
     clock,
     entry::{Entry, Ready},
     fleet, logging,
-    metrics::{AgentMetrics, EntryMetrics, Exporter},
+    metrics::{AgentMetrics, Control, EntryMetrics, Exporter},
     settings,
     transport::{self, Dialer, Identity},
 };
@@ -68,7 +68,9 @@
     let metrics = EntryMetrics::new(&exporter);
     let identity = Identity::read(&common.tls)?;
     let incarnation = Incarnation(clock::now().as_micros());
-    let fleet = join(common, Role::Entry, incarnation, common.inner, &identity)?;
+    let control = metrics.control();
+    let own = own(common, Role::Entry, incarnation, common.inner);
+    let fleet = join(common, own, &identity, control)?;
     let socket = fleet::listen(&identity, common.inner, &fleet)?;
     let view = fleet.view();
     exporter.follow(view.clone());
@@ -109,11 +111,13 @@
     let exporter = Exporter::new();
     let metrics = AgentMetrics::new(&exporter);
     let store = store::http::Client::new(&address(&settings.common.store)?);
+    let control = metrics.control();
     let agent = Agent::start(&settings, backend, store, metrics)?;
     let common = &settings.common;
     let identity = Identity::read(&common.tls)?;
     let (life, inner) = (agent.incarnation(), agent.address());
-    let fleet = join(common, Role::Endpoint, life, inner, &identity)?;
+    let own = own(common, Role::Endpoint, life, inner);
+    let fleet = join(common, own, &identity, control)?;
     exporter.follow(fleet.view());
     agent.join(fleet);
     admin::start(settings.common.admin, exporter, agent.readiness()).await?;
@@ -131,17 +135,33 @@
 /// Starts the task by which this process learns what the fleet knows.
 fn join(
     common: &settings::Common,
-    role: Role,
-    incarnation: Incarnation,
-    inner: SocketAddr,
+    own: Member,
     identity: &Identity,
+    control: Control,
 ) -> Result<fleet::Handle, Error> {
     let store = store::http::Client::new(&address(&common.store)?);
     let roster = roster::http::Client::new(&address(&common.roster)?);
-    let dialer = Dialer::new(common.name.clone(), identity);
+    let dialer = Dialer::new(common.name.clone(), identity, control.clone());
+    Ok(fleet::start(
+        own,
+        Vec::new(),
+        dialer,
+        store,
+        roster,
+        control,
+    ))
+}
+
+/// Returns what this process says of itself at first.
+fn own(
+    common: &settings::Common,
+    role: Role,
+    incarnation: Incarnation,
+    inner: SocketAddr,
+) -> Member {
     let mut own = Member::new(common.name.clone(), role, inner, common.data_centre.clone());
     own.incarnation = incarnation;
-    Ok(fleet::start(own, Vec::new(), dialer, store, roster))
+    own
 }
 
 impl Readiness for Ready {
--- a/crates/node/src/entry/pump.rs
+++ b/crates/node/src/entry/pump.rs
@@ -24,7 +24,7 @@
 /// How long a generation whose caller is gone waits for it to come back, in milliseconds.
 const RETURN_MS: u64 = 2_000;
 /// How long a caller may leave its stream unread, in seconds.
-const SLOW_CALLER_SECONDS: u64 = 30;
+pub(super) const SLOW_CALLER_SECONDS: u64 = 30;
 /// How long a broken stream is tried again, in seconds.
 const RELINK_SECONDS: u64 = 10;
 /// How long an agent that has accepted nothing yet is tried again, in milliseconds.
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -25,11 +25,14 @@
 };
 use cactusroad_platform::{roster::Roster, store::Store};
 use cactusroad_wire::message::{Exchange, Ping, Pong, Reply, Request, Status, reply, request};
+use prometheus::IntCounter;
+use prost::Message as _;
 use quinn::Endpoint;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
     entry::Listed,
+    metrics::Control,
     transport::{self, Dialer, Error, Identity, Incoming},
 };
 
@@ -83,6 +86,7 @@
     incarnation: Incarnation,
     events: mpsc::Sender<Event>,
     view: View,
+    control: Control,
 }
 
 /// Starts the task of a process.
@@ -95,6 +99,7 @@
     dialer: Dialer,
     store: S,
     roster: R,
+    control: Control,
 ) -> Handle {
     let (events, received) = mpsc::channel(MAX_EVENTS);
     let name = Arc::clone(&own.name);
@@ -110,6 +115,7 @@
         roster,
         events: events.downgrade(),
         publisher,
+        control: control.clone(),
     };
     tokio::spawn(driver.run(received));
     Handle {
@@ -117,6 +123,7 @@
         incarnation,
         events,
         view,
+        control,
     }
 }
 
@@ -153,6 +160,7 @@
     ///
     /// Fails where the peer sends garbage or the link breaks.
     pub async fn serve(&self, exchange: Exchange, mut incoming: Incoming) -> Result<(), Error> {
+        count(&self.control.received, &exchange);
         let peer = peer(&exchange);
         let message = codec::decode(exchange.body).map_err(|_| Error::Protocol)?;
         let (answer, answered) = oneshot::channel();
@@ -160,6 +168,7 @@
             .await;
         let answer = answered.await.unwrap_or_default();
         let body = wrap(&self.name, self.incarnation, &answer);
+        count(&self.control.sent, &body);
         let reply = Reply {
             body: Some(reply::Body::Exchange(body)),
         };
@@ -227,6 +236,10 @@
     }
 }
 
+fn count(counter: &IntCounter, exchange: &Exchange) {
+    counter.inc_by(exchange.encoded_len() as u64);
+}
+
 fn peer(exchange: &Exchange) -> Peer {
     Peer {
         name: exchange.process.as_str().into(),
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -12,6 +12,7 @@
 };
 use cactusroad_node::{
     clock, fleet,
+    metrics::{EntryMetrics, Exporter},
     transport::{Dialer, Files, Identity},
 };
 use cactusroad_ops::{apply, keys};
@@ -106,11 +107,12 @@
         drop(probe);
         let mut own = Member::new(name, Role::Endpoint, address, "sfax");
         own.incarnation = Incarnation(clock::now().as_micros());
-        let dialer = Dialer::new(name.into(), &identity);
+        let control = EntryMetrics::new(&Exporter::new()).control();
+        let dialer = Dialer::new(name.into(), &identity, control.clone());
         let store = store::http::Client::new(&store.parse::<Address>().unwrap());
         let roster = self.roster.server().base().parse::<Address>().unwrap();
         let roster = roster::http::Client::new(&roster);
-        let handle = fleet::start(own, Vec::new(), dialer, store, roster);
+        let handle = fleet::start(own, Vec::new(), dialer, store, roster, control);
         let socket = fleet::listen(&identity, address, &handle).unwrap();
         Process {
             name: name.to_owned(),
