--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -50,6 +50,7 @@
     clock, fleet,
     metrics::AgentMetrics,
     settings,
+    trace::Tracer,
     transport::{self, Identity},
 };
 
@@ -84,6 +85,7 @@
     leaving: AtomicBool,
     fleet: OnceLock<fleet::Handle>,
     metrics: AgentMetrics,
+    tracer: Tracer,
 }
 
 /// A running agent.
@@ -125,6 +127,7 @@
             leaving: AtomicBool::new(false),
             fleet: OnceLock::new(),
             metrics,
+            tracer: Tracer::start(&settings.common.name, settings.common.traces.as_deref()),
         });
         tokio::spawn(sweep(Arc::downgrade(&shared)));
         tokio::spawn(report(Arc::downgrade(&shared)));
@@ -176,6 +179,7 @@
             tick.tick().await;
         }
         self.shared.ledger.flush().await;
+        self.shared.tracer.flush().await;
         self.socket.close(0u32.into(), b"stopped");
         self.socket.wait_idle().await;
     }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,14 +2,20 @@
 //! processes behind a fault-injecting proxy.
 
 mod adapters;
+mod bad_input;
 mod caller;
+mod crash;
 mod death;
+mod endpoint;
 mod fleet;
 mod input;
+mod key;
 mod link;
+mod metrics;
 mod order;
 mod path;
 mod raw;
 mod rollout;
 mod site;
 mod stop;
+mod trace;
--- a/tests/integration/site.rs
+++ b/tests/integration/site.rs
@@ -2,7 +2,8 @@
 //!
 //! Each site has a loopback address of its own, so that every process has a
 //! fixed port and none is taken by another test. An agent is listed under the
-//! address of a proxy that stands in front of it.
+//! address of a proxy that stands in front of it, and reaches its endpoint
+//! through another.
 
 use std::{
     fs::File,
@@ -22,7 +23,10 @@
     platform::{address::Address, store},
 };
 use cactusroad_core::{Time, config::folder};
-use cactusroad_standin::{self as standin, proxy::udp};
+use cactusroad_standin::{
+    self as standin,
+    proxy::{tcp, udp},
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -54,6 +58,8 @@
     /// Further services, which hold the next version of the orders.
     pub(crate) next_services: u16,
     pub(crate) engine: standin::engine::Config,
+    /// Agents reach their endpoints without a proxy, so that one that is down refuses.
+    pub(crate) direct: bool,
     /// Draws the moments of faults and the weather of the proxies.
     pub(crate) seed: u64,
 }
@@ -66,6 +72,7 @@
             services: 0,
             next_services: 0,
             engine: standin::engine::Config::default(),
+            direct: false,
             seed: 1,
         }
     }
@@ -138,11 +145,23 @@
     pub(crate) address: SocketAddr,
 }
 
-/// An agent, the proxy in front of it and the endpoint beside it.
+/// An agent, the proxies on both of its sides and the endpoint beside it.
 pub(crate) struct Agent<H> {
     pub(crate) process: Process,
+    /// Stands between the entries and the agent.
     pub(crate) proxy: udp::Handle,
+    /// Stands between the agent and its endpoint.
+    pub(crate) near: tcp::Handle,
     pub(crate) endpoint: H,
+    settings: Value,
+}
+
+impl<H> Agent<H> {
+    /// Starts the process again, which must have ended.
+    pub(crate) fn restart(&mut self, directory: &Path) {
+        let name = self.process.name.clone();
+        self.process = Process::start(directory, "agent", &name, &self.settings);
+    }
 }
 
 /// A running site.
@@ -158,6 +177,7 @@
     roster: standin::roster::Handle,
     vms: Vec<standin::roster::Vm>,
     seed: u64,
+    direct: bool,
     ip: IpAddr,
     directory: TempDir,
 }
@@ -165,7 +185,7 @@
 impl Site {
     /// Starts a site and waits until every entry reaches every endpoint.
     pub(crate) async fn start(config: Config) -> Site {
-        let mut site = Site::empty(config.seed).await;
+        let mut site = Site::empty(config.seed, config.direct).await;
         configure(&site.store).await;
         site.old_services = usize::from(config.services);
         for number in 1..=config.engines {
@@ -174,9 +194,9 @@
                 ..config.engine.clone()
             };
             let endpoint = standin::engine::spawn(engine, listen().await).unwrap();
-            let base = endpoint.server().base();
+            let beside = endpoint.server().address();
             let agent = site
-                .agent("engine", "model", number, (base, ""), endpoint)
+                .agent("engine", "model", number, (beside, ""), endpoint)
                 .await;
             site.engines.push(agent);
         }
@@ -186,9 +206,9 @@
                 false => next_version(ORDERS),
             };
             let endpoint = standin::service::spawn(Default::default(), listen().await).unwrap();
-            let base = endpoint.server().base();
+            let beside = endpoint.server().address();
             let agent = site
-                .agent("orders", "service", number, (base, &held), endpoint)
+                .agent("orders", "service", number, (beside, &held), endpoint)
                 .await;
             site.services.push(agent);
         }
@@ -201,7 +221,7 @@
         site
     }
 
-    async fn empty(seed: u64) -> Site {
+    async fn empty(seed: u64, direct: bool) -> Site {
         let directory = tempfile::tempdir().unwrap();
         keys::authority(directory.path()).unwrap();
         let process = std::process::id().to_be_bytes();
@@ -217,6 +237,7 @@
             roster: standin::roster::spawn(Default::default(), listen().await).unwrap(),
             vms: Vec::new(),
             seed,
+            direct,
             ip: Ipv4Addr::new(127, 1 + process[2] % 250, process[3], number).into(),
             directory,
         }
@@ -236,15 +257,16 @@
         name: &str,
         kind: &str,
         number: u16,
-        (base, held): (String, &str),
+        (beside, held): (SocketAddr, &str),
         endpoint: H,
     ) -> Agent<H> {
         let name = format!("{name}-{number}");
         let at = self.vms.len() as u16;
+        let near = tcp::spawn(self.seed, listen().await, beside).unwrap();
         let mut settings = self.settings(&name, at);
         settings["endpoint"] = json!({
             "kind": kind,
-            "address": base,
+            "address": format!("http://{}", if self.direct { beside } else { near.address() }),
             "versions": [held],
         });
         let front = UdpSocket::bind((self.ip, 0)).await.unwrap();
@@ -260,7 +282,9 @@
         Agent {
             process: Process::start(self.directory.path(), "agent", &name, &settings),
             proxy,
+            near,
             endpoint,
+            settings,
         }
     }
 
@@ -320,6 +344,17 @@
         engines && services.all(|agent| agent.endpoint.seen().runs_at(&path) > 0)
     }
 
+    /// Returns the directory of the site's files.
+    pub(crate) fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+
+    /// Takes the store and the list of VMs down, until the end of the test.
+    pub(crate) async fn lose_platform(&self) {
+        self.store.server().kill().await;
+        self.roster.server().kill().await;
+    }
+
     /// Returns the generations of all engines whose prompt contains a text.
     pub(crate) fn generations(&self, text: &str) -> Vec<standin::engine::Generation> {
         let seen = self.engines.iter().map(|agent| agent.endpoint.seen());
