--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod death;
 mod endpoint;
+mod fleet;
 mod input;
 mod key;
 mod link;
