Test faults of every kind, one upon another, under load

Cause: each failure test brings one or two chosen faults about; the promises are made for any of them at any moment, together or twice.

Change: mixed.rs runs six streaming callers and four that send orders through two entries, two engines and two services, and draws twelve faults per seed: kill -9 and restart of entry, agent beside an engine or beside a service, an engine's crash, silent links both ways or one way, stalls. In the end every answer is compared with the stand-ins: whole streams token by token, `not_run` never seen by an endpoint, orders run at most once, no generation begun twice. A process of a site can be started again with its settings.

They do not contain lost answers of the store or a network between regions.

--- a/tests/integration/endpoint.rs
+++ b/tests/integration/endpoint.rs
@@ -110,8 +110,7 @@
     let mut stream = caller::start(&site.client, entry, prompt).await.unwrap();
     received.read(&mut stream, 10).await;
     site.engines[0].process.kill();
-    let directory = site.directory().to_owned();
-    site.engines[0].restart(&directory);
+    site.engines[0].process.restart();
     let Ending::Error(error) = received.finish(&mut stream).await else {
         panic!("the caller is told that the stream broke off");
     };
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod input;
 mod key;
 mod link;
+mod mixed;
 mod order;
 mod path;
 mod raw;
--- a/tests/integration/site.rs
+++ b/tests/integration/site.rs
@@ -80,29 +80,32 @@
 
 /// A process of cactusroad; dropping it kills it.
 pub(crate) struct Process {
+    role: &'static str,
     name: String,
+    file: PathBuf,
     child: Child,
     log: PathBuf,
 }
 
 impl Process {
-    fn start(directory: &Path, role: &str, name: &str, settings: &Value) -> Process {
+    fn start(directory: &Path, role: &'static str, name: &str, settings: &Value) -> Process {
         let file = directory.join(format!("{name}.json"));
         std::fs::write(&file, settings.to_string()).unwrap();
         let log = directory.join(format!("{name}.log"));
-        let child = Command::new(env!("CARGO_BIN_EXE_cactusroad"))
-            .args([role.as_ref(), file.as_os_str()])
-            .env("CACTUSROAD_LOG", "debug")
-            .stderr(File::create(&log).unwrap())
-            .spawn()
-            .unwrap();
         Process {
+            child: spawn(role, &file, &log),
+            role,
             name: name.to_owned(),
-            child,
+            file,
             log,
         }
     }
 
+    /// Starts the process again, which must have ended.
+    pub(crate) fn restart(&mut self) {
+        self.child = spawn(self.role, &self.file, &self.log);
+    }
+
     /// Ends the process as `kill -9` does.
     pub(crate) fn kill(&mut self) {
         self.child.kill().unwrap();
@@ -128,6 +131,16 @@
     }
 }
 
+fn spawn(role: &str, file: &Path, log: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(log).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_cactusroad"))
+        .args([role.as_ref(), file.as_os_str()])
+        .env("CACTUSROAD_LOG", "debug")
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -153,15 +166,6 @@
     /// Stands between the agent and its endpoint.
     pub(crate) near: tcp::Handle,
     pub(crate) endpoint: H,
-    settings: Value,
-}
-
-impl<H> Agent<H> {
-    /// Starts the process again, which must have ended.
-    pub(crate) fn restart(&mut self, directory: &Path) {
-        let name = self.process.name.clone();
-        self.process = Process::start(directory, "agent", &name, &self.settings);
-    }
 }
 
 /// A running site.
@@ -284,7 +288,6 @@
             proxy,
             near,
             endpoint,
-            settings,
         }
     }
 
@@ -344,11 +347,6 @@
         engines && services.all(|agent| agent.endpoint.seen().runs_at(&path) > 0)
     }
 
-    /// Returns the directory of the site's files.
-    pub(crate) fn directory(&self) -> &Path {
-        self.directory.path()
-    }
-
     /// Lets the platform announce that the VM of an engine will go.
     pub(crate) fn announce_leaving(&mut self, engine: usize) {
         self.vms[engine].leaving = true;
