--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,6 +4,7 @@
 mod adapters;
 mod caller;
 mod death;
+mod fleet;
 mod input;
 mod link;
 mod order;
