--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -16,7 +16,7 @@
     entry::{Entry, Ready},
     fleet, logging,
     metrics::{AgentMetrics, EntryMetrics, Exporter},
-    settings,
+    settings, status,
     transport::{self, Dialer, Identity},
 };
 
@@ -74,7 +74,11 @@
     exporter.follow(view.clone());
     let entry = Entry::start(&settings, view.config, view.endpoints, metrics).await?;
     entry.follow_entries(view.entries);
-    entry.follow_rollouts(store::http::Client::new(&address(&common.store)?));
+    let store = store::http::Client::new(&address(&common.store)?);
+    entry.follow_rollouts(store.clone(), fleet.clone());
+    let own = own(common, incarnation);
+    tokio::spawn(status::tell(own.clone(), fleet.clone()));
+    tokio::spawn(status::write(own, fleet.clone(), store));
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
     log::info!(
         "entry {} listens on {}",
@@ -115,6 +119,7 @@
     let (life, inner) = (agent.incarnation(), agent.address());
     let fleet = join(common, Role::Endpoint, life, inner, &identity)?;
     exporter.follow(fleet.view());
+    tokio::spawn(status::tell(own(common, life), fleet.clone()));
     agent.join(fleet);
     admin::start(settings.common.admin, exporter, agent.readiness()).await?;
     log::info!(
@@ -128,6 +133,14 @@
     Ok(())
 }
 
+fn own(common: &settings::Common, incarnation: Incarnation) -> status::Own {
+    status::Own {
+        name: common.name.clone(),
+        incarnation,
+        data_centre: common.data_centre.clone(),
+    }
+}
+
 /// Starts the task by which this process learns what the fleet knows.
 fn join(
     common: &settings::Common,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod guard;
 mod http;
 mod listen;
+mod news;
 mod openai;
 mod pump;
 mod rollout;
@@ -32,8 +33,9 @@
     time,
 };
 
-use self::{directory::Directory, guard::Guard, rollout::Rollouts};
+use self::{directory::Directory, guard::Guard, news::News, rollout::Rollouts};
 use crate::{
+    fleet,
     metrics::EntryMetrics,
     settings,
     transport::{self, Dialer, Identity},
@@ -163,9 +165,11 @@
         });
     }
 
-    /// Runs the rollout plans in force, and records their outcomes in the store.
-    pub fn follow_rollouts<S: Store>(&self, store: S) {
-        tokio::spawn(rollout::follow(Arc::downgrade(&self.shared), store));
+    /// Runs the rollout plans in force, shares their evidence through the fleet, and
+    /// records their outcomes in the store.
+    pub fn follow_rollouts<S: Store>(&self, store: S, fleet: fleet::Handle) {
+        let news = News::new(self.shared.rollouts.process().clone(), fleet);
+        tokio::spawn(rollout::follow(Arc::downgrade(&self.shared), store, news));
     }
 
     /// The address on which the entry listens for callers.
--- /dev/null
+++ b/crates/node/src/entry/news.rs
@@ -0,0 +1,184 @@
+//! What entries tell each other of rollout plans, as items of the spread.
+//!
+//! Each entry shares one small item with all that it knows of a plan's progress,
+//! which goes out at once when it changes, and its own evidence in parts. The
+//! evidence goes out less often the more entries there are, so that what one
+//! process receives stays within a bound; a fault that one entry sees by itself
+//! waits for nobody.
+
+use std::{sync::Arc, time::Duration};
+
+use cactusroad_core::{
+    Time,
+    config::Plan,
+    rollout::{
+        Progress, Rollout,
+        part::{self, Part},
+    },
+    spread::Item,
+};
+use tokio::sync::watch;
+
+use crate::fleet;
+
+/// The shortest time between two reports of evidence, in milliseconds.
+const REPORT_MS: u64 = 2_000;
+/// Evidence that one process receives at the most, in bytes a second.
+const RECEIVED_BYTES_PER_SECOND: u64 = 2_000;
+/// How long evidence is kept after it was told, in seconds.
+const EVIDENCE_SECONDS: u64 = 300;
+/// How long progress is kept after the deadline of its plan, in seconds.
+const PROGRESS_SECONDS: u64 = 86_400;
+
+/// Tells and hears of rollout plans.
+pub(super) struct News {
+    process: Arc<str>,
+    fleet: fleet::Handle,
+    items: watch::Receiver<Arc<Vec<Item>>>,
+    told: Vec<Told>,
+}
+
+/// What was told of a plan last.
+struct Told {
+    plan: Arc<str>,
+    progress: Progress,
+    sequence: u64,
+    report_at: Time,
+}
+
+impl News {
+    pub(super) fn new(process: Arc<str>, fleet: fleet::Handle) -> News {
+        let items = fleet.view().items;
+        News {
+            process,
+            fleet,
+            items,
+            told: Vec::new(),
+        }
+    }
+
+    /// Hands a plan what other processes, and earlier lives of this one, have told of it.
+    pub(super) fn hear(&self, rollout: &mut Rollout) {
+        let items = self.items.borrow().clone();
+        let plan = rollout.plan().name.clone();
+        let prefix = progress_prefix(&plan);
+        for item in prefixed(&items, &prefix) {
+            match serde_json::from_str(&item.body) {
+                Ok(progress) => rollout.learn(&progress),
+                Err(cause) => log::warn!("{} cannot be read: {cause}", item.key),
+            }
+        }
+        let prefix = evidence_prefix(&plan);
+        let evidence = prefixed(&items, &prefix);
+        let parts: Vec<Part> = evidence
+            .filter_map(|item| serde_json::from_str(&item.body).ok())
+            .filter(|part: &Part| part.source != self.process)
+            .collect();
+        for of_source in parts.chunk_by(|one, other| one.source == other.source) {
+            if let Some(report) = part::join(of_source) {
+                rollout.count(&report);
+            }
+        }
+    }
+
+    /// Returns the items that tell what is new of a plan.
+    pub(super) fn tell(&mut self, rollout: &Rollout, now: Time) -> Vec<Item> {
+        let plan = rollout.plan();
+        let message = rollout.message();
+        let at = match self.told.binary_search_by(|told| told.plan.cmp(&plan.name)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.told.insert(at, Told::new(plan));
+                at
+            }
+        };
+        let sources = self.sources(&plan.name);
+        let told = &mut self.told[at];
+        let mut items = Vec::new();
+        if told.progress != message.progress {
+            told.progress = message.progress;
+            items.extend(progress_item(plan, &self.process, &told.progress, now));
+        }
+        if told.sequence < message.report.sequence && told.report_at.is_past(now) {
+            told.sequence = message.report.sequence;
+            let parts = part::split(&plan.name, &message.report);
+            let before = items.len();
+            items.extend(parts.iter().filter_map(|part| evidence_item(part, now)));
+            let bytes: usize = items[before..].iter().map(|item| item.body.len()).sum();
+            told.report_at = now + pause(bytes, sources);
+        }
+        items
+    }
+
+    /// Shares items with every process.
+    pub(super) async fn share(&self, items: Vec<Item>) {
+        for item in items {
+            self.fleet.put(item).await;
+        }
+    }
+
+    /// Counts the processes that have told of a plan's evidence.
+    fn sources(&self, plan: &str) -> usize {
+        let items = self.items.borrow().clone();
+        let prefix = evidence_prefix(plan);
+        let mut sources: Vec<&str> = prefixed(&items, &prefix)
+            .filter_map(|item| item.key[prefix.len()..].split('/').next())
+            .collect();
+        sources.dedup();
+        sources.len().max(1)
+    }
+}
+
+impl Told {
+    fn new(plan: &Plan) -> Told {
+        Told {
+            plan: plan.name.clone(),
+            progress: Progress::default(),
+            sequence: 0,
+            report_at: Time::ZERO,
+        }
+    }
+}
+
+/// Returns the time until the next report, so that all sources together stay within the bound.
+fn pause(bytes: usize, sources: usize) -> Duration {
+    let all = u64::try_from(bytes.saturating_mul(sources)).unwrap_or(u64::MAX);
+    let ms = all.saturating_mul(1_000) / RECEIVED_BYTES_PER_SECOND;
+    Duration::from_millis(ms.max(REPORT_MS))
+}
+
+fn progress_prefix(plan: &str) -> String {
+    format!("rollout/{plan}/")
+}
+
+fn evidence_prefix(plan: &str) -> String {
+    format!("evidence/{plan}/")
+}
+
+fn prefixed<'a>(items: &'a [Item], prefix: &'a str) -> impl Iterator<Item = &'a Item> {
+    let start = items.partition_point(|item| &*item.key < prefix);
+    items[start..]
+        .iter()
+        .take_while(move |item| item.key.starts_with(prefix))
+}
+
+fn progress_item(plan: &Plan, process: &str, progress: &Progress, now: Time) -> Option<Item> {
+    Some(Item {
+        key: format!("{}{process}", progress_prefix(&plan.name)).into(),
+        version: now.as_micros(),
+        body: serde_json::to_string(progress).ok()?.into(),
+        until: plan.deadline + Duration::from_secs(PROGRESS_SECONDS),
+        urgent: true,
+    })
+}
+
+fn evidence_item(part: &Part, now: Time) -> Option<Item> {
+    let Part { plan, source, .. } = part;
+    Some(Item {
+        key: format!("{}{source}/{}", evidence_prefix(plan), part.slot()).into(),
+        version: now.as_micros(),
+        body: serde_json::to_string(part).ok()?.into(),
+        until: now + Duration::from_secs(EVIDENCE_SECONDS),
+        urgent: false,
+    })
+}
--- a/crates/node/src/entry/rollout.rs
+++ b/crates/node/src/entry/rollout.rs
@@ -25,12 +25,13 @@
         evidence::{Ending, Sample},
         judge, outcome_key,
     },
+    spread::Item,
 };
 use cactusroad_platform::store::{Error, Expect, Store};
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::Shared;
+use super::{Shared, news::News};
 use crate::clock;
 
 /// The time between two judgements, in milliseconds.
@@ -70,6 +71,11 @@
         }
     }
 
+    /// Returns the name of this process.
+    pub(super) const fn process(&self) -> &Arc<str> {
+        &self.process
+    }
+
     /// Chooses the version of a request; equal keys stay on one side while the share rises.
     ///
     /// `reaches` tells whether an endpoint holds a version. Where none holds the new
@@ -139,7 +145,7 @@
 }
 
 /// Runs the plans in force until the entry is gone.
-pub(super) async fn follow<S: Store>(shared: Weak<Shared>, store: S) {
+pub(super) async fn follow<S: Store>(shared: Weak<Shared>, store: S, mut news: News) {
     let mut tick = time::interval(Duration::from_millis(TICK_MS));
     loop {
         tick.tick().await;
@@ -150,14 +156,19 @@
         for running in shared.rollouts.replace(&shared.snapshot(), now) {
             tokio::spawn(learn(running, store.clone()));
         }
+        let mut items = Vec::new();
         for running in shared.rollouts.all() {
-            judge(&running, &store, now);
+            items.extend(judge(&running, &store, &mut news, now));
         }
+        drop(shared);
+        news.share(items).await;
     }
 }
 
-fn judge<S: Store>(running: &Running, store: &S, now: Time) {
+/// Hears the news of a plan, judges it, and returns what to tell the others.
+fn judge<S: Store>(running: &Running, store: &S, news: &mut News, now: Time) -> Vec<Item> {
     let mut rollout = lock(&running.rollout);
+    news.hear(&mut rollout);
     if running.inform_at.is_past(now) {
         rollout.inform();
     }
@@ -172,6 +183,7 @@
             tokio::spawn(record(running.clone(), store.clone(), outcome));
         }
     }
+    news.tell(&rollout, now)
 }
 
 /// Reads the outcome of a plan that may have ended before this process started.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod metrics;
 pub mod settings;
 pub mod source;
+pub mod status;
 pub mod transport;
--- /dev/null
+++ b/crates/node/src/status.rs
@@ -0,0 +1,195 @@
+//! What operators see of the fleet, gathered in the store by one process at a time.
+//!
+//! Each process shares one small item that says which generation it runs and since
+//! when. The holder of a lease gathers these items and the progress of the plans
+//! into one object, so the store's writes do not grow with the fleet. The object
+//! is written on condition that nobody else has written since, so a holder that
+//! was paused and wakes undoes nothing.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    config::{
+        Plan, Snapshot,
+        report::{Move, Process, REPORT_KEY, Report},
+    },
+    id::Incarnation,
+    lease::Lease,
+    rollout::{self, Progress},
+    spread::Item,
+};
+use cactusroad_platform::store::{Error, Expect, Store};
+use tokio::time;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{clock, fleet};
+
+/// The key of the lease in the store.
+const LEASE_KEY: &str = "leases/report";
+/// The prefix of the items that say what a process runs.
+const RUNNING_PREFIX: &str = "running/";
+/// The time between two looks at the fleet, in milliseconds.
+const LOOK_MS: u64 = 2_000;
+/// How long an unchanged report stands before it is written again, in milliseconds.
+const REWRITE_MS: u64 = 15_000;
+/// The time between two repeats of what a process runs, in seconds.
+const REPEAT_SECONDS: u64 = 300;
+/// How long what a process runs is kept without a repeat, in seconds.
+const KEEP_SECONDS: u64 = 900;
+
+/// Who tells what it runs.
+#[derive(Clone, Debug)]
+pub struct Own {
+    /// The name of the process.
+    pub name: Arc<str>,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// The data centre that it runs in.
+    pub data_centre: Arc<str>,
+}
+
+/// Tells the fleet which generation this process runs, until the configuration ends.
+pub async fn tell(own: Own, fleet: fleet::Handle) {
+    let mut config = fleet.view().config;
+    let mut process = Process {
+        name: own.name,
+        incarnation: own.incarnation,
+        data_centre: own.data_centre,
+        generation: config.borrow_and_update().generation,
+        in_force_at: clock::now(),
+        leaving: false,
+    };
+    loop {
+        if let Some(item) = running_item(&process, clock::now()) {
+            fleet.put(item).await;
+        }
+        let repeat = Duration::from_secs(REPEAT_SECONDS);
+        match time::timeout(repeat, config.changed()).await {
+            Ok(Err(_)) => return,
+            Ok(Ok(())) => {
+                process.generation = config.borrow_and_update().generation;
+                process.in_force_at = clock::now();
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+fn running_item(process: &Process, now: Time) -> Option<Item> {
+    Some(Item {
+        key: format!("{RUNNING_PREFIX}{}", process.name).into(),
+        version: now.as_micros(),
+        body: serde_json::to_string(process).ok()?.into(),
+        until: now + Duration::from_secs(KEEP_SECONDS),
+        urgent: false,
+    })
+}
+
+/// Writes the report whenever this process holds the lease.
+///
+/// The task runs as long as the process.
+pub async fn write<S: Store>(own: Own, fleet: fleet::Handle, store: S) {
+    let seed = xxh3_64(own.name.as_bytes()) ^ own.incarnation.0;
+    let mut lease = Lease::new(own.name.clone(), own.incarnation, seed);
+    let mut writer = Writer {
+        name: own.name,
+        expect: Expect::Absent,
+        last: Report::default(),
+    };
+    loop {
+        let due = fleet::lease::advance(&store, LEASE_KEY, &mut lease).await;
+        let now = clock::now();
+        if lease.holds(now) {
+            writer.update(&fleet.view(), &store, now).await;
+        }
+        let look = now + Duration::from_millis(LOOK_MS);
+        time::sleep_until(clock::instant(due.min(look))).await;
+    }
+}
+
+struct Writer {
+    name: Arc<str>,
+    expect: Expect,
+    last: Report,
+}
+
+impl Writer {
+    async fn update<S: Store>(&mut self, view: &fleet::View, store: &S, now: Time) {
+        let config = view.config.borrow().clone();
+        let items = view.items.borrow().clone();
+        let report = gather(&self.name, &config, &items, now);
+        let is_same = report.processes == self.last.processes && report.moves == self.last.moves;
+        let rewrite_at = self.last.written_at + Duration::from_millis(REWRITE_MS);
+        if is_same && !rewrite_at.is_past(now) {
+            return;
+        }
+        let Ok(value) = serde_json::to_vec(&report) else {
+            return;
+        };
+        match store.put(REPORT_KEY, self.expect, Bytes::from(value)).await {
+            Ok(version) => {
+                self.expect = Expect::At(version);
+                self.last = report;
+            }
+            Err(Error::Conflict | Error::Unanswered) => self.read(store).await,
+            Err(cause) => log::debug!("the report was not written: {cause}"),
+        }
+    }
+
+    /// Reads the version that stands, on which the next write depends.
+    async fn read<S: Store>(&mut self, store: &S) {
+        match store.get(REPORT_KEY).await {
+            Ok(Some(object)) => self.expect = Expect::At(object.version),
+            Ok(None) => self.expect = Expect::Absent,
+            Err(cause) => log::debug!("the report was not read: {cause}"),
+        }
+    }
+}
+
+fn gather(author: &Arc<str>, config: &Snapshot, items: &[Item], now: Time) -> Report {
+    let of = |prefix: String| {
+        items
+            .iter()
+            .filter(move |item| item.key.starts_with(&prefix))
+    };
+    let processes = of(RUNNING_PREFIX.to_owned())
+        .filter_map(|item| serde_json::from_str(&item.body).ok())
+        .collect();
+    let progress = |plan: &Plan| {
+        let mut progress = Progress::default();
+        for item in of(format!("rollout/{}/", plan.name)) {
+            if let Ok(told) = serde_json::from_str(&item.body) {
+                progress.merge(&told);
+            }
+        }
+        progress
+    };
+    let moves = config
+        .plans
+        .iter()
+        .map(|plan| plan_move(plan, &progress(plan), now));
+    Report {
+        author: author.clone(),
+        written_at: now,
+        processes,
+        moves: moves.collect(),
+    }
+}
+
+fn plan_move(plan: &Plan, progress: &Progress, now: Time) -> Move {
+    let begun = plan
+        .steps
+        .iter()
+        .take_while(|step| step.not_before.is_past(now));
+    let entered = begun.last().map_or(Time::ZERO, |step| step.not_before);
+    let withdrawn = progress.withdrawn.as_ref();
+    Move {
+        plan: plan.name.clone(),
+        share: rollout::share(plan, progress, now),
+        proven: progress.proven,
+        withdrawn: withdrawn.map(|withdrawal| withdrawal.reason),
+        since: withdrawn.map_or(entered, |withdrawal| withdrawal.at),
+    }
+}
--- a/tests/integration/rollout.rs
+++ b/tests/integration/rollout.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use cactusroad::platform::{
-    address::Address,
-    store::{Store, http},
+use cactusroad::{
+    ops::status,
+    platform::{
+        address::Address,
+        store::{Store, http},
+    },
 };
 use cactusroad_core::{
     Time,
@@ -17,11 +20,13 @@
 
 /// The pause between two calls.
 const PAUSE: Duration = Duration::from_millis(5);
+/// In which a withdrawal must have reached every entry.
+const SPREAD: Duration = Duration::from_secs(5);
 
 /// A site with two services of the old version and one of the next.
 async fn site() -> Site {
     let config = Config {
-        entries: 1,
+        entries: 2,
         engines: 0,
         services: 2,
         next_services: 1,
@@ -59,13 +64,28 @@
 /// Sends calls one after the other, each with a body of its own.
 struct Calls<'a> {
     site: &'a Site,
+    /// The entries that are called in turn.
+    entries: &'a [usize],
     sent: u64,
 }
 
-impl Calls<'_> {
+impl<'a> Calls<'a> {
+    fn new(site: &'a Site) -> Calls<'a> {
+        Calls::at(site, &[0, 1])
+    }
+
+    fn at(site: &'a Site, entries: &'a [usize]) -> Calls<'a> {
+        Calls {
+            site,
+            entries,
+            sent: 0,
+        }
+    }
+
     async fn send(&mut self) {
         self.sent += 1;
-        let entry = self.site.entries[0].address;
+        let at = self.entries[self.sent as usize % self.entries.len()];
+        let entry = self.site.entries[at].address;
         let path = format!("{ORDERS}/order");
         let body = json!({"number": self.sent});
         let called = self.site.client.call(entry, &path, None, &body);
@@ -116,10 +136,7 @@
     let site = site().await;
     break_next(&site);
     plan(&site, Duration::from_secs(120)).await;
-    let mut calls = Calls {
-        site: &site,
-        sent: 0,
-    };
+    let mut calls = Calls::new(&site);
     let outcome = calls.until_outcome().await;
     let found = (outcome.end, outcome.reason);
     assert_eq!(found, (End::Reversed, Some(Reason::Failures)));
@@ -127,14 +144,57 @@
     assert_eq!(calls.count_next(200).await, 0, "and gets nothing any more");
 }
 
+/// Only one entry has callers, and the other withdraws the version all the same.
 #[tokio::test]
-async fn rollout_fault_comes_late() {
+async fn rollout_withdrawal_spreads_without_store() {
+    let site = site().await;
+    break_next(&site);
+    plan(&site, Duration::from_secs(300)).await;
+    let mut calls = Calls::at(&site, &[0]);
+    while next_runs(&site) == 0 {
+        calls.send().await;
+    }
+    site.store.control(&fault::Command {
+        drop_requests: Some(u32::MAX),
+        ..fault::Command::default()
+    });
+    let withdrawing = async { while calls.count_next(50).await > 0 {} };
+    let withdrawn = tokio::time::timeout(WAIT, withdrawing).await;
+    withdrawn.expect("withdrawn in time");
+    // By itself the other entry would need some failures first.
+    tokio::time::sleep(SPREAD).await;
+    assert_eq!(Calls::at(&site, &[1]).count_next(100).await, 0);
+}
+
+/// `status` shows which processes run which generation, and the end of a plan.
+#[tokio::test]
+async fn rollout_status_shows_processes() {
     let site = site().await;
     plan(&site, Duration::from_secs(120)).await;
-    let mut calls = Calls {
-        site: &site,
-        sent: 0,
+    let address: Address = site.store.server().address().into();
+    let client = http::Client::new(&address);
+    let waiting = async {
+        loop {
+            let status = status::status(&client, now())
+                .await
+                .expect("the store is up");
+            if status.running.len() == 1 && status.running[0].processes.len() == 5 {
+                return status;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
     };
+    let status = tokio::time::timeout(WAIT, waiting).await.expect("in time");
+    assert_eq!(status.running[0].generation, status.generation);
+    assert!(status.in_force_after_ms.is_some());
+    assert_eq!(status.moves[0].state, status::State::Running);
+}
+
+#[tokio::test]
+async fn rollout_fault_comes_late() {
+    let site = site().await;
+    plan(&site, Duration::from_secs(120)).await;
+    let mut calls = Calls::new(&site);
     while next_runs(&site) < 50 {
         calls.send().await;
     }
@@ -149,10 +209,7 @@
 async fn rollout_good_version_done() {
     let site = site().await;
     plan(&site, Duration::from_secs(300)).await;
-    let mut calls = Calls {
-        site: &site,
-        sent: 0,
-    };
+    let mut calls = Calls::new(&site);
     let outcome = calls.until_outcome().await;
     assert_eq!((outcome.end, outcome.reason), (End::Done, None));
     assert_eq!(calls.count_next(50).await, 50, "all traffic has moved");
@@ -174,10 +231,7 @@
     let outcome = tokio::time::timeout(WAIT, waiting).await.expect("in time");
     let found = (outcome.end, outcome.reason);
     assert_eq!(found, (End::Reversed, Some(Reason::DeadlineMissed)));
-    let mut calls = Calls {
-        site: &site,
-        sent: 0,
-    };
+    let mut calls = Calls::new(&site);
     assert_eq!(calls.count_next(50).await, 0);
 }
 
@@ -186,10 +240,7 @@
 async fn rollout_store_down_throughout() {
     let site = site().await;
     plan(&site, Duration::from_secs(300)).await;
-    let mut calls = Calls {
-        site: &site,
-        sent: 0,
-    };
+    let mut calls = Calls::new(&site);
     while next_runs(&site) == 0 {
         calls.send().await;
     }
