--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -15,7 +15,7 @@
     clock,
     entry::{Entry, Ready},
     fleet, logging,
-    metrics::{AgentMetrics, EntryMetrics, Exporter},
+    metrics::{AgentMetrics, Control, EntryMetrics, Exporter},
     settings, status,
     transport::{self, Dialer, Identity},
 };
@@ -68,7 +68,9 @@
     let metrics = EntryMetrics::new(&exporter);
     let identity = Identity::read(&common.tls)?;
     let incarnation = Incarnation(clock::now().as_micros());
-    let fleet = join(common, Role::Entry, incarnation, common.inner, &identity)?;
+    let control = metrics.control();
+    let own = own(common, Role::Entry, incarnation, common.inner);
+    let fleet = join(common, own.clone(), &identity, control)?;
     let socket = fleet::listen(&identity, common.inner, &fleet)?;
     let view = fleet.view();
     exporter.follow(view.clone());
@@ -76,7 +78,6 @@
     entry.follow_entries(view.entries);
     let store = store::http::Client::new(&address(&common.store)?);
     entry.follow_rollouts(store.clone(), fleet.clone());
-    let own = own(common, incarnation);
     tokio::spawn(status::tell(own.clone(), fleet.clone()));
     tokio::spawn(status::write(own, fleet.clone(), store));
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
@@ -113,13 +114,15 @@
     let exporter = Exporter::new();
     let metrics = AgentMetrics::new(&exporter);
     let store = store::http::Client::new(&address(&settings.common.store)?);
+    let control = metrics.control();
     let agent = Agent::start(&settings, backend, store, metrics)?;
     let common = &settings.common;
     let identity = Identity::read(&common.tls)?;
     let (life, inner) = (agent.incarnation(), agent.address());
-    let fleet = join(common, Role::Endpoint, life, inner, &identity)?;
+    let own = own(common, Role::Endpoint, life, inner);
+    let fleet = join(common, own.clone(), &identity, control)?;
+    tokio::spawn(status::tell(own, fleet.clone()));
     exporter.follow(fleet.view());
-    tokio::spawn(status::tell(own(common, life), fleet.clone()));
     agent.join(fleet);
     admin::start(settings.common.admin, exporter, agent.readiness()).await?;
     log::info!(
@@ -133,28 +136,36 @@
     Ok(())
 }
 
-fn own(common: &settings::Common, incarnation: Incarnation) -> status::Own {
-    status::Own {
-        name: common.name.clone(),
-        incarnation,
-        data_centre: common.data_centre.clone(),
-    }
-}
-
 /// Starts the task by which this process learns what the fleet knows.
 fn join(
     common: &settings::Common,
-    role: Role,
-    incarnation: Incarnation,
-    inner: SocketAddr,
+    own: Member,
     identity: &Identity,
+    control: Control,
 ) -> Result<fleet::Handle, Error> {
     let store = store::http::Client::new(&address(&common.store)?);
     let roster = roster::http::Client::new(&address(&common.roster)?);
-    let dialer = Dialer::new(common.name.clone(), identity);
+    let dialer = Dialer::new(common.name.clone(), identity, control.clone());
+    Ok(fleet::start(
+        own,
+        Vec::new(),
+        dialer,
+        store,
+        roster,
+        control,
+    ))
+}
+
+/// Returns what this process says of itself at first.
+fn own(
+    common: &settings::Common,
+    role: Role,
+    incarnation: Incarnation,
+    inner: SocketAddr,
+) -> Member {
     let mut own = Member::new(common.name.clone(), role, inner, common.data_centre.clone());
     own.incarnation = incarnation;
-    Ok(fleet::start(own, Vec::new(), dialer, store, roster))
+    own
 }
 
 impl Readiness for Ready {
--- a/crates/node/src/fleet/driver.rs
+++ b/crates/node/src/fleet/driver.rs
@@ -14,16 +14,17 @@
     spread::{Action, Hash, Item, Marker, Message, Node, graph::Regions},
 };
 use cactusroad_platform::{roster::Roster, store::Store};
-use cactusroad_wire::message::reply;
+use cactusroad_wire::message::{Exchange, reply};
 use tokio::{
     sync::{mpsc, watch},
     time,
 };
 
-use super::{Event, View, codec, peer, platform, request, wrap};
+use super::{Event, View, codec, count, peer, platform, request, wrap};
 use crate::{
     clock,
     entry::Listed,
+    metrics::Control,
     transport::{Dialer, Error},
 };
 
@@ -77,6 +78,7 @@
     /// Weak, so that the task's own sender doesn't keep it running.
     pub(super) events: mpsc::WeakSender<Event>,
     pub(super) publisher: Publisher,
+    pub(super) control: Control,
 }
 
 impl<S: Store, R: Roster> Driver<S, R> {
@@ -183,10 +185,11 @@
 
     fn send(&self, to: Arc<str>, address: SocketAddr, message: &Message) {
         let dialer = self.dialer.clone();
-        let exchange = request(wrap(&self.name, self.incarnation, message));
+        let exchange = wrap(&self.name, self.incarnation, message);
+        let control = self.control.clone();
         let events = self.events.clone();
         tokio::spawn(async move {
-            let call = exchange_with(&dialer, &to, address, &exchange);
+            let call = exchange_with(&dialer, &control, &to, address, exchange);
             let timeout = Duration::from_millis(EXCHANGE_TIMEOUT_MS);
             match time::timeout(timeout, call).await {
                 Ok(Ok(event)) => {
@@ -281,17 +284,20 @@
 /// Sends a message to a peer and returns what it answers; an empty answer shows that it lives.
 async fn exchange_with(
     dialer: &Dialer,
+    control: &Control,
     to: &str,
     address: SocketAddr,
-    exchange: &cactusroad_wire::message::Request,
+    exchange: Exchange,
 ) -> Result<Event, Error> {
     let link = dialer.link(to, address).await?;
-    let mut call = link.call(exchange).await?;
+    count(&control.sent, &exchange);
+    let mut call = link.call(&request(exchange)).await?;
     call.sender.finish();
     let reply = call.receiver.next().await?;
     let Some(reply::Body::Exchange(answer)) = reply.and_then(|reply| reply.body) else {
         return Err(Error::Protocol);
     };
+    count(&control.received, &answer);
     let from = peer(&answer);
     let message = codec::decode(answer.body).map_err(|_| Error::Protocol)?;
     Ok(Event::Reply(from, Box::new(message)))
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -139,6 +139,11 @@
 }
 
 impl AgentMetrics {
+    /// Returns the counters of control bytes, for a dialer.
+    pub fn control(&self) -> Control {
+        self.control.clone()
+    }
+
     /// Registers the metrics.
     ///
     /// # Panics
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -15,8 +15,8 @@
         Plan, Snapshot,
         report::{Move, Process, REPORT_KEY, Report},
     },
-    id::Incarnation,
     lease::Lease,
+    member::Member,
     rollout::{self, Progress},
     spread::Item,
 };
@@ -39,19 +39,8 @@
 /// How long what a process runs is kept without a repeat, in seconds.
 const KEEP_SECONDS: u64 = 900;
 
-/// Who tells what it runs.
-#[derive(Clone, Debug)]
-pub struct Own {
-    /// The name of the process.
-    pub name: Arc<str>,
-    /// Its life.
-    pub incarnation: Incarnation,
-    /// The data centre that it runs in.
-    pub data_centre: Arc<str>,
-}
-
 /// Tells the fleet which generation this process runs, until the configuration ends.
-pub async fn tell(own: Own, fleet: fleet::Handle) {
+pub async fn tell(own: Member, fleet: fleet::Handle) {
     let mut config = fleet.view().config;
     let mut process = Process {
         name: own.name,
@@ -90,7 +79,7 @@
 /// Writes the report whenever this process holds the lease.
 ///
 /// The task runs as long as the process.
-pub async fn write<S: Store>(own: Own, fleet: fleet::Handle, store: S) {
+pub async fn write<S: Store>(own: Member, fleet: fleet::Handle, store: S) {
     let seed = xxh3_64(own.name.as_bytes()) ^ own.incarnation.0;
     let mut lease = Lease::new(own.name.clone(), own.incarnation, seed);
     let mut writer = Writer {
