--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,10 +4,12 @@
 mod adapters;
 mod bad_input;
 mod caller;
+mod crash;
 mod death;
 mod endpoint;
 mod fleet;
 mod input;
+mod key;
 mod link;
 mod order;
 mod path;
