Wait in the test of status until all processes run the new generation

Change: the condition that is waited for names the generation, and that nobody is behind is asserted.

--- a/tests/integration/rollout.rs
+++ b/tests/integration/rollout.rs
@@ -178,14 +178,16 @@
             let status = status::status(&client, now())
                 .await
                 .expect("the store is up");
-            if status.running.len() == 1 && status.running[0].processes.len() == 5 {
+            // All five may be seen at the generation before, first.
+            let all = status.running.first().filter(|of| of.processes.len() == 5);
+            if all.is_some_and(|of| of.generation == status.generation) {
                 return status;
             }
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
     };
     let status = tokio::time::timeout(WAIT, waiting).await.expect("in time");
-    assert_eq!(status.running[0].generation, status.generation);
+    assert_eq!(status.running.len(), 1, "no process is behind");
     assert!(status.in_force_after_ms.is_some());
     assert_eq!(status.moves[0].state, status::State::Running);
 }
