--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod key;
 mod link;
 mod metrics;
+mod mixed;
 mod order;
 mod path;
 mod raw;
