--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod metrics;
 pub mod settings;
 pub mod source;
+pub mod status;
 pub mod trace;
 pub mod transport;
