--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -16,7 +16,7 @@
     entry::{Entry, Ready},
     fleet, logging,
     metrics::{AgentMetrics, Control, EntryMetrics, Exporter},
-    settings,
+    settings, status,
     transport::{self, Dialer, Identity},
 };
 
@@ -70,13 +70,16 @@
     let incarnation = Incarnation(clock::now().as_micros());
     let control = metrics.control();
     let own = own(common, Role::Entry, incarnation, common.inner);
-    let fleet = join(common, own, &identity, control)?;
+    let fleet = join(common, own.clone(), &identity, control)?;
     let socket = fleet::listen(&identity, common.inner, &fleet)?;
     let view = fleet.view();
     exporter.follow(view.clone());
     let entry = Entry::start(&settings, view.config, view.endpoints, metrics).await?;
     entry.follow_entries(view.entries);
-    entry.follow_rollouts(store::http::Client::new(&address(&common.store)?));
+    let store = store::http::Client::new(&address(&common.store)?);
+    entry.follow_rollouts(store.clone(), fleet.clone());
+    tokio::spawn(status::tell(own.clone(), fleet.clone()));
+    tokio::spawn(status::write(own, fleet.clone(), store));
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
     log::info!(
         "entry {} listens on {}",
@@ -117,7 +120,8 @@
     let identity = Identity::read(&common.tls)?;
     let (life, inner) = (agent.incarnation(), agent.address());
     let own = own(common, Role::Endpoint, life, inner);
-    let fleet = join(common, own, &identity, control)?;
+    let fleet = join(common, own.clone(), &identity, control)?;
+    tokio::spawn(status::tell(own, fleet.clone()));
     exporter.follow(fleet.view());
     agent.join(fleet);
     admin::start(settings.common.admin, exporter, agent.readiness()).await?;
