Mend a link in the docs of the fleet driver

Cause: cargo doc with warnings denied failed on a link to a module that isn't in scope. Change: the full path. Figures: cargo doc passes. Conclusion: none beyond that.

--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -1,6 +1,6 @@
 //! The part of a process in the fleet: it learns the configuration and the membership.
 //!
-//! One task owns a [`spread::Node`] and drives it: a clock tick, messages of
+//! One task owns a [`Node`](cactusroad_core::spread::Node) and drives it: a clock tick, messages of
 //! peers, ends of calls to the platform. What the node decides is carried out by
 //! short tasks that report back through the same channel, so the node itself
 //! never waits. The task ends when the last [`Handle`] is dropped.
