Test keyed orders and crashing requests with real processes

Cause: the promises of keys and of crashing requests were shown only for the state machines. Change: nine tests of keyed calls (repeat through the other entry, other body, ten repeats at once, lost answer to the claim, store down, agent killed or stopped between claim and repeat, lost answer of the service, service down) and two of a request that crashes its engines, counted at the stand-ins.

--- /dev/null
+++ b/tests/integration/ledger.rs
@@ -0,0 +1,218 @@
+//! Calls with an idempotency key, through real processes.
+
+use std::net::SocketAddr;
+
+use cactusroad::demo::client::{Client, Error};
+use cactusroad_standin::{fault, service};
+use serde_json::{Value, json};
+
+use crate::{
+    caller::fault as told,
+    site::{Config, ORDERS, Site, until},
+};
+
+fn config() -> Config {
+    Config {
+        engines: 0,
+        services: 2,
+        ..Config::default()
+    }
+}
+
+/// Orders with a key and returns the answer, or the kind and the effect of the refusal.
+async fn order(
+    client: &Client,
+    entry: SocketAddr,
+    key: &str,
+    legs: u32,
+) -> Result<Value, (String, String)> {
+    let path = format!("{ORDERS}/{key}");
+    let body = json!({"legs": legs});
+    let called = client.call(entry, &path, Some(key), &body);
+    let called = tokio::time::timeout(crate::site::WAIT, called).await;
+    match called.expect("an answer in time") {
+        Ok(answer) => Ok(answer),
+        Err(Error::Refused(_, body)) => {
+            let (kind, effect) = told(&body);
+            Err((kind.to_owned(), effect.to_owned()))
+        }
+        Err(other) => panic!("{other}"),
+    }
+}
+
+fn refusal(kind: &str, effect: &str) -> Result<Value, (String, String)> {
+    Err((kind.to_owned(), effect.to_owned()))
+}
+
+fn lag(site: &Site, millis: u64) {
+    for agent in &site.services {
+        agent.endpoint.control(&service::Command {
+            faults: fault::Command {
+                lag_ms: Some(millis),
+                ..fault::Command::default()
+            },
+            ..service::Command::default()
+        });
+    }
+}
+
+#[tokio::test]
+async fn key_repeat_other_entry() {
+    let site = Site::start(config()).await;
+    let [one, other] = [0, 1].map(|at| site.entries[at].address);
+    let first = order(&site.client, one, "k1", 4).await.unwrap();
+    let second = order(&site.client, other, "k1", 4).await.unwrap();
+    assert_eq!(first, second, "the stored answer");
+    assert_eq!(site.runs("/k1"), 1);
+}
+
+#[tokio::test]
+async fn key_other_body() {
+    let site = Site::start(config()).await;
+    let [one, other] = [0, 1].map(|at| site.entries[at].address);
+    order(&site.client, one, "k1", 4).await.unwrap();
+    let second = order(&site.client, other, "k1", 5).await;
+    assert_eq!(second, refusal("key_conflict", "not_run"));
+    assert_eq!(site.runs("/k1"), 1);
+}
+
+/// Ten callers send the same order at once through both entries.
+#[tokio::test]
+async fn key_repeats_at_once() {
+    let site = Site::start(config()).await;
+    lag(&site, 300);
+    let mut calls = Vec::new();
+    for number in 0..10 {
+        let client = site.client.clone();
+        let entry = site.entries[number % 2].address;
+        calls.push(tokio::spawn(
+            async move { order(&client, entry, "k1", 4).await },
+        ));
+    }
+    let mut answers = 0;
+    for call in calls {
+        match call.await.unwrap() {
+            Ok(_) => answers += 1,
+            Err(told) => assert_eq!(told, ("key_in_use".into(), "unknown".into())),
+        }
+    }
+    assert!(answers >= 1, "the caller whose order ran gets its answer");
+    assert_eq!(site.runs("/k1"), 1);
+}
+
+/// The write of a claim takes effect and its answer is lost.
+#[tokio::test]
+async fn key_lost_claim_answer() {
+    let site = Site::start(config()).await;
+    let entry = site.entries[0].address;
+    for number in 0..4 {
+        let key = format!("k{number}");
+        site.store.control(&fault::Command {
+            drop_answers: Some(1),
+            ..fault::Command::default()
+        });
+        order(&site.client, entry, &key, 4).await.unwrap();
+        assert_eq!(site.runs(&format!("/{key}")), 1);
+    }
+}
+
+/// The store is down: nothing runs; once it is back the same key runs once.
+#[tokio::test]
+async fn key_store_down() {
+    let site = Site::start(config()).await;
+    let entry = site.entries[0].address;
+    site.store.control(&fault::Command {
+        down_ms: Some(5_000),
+        ..fault::Command::default()
+    });
+    let told = order(&site.client, entry, "k1", 4).await;
+    assert_eq!(told, refusal("unavailable", "not_run"));
+    assert_eq!(site.runs("/k1"), 0);
+    let answer = loop {
+        match order(&site.client, entry, "k1", 4).await {
+            Ok(answer) => break answer,
+            Err((_, effect)) => assert_eq!(effect, "not_run"),
+        }
+    };
+    assert_eq!(answer["run"], 1);
+    assert_eq!(site.runs("/k1"), 1);
+}
+
+/// The agent dies between the claim and the answer: nobody may run the key again.
+#[tokio::test]
+async fn key_agent_killed() {
+    let mut site = Site::start(config()).await;
+    lag(&site, 10_000);
+    let client = site.client.clone();
+    let [one, other] = [0, 1].map(|at| site.entries[at].address);
+    let first = tokio::spawn(async move { order(&client, one, "k1", 4).await });
+    until("a service runs the order", || site.runs("/k1") == 1).await;
+    let ran =
+        |agent: &crate::site::Agent<service::Handle>| agent.endpoint.seen().runs_at("/k1") == 1;
+    let holder = site.services.iter().position(ran).unwrap();
+    site.services[holder].process.kill();
+    assert_eq!(first.await.unwrap().unwrap_err().1, "unknown");
+    lag(&site, 0);
+    for entry in [one, other] {
+        let told = order(&site.client, entry, "k1", 4).await;
+        assert_eq!(told.unwrap_err().1, "unknown");
+    }
+    assert_eq!(site.runs("/k1"), 1, "never a second run");
+    let fresh = order(&site.client, other, "k2", 4).await.unwrap();
+    assert_eq!(fresh["run"], 1);
+}
+
+/// The answer is lost on its way from the service; the key stays unknown.
+#[tokio::test]
+async fn key_lost_service_answer() {
+    let site = Site::start(config()).await;
+    for agent in &site.services {
+        agent.endpoint.control(&service::Command {
+            faults: fault::Command {
+                drop_answers: Some(1),
+                ..fault::Command::default()
+            },
+            ..service::Command::default()
+        });
+    }
+    let [one, other] = [0, 1].map(|at| site.entries[at].address);
+    let first = order(&site.client, one, "k1", 4).await;
+    assert_eq!(first.unwrap_err().1, "unknown");
+    let second = order(&site.client, other, "k1", 4).await;
+    assert_eq!(second, refusal("key_in_use", "unknown"));
+    assert_eq!(site.runs("/k1"), 1);
+}
+
+/// A key whose service cannot be reached is given back and runs elsewhere.
+#[tokio::test]
+async fn key_one_service_down() {
+    let site = Site::start(config()).await;
+    site.services[0].endpoint.server().kill().await;
+    for number in 0..6 {
+        let key = format!("k{number}");
+        let entry = site.entries[number % 2].address;
+        order(&site.client, entry, &key, 4).await.unwrap();
+        assert_eq!(site.runs(&format!("/{key}")), 1);
+    }
+}
+
+/// A planned stop of the agent stores the answers first.
+#[tokio::test]
+async fn key_agent_stopped() {
+    let mut site = Site::start(config()).await;
+    let entry = site.entries[0].address;
+    let first = order(&site.client, entry, "k1", 4).await.unwrap();
+    let ran =
+        |agent: &crate::site::Agent<service::Handle>| agent.endpoint.seen().runs_at("/k1") == 1;
+    let holder = site.services.iter().position(ran).unwrap();
+    site.services[holder].process.terminate();
+    assert!(site.services[holder].process.ended().await.success());
+    let second = loop {
+        match order(&site.client, entry, "k1", 4).await {
+            Ok(answer) => break answer,
+            Err((_, effect)) => assert_eq!(effect, "not_run"),
+        }
+    };
+    assert_eq!(first, second);
+    assert_eq!(site.runs("/k1"), 1);
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,8 +2,10 @@
 //! processes behind a fault-injecting proxy.
 
 mod adapters;
+mod blame;
 mod caller;
 mod death;
+mod ledger;
 mod link;
 mod order;
 mod site;
