--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -107,15 +107,15 @@
 impl Default for Config {
     fn default() -> Config {
         Config {
-            retention: Duration::from_secs(2 * 3_600),
+            retention: Duration::from_secs(3_600),
             write_interval: Duration::from_millis(100),
             answer_wait: Duration::from_millis(500),
             claim_wait: Duration::from_secs(2),
             skew: Duration::from_secs(10),
-            max_head_bytes: 64 << 10,
-            max_segment_bytes: 512 << 10,
+            max_head_bytes: 16 << 10,
+            max_segment_bytes: 256 << 10,
             max_batch: 256,
-            max_keys: 400_000,
+            max_keys: 100_000,
             max_unsaved_bytes: 8 << 20,
         }
     }
--- a/crates/core/src/ledger/partition.rs
+++ b/crates/core/src/ledger/partition.rs
@@ -141,6 +141,8 @@
     stale: bool,
     /// When the last read of the head began.
     read_since: Time,
+    /// The version of a head that lists a segment which was not found.
+    lost_at: Option<u64>,
     /// The segments to fold before the records of the head.
     missing: Vec<Segment>,
     /// The position up to which records were folded.
@@ -185,6 +187,7 @@
             head_bytes: 0,
             stale: true,
             read_since: Time::ZERO,
+            lost_at: None,
             missing: Vec::new(),
             folded: 0,
             index: Index::default(),
@@ -386,9 +389,14 @@
             }
             (Flight::JoinSegment, Reply::Object(object)) => {
                 self.joined = object.and_then(|(_, value)| serde_json::from_slice(&value).ok());
-                if self.joined.is_none() {
+                // Another agent may have joined the segment already; the new head tells.
+                if self.joined.is_none() && self.lost_at == self.version {
                     self.corrupt(now);
                 }
+                if self.joined.is_none() {
+                    self.lost_at = self.version;
+                    self.stale = true;
+                }
             }
             (Flight::WriteSegment(seal), Reply::Written(_)) => self.seal = Some(seal),
             (Flight::WriteHead { head, bytes, .. }, Reply::Written(version)) => {
@@ -464,6 +472,12 @@
             Some(records) => self.fold(segment.first, &records, now),
             // Whoever deletes an expired segment may be ahead of this clock.
             None if segment.part.is_past(now, Duration::ZERO) => {}
+            // A later head may list another segment in place of this one.
+            None if self.lost_at != self.version => {
+                self.lost_at = self.version;
+                self.stale = true;
+                return;
+            }
             None => {
                 self.corrupt(now);
                 return;
@@ -538,7 +552,8 @@
 
     /// Acts on a claim that stands in the log, where it is of this process.
     fn claimed(&mut self, attempt: Attempt, key: Digest, position: u64, until: Time, now: Time) {
-        if let Some(at) = self.waits.iter().position(|w| w.claim.attempt == attempt) {
+        let is_mine = |w: &Wait| w.claim.attempt == attempt && w.claim.key == key;
+        if let Some(at) = self.waits.iter().position(is_mine) {
             self.waits.swap_remove(at);
             self.running.push(Running {
                 attempt,
@@ -555,6 +570,7 @@
 
     fn head_written(&mut self, head: Head, bytes: usize, version: u64, now: Time) {
         self.version = Some(version);
+        self.drop_replaced(&head, now);
         self.head = head;
         self.head_bytes = bytes;
         self.seal = None;
@@ -562,6 +578,19 @@
         self.fold_head(true, now);
     }
 
+    /// Queues the deletion of the segment that the new head lists in another one.
+    fn drop_replaced(&mut self, next: &Head, now: Time) {
+        let Some(last) = self.head.segments.last() else {
+            return;
+        };
+        let is_listed = next.segments.iter().any(|s| s.part == last.part);
+        if !is_listed {
+            let name = format!("{}/segment/{}", self.prefix, last.part);
+            self.garbage.push(name);
+            self.sweep_at = self.sweep_at.min(now + self.config.write_interval);
+        }
+    }
+
     fn pack_written(&mut self, pack: &Arc<Part>, count: usize, now: Time) {
         let saved: Vec<Unsaved> = self.unsaved.drain(..count).collect();
         for (index, unsaved) in (0..).zip(saved) {
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cactusroad_core::{
-    Time,
+    Time, ledger,
     outlier::Outcome,
     refusal::{Effect, Kind, Refusal},
     retry::History,
@@ -62,11 +62,18 @@
     answer
 }
 
+/// Sends the keys of one partition of the ledger to one agent, which writes their claims together.
+fn affinity(job: &Job) -> Option<u64> {
+    let key = job.work.idempotency_key.as_str();
+    if job.idempotent || key.is_empty() {
+        return None;
+    }
+    let partition = ledger::partition_of(ledger::key(&job.route, &job.workspace, key));
+    Some(xxh3_64(ledger::prefix(&job.route, partition).as_bytes()))
+}
+
 async fn attempts(shared: &Shared, job: &Job) -> Result<Answer, Refusal> {
-    let key = match job.work.idempotency_key.as_str() {
-        "" => None,
-        key => Some(xxh3_64(key.as_bytes())),
-    };
+    let key = affinity(job);
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut last = attempt::unavailable();
     let mut effect = Effect::NotRun;
