--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,6 +2,7 @@
 //! processes behind a fault-injecting proxy.
 
 mod adapters;
+mod blame;
 mod caller;
 mod cold;
 mod crash;
@@ -10,6 +11,7 @@
 mod fleet;
 mod input;
 mod key;
+mod ledger;
 mod link;
 mod metrics;
 mod mixed;
