--- /dev/null
+++ b/crates/core/tests/stream.rs
@@ -0,0 +1,246 @@
+//! Streams over links that lose, repeat and reorder, and the bounds of their buffers.
+
+use std::sync::Arc;
+
+use cactusroad_core::{
+    id::{Attempt, Incarnation},
+    stream::{Buffer, Config, Error, EventId, Reader, Verdict},
+};
+use proptest::{collection::vec, prelude::*, sample::Index};
+
+const ATTEMPT: Attempt = Attempt(7);
+const OTHER: Attempt = Attempt(8);
+
+/// What happens between the agent and a caller.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The engine produces a token.
+    Push,
+    /// The agent puts its next frames on the link.
+    Send(usize),
+    /// A frame of the link arrives, and stays on it or not.
+    Arrive { which: Index, stays: bool },
+    /// A frame of another attempt arrives.
+    Foreign(u64),
+    /// What the entry passed on is acknowledged.
+    Acknowledge,
+    /// The link is replaced; its frames may still arrive.
+    Resume,
+    /// The link is replaced, and its frames are lost.
+    Lose,
+    /// The entry dies; another goes on after some event that the caller saw.
+    Return(Index),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => Just(Step::Push),
+        3 => (1usize..5).prop_map(Step::Send),
+        6 => (any::<Index>(), any::<bool>())
+            .prop_map(|(which, stays)| Step::Arrive { which, stays }),
+        1 => (0u64..40).prop_map(Step::Foreign),
+        1 => Just(Step::Acknowledge),
+        1 => Just(Step::Resume),
+        1 => Just(Step::Lose),
+        1 => any::<Index>().prop_map(Step::Return),
+    ]
+}
+
+/// An agent, a link, an entry and a caller.
+struct World {
+    buffer: Buffer,
+    link: Vec<u64>,
+    sent: u64,
+    reader: Reader,
+    seen: Vec<u64>,
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            buffer: Buffer::new(Config::default()),
+            link: Vec::new(),
+            sent: 0,
+            reader: Reader::new(ATTEMPT, 0),
+            seen: Vec::new(),
+        }
+    }
+
+    fn act(&mut self, step: Step) {
+        match step {
+            Step::Push => self.buffer.push(text(self.buffer.next_index())),
+            Step::Send(limit) => self.send(limit),
+            Step::Arrive { which, stays } => self.arrive(which, stays),
+            Step::Foreign(index) => {
+                assert_eq!(self.reader.accept(OTHER, index), Verdict::Foreign);
+            }
+            Step::Acknowledge => self.buffer.acknowledge(self.reader.next_index()),
+            Step::Resume => self.sent = self.reader.next_index(),
+            Step::Lose => {
+                self.link.clear();
+                self.sent = self.reader.next_index();
+            }
+            Step::Return(which) => self.come_back(which),
+        }
+    }
+
+    fn send(&mut self, limit: usize) {
+        let frames = self.buffer.read(self.sent, limit).unwrap();
+        let frames: Vec<Arc<str>> = frames.cloned().collect();
+        for frame in frames {
+            assert_eq!(frame, text(self.sent));
+            self.link.push(self.sent);
+            self.sent += 1;
+        }
+    }
+
+    fn arrive(&mut self, which: Index, stays: bool) {
+        if self.link.is_empty() {
+            return;
+        }
+        let at = which.index(self.link.len());
+        let index = self.link[at];
+        if !stays {
+            self.link.remove(at);
+        }
+        match self.reader.accept(ATTEMPT, index) {
+            Verdict::Deliver => self.seen.push(index),
+            Verdict::Gap => self.sent = self.reader.next_index(),
+            Verdict::Duplicate => assert!(self.seen.contains(&index)),
+            Verdict::Foreign => panic!("the frame is of this attempt"),
+        }
+    }
+
+    /// What the caller did not see is dropped with its connection, and comes again.
+    fn come_back(&mut self, which: Index) {
+        if self.seen.is_empty() {
+            return;
+        }
+        let last = which.index(self.seen.len());
+        self.seen.truncate(last + 1);
+        let id = EventId {
+            endpoint: "e-1".into(),
+            incarnation: Incarnation(3),
+            attempt: ATTEMPT,
+            index: self.seen[last],
+        };
+        let id: EventId = id.to_string().parse().unwrap();
+        self.reader = Reader::new(id.attempt, id.index + 1);
+        self.sent = self.reader.next_index();
+        self.link.clear();
+    }
+
+    /// Lets the rest through over a link without faults.
+    fn finish(&mut self) {
+        self.act(Step::Lose);
+        self.send(usize::MAX);
+        for index in std::mem::take(&mut self.link) {
+            assert_eq!(self.reader.accept(ATTEMPT, index), Verdict::Deliver);
+            self.seen.push(index);
+        }
+    }
+}
+
+fn text(index: u64) -> Arc<str> {
+    format!(" t{index}").into()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(41),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn reader_any_interleaving(steps in vec(step(), 0..200)) {
+        let mut world = World::new();
+        for step in steps {
+            world.act(step);
+            let in_order: Vec<u64> = (0..world.seen.len() as u64).collect();
+            prop_assert_eq!(&world.seen, &in_order);
+        }
+        world.finish();
+        let count = world.buffer.next_index();
+        prop_assert_eq!(world.seen, (0..count).collect::<Vec<u64>>());
+        prop_assert!(world.reader.is_whole(ATTEMPT, count));
+        prop_assert!(!world.reader.is_whole(ATTEMPT, count + 1));
+        prop_assert!(!world.reader.is_whole(OTHER, count));
+    }
+
+    #[test]
+    fn buffer_bounds(
+        sizes in vec(0usize..400, 1..300),
+        lag in 0u64..20,
+        max_unacked_bytes in 1usize..4_000,
+        max_bytes in 1usize..8_000,
+    ) {
+        let mut buffer = Buffer::new(Config { max_unacked_bytes, max_bytes });
+        let mut largest = 0;
+        let mut acked = 0;
+        for size in sizes {
+            // An agent reads no further from the engine while the buffer is full.
+            if buffer.is_full() {
+                acked = buffer.next_index();
+                buffer.acknowledge(acked);
+            }
+            prop_assert!(!buffer.is_full());
+            buffer.push("x".repeat(size).into());
+            largest = largest.max(size + 64);
+            acked = acked.max(buffer.next_index().saturating_sub(lag));
+            buffer.acknowledge(acked);
+            let bound = max_bytes.max(max_unacked_bytes) + largest;
+            prop_assert!(buffer.bytes() <= bound, "{} > {bound}", buffer.bytes());
+        }
+        let next = buffer.next_index();
+        prop_assert_eq!(buffer.read(next + 1, 1).err(), Some(Error::Ahead { next }));
+        prop_assert_eq!(buffer.read(next, 1).unwrap().count(), 0);
+        // What is not acknowledged is never dropped.
+        prop_assert!(buffer.read(acked, 1).is_ok());
+    }
+
+    #[test]
+    fn event_id_any_text(text in "[0-9a-z~.-]{0,60}") {
+        if let Ok(id) = text.parse::<EventId>() {
+            let again: EventId = id.to_string().parse().unwrap();
+            prop_assert_eq!(again, id);
+        }
+    }
+}
+
+#[test]
+fn event_id_bad() {
+    let last = format!("e-1~1~05~{}", u64::MAX);
+    let long = format!("{}~1~05~3", "e".repeat(300));
+    for text in [
+        "",
+        "e-1",
+        "e-1~1~05",
+        "~1~05~3",
+        "e-1~g~05~3",
+        "e-1~1~05~3~4",
+        &last,
+        &long,
+    ] {
+        assert!(text.parse::<EventId>().is_err(), "{text}");
+    }
+}
+
+#[test]
+fn buffer_dropped() {
+    let mut buffer = Buffer::new(Config {
+        max_unacked_bytes: 1_000,
+        max_bytes: 100,
+    });
+    for index in 0..10 {
+        buffer.push(text(index));
+    }
+    assert!(buffer.read(0, 1).is_ok());
+    buffer.acknowledge(9);
+    let Err(Error::Dropped { first }) = buffer.read(0, 1).map(|_| ()) else {
+        panic!("the first frame is kept");
+    };
+    let kept: Vec<Arc<str>> = buffer.read(first, 10).unwrap().cloned().collect();
+    assert_eq!(kept, (first..10).map(text).collect::<Vec<_>>());
+}
