Test that crossed answers reach nobody

Cause: promise 4 (each caller gets the answer to its own request) had no test that brings the failure about.

--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -24,7 +24,8 @@
 
 /// The version of the demo's model.
 pub const MODEL_VERSION: &str = "catalogue-1";
-const SERVICE_VERSION: &str = "orders-1";
+/// The version of the demo's plain service.
+pub const SERVICE_VERSION: &str = "orders-1";
 /// The data centre of the demo.
 pub const DATA_CENTRE: &str = "kairouan";
 const READY_TRIES: u32 = 200;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod bad_input;
 mod caller;
 mod crash;
+mod crossed;
 mod death;
 mod endpoint;
 mod input;
