Hear why an entry stopped reading before its reader is given up

Cause: an entry whose caller hangs up sends `Cancel` and stops reading at once. Where the agent found its own sends refused first, it dropped the stream with the `Cancel` unread, took the entry for dead, and let the engine run on for the 30 s of grace instead of 2 s.

Change: after a failed send the agent reads on for at most 1 s.

Conclusion: a hang-up reaches the engine in its time.

--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -1,6 +1,6 @@
 //! One stream from an entry: an attempt, a question about one, or the heartbeat.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cactusroad_core::{
@@ -14,6 +14,7 @@
     Accepted, Answer, Attach, End, Header, Open, Ping, Pong, Refused, Reply, Request, Settle,
     Settled, Token, reply, request, settled::State,
 };
+use tokio::time;
 
 use super::{
     Shared, run,
@@ -25,6 +26,8 @@
     transport::{Error, Incoming, Receiver, Sender},
 };
 
+/// How long an entry that stopped reading may take to say why, in milliseconds.
+const LAST_WORDS_MS: u64 = 1_000;
 /// How long after its deadline an attempt is remembered, in seconds.
 const REMEMBER_SECONDS: u64 = 60;
 
@@ -69,7 +72,7 @@
     let slot = match entry {
         Entry::Known(slot) => slot,
         Entry::New(slot) => {
-            slot.keep_until(deadline + std::time::Duration::from_secs(REMEMBER_SECONDS));
+            slot.keep_until(deadline + Duration::from_secs(REMEMBER_SECONDS));
             tokio::spawn(run::attempt(shared.clone(), slot.clone(), message));
             slot
         }
@@ -107,7 +110,7 @@
     let deadline = Time::from_micros(message.deadline_micros);
     let state = match shared.table.enter(attempt, "", Phase::Barred, now) {
         Entry::New(slot) => {
-            slot.keep_until(deadline + std::time::Duration::from_secs(REMEMBER_SECONDS));
+            slot.keep_until(deadline + Duration::from_secs(REMEMBER_SECONDS));
             State::NotRun
         }
         Entry::Known(slot) => match slot.bar() {
@@ -173,6 +176,11 @@
         relay(&slot, reader, index, &mut receiver, &mut sender).await
     }
     .await;
+    if served.is_err() {
+        // An entry whose caller is gone stops reading at once, and says so just behind.
+        let words = drain(&slot, reader, &mut receiver);
+        let _ = time::timeout(Duration::from_millis(LAST_WORDS_MS), words).await;
+    }
     slot.detach(reader, clock::now());
     served
 }
--- a/tests/integration/path.rs
+++ b/tests/integration/path.rs
@@ -5,12 +5,18 @@
 use cactusroad::{
     demo::{
         client::{Client, Piece},
-        site::{Config, MODEL_ROUTE, Site},
+        site::{Config, MODEL_ROUTE, MODEL_VERSION, Site},
+    },
+    node::{
+        clock,
+        metrics::{EntryMetrics, Exporter},
+        transport::{Call, Dialer, Identity},
     },
     standin::engine::{self, Generation, text},
+    wire::message::{Cancel, Generate, Open, Request, open, request::Body},
 };
 use serde_json::{Value, json};
-use tokio::{io::AsyncReadExt, net::TcpSocket};
+use tokio::{io::AsyncReadExt, net::TcpSocket, time};
 
 use crate::raw::{self, completion, request};
 
@@ -128,6 +134,50 @@
     hang_up(&site, "Never mind. [len=100000]", true).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn hang_up_told_late() {
+    let site = site(engine::Config::default()).await;
+    let files = site.common("entry-9").unwrap().tls;
+    let control = EntryMetrics::new(&Exporter::new()).control();
+    let dialer = Dialer::new("entry-9".into(), &Identity::read(&files).unwrap(), control);
+    let agent = &site.agents[0];
+    let link = dialer.link("engine-1", agent.address()).await.unwrap();
+    let prompt = "Hung up, and told late. [len=100000]";
+    let open = Open {
+        attempt: vec![3; 16].into(),
+        version: MODEL_VERSION.to_owned(),
+        workspace: "workshop".to_owned(),
+        deadline_micros: (clock::now() + Duration::from_secs(600)).as_micros(),
+        work: Some(open::Work::Generate(Generate {
+            prompt: prompt.to_owned(),
+            max_tokens: 100_000,
+            prefixes: Vec::new(),
+        })),
+        ..Open::default()
+    };
+    let body = Some(Body::Open(Box::new(open)));
+    let call = link.call(&Request { body }).await.unwrap();
+    let Call {
+        mut sender,
+        mut receiver,
+        ..
+    } = call;
+    for _ in 0..5 {
+        receiver.next().await.unwrap().expect("a token");
+    }
+    // The agent finds that nobody reads before it is told why.
+    drop(receiver);
+    time::sleep(Duration::from_millis(200)).await;
+    let body = Some(Body::Cancel(Cancel { at_micros: 0 }));
+    sender.send(&Request { body }).await.unwrap();
+    raw::until("the engine is told", async || {
+        seen(&site, prompt).cancels > 0
+    })
+    .await;
+    let seen = seen(&site, prompt);
+    assert!(seen.generated < 2_000, "{seen:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn hang_up_whole() {
     let site = site(engine::Config::default()).await;
@@ -159,7 +209,7 @@
     })
     .await;
     // The engine has it all, but nobody has taken it.
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    time::sleep(Duration::from_secs(1)).await;
     let held_back = seen(&site, &prompt).sent;
     assert!(held_back < TOKENS / 2, "the agent took {held_back} tokens");
     let kept = metric(
