--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,17 +1,23 @@
 //! The daemons: settings in, signals heeded, exit code out.
 
-use std::{fmt, path::Path};
+use std::{fmt, net::SocketAddr, path::Path};
 
+use cactusroad_core::{
+    id::Incarnation,
+    member::{Member, Role},
+};
 use cactusroad_platform::{address::Address, engine, roster, service, store};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     admin::{self, Readiness},
     agent::{Agent, Backend, Drain},
+    clock,
     entry::{Entry, Ready},
-    logging,
-    metrics::{AgentMetrics, EntryMetrics, Exporter},
-    settings, source, transport,
+    fleet, logging,
+    metrics::{AgentMetrics, Control, EntryMetrics, Exporter},
+    settings,
+    transport::{self, Dialer, Identity},
 };
 
 /// Why a daemon did not start.
@@ -57,15 +63,20 @@
 pub async fn entry(file: &Path) -> Result<(), Error> {
     let settings = read(file, settings::Entry::parse)?;
     logging::start(&settings.common.name);
-    let store = store::http::Client::new(&address(&settings.common.store)?);
-    let roster = roster::http::Client::new(&address(&settings.common.roster)?);
+    let common = &settings.common;
     let exporter = Exporter::new();
     let metrics = EntryMetrics::new(&exporter);
-    let config = source::config(store.clone());
-    let vms = source::endpoints(roster.clone());
-    let entry = Entry::start(&settings, config, vms, metrics).await?;
-    entry.follow_entries(source::entries(roster));
-    entry.follow_rollouts(store);
+    let identity = Identity::read(&common.tls)?;
+    let incarnation = Incarnation(clock::now().as_micros());
+    let control = metrics.control();
+    let own = own(common, Role::Entry, incarnation, common.inner);
+    let fleet = join(common, own, &identity, control)?;
+    let socket = fleet::listen(&identity, common.inner, &fleet)?;
+    let view = fleet.view();
+    exporter.follow(view.clone());
+    let entry = Entry::start(&settings, view.config, view.endpoints, metrics).await?;
+    entry.follow_entries(view.entries);
+    entry.follow_rollouts(store::http::Client::new(&address(&common.store)?));
     admin::start(settings.common.admin, exporter, entry.readiness()).await?;
     log::info!(
         "entry {} listens on {}",
@@ -74,7 +85,13 @@
     );
     terminated().await?;
     log::info!("entry {} stops", settings.common.name);
+    let leaving = fleet::Report {
+        leaving: true,
+        ..fleet::Report::default()
+    };
+    fleet.report(leaving).await;
     entry.stop().await;
+    socket.close(0u32.into(), b"stopped");
     Ok(())
 }
 
@@ -94,7 +111,15 @@
     let exporter = Exporter::new();
     let metrics = AgentMetrics::new(&exporter);
     let store = store::http::Client::new(&address(&settings.common.store)?);
+    let control = metrics.control();
     let agent = Agent::start(&settings, backend, store, metrics)?;
+    let common = &settings.common;
+    let identity = Identity::read(&common.tls)?;
+    let (life, inner) = (agent.incarnation(), agent.address());
+    let own = own(common, Role::Endpoint, life, inner);
+    let fleet = join(common, own, &identity, control)?;
+    exporter.follow(fleet.view());
+    agent.join(fleet);
     admin::start(settings.common.admin, exporter, agent.readiness()).await?;
     log::info!(
         "agent {} listens on {}",
@@ -107,6 +132,38 @@
     Ok(())
 }
 
+/// Starts the task by which this process learns what the fleet knows.
+fn join(
+    common: &settings::Common,
+    own: Member,
+    identity: &Identity,
+    control: Control,
+) -> Result<fleet::Handle, Error> {
+    let store = store::http::Client::new(&address(&common.store)?);
+    let roster = roster::http::Client::new(&address(&common.roster)?);
+    let dialer = Dialer::new(common.name.clone(), identity, control.clone());
+    Ok(fleet::start(
+        own,
+        Vec::new(),
+        dialer,
+        store,
+        roster,
+        control,
+    ))
+}
+
+/// Returns what this process says of itself at first.
+fn own(
+    common: &settings::Common,
+    role: Role,
+    incarnation: Incarnation,
+    inner: SocketAddr,
+) -> Member {
+    let mut own = Member::new(common.name.clone(), role, inner, common.data_centre.clone());
+    own.incarnation = incarnation;
+    own
+}
+
 impl Readiness for Ready {
     fn is_ready(&self) -> bool {
         Ready::is_ready(self)
