--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod cold;
 mod crash;
+mod crossed;
 mod death;
 mod endpoint;
 mod fleet;
