--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -6,8 +6,12 @@
 mod gate;
 #[path = "policy/measure.rs"]
 mod measure;
+#[path = "policy/placement.rs"]
+mod placement;
 #[path = "policy/single.rs"]
 mod single;
+#[path = "policy/site.rs"]
+mod site;
 #[path = "policy/verdict.rs"]
 mod verdict;
 #[path = "policy/workload.rs"]
@@ -18,5 +22,6 @@
 fn main() -> ExitCode {
     let mut verdict = verdict::Verdict::load();
     single::run(&mut verdict);
+    placement::run(&mut verdict);
     verdict.finish()
 }
--- a/crates/core/src/fairness/queue.rs
+++ b/crates/core/src/fairness/queue.rs
@@ -196,24 +196,40 @@
 
     /// Returns how long a request would wait if it came now.
     ///
-    /// The estimate takes the pace of late, and that the workspaces of one
-    /// priority take turns.
+    /// The estimate takes the pace of late. Workspaces that were served less go
+    /// first, and the workspaces of one priority take turns.
     pub fn wait(&self, workspace: &str, priority: u8, now: Time) -> Duration {
         let higher = self.levels.iter().filter(|level| level.priority > priority);
         let mut ahead: usize = higher.map(|level| level.queued).sum();
-        if let Some(level) = self.levels.iter().find(|level| level.priority == priority) {
-            let lane = self
-                .accounts
-                .get(workspace)
-                .and_then(|account| account.lane(priority));
+        let level = self.levels.iter().find(|level| level.priority == priority);
+        if let Some(level) = level.filter(|level| level.queued > 0) {
+            let account = self.accounts.get(workspace);
+            let lane = account.and_then(|account| account.lane(priority));
             let own = lane.map_or(0, |lane| lane.waiting.len());
-            let turns = (own + 1) * (level.lanes - usize::from(lane.is_some()));
-            ahead += (own + turns).min(level.queued);
+            let others = level.lanes - usize::from(lane.is_some());
+            let before = self.lanes_before(account, priority).min(others);
+            ahead += (own + before + own * others).min(level.queued);
         }
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         self.pace.interval(now).saturating_mul(ahead)
     }
 
+    /// Counts the lanes of a priority that were served less than an account,
+    /// which takes as many steps as there are.
+    fn lanes_before(&self, account: Option<&Account>, priority: u8) -> usize {
+        let counter = account.map_or(self.floor, |account| {
+            let debt = account::cost(self.config.max_debt_tokens, account.weight);
+            account
+                .counter
+                .clamp(self.floor, self.floor.saturating_add(debt))
+        });
+        let lanes = self.order.iter();
+        lanes
+            .skip_while(|(Reverse(other), ..)| *other > priority)
+            .take_while(|(Reverse(other), served, _)| *other == priority && *served < counter)
+            .count()
+    }
+
     /// Returns when the next request has waited as long as it can.
     pub fn next_deadline(&self) -> Option<Time> {
         self.deadlines.first().map(|&(until, _)| until)
--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -155,7 +155,7 @@
         };
         let slots = attempts / limit;
         let memory = if self.reported {
-            self.memory(sent)
+            self.memory(config, sent)
         } else {
             0.0
         };
@@ -167,12 +167,13 @@
         self.load(config, now) + self.penalty
     }
 
-    /// Takes each attempt that is not in the report, or queued, to need as much
-    /// memory as a running one has.
-    fn memory(&self, sent: f64) -> f64 {
+    /// Takes each attempt that is not in the report, or queued, to weigh a few times
+    /// what a running one holds, because its prompt is still to be computed.
+    fn memory(&self, config: &Config, sent: f64) -> f64 {
         let used = 1.0 - f64::from(self.headroom_millis) / 1_000.0;
         let each = used / f64::from(self.running.max(1));
-        used + each * (sent + f64::from(self.queued))
+        let pending = sent + f64::from(self.queued);
+        used + each * pending * config.pending_weight
     }
 
     fn return_share(&self, config: &Config, now: Time) -> f64 {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -108,6 +108,9 @@
     pub far_penalty: f64,
     /// Milliseconds until a data centre that came back counts in full; 60,000 by default.
     pub return_ms: u64,
+    /// How much more an attempt that is queued, or sent since the report, weighs
+    /// than a running one; 8 by default.
+    pub pending_weight: f64,
     /// Attempts that an endpoint is taken to bear before its first report; 4 by default.
     pub unknown_limit: u32,
 }
@@ -126,6 +129,7 @@
             near_penalty: 0.02,
             far_penalty: 0.2,
             return_ms: 60_000,
+            pending_weight: 8.0,
             unknown_limit: 4,
         }
     }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -11,22 +11,24 @@
 //!   data centre fails, attempts therefore grow by at most that share instead of
 //!   by the number of repeats that each request may have.
 //!
-//! A refusal by an agent whose endpoint is full costs no budget, because the
-//! endpoint was given nothing; the number of agents asked for one request is
-//! bounded instead.
+//! An attempt that was not run costs no budget, because it gave no endpoint any
+//! work: its agent is full, or cannot be reached. The number of such attempts for
+//! one request is bounded instead. With a budget for these as well, a third of the
+//! endpoints lost at once would spend it within a second, and requests would be
+//! refused although the rest has room.
 //!
 //! # Examples
 //!
 //! ```
-//! use cactusroad_core::{Time, refusal::Effect, retry::{Budget, Config, Failure, History}};
+//! use cactusroad_core::{Time, refusal::Effect, retry::{Budget, Config, History}};
 //!
 //! let now = Time::from_millis(1_000);
 //! let mut budget = Budget::new(Config::default(), now);
 //! let mut history = History::new(true, Time::from_millis(9_000));
-//! history.failed(Failure::Broken(Effect::NotRun));
+//! history.failed(Effect::NotRun);
 //! assert!(budget.spend(&history, now).is_ok());
 //! history.started();
-//! history.failed(Failure::Broken(Effect::Unknown));
+//! history.failed(Effect::Unknown);
 //! assert!(budget.spend(&history, now).is_err());
 //! ```
 
@@ -47,9 +49,9 @@
     pub floor_per_second: f64,
     /// The most repeats that a route can save up; 20 by default.
     pub burst: f64,
-    /// The most attempts that fail for one request; 3 by default.
+    /// The most attempts of one request that fail after they may have run; 3 by default.
     pub max_attempts: u32,
-    /// The most agents that refuse one request because they are full; 6 by default.
+    /// The most attempts of one request that were not run; 6 by default.
     pub max_refusals: u32,
     /// The least time to the deadline that makes an attempt useful, in
     /// milliseconds; 50 by default.
@@ -69,22 +71,13 @@
     }
 }
 
-/// How an attempt failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// The agent was asked and its endpoint is full; nothing was run.
-    Full,
-    /// The attempt failed in any other way, with this effect.
-    Broken(Effect),
-}
-
 /// What has happened to one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct History {
     idempotent: bool,
     deadline: Time,
     started: bool,
-    last: Option<Failure>,
+    last: Option<Effect>,
     attempts: u32,
     refusals: u32,
 }
@@ -107,12 +100,17 @@
         self.started = true;
     }
 
-    /// Notes a failed attempt.
-    pub const fn failed(&mut self, failure: Failure) {
-        self.last = Some(failure);
-        match failure {
-            Failure::Full => self.refusals += 1,
-            Failure::Broken(_) => self.attempts += 1,
+    /// Tells whether the last attempt gave no endpoint any work.
+    fn is_free(&self) -> bool {
+        self.last == Some(Effect::NotRun)
+    }
+
+    /// Notes a failed attempt, and whether it ran.
+    pub const fn failed(&mut self, effect: Effect) {
+        self.last = Some(effect);
+        match effect {
+            Effect::NotRun => self.refusals += 1,
+            Effect::Unknown | Effect::Ran => self.attempts += 1,
         }
     }
 }
@@ -164,7 +162,7 @@
     pub fn spend(&mut self, history: &History, now: Time) -> Result<(), Denial> {
         self.fill(now);
         self.check(history, now)?;
-        if history.last != Some(Failure::Full) {
+        if !history.is_free() {
             self.balance -= 1.0;
         }
         Ok(())
@@ -177,10 +175,8 @@
 
     fn check(&self, history: &History, now: Time) -> Result<(), Denial> {
         match history.last {
-            Some(Failure::Broken(Effect::Ran)) => return Err(Denial::Unsafe),
-            Some(Failure::Broken(Effect::Unknown)) if !history.idempotent => {
-                return Err(Denial::Unsafe);
-            }
+            Some(Effect::Ran) => return Err(Denial::Unsafe),
+            Some(Effect::Unknown) if !history.idempotent => return Err(Denial::Unsafe),
             _ => {}
         }
         if history.started {
@@ -195,7 +191,7 @@
         if over {
             return Err(Denial::Attempts);
         }
-        if history.last != Some(Failure::Full) && self.balance < 1.0 {
+        if !history.is_free() && self.balance < 1.0 {
             return Err(Denial::Budget);
         }
         Ok(())
--- a/crates/node/src/entry/guard.rs
+++ b/crates/node/src/entry/guard.rs
@@ -8,7 +8,7 @@
     limit::{self, Grant, Limiter},
     outlier::{self, Change, Detector, Outcome},
     refusal::{Effect, Kind, Refusal},
-    retry::{self, Budget, Denial, Failure, History},
+    retry::{self, Budget, Denial, History},
 };
 
 use super::directory::Directory;
@@ -154,7 +154,7 @@
         history: &mut History,
         refusal: &Refusal,
     ) -> Result<(), Denial> {
-        history.failed(failure(refusal));
+        history.failed(refusal.effect);
         let spent = self.with(route, |route| route.budget.spend(history, clock::now()));
         if let Err(denial) = spent {
             log::debug!("a request on {route} is not tried again: {denial}");
@@ -192,13 +192,6 @@
     }
 }
 
-fn failure(refusal: &Refusal) -> Failure {
-    match (refusal.kind, refusal.effect) {
-        (Kind::Overloaded | Kind::Draining, Effect::NotRun) => Failure::Full,
-        (_, effect) => Failure::Broken(effect),
-    }
-}
-
 fn heed(directory: &Directory, endpoint: &str, change: Option<Change>) {
     match change {
         Some(Change::Eject { until }) => directory.eject(endpoint, until),
