--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -106,8 +106,6 @@
     pub near_penalty: f64,
     /// Load added for an endpoint in another region; 0.2 by default.
     pub far_penalty: f64,
-    /// Milliseconds until a data centre that came back counts in full; 60,000 by default.
-    pub return_ms: u64,
     /// How much more an attempt that is queued, or sent since the report, weighs
     /// than a running one; 8 by default.
     pub pending_weight: f64,
@@ -128,7 +126,6 @@
             affinity_slack: 0.1,
             near_penalty: 0.02,
             far_penalty: 0.2,
-            return_ms: 60_000,
             pending_weight: 8.0,
             unknown_limit: 4,
         }
--- a/crates/node/src/entry/generate.rs
+++ b/crates/node/src/entry/generate.rs
@@ -4,7 +4,7 @@
 //! one at another endpoint. After it, the attempt is final: its stream may move
 //! to a new link, but when its endpoint dies the caller is told so.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cactusroad_core::{
@@ -23,7 +23,8 @@
     attempt::{self, Session},
     directory::{Target, Want},
     guard::{self, Meter},
-    pump::{Finish, Pump},
+    pump::{Finish, Pump, SLOW_CALLER_SECONDS},
+    rollout::Trial,
 };
 use crate::clock;
 
@@ -36,6 +37,8 @@
 pub(super) struct Job {
     pub(super) route: Arc<str>,
     pub(super) version: Arc<str>,
+    /// Counts the attempts where a plan moves the route.
+    pub(super) trial: Option<Trial>,
     pub(super) workspace: Workspace,
     pub(super) priority: u8,
     pub(super) deadline: Time,
@@ -67,6 +70,13 @@
     Refused(Refusal),
 }
 
+impl Item {
+    /// Tells whether no item follows.
+    pub(super) fn is_last(&self) -> bool {
+        !matches!(self, Item::Token { .. })
+    }
+}
+
 /// Starts a generation and returns its stream.
 ///
 /// Dropping the receiver cancels the generation.
@@ -148,14 +158,25 @@
             arrived,
             prefixes: &prefixes,
         };
+        if let Some(trial) = &job.trial {
+            trial.begin(aim.target.load);
+        }
         let finish = once(shared, job, aim, meter, output).await;
         let outcome = match &finish {
             Finish::Done(outcome) => *outcome,
             Finish::Failed {
                 refusal,
                 endpoint_died,
-            } => guard::evidence(refusal, *endpoint_died),
+            } => {
+                if let Some(trial) = &job.trial {
+                    trial.refused(refusal, *endpoint_died, &name);
+                }
+                guard::evidence(refusal, *endpoint_died)
+            }
         };
+        if let Some(trial) = &job.trial {
+            trial.ended(outcome);
+        }
         shared
             .guard
             .ended(&shared.directory, &job.route, &name, outcome);
@@ -240,6 +261,7 @@
     };
     let mut pump = Pump::new(&session, 0, arrived, output);
     pump.meter = Some(meter);
+    pump.trial = job.trial.as_ref();
     pump.run(call).await
 }
 
@@ -290,8 +312,9 @@
 }
 
 pub(super) async fn refuse(output: &mpsc::Sender<Item>, refusal: Refusal) {
-    // A caller that is gone needs no answer.
-    let _ = output.send(Item::Refused(refusal)).await;
+    // A caller that is gone needs no answer, and one that does not read gets none.
+    let patience = Duration::from_secs(SLOW_CALLER_SECONDS);
+    let _ = output.send_timeout(Item::Refused(refusal), patience).await;
 }
 
 fn gone() -> Refusal {
