--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -106,6 +106,9 @@
     pub near_penalty: f64,
     /// Load added for an endpoint in another region; 0.2 by default.
     pub far_penalty: f64,
+    /// How much more an attempt that is queued, or sent since the report, weighs
+    /// than a running one; 8 by default.
+    pub pending_weight: f64,
     /// Attempts that an endpoint is taken to bear before its first report; 4 by default.
     pub unknown_limit: u32,
 }
@@ -123,6 +126,7 @@
             affinity_slack: 0.1,
             near_penalty: 0.02,
             far_penalty: 0.2,
+            pending_weight: 8.0,
             unknown_limit: 4,
         }
     }
