Refuse work at agents of a data centre that is out; follow suspects by the fleet

Cause: an entry that lags behind could still send work into a data centre that was taken out, since only entries looked; and each agent kept a watch of its own on the list of suspects, 600 waiting watches at the target size. Change: an agent refuses new work, truly not run, while the configuration in force gives its data centre no share. The writer of the list of suspects shares its version as an item of the fleet, agents that see a higher one read the list, and a read a minute repairs what is missed: 10 reads a second for 600 agents in place of 600 watches (computed). The direct readers of configuration and VM list moved into the demo, the only place that used them.

--- a/crates/node/src/agent/blame.rs
+++ b/crates/node/src/agent/blame.rs
@@ -1,11 +1,16 @@
 //! Keeps the agent's share of the search for requests that crash endpoints.
 //!
 //! A request that is no suspect costs a look at the agent's own copy of the list.
-//! One task writes the list, one follows it with a watch, and each suspect asks
-//! the store for its hold. The tasks end when the last handle is dropped.
+//! One task writes the list, one follows it, and each suspect asks the store for
+//! its hold. The tasks end when the last handle is dropped.
+//!
+//! A watch of the list by each agent would make the store's waiting watches grow
+//! with the fleet. So whoever writes the list shares its new version with the
+//! fleet as an item without a body, and an agent that sees a higher version than
+//! it holds reads the list. A slow poll repairs what is missed.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak},
     time::Duration,
 };
 
@@ -15,6 +20,7 @@
     blame::{self, Board, Config, Hold, LIST_KEY, List, Take, Verdict},
     digest::Digest,
     refusal::Refusal,
+    spread::Item,
 };
 use cactusroad_platform::store::{Error, Expect, Store, Version};
 use tokio::{
@@ -22,12 +28,16 @@
     time,
 };
 
-use crate::clock;
+use crate::{clock, fleet};
 
-/// How long one watch waits, in seconds.
-const WATCH_SECONDS: u64 = 20;
+/// How often the list is read although no change of it was heard of, in seconds.
+const POLL_SECONDS: u64 = 60;
+/// How long after a failed read of the list the next one follows, in milliseconds.
+const REREAD_MS: u64 = 5_000;
 /// How long after a failed call the next one follows, in milliseconds.
 const RETRY_MS: u64 = 500;
+/// How long the version of a list is shared, in seconds; later starters read the store.
+const SHARE_SECONDS: u64 = 600;
 /// How long callers of a crashed endpoint wait for the record of the crash, in milliseconds.
 const RECORD_MS: u64 = 1_500;
 /// How long the other agents are given to learn of a crash, in milliseconds.
@@ -49,6 +59,8 @@
     board: Mutex<Board>,
     /// Changes when a suspect may find room or the list is another one.
     changes: watch::Sender<()>,
+    /// Where the version of the list is shared.
+    fleet: OnceLock<fleet::Handle>,
 }
 
 impl Inner {
@@ -87,6 +99,7 @@
         let inner = Arc::new(Inner {
             board: Mutex::new(Board::new(Config::default())),
             changes: watch::Sender::new(()),
+            fleet: OnceLock::new(),
         });
         let (sender, receiver) = mpsc::unbounded_channel();
         tokio::spawn(follow(store.clone(), Arc::downgrade(&inner)));
@@ -102,6 +115,14 @@
         Blame { inner, sender }
     }
 
+    /// Follows the list through the fleet, and shares its changes there.
+    pub(super) fn join(&self, fleet: fleet::Handle) {
+        let items = fleet.view().items;
+        if self.inner.fleet.set(fleet).is_ok() {
+            tokio::spawn(heed_items(items, self.sender.downgrade()));
+        }
+    }
+
     /// Admits a request, after it has got room and a hold where it is suspect.
     ///
     /// `suspected` tells that its entry saw an endpoint die that ran the request.
@@ -355,9 +376,10 @@
             }
             let value = serde_json::to_vec(&list).map_err(|_| Error::Malformed)?;
             match self.store.put(LIST_KEY, expect, Bytes::from(value)).await {
-                Ok(_) => {
+                Ok(version) => {
                     self.changes.clear();
                     self.replace(list);
+                    share(&inner, version).await;
                 }
                 Err(Error::Conflict) if tries < MAX_TRIES => tries += 1,
                 // A crash that was written after all is known by its number.
@@ -466,40 +488,71 @@
     Ok((Expect::At(object.version), list))
 }
 
-/// Follows the list in the store until the handle is gone.
+/// Reads the list again and again, slowly, until the handle is gone.
 async fn follow<St: Store>(store: St, inner: Weak<Inner>) {
-    while inner.strong_count() > 0 {
-        if let Err(cause) = watch_list(&store, &inner).await {
-            log::debug!("the list of suspects is not followed: {cause}");
-            time::sleep(Duration::from_millis(RETRY_MS)).await;
+    loop {
+        let pause = match read(&store).await {
+            Ok((_, list)) => {
+                let Some(inner) = inner.upgrade() else {
+                    return;
+                };
+                inner.board().replace(list);
+                inner.changes.send_replace(());
+                Duration::from_secs(POLL_SECONDS)
+            }
+            Err(cause) => {
+                log::debug!("the list of suspects was not read: {cause}");
+                Duration::from_millis(REREAD_MS)
+            }
+        };
+        time::sleep(pause).await;
+        if inner.strong_count() == 0 {
+            return;
         }
     }
 }
 
-async fn watch_list<St: Store>(store: &St, inner: &Weak<Inner>) -> Result<(), Error> {
-    let wait = Duration::from_secs(WATCH_SECONDS);
-    let mut position = store.list(LIST_KEY).await?.position;
-    loop {
-        let (_, list) = read(store).await?;
-        let Some(strong) = inner.upgrade() else {
-            return Ok(());
+/// Tells the fleet that the list in the store has a new version.
+async fn share(inner: &Inner, version: Version) {
+    if let Some(fleet) = inner.fleet.get() {
+        let item = Item {
+            key: LIST_KEY.into(),
+            version: version.0,
+            body: "".into(),
+            until: clock::now() + Duration::from_secs(SHARE_SECONDS),
+            urgent: true,
         };
-        strong.board().replace(list);
-        strong.changes.send_replace(());
-        drop(strong);
-        loop {
-            let change = store.watch(LIST_KEY, position, wait).await?;
-            position = change.position;
-            if inner.strong_count() == 0 {
-                return Ok(());
-            }
-            if !change.objects.is_empty() {
-                break;
-            }
+        fleet.put(item).await;
+    }
+}
+
+/// Reads the list whenever the fleet tells of a version that was not heard of before.
+async fn heed_items(
+    mut items: watch::Receiver<Arc<Vec<Item>>>,
+    sender: mpsc::WeakUnboundedSender<Command>,
+) {
+    let mut heard = 0;
+    loop {
+        let version = shared_version(&items.borrow_and_update());
+        if version > heard {
+            let Some(sender) = sender.upgrade() else {
+                return;
+            };
+            let (done, _) = oneshot::channel();
+            sender.send(Command::Refresh(done)).ok();
+            heard = version;
+        }
+        if items.changed().await.is_err() {
+            return;
         }
     }
 }
 
+fn shared_version(items: &[Item]) -> u64 {
+    let found = items.binary_search_by(|item| (*item.key).cmp(LIST_KEY));
+    found.map_or(0, |at| items[at].version)
+}
+
 fn unheld() -> Refusal {
     blame::unheld(clock::now() + Duration::from_millis(RETRY_MS))
 }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -33,7 +33,7 @@
 };
 
 use cactusroad_core::{
-    config::Objective,
+    config::{Objective, drain},
     id::Incarnation,
     ledger::Config as LedgerConfig,
     refusal::{Effect, Kind, Refusal},
@@ -162,7 +162,8 @@
 
     /// Lets the agent answer its peers and tell them of itself; a second call changes nothing.
     pub fn join(&self, fleet: fleet::Handle) {
-        if self.shared.fleet.set(fleet).is_ok() {
+        if self.shared.fleet.set(fleet.clone()).is_ok() {
+            self.shared.blame.join(fleet);
             tokio::spawn(announce(Arc::downgrade(&self.shared)));
         }
     }
@@ -313,6 +314,26 @@
                 "Send the request to another endpoint.",
             ));
         }
+        if self.is_out() {
+            return Some(Refusal::new(
+                Kind::Draining,
+                Effect::NotRun,
+                "The data centre of the endpoint is taken out.",
+                "Send the request to another data centre.",
+            ));
+        }
         None
     }
+
+    /// Tells whether the configuration in force lets no new work into this data centre.
+    ///
+    /// Entries leave it out of their choice; an entry that lags behind is refused here.
+    fn is_out(&self) -> bool {
+        let Some(fleet) = self.fleet.get() else {
+            return false;
+        };
+        let config = fleet.config();
+        let data_centre = config.data_centre(&self.data_centre);
+        data_centre.is_some_and(|found| drain::allowance(found, clock::now()) == 0)
+    }
 }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -133,6 +133,11 @@
         self.view.clone()
     }
 
+    /// Returns the configuration in force here.
+    pub fn config(&self) -> Arc<Snapshot> {
+        self.view.config.borrow().clone()
+    }
+
     /// Returns the number of the configuration in force here.
     pub fn config_generation(&self) -> u64 {
         self.view.config.borrow().generation.0
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod logging;
 pub mod metrics;
 pub mod settings;
-pub mod source;
 pub mod status;
 pub mod trace;
 pub mod transport;
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod site;
+mod source;
 
 use std::{process::ExitCode, time::Instant};
 
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -7,7 +7,7 @@
     agent::{Agent, Backend},
     entry::Entry,
     metrics::{AgentMetrics, EntryMetrics, Exporter},
-    settings, source,
+    settings,
     transport::Files,
 };
 use cactusroad_ops::{apply, keys};
@@ -17,6 +17,8 @@
 use tempfile::TempDir;
 use tokio::{net::TcpListener, time};
 
+use super::source;
+
 /// The route of the demo's model.
 pub const MODEL_ROUTE: &str = "catalogue";
 /// The route of the demo's plain service.
--- a/crates/node/src/source.rs
+++ b/src/demo/source.rs
@@ -1,5 +1,7 @@
 //! Reads the configuration in force and the VM list straight from the platform.
 //!
+//! The daemons learn both through the fleet; the demo's few roles need no fleet.
+//!
 //! Both readers keep the last good answer while the platform is out of reach, and
 //! the configuration only moves forward.
 
@@ -16,7 +18,7 @@
 };
 use tokio::{sync::watch, time};
 
-use crate::entry::Listed;
+use cactusroad_node::entry::Listed;
 
 /// How often the store is asked for a new configuration, in milliseconds.
 const CONFIG_MS: u64 = 500;
@@ -24,7 +26,7 @@
 const ROSTER_MS: u64 = 500;
 
 /// Follows the configuration in force until nobody listens any more.
-pub fn config<S: Store>(store: S) -> watch::Receiver<Arc<Snapshot>> {
+pub(super) fn config<S: Store>(store: S) -> watch::Receiver<Arc<Snapshot>> {
     let (sender, receiver) = watch::channel(Arc::new(Snapshot::default()));
     tokio::spawn(async move {
         let mut tick = time::interval(Duration::from_millis(CONFIG_MS));
@@ -72,23 +74,7 @@
 }
 
 /// Follows the endpoints on the VM list until nobody listens any more.
-pub fn endpoints<R: Roster>(roster: R) -> watch::Receiver<Vec<Listed>> {
-    follow(roster, endpoint)
-}
-
-/// Follows the names of the entries on the VM list until nobody listens any more.
-pub fn entries<R: Roster>(roster: R) -> watch::Receiver<Vec<Arc<str>>> {
-    follow(roster, |vm| (vm.role == Role::Entry).then_some(vm.name))
-}
-
-/// Follows what is read from each VM on the list.
-fn follow<R: Roster, T>(
-    roster: R,
-    read: impl Fn(Vm) -> Option<T> + Send + 'static,
-) -> watch::Receiver<Vec<T>>
-where
-    T: PartialEq + Send + Sync + 'static,
-{
+pub(super) fn endpoints<R: Roster>(roster: R) -> watch::Receiver<Vec<Listed>> {
     let (sender, receiver) = watch::channel(Vec::new());
     tokio::spawn(async move {
         let mut tick = time::interval(Duration::from_millis(ROSTER_MS));
@@ -97,7 +83,7 @@
             let Ok(vms) = roster.vms().await else {
                 continue;
             };
-            let listed = vms.into_iter().filter_map(&read).collect();
+            let listed = vms.into_iter().filter_map(endpoint).collect();
             sender.send_if_modified(|current| {
                 let is_new = *current != listed;
                 *current = listed;
