Test a data centre that is taken out and brought back under load

Cause: nothing showed with real processes that a data centre taken out gets no new work, at entries and at agents. Change: a site can hold an engine in a second data centre. One test takes it out under load: five seconds later 60 requests reach only the other engine, the stream in hand ends whole, and after the return work comes back. The other sends an attempt straight to the agent, as a lagging entry would.

--- /dev/null
+++ b/tests/integration/data_centre.rs
@@ -0,0 +1,152 @@
+//! A data centre that is taken out under load, and brought back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactusroad::wire::message::{Generate, Open, Refused, Request, open, reply, request};
+use cactusroad_core::Time;
+use serde_json::{Value, json};
+
+use crate::{
+    caller::{self, Ending, Received},
+    site::{self, Config, FAR_DATA_CENTRE, Site, until},
+};
+
+/// In which a data centre that is taken out must get no new work any more.
+const OUT_WITHIN: Duration = Duration::from_secs(5);
+/// Requests that are sent after that.
+const REQUESTS: usize = 60;
+/// The engine in the data centre that is taken out.
+const FAR: usize = 1;
+
+fn now() -> Time {
+    Time::ZERO + std::time::UNIX_EPOCH.elapsed().expect("the clock is set")
+}
+
+async fn site() -> Site {
+    let config = Config {
+        far_engine: true,
+        ..Config::default()
+    };
+    Site::start(config).await
+}
+
+async fn set(site: &Site, data_centre: Value) {
+    let changes = json!({"data_centres": {FAR_DATA_CENTRE: data_centre}});
+    site::apply(&site.store, changes, now()).await;
+}
+
+/// Sends requests through both entries in turn; each must be answered whole.
+async fn serve(site: &Site, label: &str, count: usize) {
+    for number in 0..count {
+        let prompt = format!("{label} {number} [len=3]");
+        let entry = site.entries[number % site.entries.len()].address;
+        let answered = caller::generate(&site.client, entry, &prompt).await;
+        let (received, ending) = answered.expect("the request is served");
+        assert_eq!(ending, Ending::Done);
+        received.assert_whole(&prompt);
+    }
+}
+
+fn far_generations(site: &Site) -> usize {
+    site.engines[FAR].endpoint.seen().generations.len()
+}
+
+/// Starts streams until one of them runs at the far engine.
+async fn stream_at_far(site: &Site) -> (String, Received, cactusroad::demo::client::Generation) {
+    for number in 0.. {
+        let prompt = format!("in hand {number} [len=1500]");
+        let entry = site.entries[0].address;
+        let mut stream = caller::start(&site.client, entry, &prompt).await.unwrap();
+        let mut received = Received::default();
+        received.read(&mut stream, 1).await;
+        if site.holder(&prompt) == Some(FAR) {
+            return (prompt, received, stream);
+        }
+    }
+    unreachable!("the far engine gets a share of the streams")
+}
+
+#[tokio::test]
+async fn data_centre_out_and_back() {
+    let site = site().await;
+    let (prompt, mut received, mut stream) = stream_at_far(&site).await;
+
+    set(&site, json!({"out": true})).await;
+    tokio::time::sleep(OUT_WITHIN).await;
+    let before = far_generations(&site);
+    serve(&site, "while out", REQUESTS).await;
+    assert_eq!(
+        far_generations(&site),
+        before,
+        "no new work while it is out"
+    );
+
+    assert_eq!(received.finish(&mut stream).await, Ending::Done);
+    received.assert_whole(&prompt);
+
+    set(&site, json!({"out": false, "back_at": now().as_micros()})).await;
+    let serving = async {
+        for round in 0.. {
+            serve(&site, &format!("back {round}"), 4).await;
+        }
+    };
+    tokio::select! {
+        () = serving => {}
+        () = until("the data centre gets new work again", || far_generations(&site) > before) => {}
+    }
+}
+
+#[tokio::test]
+async fn data_centre_out_refused_by_agent() {
+    let site = site().await;
+    set(&site, json!({"out": true})).await;
+    let (address, dialer) = site.dialer(FAR);
+    // An entry that lags behind still sends work, which the agent refuses.
+    let name = format!("engine-{}", FAR + 1);
+    let refused = loop {
+        let link = dialer.link(&name, address).await.unwrap();
+        let mut call = link.call(&generation()).await.unwrap();
+        let refused = loop {
+            match call.receiver.next().await.unwrap().and_then(|r| r.body) {
+                Some(reply::Body::Refused(refused)) => break Some(refused),
+                Some(reply::Body::End(_)) | None => break None,
+                Some(_) => {}
+            }
+        };
+        match refused {
+            Some(refused) => break refused,
+            None => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    };
+    let Refused { kind, effect, .. } = refused;
+    assert_eq!((kind.as_str(), effect.as_str()), ("draining", "not_run"));
+    let before = far_generations(&site);
+    let link = dialer.link(&name, address).await.unwrap();
+    let mut call = link.call(&generation()).await.unwrap();
+    while call.receiver.next().await.unwrap().is_some() {}
+    assert_eq!(far_generations(&site), before);
+}
+
+/// Returns the first message of an attempt at any incarnation of the agent.
+fn generation() -> Request {
+    let attempt: u128 = rand::random();
+    let open = Open {
+        attempt: Bytes::copy_from_slice(&attempt.to_be_bytes()),
+        route: site::MODEL.to_owned(),
+        version: format!("{}-1", site::MODEL),
+        workspace: "workshop".to_owned(),
+        deadline_micros: (now() + Duration::from_secs(30)).as_micros(),
+        digest: Bytes::from_static(&[7; 32]),
+        weight: 1,
+        work: Some(open::Work::Generate(Generate {
+            prompt: "from a late entry [len=2]".to_owned(),
+            max_tokens: 2,
+            prefixes: Vec::new(),
+        })),
+        ..Open::default()
+    };
+    Request {
+        body: Some(request::Body::Open(Box::new(open))),
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod crash;
 mod crossed;
+mod data_centre;
 mod death;
 mod endpoint;
 mod fleet;
--- a/tests/integration/rollout.rs
+++ b/tests/integration/rollout.rs
@@ -51,7 +51,7 @@
         "deadline": (now + deadline).as_micros(),
         "unproven_share": 300,
     }});
-    site::apply(&site.store, plan, now).await;
+    site::apply(&site.store, json!({"plans": plan}), now).await;
 }
 
 async fn outcome(site: &Site) -> Option<Outcome> {
--- a/tests/integration/site.rs
+++ b/tests/integration/site.rs
@@ -19,6 +19,10 @@
 
 use cactusroad::{
     demo::client::{Client, WORKSPACE},
+    node::{
+        metrics::{EntryMetrics, Exporter},
+        transport::{Dialer, Files, Identity},
+    },
     ops::{self, keys},
     platform::{address::Address, store},
 };
@@ -43,7 +47,10 @@
 pub(crate) const ORDERS: &str = "orders";
 
 const POLL: Duration = Duration::from_millis(5);
-const DATA_CENTRE: &str = "sfax";
+/// The data centre of everything but the far engine.
+pub(crate) const DATA_CENTRE: &str = "sfax";
+/// The data centre of the far engine.
+pub(crate) const FAR_DATA_CENTRE: &str = "sousse";
 const CALLER_PORT: u16 = 8_000;
 const INNER_PORT: u16 = 7_000;
 const ADMIN_PORT: u16 = 9_000;
@@ -58,6 +65,8 @@
     /// Further services, which hold the next version of the orders.
     pub(crate) next_services: u16,
     pub(crate) engine: standin::engine::Config,
+    /// Whether the last engine stands in the other data centre.
+    pub(crate) far_engine: bool,
     /// Agents reach their endpoints without a proxy, so that one that is down refuses.
     pub(crate) direct: bool,
     /// Draws the moments of faults and the weather of the proxies.
@@ -72,6 +81,7 @@
             services: 0,
             next_services: 0,
             engine: standin::engine::Config::default(),
+            far_engine: false,
             direct: false,
             seed: 1,
         }
@@ -182,6 +192,8 @@
     vms: Vec<standin::roster::Vm>,
     seed: u64,
     direct: bool,
+    /// The data centre of the next process to be set up.
+    data_centre: &'static str,
     ip: IpAddr,
     directory: TempDir,
 }
@@ -199,9 +211,13 @@
             };
             let endpoint = standin::engine::spawn(engine, listen().await).unwrap();
             let beside = endpoint.server().address();
+            let is_far = config.far_engine && number == config.engines;
+            let data_centre = if is_far { FAR_DATA_CENTRE } else { DATA_CENTRE };
+            site.data_centre = data_centre;
             let agent = site
                 .agent("engine", "model", number, (beside, ""), endpoint)
                 .await;
+            site.data_centre = DATA_CENTRE;
             site.engines.push(agent);
         }
         for number in 1..=config.services + config.next_services {
@@ -242,6 +258,7 @@
             vms: Vec::new(),
             seed,
             direct,
+            data_centre: DATA_CENTRE,
             ip: Ipv4Addr::new(127, 1 + process[2] % 250, process[3], number).into(),
             directory,
         }
@@ -280,7 +297,7 @@
             name: name.as_str().into(),
             role: "endpoint".into(),
             address: proxy.address(),
-            data_centre: DATA_CENTRE.into(),
+            data_centre: self.data_centre.into(),
             leaving: false,
         });
         Agent {
@@ -291,12 +308,27 @@
         }
     }
 
+    /// Returns the address of an engine's agent and a dialer with a certificate of the site.
+    pub(crate) fn dialer(&self, engine: usize) -> (SocketAddr, Dialer) {
+        let directory = self.directory.path();
+        let written = keys::process(directory, directory, "entry-9", 1).unwrap();
+        let path = |path: &Path| path.display().to_string();
+        let identity = Identity::read(&Files {
+            ca: path(&written.ca),
+            certificate: path(&written.certificate),
+            key: path(&written.key),
+        });
+        let control = EntryMetrics::new(&Exporter::new()).control();
+        let dialer = Dialer::new("entry-9".into(), &identity.unwrap(), control);
+        (self.vms[engine].address, dialer)
+    }
+
     fn settings(&self, name: &str, at: u16) -> Value {
         let directory = self.directory.path();
         let written = keys::process(directory, directory, name, 1).unwrap();
         json!({
             "name": name,
-            "data_centre": DATA_CENTRE,
+            "data_centre": self.data_centre,
             "inner": SocketAddr::new(self.ip, INNER_PORT + at),
             "admin": SocketAddr::new(self.ip, ADMIN_PORT + at),
             "tls": {
@@ -405,11 +437,13 @@
     apply(store, json!({}), Time::from_millis(1)).await;
 }
 
-/// Puts the configuration of the site with these plans in force.
-pub(crate) async fn apply(store: &standin::store::Handle, plans: Value, now: Time) {
+/// Puts the configuration of the site, with these changes of it, in force.
+pub(crate) async fn apply(store: &standin::store::Handle, changes: Value, now: Time) {
     let content = json!({
-        "plans": plans,
-        "data_centres": {DATA_CENTRE: {"region": "sahel"}},
+        "data_centres": {
+            DATA_CENTRE: {"region": "sahel"},
+            FAR_DATA_CENTRE: {"region": "sahel"},
+        },
         "versions": {
             version(MODEL): {"artifact": "weights/1"},
             version(ORDERS): {"artifact": "builds/1"},
@@ -421,11 +455,15 @@
         },
         "workspaces": {WORKSPACE: {}},
     });
-    let file = folder::File {
-        name: "10-all.json".into(),
+    let file = |name: &str, content: Value| folder::File {
+        name: name.into(),
         content: content.to_string().into(),
     };
-    let folder = folder::read(vec![file], &|_| None).unwrap();
+    let files = vec![
+        file("10-all.json", content),
+        file("20-changes.json", changes),
+    ];
+    let folder = folder::read(files, &|_| None).unwrap();
     let address: Address = store.server().address().into();
     let request = ops::apply::Request {
         author: Arc::from("test"),
