Measure what an idle link costs

Cause: the memory and bytes of an idle pair of entry and agent were not measured, and they bound how many pairs may stay open.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -8,6 +8,7 @@
     io::Write,
     net::{SocketAddr, TcpListener},
     process::{Child, Command, ExitCode, Stdio},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -17,6 +18,10 @@
         client::{Client, Piece},
         site::{Config, Error, MODEL_ROUTE, Site},
     },
+    node::{
+        metrics::{EntryMetrics, Exporter},
+        transport::{Dialer, Files, Identity, Link},
+    },
     platform::engine::{Engine, Event, Prompt, http::Client as Direct},
     standin,
 };
@@ -49,6 +54,16 @@
 const COMPARED: usize = 150;
 /// Tokens of a compared generation.
 const COMPARED_TOKENS: u32 = 20;
+/// Idle links to one agent, for the slope of its memory.
+const LINK_COUNTS: [usize; 3] = [16, 64, 128];
+/// How long new links are given before memory is read, in seconds.
+const LINK_SETTLE_SECONDS: u64 = 2;
+/// How long the bytes of idle links are counted, in seconds.
+const LINK_SECONDS: u64 = 12;
+/// Endpoints to which an entry keeps a link at the target size; see docs/PLACEMENT.md.
+const LINKS_OF_AN_ENTRY: f64 = 24.0;
+/// Bytes a second that a node may spend on control.
+const MAX_CONTROL_RATE: f64 = 6_000.0;
 /// Rounds in which a latency may meet its bound.
 const ROUNDS: usize = 3;
 
@@ -72,6 +87,7 @@
     latency(&mut verdict).await?;
     peak(&mut verdict).await?;
     memory(&mut verdict).await?;
+    links(&mut verdict).await?;
     Ok(verdict.passed)
 }
 
@@ -397,6 +413,62 @@
     Ok(())
 }
 
+/// Measures what idle links cost: memory at the agent, and bytes of the heartbeat.
+async fn links(verdict: &mut Verdict) -> Result<(), Error> {
+    let bench = Bench::start(5, 1).await?;
+    let base = bench.site.engines[0].server().base();
+    let mut settings = bench.site.agent_settings("engine-9", "model", &base)?;
+    let address = std::net::UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
+    settings["inner"] = serde_json::json!(address);
+    let agent = Daemon::start("agent", &settings)?;
+    time::sleep(Duration::from_secs(2)).await;
+    let mut points = vec![(0.0, agent.memory_bytes()? as f64)];
+    let mut held = Vec::new();
+    for count in LINK_COUNTS {
+        while held.len() < count {
+            let name = format!("entry-{}", 100 + held.len());
+            let files: Files =
+                serde_json::from_value(bench.site.entry_settings(&name, address)?["tls"].take())?;
+            let control = EntryMetrics::new(&Exporter::new()).control();
+            let dialer = Dialer::new(name.as_str().into(), &Identity::read(&files)?, control);
+            let link = dialer.link("engine-9", address).await?;
+            held.push((dialer, link));
+        }
+        time::sleep(Duration::from_secs(LINK_SETTLE_SECONDS)).await;
+        points.push((count as f64, agent.memory_bytes()? as f64));
+    }
+    let bytes = |held: &[(Dialer, Arc<Link>)]| -> u64 {
+        let traffic = held.iter().map(|(_, link)| link.traffic());
+        traffic.map(|traffic| traffic.sent + traffic.received).sum()
+    };
+    let (before, started) = (bytes(&held), Instant::now());
+    time::sleep(Duration::from_secs(LINK_SECONDS)).await;
+    let rate = (bytes(&held) - before) as f64 / started.elapsed().as_secs_f64() / held.len() as f64;
+    let kib = slope(&points) / 1_024.0;
+    println!("idle links: points (links, bytes of the agent) {points:?}, {kib:.1} KiB a link");
+    println!("idle links: {rate:.1} B/s a link, UDP payloads of both directions");
+    verdict.check(
+        "idle_links_of_an_entry",
+        rate * LINKS_OF_AN_ENTRY,
+        MAX_CONTROL_RATE,
+        "B/s",
+    );
+    Ok(())
+}
+
+/// The slope of the straight line that fits the points best.
+fn slope(points: &[(f64, f64)]) -> f64 {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance: f64 = points
+        .iter()
+        .map(|(x, y)| (x - mean_x) * (y - mean_y))
+        .sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    covariance / variance
+}
+
 fn mebibytes(bytes: u64) -> f64 {
     bytes as f64 / 1_048_576.0
 }
--- a/crates/node/src/transport/link.rs
+++ b/crates/node/src/transport/link.rs
@@ -24,7 +24,9 @@
 /// A link with open streams is pinged after so long a silence, in milliseconds.
 const BUSY_PING_MS: u64 = 300;
 /// A link without open streams is pinged this often, in milliseconds.
-const IDLE_PING_MS: u64 = 4_000;
+const IDLE_PING_MS: u64 = 8_000;
+/// The same while the peer has named no versions, because its endpoint has just started.
+const UNKNOWN_PING_MS: u64 = 1_000;
 /// A ping that is unanswered for so long closes the link, in milliseconds.
 const PING_TIMEOUT_MS: u64 = 700;
 /// A link that carried no stream for so long is closed, in milliseconds.
@@ -56,6 +58,15 @@
     _guard: Guard,
 }
 
+/// The bytes that a link has carried.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes sent to the peer.
+    pub sent: u64,
+    /// Bytes received from the peer.
+    pub received: u64,
+}
+
 /// Counts the open streams of a link.
 struct Guard(Arc<Link>);
 
@@ -114,6 +125,15 @@
         self.status.subscribe()
     }
 
+    /// Returns the bytes of all datagrams that were sent and received, UDP payloads only.
+    pub fn traffic(&self) -> Traffic {
+        let stats = self.connection.stats();
+        Traffic {
+            sent: stats.udp_tx.bytes,
+            received: stats.udp_rx.bytes,
+        }
+    }
+
     /// Keeps the link open although it carries no stream.
     pub fn keep(&self) {
         self.touch();
@@ -135,12 +155,20 @@
 
     fn ping_after(&self) -> Duration {
         let millis = match self.calls.load(Ordering::Relaxed) {
+            0 if self.is_unknown() => UNKNOWN_PING_MS,
             0 => IDLE_PING_MS,
             _ => BUSY_PING_MS,
         };
         Duration::from_millis(millis)
     }
 
+    fn is_unknown(&self) -> bool {
+        let status = self.status.borrow();
+        status
+            .as_ref()
+            .is_none_or(|status| status.versions.is_empty())
+    }
+
     pub(super) fn close(&self, code: u32, reason: &str) {
         self.connection
             .close(VarInt::from_u32(code), reason.as_bytes());
--- a/crates/node/src/transport/mod.rs
+++ b/crates/node/src/transport/mod.rs
@@ -25,7 +25,7 @@
 pub use self::{
     dialer::{Dialer, listen},
     frame::{Receiver, Sender},
-    link::{Call, Link},
+    link::{Call, Link, Traffic},
     serve::{Incoming, serve},
     tls::{Files, Identity},
 };
