Keep links to the endpoints that an entry uses, and to no others

Cause: a reading of the entry against the target size found three faults. An entry asked every endpoint that it does not use for its report each 30 s, which dials all 600 again and again; 24 endpoints of each of 19 versions are up to 456 links; and a link with open streams is never pinged, so the load of a busy endpoint was known only as old as its last silence. Change: versions and lives of endpoints come from the membership, so an unused endpoint needs no link; 64 links are shared among the versions, at least three each; an agent tells its load in the message that accepts a request.

--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Config, Status, Vm};
+use super::{Config, Load, Status, Vm};
 use crate::{
     Time,
     config::{WHOLE_SHARE, drain},
@@ -22,6 +22,8 @@
     pub(super) incarnation: Incarnation,
     pub(super) data_centre: Arc<str>,
     pub(super) versions: Vec<Arc<str>>,
+    /// The versions that the membership named last.
+    listed_versions: Vec<Arc<str>>,
     pub(super) ejected_until: Time,
     listed_leaving: bool,
     says_leaving: bool,
@@ -47,6 +49,7 @@
             incarnation: Incarnation::default(),
             data_centre: "".into(),
             versions: Vec::new(),
+            listed_versions: Vec::new(),
             ejected_until: Time::ZERO,
             listed_leaving: false,
             says_leaving: false,
@@ -66,12 +69,52 @@
 
     /// Takes what the platform's list says; tells whether pools change.
     pub(super) fn set_vm(&mut self, vm: &Vm) -> bool {
-        let changed = self.listed_leaving != vm.leaving || self.data_centre != vm.data_centre;
+        let mut changed = self.listed_leaving != vm.leaving || self.data_centre != vm.data_centre;
         self.listed_leaving = vm.leaving;
         self.data_centre = Arc::clone(&vm.data_centre);
+        let is_news = vm.incarnation > self.incarnation || vm.versions != self.listed_versions;
+        if is_news && vm.incarnation >= self.incarnation && !vm.versions.is_empty() {
+            changed |= self.begin(vm.incarnation);
+            changed |= self.versions != vm.versions;
+            self.versions.clone_from(&vm.versions);
+            self.listed_versions.clone_from(&vm.versions);
+        }
         changed
     }
 
+    /// Takes over a later life, of which nothing is known yet; tells whether it is one.
+    fn begin(&mut self, incarnation: Incarnation) -> bool {
+        let is_later = incarnation > self.incarnation;
+        if is_later {
+            self.incarnation = incarnation;
+            self.sent.clear();
+            self.ejected_until = Time::ZERO;
+            self.lost = false;
+            self.says_leaving = false;
+            self.reported = false;
+        }
+        is_later
+    }
+
+    /// Takes the load that the agent told with a request.
+    pub(super) fn observe_load(&mut self, incarnation: Incarnation, load: Load, taken_at: Time) {
+        if incarnation == self.incarnation && taken_at >= self.taken_at {
+            self.set_load(load, taken_at);
+        }
+    }
+
+    fn set_load(&mut self, load: Load, taken_at: Time) {
+        self.reported = true;
+        self.taken_at = taken_at;
+        self.headroom_millis = load.headroom_millis.min(1_000);
+        self.running = load.running;
+        self.queued = load.queued;
+        self.limit = load.limit;
+        while self.sent.front().is_some_and(|&sent| sent < taken_at) {
+            self.sent.pop_front();
+        }
+    }
+
     /// Takes a report; tells whether pools change.
     pub(super) fn observe(&mut self, status: &Status, taken_at: Time) -> bool {
         let reborn = status.incarnation > self.incarnation;
@@ -93,15 +136,13 @@
             self.versions.sort();
             self.data_centre = Arc::clone(&status.data_centre);
         }
-        self.reported = true;
-        self.taken_at = taken_at;
-        self.headroom_millis = status.headroom_millis.min(1_000);
-        self.running = status.running;
-        self.queued = status.queued;
-        self.limit = status.limit;
-        while self.sent.front().is_some_and(|&sent| sent < taken_at) {
-            self.sent.pop_front();
-        }
+        let load = Load {
+            headroom_millis: status.headroom_millis,
+            running: status.running,
+            queued: status.queued,
+            limit: status.limit,
+        };
+        self.set_load(load, taken_at);
         changed
     }
 
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -80,12 +80,19 @@
 use pool::Pool;
 pub use prefix::{BLOCK_BYTES, MAX_PREFIXES, prefix_hashes};
 
+/// Endpoints of a version to which an entry keeps connections at the least.
+pub const MIN_SUBSET: usize = 3;
+
 /// Parameters of placement.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Config {
-    /// Endpoints of a version to which an entry keeps connections; 24 by default.
+    /// Endpoints of a version to which an entry keeps connections at the most; 24 by
+    /// default.
     pub subset: usize,
+    /// Endpoints of all versions together to which an entry keeps connections, as
+    /// far as [`MIN_SUBSET`] of each version allows; 64 by default.
+    pub links: usize,
     /// Entries that must share each endpoint at least, even if that takes a
     /// larger subset; 3 by default.
     pub coverage: usize,
@@ -117,6 +124,7 @@
     fn default() -> Config {
         Config {
             subset: 24,
+            links: 64,
             coverage: 3,
             choices: 2,
             affinity: 2,
@@ -159,8 +167,21 @@
     pub config_generation: Generation,
 }
 
-/// An endpoint VM, as the platform's list names it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// What an agent says of the load of its endpoint, with each request that it takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Share of memory that admission may still give, in thousandths.
+    pub headroom_millis: u32,
+    /// Attempts that the endpoint runs.
+    pub running: u32,
+    /// Attempts in the agent's queue.
+    pub queued: u32,
+    /// Attempts that the endpoint may hold at once; 0 where none is stated.
+    pub limit: u32,
+}
+
+/// An endpoint VM, as the platform's list and the membership name it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Vm {
     /// The name of the agent's process.
     pub name: Arc<str>,
@@ -168,6 +189,10 @@
     pub data_centre: Arc<str>,
     /// Whether it will go.
     pub leaving: bool,
+    /// The life of the agent; zero where it is not known.
+    pub incarnation: Incarnation,
+    /// The versions that the endpoint holds; none where they are not known.
+    pub versions: Vec<Arc<str>>,
 }
 
 /// What placement asks of a request.
@@ -306,6 +331,19 @@
         }
     }
 
+    /// Takes the load that an agent told with a request; an earlier life's is dropped.
+    pub fn observe_load(
+        &mut self,
+        name: &str,
+        incarnation: Incarnation,
+        load: Load,
+        taken_at: Time,
+    ) {
+        if let Ok(at) = self.position(name) {
+            self.endpoints[at].observe_load(incarnation, load, taken_at);
+        }
+    }
+
     /// Notes that an agent cannot be reached; its endpoint is out of choices until
     /// the next report.
     pub fn lost(&mut self, name: &str) {
@@ -352,6 +390,12 @@
         self.pool(version).map_or(0, |pool| pool.members().len())
     }
 
+    /// Tells whether the versions of an endpoint are known.
+    pub fn knows(&self, name: &str) -> bool {
+        let found = self.position(name);
+        found.is_ok_and(|at| !self.endpoints[at].versions.is_empty())
+    }
+
     /// Tells whether this entry uses the endpoint for any of its versions.
     pub fn uses(&self, name: &str) -> bool {
         let Ok(at) = self.position(name) else {
--- a/crates/core/src/placement/pool.rs
+++ b/crates/core/src/placement/pool.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::{Config, endpoint::Endpoint};
+use super::{Config, MIN_SUBSET, endpoint::Endpoint};
 
 /// The most endpoints that rendezvous hashing compares for one request.
 ///
@@ -86,15 +86,20 @@
         );
     }
     held.sort_unstable();
+    let versions = held.chunk_by(|a, b| a.0 == b.0).count();
+    let share = (config.links / versions.max(1)).max(MIN_SUBSET);
+    let subset = config.subset.min(share);
     held.chunk_by(|a, b| a.0 == b.0)
-        .map(|chunk| pool(config, chunk, rank, entries.len()))
+        .map(|chunk| {
+            let covering = (chunk.len() * config.coverage).div_ceil(entries.len());
+            pool(chunk, subset.max(covering), rank, entries.len())
+        })
         .collect()
 }
 
-fn pool(config: &Config, held: &[(&Arc<str>, u64, u32)], rank: usize, entries: usize) -> Pool {
+fn pool(held: &[(&Arc<str>, u64, u32)], subset: usize, rank: usize, entries: usize) -> Pool {
     let len = held.len();
-    let covering = (len * config.coverage).div_ceil(entries);
-    let arc = config.subset.max(covering).clamp(1, len);
+    let arc = subset.clamp(1, len);
     let start = rank * len / entries;
     let mut ring: Vec<u32> = held.iter().map(|&(_, _, at)| at).collect();
     ring.rotate_left(start);
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -6,7 +6,7 @@
     Time,
     config::DataCentre,
     id::Incarnation,
-    placement::{Config, Reason, Request, Status, Table, Vm, prefix_hashes},
+    placement::{Config, Load, MIN_SUBSET, Reason, Request, Status, Table, Vm, prefix_hashes},
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{Rng, SeedableRng};
@@ -107,6 +107,7 @@
                 name: name.into(),
                 data_centre: "dc-1".into(),
                 leaving,
+                ..Vm::default()
             };
             table.set_vms(&[vm("agent-1", false), vm("agent-0", true)]);
         }),
@@ -515,3 +516,85 @@
         }
     }
 }
+
+/// Returns a VM of an endpoint whose versions the membership knows.
+fn member(name: &str, incarnation: u64, versions: &[&str]) -> Vm {
+    Vm {
+        name: name.into(),
+        data_centre: "dc-1".into(),
+        leaving: false,
+        incarnation: Incarnation(incarnation),
+        versions: versions.iter().map(|&version| version.into()).collect(),
+    }
+}
+
+#[test]
+fn set_vms_versions_without_report() {
+    let mut table = Table::new(Config::default(), "entry-1".into(), "dc-1".into());
+    let request = |version| Request {
+        version,
+        prefixes: &[],
+        tried: &[],
+    };
+    table.set_vms(&[member("agent-0", 0, &[])]);
+    assert!(!table.knows("agent-0"));
+    assert_eq!(table.choose(&request("v"), 1, NOW), None);
+
+    table.set_vms(&[member("agent-0", 5, &["v"])]);
+    let chosen = table.choose(&request("v"), 1, NOW).unwrap();
+    assert_eq!(chosen.incarnation, Incarnation(5));
+
+    table.set_vms(&[member("agent-0", 6, &["w"])]);
+    assert_eq!(table.choose(&request("v"), 1, NOW), None);
+    // What the membership said of an earlier life changes nothing.
+    table.set_vms(&[member("agent-0", 5, &["v"])]);
+    assert_eq!(table.choose(&request("v"), 1, NOW), None);
+    assert!(table.choose(&request("w"), 1, NOW).is_some());
+}
+
+#[test]
+fn observe_load_of_earlier_life() {
+    let mut table = Table::new(Config::default(), "entry-1".into(), "dc-1".into());
+    table.set_vms(&[member("agent-0", 5, &["v"]), member("agent-1", 5, &["v"])]);
+    let full = Load {
+        headroom_millis: 0,
+        running: 9,
+        queued: 9,
+        limit: 9,
+    };
+    let request = Request {
+        version: "v",
+        prefixes: &[],
+        tried: &[],
+    };
+    table.observe_load("agent-0", Incarnation(4), full, NOW);
+    let loads = |table: &Table| -> Vec<f64> {
+        let chosen = (0..64).filter_map(|random| table.choose(&request, random << 57, NOW));
+        chosen.map(|candidate| candidate.load).collect()
+    };
+    assert!(loads(&table).iter().all(|&load| load < 1.0));
+    table.observe_load("agent-0", Incarnation(5), full, NOW);
+    table.observe_load("agent-1", Incarnation(5), full, NOW);
+    assert!(loads(&table).iter().all(|&load| load >= 1.0));
+}
+
+#[test]
+fn subset_links_bounded_over_versions() {
+    // The users' target: 600 endpoints of 19 versions behind 380 entries.
+    let vms: Vec<Vm> = (0..600)
+        .map(|at| member(&format!("agent-{at}"), 1, &[&format!("v{}", at % 19)]))
+        .collect();
+    let entries: Vec<Arc<str>> = (0..380).map(|at| format!("entry-{at}").into()).collect();
+    let mut table = Table::new(Config::default(), entries[7].clone(), "dc-1".into());
+    table.set_entries(&entries);
+    table.set_vms(&vms);
+    let links = vms.iter().filter(|vm| table.uses(&vm.name)).count();
+    assert!(links <= Config::default().links, "{links} links");
+    for version in 0..19 {
+        let subset = table.subset(&format!("v{version}")).count();
+        assert!(
+            subset >= MIN_SUBSET,
+            "{subset} endpoints of version {version}"
+        );
+    }
+}
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -170,9 +170,14 @@
         mut receiver,
         mut sender,
     } = incoming;
+    let status = shared.status();
     let accepted = Accepted {
         attempt: Bytes::copy_from_slice(&slot.attempt.to_bytes()),
-        incarnation: shared.incarnation.0,
+        incarnation: status.incarnation,
+        headroom_millis: status.headroom_millis,
+        running: status.running,
+        queued: status.queued,
+        limit: status.limit,
     };
     let reader = slot.attach();
     let served = async {
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -6,10 +6,12 @@
 use cactusroad_core::{
     Time,
     id::{Attempt, Incarnation},
+    placement,
     refusal::{Effect, Kind, Refusal},
 };
 use cactusroad_wire::message::{
-    Ack, Attach, Cancel, Open, Refused, Reply, Request, Settle, reply, request, settled::State,
+    Accepted, Ack, Attach, Cancel, Open, Refused, Reply, Request, Settle, reply, request,
+    settled::State,
 };
 use tokio::time;
 
@@ -109,6 +111,19 @@
         link.call(&Request { body: Some(body) }).await
     }
 
+    /// Takes in the load that the agent told when it accepted the attempt.
+    pub(super) fn heed_load(&self, accepted: &Accepted) {
+        let load = placement::Load {
+            headroom_millis: accepted.headroom_millis,
+            running: accepted.running,
+            queued: accepted.queued,
+            limit: accepted.limit,
+        };
+        let name = &self.target.endpoint.listed.name;
+        let incarnation = Incarnation(accepted.incarnation);
+        self.shared.directory.observe_load(name, incarnation, load);
+    }
+
     /// Tells whether a reply is about this attempt.
     pub(super) fn owns(&self, attempt: &[u8]) -> bool {
         Attempt::from_bytes(attempt) == Some(self.attempt)
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -248,6 +248,7 @@
             continue;
         }
         match reply.body {
+            Some(reply::Body::Accepted(accepted)) => session.heed_load(&accepted),
             Some(reply::Body::Answer(answer)) => return Some(Ok(answer)),
             Some(reply::Body::Refused(message)) => {
                 return Some(Err(attempt::refusal(&message)));
--- a/crates/node/src/entry/directory.rs
+++ b/crates/node/src/entry/directory.rs
@@ -13,7 +13,7 @@
     Time,
     config::{DataCentre, Generation},
     id::Incarnation,
-    placement::{self, Candidate, Request, Table, Vm},
+    placement::{self, Candidate, Load, Request, Table, Vm},
 };
 use cactusroad_wire::message::Status;
 use tokio::{sync::watch, time};
@@ -23,8 +23,8 @@
 
 /// How long to wait before an endpoint that was out of reach is tried again, in milliseconds.
 const REDIAL_MS: u64 = 500;
-/// How often an endpoint that this entry does not use is asked for its report, in milliseconds.
-const UNUSED_REPORT_MS: u64 = 30_000;
+/// How often an entry looks whether it has come to use an endpoint, in milliseconds.
+const UNUSED_CHECK_MS: u64 = 1_000;
 /// What a report may be older than its arrival, in milliseconds.
 const REPORT_AGE_MS: u64 = 100;
 
@@ -39,6 +39,10 @@
     pub data_centre: Arc<str>,
     /// Whether the platform has announced that the VM will go.
     pub leaving: bool,
+    /// The life of the agent; zero where only the platform's list knows it.
+    pub incarnation: Incarnation,
+    /// The versions that the endpoint holds; none where they are not known.
+    pub versions: Vec<Arc<str>>,
 }
 
 /// An endpoint that an entry knows.
@@ -160,6 +164,19 @@
         Some(self.target(listed, incarnation, thousandths(load)))
     }
 
+    /// Takes the load that an agent told with a request.
+    pub(super) fn observe_load(&self, name: &str, incarnation: Incarnation, load: Load) {
+        let now = clock::now().as_millis();
+        let taken_at = Time::from_millis(now.saturating_sub(REPORT_AGE_MS));
+        self.table().observe_load(name, incarnation, load, taken_at);
+    }
+
+    /// Tells whether a link to an endpoint is worth keeping, or needed to learn its versions.
+    fn wants_link(&self, name: &str) -> bool {
+        let table = self.table();
+        table.uses(name) || !table.knows(name)
+    }
+
     /// Keeps an endpoint out of choices until a deadline.
     pub(super) fn eject(&self, name: &str, until: Time) {
         self.table().eject(name, until);
@@ -241,6 +258,8 @@
         name: Arc::clone(&listed.name),
         data_centre: Arc::clone(&listed.data_centre),
         leaving: listed.leaving,
+        incarnation: listed.incarnation,
+        versions: listed.versions.clone(),
     }
 }
 
@@ -290,7 +309,7 @@
 
 /// Keeps a link to an endpoint that this entry uses, and takes in what its agent says of itself.
 ///
-/// Other endpoints are asked now and then, because their versions may change.
+/// The versions of other endpoints come from the membership, so they need no link.
 async fn probe(shared: Weak<Shared>, listed: Listed) {
     loop {
         let Some(strong) = shared.upgrade() else {
@@ -299,13 +318,18 @@
         if !strong.directory.lists(&listed) {
             return;
         }
+        if !strong.directory.wants_link(&listed.name) {
+            drop(strong);
+            time::sleep(Duration::from_millis(UNUSED_CHECK_MS)).await;
+            continue;
+        }
         let link = strong.dialer.link(&listed.name, listed.address).await;
         strong.metrics.open_links.set(strong.dialer.peers() as i64);
         drop(strong);
         let mut pause_ms = REDIAL_MS;
         match link {
             Ok(link) => match read(&shared, &listed, &link).await {
-                Reading::Unused => pause_ms = UNUSED_REPORT_MS,
+                Reading::Unused => pause_ms = UNUSED_CHECK_MS,
                 Reading::Broken => lost(&shared, &listed),
             },
             Err(_) => lost(&shared, &listed),
@@ -333,7 +357,7 @@
             return Reading::Unused;
         }
         strong.directory.observe(listed, latest.as_ref());
-        if latest.is_some() && !strong.directory.table().uses(&listed.name) {
+        if latest.is_some() && !strong.directory.wants_link(&listed.name) {
             return Reading::Unused;
         }
         drop(strong);
--- a/crates/node/src/entry/pump.rs
+++ b/crates/node/src/entry/pump.rs
@@ -172,6 +172,10 @@
             return None;
         }
         match reply.body? {
+            reply::Body::Accepted(accepted) => {
+                self.session.heed_load(&accepted);
+                None
+            }
             reply::Body::Token(token) => self.token(token.index, token.text, call).await,
             reply::Body::End(end) => {
                 if !self.reader.is_whole(self.session.attempt, end.count) {
--- a/crates/node/src/fleet/driver.rs
+++ b/crates/node/src/fleet/driver.rs
@@ -263,6 +263,8 @@
         address: member.address,
         data_centre: Arc::clone(&member.data_centre),
         leaving: member.is_leaving(now),
+        incarnation: member.incarnation,
+        versions: member.versions.clone(),
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -234,6 +234,15 @@
     pub attempt: ::prost::bytes::Bytes,
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// The load as in `Status`, so that entries know it without a heartbeat.
+    #[prost(uint32, tag = "3")]
+    pub headroom_millis: u32,
+    #[prost(uint32, tag = "4")]
+    pub running: u32,
+    #[prost(uint32, tag = "5")]
+    pub queued: u32,
+    #[prost(uint32, tag = "6")]
+    pub limit: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Refused {
--- a/src/demo/source.rs
+++ b/src/demo/source.rs
@@ -18,6 +18,7 @@
 };
 use tokio::{sync::watch, time};
 
+use cactusroad_core::id::Incarnation;
 use cactusroad_node::entry::Listed;
 
 /// How often the store is asked for a new configuration, in milliseconds.
@@ -100,6 +101,8 @@
         address: vm.address,
         data_centre: vm.data_centre,
         leaving: vm.leaving,
+        incarnation: Incarnation::default(),
+        versions: Vec::new(),
     };
     (vm.role == Role::Endpoint).then_some(listed)
 }
--- a/tests/integration/crossed.rs
+++ b/tests/integration/crossed.rs
@@ -131,6 +131,7 @@
     let accepted = Body::Accepted(Accepted {
         attempt: own.clone(),
         incarnation: 5,
+        ..Accepted::default()
     });
     let bodies = [
         accepted,
