--- a/src/main.rs
+++ b/src/main.rs
@@ -3,8 +3,8 @@
 //! | exit code | meaning |
 //! | --- | --- |
 //! | 0 | the command did what it says; a daemon stopped gracefully |
-//! | 1 | the demo saw a promise broken, or a folder has faults |
-//! | 2 | an argument, a settings file or an address is wrong |
+//! | 1 | the demo saw a promise broken, a folder has faults, or an argument cannot be read |
+//! | 2 | a settings file, a name or an address is wrong |
 //!
 //! The operators' commands have further codes, which `cactusroad_ops` lists.
 
@@ -15,8 +15,8 @@
 
 /// A serving system for model generations of unknown length on crowded engines.
 ///
-/// Exit codes: 0 done, 1 faults found, 2 wrong argument or settings, 3 another
-/// operator came first, 4 store out of reach, 5 answer lost, 6 unreadable object.
+/// Exit codes: 0 done, 1 faults found or unreadable argument, 2 wrong settings, 3
+/// another operator came first, 4 store out of reach, 5 answer lost, 6 unreadable object.
 #[derive(FromArgs)]
 struct Arguments {
     #[argh(subcommand)]
