Let the demo's site join the fleet, and drop its direct readers

Nobody heard them, so the entry took them for gone: 'No endpoint of the route can be reached'. Ruled out: placement and outliers, whose state was untouched. Change: agents and entries of the site join as the daemons do, and the second reader of configuration and VM list is gone.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -136,8 +136,12 @@
     Ok(())
 }
 
-/// Starts the task by which this process learns what the fleet knows.
-fn join(
+/// Starts the task by which a process learns what the fleet knows.
+///
+/// # Errors
+///
+/// Fails where an address in the settings cannot be read.
+pub fn join(
     common: &settings::Common,
     own: Member,
     identity: &Identity,
@@ -156,8 +160,8 @@
     ))
 }
 
-/// Returns what this process says of itself at first.
-fn own(
+/// Returns what a process says of itself at first; `inner` is where its peers reach it.
+pub fn own(
     common: &settings::Common,
     role: Role,
     incarnation: Incarnation,
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -6,7 +6,6 @@
 
 pub mod client;
 pub mod site;
-mod source;
 
 use std::{process::ExitCode, time::Instant};
 
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -2,23 +2,23 @@
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
-use cactusroad_core::{Time, config::folder};
+use cactusroad_core::{Time, config::folder, id::Incarnation, member::Role};
 use cactusroad_node::{
     agent::{Agent, Backend},
+    clock, daemon,
     entry::Entry,
+    fleet,
     metrics::{AgentMetrics, EntryMetrics, Exporter},
     settings,
-    transport::Files,
+    transport::{Files, Identity},
 };
 use cactusroad_ops::{apply, keys};
-use cactusroad_platform::{address::Address, engine, roster, service, store};
+use cactusroad_platform::{address::Address, engine, service, store};
 use cactusroad_standin as standin;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::{net::TcpListener, time};
 
-use super::source;
-
 /// The route of the demo's model.
 pub const MODEL_ROUTE: &str = "catalogue";
 /// The route of the demo's plain service.
@@ -86,6 +86,8 @@
     pub entry_metrics: Vec<Exporter>,
     /// The metrics of the agents, in their order.
     pub agent_metrics: Vec<Exporter>,
+    /// Keeps the entries in the fleet; agents keep their own handles.
+    fleets: Vec<(fleet::Handle, quinn::Endpoint)>,
     traces: Option<Arc<str>>,
     keys: TempDir,
 }
@@ -114,6 +116,7 @@
             roster,
             entry_metrics: Vec::new(),
             agent_metrics: Vec::new(),
+            fleets: Vec::new(),
             traces: config.traces.clone(),
             keys,
         };
@@ -171,7 +174,12 @@
         let metrics = AgentMetrics::new(&exporter);
         self.agent_metrics.push(exporter);
         let store = store::http::Client::new(&settings.common.store.parse::<Address>()?);
+        let control = metrics.control();
         let agent = Agent::start(&settings, backend, store, metrics)?;
+        let identity = Identity::read(&settings.common.tls)?;
+        let (life, inner) = (agent.incarnation(), agent.address());
+        let own = daemon::own(&settings.common, Role::Endpoint, life, inner);
+        agent.join(daemon::join(&settings.common, own, &identity, control)?);
         let vm = standin::roster::Vm {
             name: name.into(),
             role: "endpoint".into(),
@@ -224,14 +232,20 @@
             listen: loopback(),
             max_connections: config.max_connections,
         };
-        let store = store::http::Client::new(&settings.common.store.parse::<Address>()?);
-        let roster = roster::http::Client::new(&settings.common.roster.parse::<Address>()?);
         let exporter = Exporter::new();
         let metrics = EntryMetrics::new(&exporter);
         self.entry_metrics.push(exporter);
-        let config = source::config(store);
-        let vms = source::endpoints(roster);
-        Ok(Entry::start(&settings, config, vms, metrics).await?)
+        let common = &settings.common;
+        let identity = Identity::read(&common.tls)?;
+        let incarnation = Incarnation(clock::now().as_micros());
+        let own = daemon::own(common, Role::Entry, incarnation, common.inner);
+        let fleet = daemon::join(common, own, &identity, metrics.control())?;
+        let socket = fleet::listen(&identity, common.inner, &fleet)?;
+        let view = fleet.view();
+        self.fleets.push((fleet, socket));
+        let entry = Entry::start(&settings, view.config, view.endpoints, metrics).await?;
+        entry.follow_entries(view.entries);
+        Ok(entry)
     }
 
     /// Returns the settings of one more process of the site, with certificates for its name.
@@ -246,7 +260,7 @@
         Ok(settings::Common {
             name: name.into(),
             data_centre: DATA_CENTRE.into(),
-            inner: loopback(),
+            inner: free_port()?,
             admin: loopback(),
             tls: Files {
                 ca: path(&written.ca),
@@ -283,6 +297,11 @@
     TcpListener::bind(loopback()).await
 }
 
+/// Returns an address that was free a moment ago, for a socket that is bound later.
+fn free_port() -> std::io::Result<SocketAddr> {
+    std::net::UdpSocket::bind(loopback())?.local_addr()
+}
+
 fn loopback() -> SocketAddr {
     ([127, 0, 0, 1], 0).into()
 }
