--- a/benches/path.rs
+++ b/benches/path.rs
@@ -69,8 +69,8 @@
 const LINK_SETTLE_SECONDS: u64 = 2;
 /// How long the bytes of idle links are counted, in seconds.
 const LINK_SECONDS: u64 = 12;
-/// Endpoints to which an entry keeps a link at the target size; see docs/PLACEMENT.md.
-const LINKS_OF_AN_ENTRY: f64 = 24.0;
+/// Endpoints to which an entry keeps a link at the target size; see `placement::Config`.
+const LINKS_OF_AN_ENTRY: f64 = 64.0;
 /// Bytes a second that a node may spend on control.
 const MAX_CONTROL_RATE: f64 = 6_000.0;
 /// Rounds in which a latency may meet its bound.
