Dial endpoints that were lost again, and let the crossing test agent join

Change: a link is wanted to a lost endpoint too. The test's agent joins and the site's own agents stop first; what the test demands is unchanged.

--- a/crates/core/src/placement/endpoint.rs
+++ b/crates/core/src/placement/endpoint.rs
@@ -182,6 +182,11 @@
         !(self.listed_leaving || self.says_leaving || self.lost || self.out)
     }
 
+    /// Tells whether the agent could not be reached and has not been heard since.
+    pub(super) const fn is_lost(&self) -> bool {
+        self.lost
+    }
+
     pub(super) fn is_ejected(&self, now: Time) -> bool {
         !self.ejected_until.is_past(now)
     }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -390,10 +390,17 @@
         self.pool(version).map_or(0, |pool| pool.members().len())
     }
 
-    /// Tells whether the versions of an endpoint are known.
-    pub fn knows(&self, name: &str) -> bool {
-        let found = self.position(name);
-        found.is_ok_and(|at| !self.endpoints[at].versions.is_empty())
+    /// Tells whether a connection to the endpoint is worth having: this entry uses
+    /// it, its versions are not known, or it was lost and may be back.
+    ///
+    /// An endpoint that is lost stands in no pool, so nothing but a connection shows
+    /// that it can be reached again.
+    pub fn wants_link(&self, name: &str) -> bool {
+        let Ok(at) = self.position(name) else {
+            return true;
+        };
+        let endpoint = &self.endpoints[at];
+        endpoint.versions.is_empty() || endpoint.is_lost() || self.uses(name)
     }
 
     /// Tells whether this entry uses the endpoint for any of its versions.
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -537,7 +537,7 @@
         tried: &[],
     };
     table.set_vms(&[member("agent-0", 0, &[])]);
-    assert!(!table.knows("agent-0"));
+    assert!(table.wants_link("agent-0"));
     assert_eq!(table.choose(&request("v"), 1, NOW), None);
 
     table.set_vms(&[member("agent-0", 5, &["v"])]);
@@ -552,6 +552,18 @@
     assert!(table.choose(&request("w"), 1, NOW).is_some());
 }
 
+#[test]
+fn wants_link_lost_after_new_life() {
+    let mut table = Table::new(Config::default(), "entry-1".into(), "dc-1".into());
+    table.set_vms(&[member("agent-0", 5, &["v"])]);
+    assert!(table.wants_link("agent-0"));
+    // The membership tells of the restart before the old connection is found dead.
+    table.set_vms(&[member("agent-0", 6, &["v"])]);
+    table.lost("agent-0");
+    assert!(!table.uses("agent-0"));
+    assert!(table.wants_link("agent-0"));
+}
+
 #[test]
 fn observe_load_of_earlier_life() {
     let mut table = Table::new(Config::default(), "entry-1".into(), "dc-1".into());
--- a/crates/node/src/entry/directory.rs
+++ b/crates/node/src/entry/directory.rs
@@ -171,12 +171,6 @@
         self.table().observe_load(name, incarnation, load, taken_at);
     }
 
-    /// Tells whether a link to an endpoint is worth keeping, or needed to learn its versions.
-    fn wants_link(&self, name: &str) -> bool {
-        let table = self.table();
-        table.uses(name) || !table.knows(name)
-    }
-
     /// Keeps an endpoint out of choices until a deadline.
     pub(super) fn eject(&self, name: &str, until: Time) {
         self.table().eject(name, until);
@@ -318,7 +312,7 @@
         if !strong.directory.lists(&listed) {
             return;
         }
-        if !strong.directory.wants_link(&listed.name) {
+        if !strong.directory.table().wants_link(&listed.name) {
             drop(strong);
             time::sleep(Duration::from_millis(UNUSED_CHECK_MS)).await;
             continue;
@@ -357,7 +351,7 @@
             return Reading::Unused;
         }
         strong.directory.observe(listed, latest.as_ref());
-        if latest.is_some() && !strong.directory.wants_link(&listed.name) {
+        if latest.is_some() && !strong.directory.table().wants_link(&listed.name) {
             return Reading::Unused;
         }
         drop(strong);
--- a/tests/integration/crossed.rs
+++ b/tests/integration/crossed.rs
@@ -5,7 +5,11 @@
 use bytes::Bytes;
 use cactusroad::{
     demo::site::{Config, DATA_CENTRE, MODEL_VERSION, SERVICE_VERSION, Site},
-    node::transport::{self, Identity, Incoming},
+    node::{
+        daemon, fleet,
+        metrics::{AgentMetrics, Exporter},
+        transport::{self, Identity, Incoming},
+    },
     standin::roster::Vm,
     wire::message::{
         Accepted, Answer, End, Open, Ping, Pong, Reply, Request, Settled, Status, Token, open,
@@ -13,17 +17,20 @@
     },
 };
 
+use cactusroad_core::{id::Incarnation, member::Role};
+
 use crate::raw::{self, completion, request as http};
 
 /// What no caller may ever see.
 const WRONG: &str = "WRONG";
 const NAME: &str = "crossing-1";
+const LIFE: Incarnation = Incarnation(5);
 const WORKSHOP: (&str, &str) = ("x-workspace", "workshop");
 
 /// The attempts that the agent was sent.
 type Attempts = Arc<Mutex<Vec<Bytes>>>;
 
-async fn stream(attempts: Attempts, mut incoming: Incoming) {
+async fn stream(attempts: Attempts, fleet: fleet::Handle, mut incoming: Incoming) {
     let Ok(Some(first)) = incoming.receiver.next().await else {
         return;
     };
@@ -38,6 +45,10 @@
             });
             send(&mut incoming, [settled]).await;
         }
+        Some(request::Body::Exchange(exchange)) => {
+            // A peer that is gone needs no answer.
+            let _ = fleet.serve(exchange, incoming).await;
+        }
         _ => {}
     }
 }
@@ -47,7 +58,7 @@
     loop {
         let status = Status {
             process: NAME.to_owned(),
-            incarnation: 5,
+            incarnation: LIFE.0,
             data_centre: DATA_CENTRE.to_owned(),
             versions: vec![MODEL_VERSION.to_owned(), SERVICE_VERSION.to_owned()],
             headroom_millis: 1_000,
@@ -155,14 +166,20 @@
         engines: 1,
         ..Config::default()
     };
-    let site = Site::start(&config).await.unwrap();
+    let mut site = Site::start(&config).await.unwrap();
+    for agent in site.agents.drain(..) {
+        agent.stop().await;
+    }
     let settings = site.common(NAME).unwrap();
     let identity = Identity::read(&settings.tls).unwrap();
     let socket = transport::listen(&identity, settings.inner).unwrap();
     let address = socket.local_addr().unwrap();
+    let control = AgentMetrics::new(&Exporter::new()).control();
+    let own = daemon::own(&settings, Role::Endpoint, LIFE, address);
+    let fleet = daemon::join(&settings, own, &identity, control).unwrap();
     let attempts = Attempts::default();
     tokio::spawn(transport::serve(socket, move |incoming| {
-        stream(attempts.clone(), incoming)
+        stream(attempts.clone(), fleet.clone(), incoming)
     }));
     site.roster.set(vec![Vm {
         name: NAME.into(),
