Tell an accepted request the load without building a whole report

Cause: a last reading of the change. Each accepted request built the agent's whole report, with a string for every version, to use four numbers of it; the age of a report was computed in two places; a change of the membership compared each endpoint with every other, 360,000 times at 600 endpoints, though the list is sorted. Change: the load comes from the gate alone, with one function for headroom in thousandths; one function for the age of a report; binary search in the list. Conclusion: behaviour is as before. Left for next time: the attempt loops of calls and generations in the entry are alike in shape but differ in what they may retry.

--- a/crates/node/src/agent/gate/mod.rs
+++ b/crates/node/src/agent/gate/mod.rs
@@ -69,6 +69,13 @@
     pub(super) headroom: f64,
 }
 
+impl Level {
+    /// Returns the share of memory that admission may still give, in thousandths.
+    pub(super) fn headroom_millis(&self) -> u32 {
+        (self.headroom.clamp(0.0, 1.0) * 1_000.0) as u32
+    }
+}
+
 /// The right to run at the endpoint; dropping it gives the room back.
 pub(super) struct Permit {
     gate: Arc<Gate>,
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -278,7 +278,7 @@
             leaving: self.leaving.load(Ordering::Relaxed),
             cold: level.cold,
             versions: versions.iter().map(|version| version.to_string()).collect(),
-            headroom_millis: (level.headroom.clamp(0.0, 1.0) * 1_000.0) as u32,
+            headroom_millis: level.headroom_millis(),
             running: level.running as u32,
             queued: level.queued as u32,
             limit: level.limit as u32,
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -170,14 +170,14 @@
         mut receiver,
         mut sender,
     } = incoming;
-    let status = shared.status();
+    let level = shared.gate.level();
     let accepted = Accepted {
         attempt: Bytes::copy_from_slice(&slot.attempt.to_bytes()),
-        incarnation: status.incarnation,
-        headroom_millis: status.headroom_millis,
-        running: status.running,
-        queued: status.queued,
-        limit: status.limit,
+        incarnation: shared.incarnation.0,
+        headroom_millis: level.headroom_millis(),
+        running: level.running as u32,
+        queued: level.queued as u32,
+        limit: level.limit as u32,
     };
     let reader = slot.attach();
     let served = async {
--- a/crates/node/src/entry/directory.rs
+++ b/crates/node/src/entry/directory.rs
@@ -166,9 +166,8 @@
 
     /// Takes the load that an agent told with a request.
     pub(super) fn observe_load(&self, name: &str, incarnation: Incarnation, load: Load) {
-        let now = clock::now().as_millis();
-        let taken_at = Time::from_millis(now.saturating_sub(REPORT_AGE_MS));
-        self.table().observe_load(name, incarnation, load, taken_at);
+        self.table()
+            .observe_load(name, incarnation, load, taken_at());
     }
 
     /// Keeps an endpoint out of choices until a deadline.
@@ -213,7 +212,10 @@
         next.sort_by(|one, other| one.name.cmp(&other.name));
         let vms: Vec<Vm> = next.iter().map(vm).collect();
         let mut listed = self.listed.write().unwrap_or_else(PoisonError::into_inner);
-        let moved = |vm: &&Listed| !listed.iter().any(|known| known.is_same_place(vm));
+        let moved = |vm: &&Listed| {
+            let known = listed.binary_search_by(|known| known.name.cmp(&vm.name));
+            !known.is_ok_and(|at| listed[at].is_same_place(vm))
+        };
         let added = next.iter().filter(moved).cloned().collect();
         *listed = next;
         drop(listed);
@@ -230,9 +232,7 @@
     fn observe(&self, listed: &Listed, status: Option<&Status>) {
         match status {
             Some(status) if *status.process == *listed.name => {
-                let now = clock::now().as_millis();
-                let taken_at = Time::from_millis(now.saturating_sub(REPORT_AGE_MS));
-                self.table().observe(&report(listed, status), taken_at);
+                self.table().observe(&report(listed, status), taken_at());
             }
             // A process under another name is not the agent that the list means.
             Some(_) => self.table().lost(&listed.name),
@@ -241,6 +241,12 @@
     }
 }
 
+/// The time that a report which arrives now tells of, at the earliest.
+fn taken_at() -> Time {
+    let now = clock::now().as_millis();
+    Time::from_millis(now.saturating_sub(REPORT_AGE_MS))
+}
+
 impl Listed {
     fn is_same_place(&self, other: &Listed) -> bool {
         self.name == other.name && self.address == other.address
