--- a/crates/platform/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -9,13 +9,13 @@
 //! # Examples
 //!
 //! ```
-//! use cactusroad_platform::{address::Address, engine, store};
+//! use cactusroad_adapter::{address::Address, engine, store};
 //!
 //! let address: Address = "http://127.0.0.1:8700".parse()?;
 //! let engine = engine::http::Client::new(&address);
 //! let store = store::http::Client::new(&address);
 //! # let _ = (engine, store);
-//! # Ok::<(), cactusroad_platform::address::Error>(())
+//! # Ok::<(), cactusroad_adapter::address::Error>(())
 //! ```
 
 pub mod address;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,8 @@
 //! * Operators: [`config`] is the schema of what they write, [`rollout`] moves
 //!   traffic between versions, [`order`] fences orders to endpoints, [`lease`]
 //!   elects a single holder.
+//! * A gateway that speaks to endpoints itself: [`site`] is its configuration, [`pool`]
+//!   chooses endpoints, places copies of runs and saves runs whose engine is lost.
 //! * The fleet: [`member`] keeps the list of processes, [`spread`] carries the
 //!   configuration to each of them.
 
@@ -35,10 +37,12 @@
 pub mod order;
 pub mod outlier;
 pub mod placement;
+pub mod pool;
 pub mod ramp;
 pub mod refusal;
 pub mod retry;
 pub mod rollout;
+pub mod site;
 pub mod spread;
 pub mod stream;
 pub mod survival;
--- /dev/null
+++ b/crates/core/src/pool/choose.rs
@@ -0,0 +1,117 @@
+//! Choosing an endpoint for a request, and one for the copy of its run.
+
+use std::sync::Arc;
+
+use super::{Endpoint, Member, Pool, Work};
+use crate::Time;
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// What it will occupy.
+    pub work: Work,
+    /// The data centre of the gateway.
+    pub data_centre: &'a str,
+    /// Endpoints that have had the request, by name.
+    pub tried: &'a [Arc<str>],
+    /// A version that the endpoint must run; any where it is `None`.
+    pub version: Option<&'a str>,
+}
+
+/// Why no endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// The service has no endpoint that may get work.
+    Empty,
+    /// All of them have had the request.
+    Exhausted,
+    /// The request is larger than an engine's memory.
+    TooLarge,
+}
+
+impl Pool {
+    /// Chooses an endpoint; `draw` is uniform in [0, 1).
+    ///
+    /// # Errors
+    ///
+    /// Fails where no endpoint may get the request.
+    pub fn choose(&self, ask: &Ask<'_>, draw: f64, now: Time) -> Result<Arc<Endpoint>, Refusal> {
+        if self.is_engine && self.memory_tokens > 0 && ask.work.prompt > self.memory_tokens {
+            return Err(Refusal::TooLarge);
+        }
+        let mut open = 0;
+        let mut scored: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
+        for member in &self.members {
+            if !self.may_get(member, ask, now) {
+                continue;
+            }
+            open += 1;
+            if !ask.tried.contains(&member.endpoint.id) {
+                scored.push((self.score(member, ask, now), member));
+            }
+        }
+        // An endpoint that is avoided is better than none.
+        if scored.iter().any(|(_, member)| member.avoided_until.is_past(now)) {
+            scored.retain(|(_, member)| member.avoided_until.is_past(now));
+        }
+        let best = scored.iter().map(|(score, _)| *score).fold(f64::INFINITY, f64::min);
+        let limit = best + best.abs() * self.config.tie_share + f64::EPSILON;
+        scored.retain(|(score, _)| *score <= limit);
+        let index = (draw * scored.len() as f64) as usize;
+        match scored.get(index.min(scored.len().saturating_sub(1))) {
+            Some((_, member)) => Ok(Arc::clone(&member.endpoint)),
+            None if open > 0 => Err(Refusal::Exhausted),
+            None => Err(Refusal::Empty),
+        }
+    }
+
+    /// Chooses where a copy of a run grows that runs at `primary`: the engine
+    /// with the most free memory, as long as the copy leaves room for runs.
+    pub fn backup(&self, primary: &str, ask: &Ask<'_>, now: Time) -> Option<Arc<Endpoint>> {
+        let mut best: Option<(f64, &Member)> = None;
+        for member in &self.members {
+            let is_other = &*member.endpoint.id != primary;
+            if !is_other || !self.may_get(member, ask, now) || !member.avoided_until.is_past(now) {
+                continue;
+            }
+            let fill = self.fill(member, ask.work, now);
+            if fill <= self.config.copy_share && best.is_none_or(|(least, _)| fill < least) {
+                best = Some((fill, member));
+            }
+        }
+        best.map(|(_, member)| Arc::clone(&member.endpoint))
+    }
+
+    fn may_get(&self, member: &Member, ask: &Ask<'_>, now: Time) -> bool {
+        member.is_open(now)
+            && !self.is_out(&member.endpoint.data_centre)
+            && ask.version.is_none_or(|version| *member.endpoint.version == *version)
+    }
+
+    fn score(&self, member: &Member, ask: &Ask<'_>, now: Time) -> f64 {
+        let config = &self.config;
+        let is_far = *member.endpoint.data_centre != *ask.data_centre;
+        let failures = member.failure_share(config, now);
+        if !self.is_engine {
+            let slots = f64::from(member.endpoint.slots.max(1));
+            let rounds = (f64::from(member.running) / slots).max(0.0);
+            let wait = (1.0 + rounds) * member.latency_ms().max(1.0);
+            return wait + failures * config.failure_ms + f64::from(u8::from(is_far)) * config.distance_ms;
+        }
+        let (running, prompts) = member.load(config, now);
+        let overflow = (self.fill(member, ask.work, now) - config.memory_share).max(0.0);
+        let memory = self.memory_tokens.max(1) as f64;
+        prompts
+            + running * config.running_tokens
+            + overflow * memory * config.overflow_weight
+            + failures * memory
+            + f64::from(u8::from(is_far)) * config.distance_tokens
+    }
+
+    /// Returns the share of an engine's memory in use once it holds `work` as well.
+    fn fill(&self, member: &Member, work: Work, now: Time) -> f64 {
+        let memory = member.memory(self.memory_tokens).max(1);
+        (member.used(&self.config, now) + work.tokens()) as f64 / memory as f64
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/config.rs
@@ -0,0 +1,65 @@
+//! Parameters of a [`Pool`](super::Pool).
+
+use serde::{Deserialize, Serialize};
+
+/// Parameters of choices.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// Prompt tokens that one running request counts as in an engine's score; 300
+    /// by default. A running request lengthens each step by about 2%, over the
+    /// 200 steps that a prompt of 3,000 tokens and its first events take.
+    pub running_tokens: f64,
+    /// The share of an engine's memory that choices fill at most; 0.92 by
+    /// default, which leaves room for lengths beyond their hints.
+    pub memory_share: f64,
+    /// The share of an engine's memory above which it gets no copies; 0.8 by
+    /// default. A copy must never preempt a run.
+    pub copy_share: f64,
+    /// How many tokens of prompt a token of overflow counts as; 20 by default, so
+    /// that an engine without room is the last choice.
+    pub overflow_weight: f64,
+    /// Prompt tokens that another data centre counts as; 150 by default. Bytes
+    /// between data centres cost money, and a queue of 10 ms is worth that.
+    pub distance_tokens: f64,
+    /// Milliseconds that another data centre counts as for plain services; 1 by
+    /// default, the round trip.
+    pub distance_ms: f64,
+    /// Milliseconds that a failure counts as for plain services; 400 by default:
+    /// about what an endpoint's queue may hold before it is as bad as a failure.
+    pub failure_ms: f64,
+    /// The share of a score within which two endpoints count as equal; 0.1 by default.
+    pub tie_share: f64,
+    /// Milliseconds over which failures lose half of their weight; 3,000 by default.
+    pub memory_ms: u64,
+    /// Milliseconds for which an endpoint is avoided after a connection to it
+    /// failed; 300 by default, doubled with each further failure.
+    pub avoid_ms: u64,
+    /// The most milliseconds for which it is avoided; 2,400 by default, below the
+    /// time after which the platform's list drops an endpoint that is silent.
+    pub avoid_max_ms: u64,
+    /// Milliseconds by which a report is late when it arrives; 500 by default.
+    pub report_lag_ms: u64,
+    /// Milliseconds after which a report counts for nothing; 4,000 by default.
+    pub report_life_ms: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            running_tokens: 300.0,
+            memory_share: 0.92,
+            copy_share: 0.8,
+            overflow_weight: 20.0,
+            distance_tokens: 150.0,
+            distance_ms: 1.0,
+            failure_ms: 400.0,
+            tie_share: 0.1,
+            memory_ms: 3_000,
+            avoid_ms: 300,
+            avoid_max_ms: 2_400,
+            report_lag_ms: 500,
+            report_life_ms: 4_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/site/build.rs
@@ -0,0 +1,67 @@
+//! Building a [`Site`].
+
+use std::sync::Arc;
+
+use super::{Limits, Route, Service, Site, Workspace};
+
+/// Collects the parts of a [`Site`] and sorts them.
+#[derive(Debug)]
+pub struct Builder {
+    site: Site,
+}
+
+impl Builder {
+    /// Starts an empty configuration.
+    pub fn new(version: u64) -> Builder {
+        Builder {
+            site: Site {
+                version,
+                routes: Vec::new(),
+                services: Vec::new(),
+                limits: Limits::default(),
+                keys: Vec::new(),
+                is_open: true,
+            },
+        }
+    }
+
+    /// Adds a route.
+    #[must_use]
+    pub fn route(mut self, route: Route) -> Builder {
+        self.site.routes.push(Arc::new(route));
+        self
+    }
+
+    /// Adds a service.
+    #[must_use]
+    pub fn service(mut self, service: Service) -> Builder {
+        self.site.services.push(service);
+        self
+    }
+
+    /// Sets what callers may send; [`Limits::default`] otherwise.
+    #[must_use]
+    pub fn limits(mut self, limits: Limits) -> Builder {
+        self.site.limits = limits;
+        self
+    }
+
+    /// Adds a workspace with its keys. From then on requests need a key.
+    #[must_use]
+    pub fn workspace(mut self, workspace: Workspace, keys: &[Arc<str>]) -> Builder {
+        let workspace = Arc::new(workspace);
+        let held = keys.iter().map(|key| (Arc::clone(key), Arc::clone(&workspace)));
+        self.site.keys.extend(held);
+        self.site.is_open = false;
+        self
+    }
+
+    /// Returns the configuration.
+    pub fn build(mut self) -> Site {
+        let routes = &mut self.site.routes;
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        self.site.services.sort_by(|a, b| a.name.cmp(&b.name));
+        self.site.keys.sort_by(|a, b| a.0.cmp(&b.0));
+        self.site
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,156 @@
+//! Starting and stopping a gateway.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use cactusroad_platform::settings::{self, Settings};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    time::{MissedTickBehavior, interval, sleep, sleep_until},
+};
+
+use crate::{
+    clock, listen, observe,
+    record::{self, Event},
+    state::State,
+    watch,
+};
+
+/// Time between two looks whether the settings file has changed without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How long before the platform kills the process it ends by itself, so that the
+/// last lines of the log are written.
+const LAST_MOMENT: Duration = Duration::from_millis(150);
+
+/// Time between two looks whether all requests have ended.
+const STOP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Why a gateway cannot run.
+#[derive(Debug, thiserror::Error)]
+#[error(transparent)]
+pub struct Error(#[from] Kind);
+
+#[derive(Debug, thiserror::Error)]
+enum Kind {
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
+    #[error("{address} cannot be opened: {cause}; check that no other process listens there")]
+    Listen { address: SocketAddr, cause: std::io::Error },
+    #[error("the runtime cannot start: {0}; check the limits of the system")]
+    Runtime(std::io::Error),
+}
+
+/// Runs a gateway until it is told to stop; `metrics_port` is where it serves its metrics.
+///
+/// # Errors
+///
+/// Fails where the settings are wrong or a port cannot be opened.
+pub fn run(metrics_port: Option<u16>) -> Result<(), Error> {
+    record::start();
+    let ended = start(metrics_port);
+    record::flush();
+    Ok(ended?)
+}
+
+fn start(metrics_port: Option<u16>) -> Result<(), Kind> {
+    let settings = Settings::load()?;
+    // Threads beyond the cores only add switches.
+    let runtime = if settings.cores > 1 {
+        tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(settings.cores)
+            .enable_all()
+            .build()
+    } else {
+        tokio::runtime::Builder::new_current_thread().enable_all().build()
+    };
+    runtime.map_err(Kind::Runtime)?.block_on(serve(settings, metrics_port))
+}
+
+async fn serve(settings: Settings, metrics_port: Option<u16>) -> Result<(), Kind> {
+    record::write(&Event::Started { vm: &settings.vm, data_centre: &settings.data_centre });
+    let mut hangup = signal(SignalKind::hangup()).map_err(Kind::Runtime)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(Kind::Runtime)?;
+    let open = |address| {
+        listen::bind(address).map_err(|cause| Kind::Listen { address, cause })
+    };
+    let callers = open(settings.callers)?;
+    let readiness = open(settings.readiness)?;
+    let metrics = match metrics_port {
+        Some(port) => Some(open(SocketAddr::new(settings.callers.ip(), port))?),
+        None => None,
+    };
+    let state = Arc::new(State::new(settings));
+    watch::start(&state);
+    tokio::spawn(observe::run(Arc::clone(&state)));
+    tokio::spawn(listen::callers(Arc::clone(&state), callers));
+    tokio::spawn(listen::readiness(Arc::clone(&state), readiness));
+    if let Some(metrics) = metrics {
+        tokio::spawn(listen::metrics(Arc::clone(&state), metrics));
+    }
+    heed(&state, &mut hangup, &mut terminate).await;
+    stop(&state).await;
+    Ok(())
+}
+
+/// Reads changed settings until the process is told to stop.
+async fn heed(state: &State, hangup: &mut Signal, terminate: &mut Signal) {
+    let path = std::env::var_os(settings::PATH_VARIABLE).map(PathBuf::from).unwrap_or_default();
+    let mut read_at = modified(&path);
+    let mut ticks = interval(SETTINGS_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = hangup.recv() => reload(state, &path),
+            _ = ticks.tick() => {
+                let changed_at = modified(&path);
+                if changed_at != read_at {
+                    read_at = changed_at;
+                    reload(state, &path);
+                }
+            }
+        }
+    }
+}
+
+fn modified(path: &PathBuf) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
+}
+
+fn reload(state: &State, path: &std::path::Path) {
+    match Settings::read(path) {
+        Ok(settings) => {
+            let changed = settings != **state.settings.load();
+            record::write(&Event::Reloaded { changed });
+            state.settings.store(Arc::new(settings));
+        }
+        Err(cause) => {
+            let cause = cause.to_string();
+            record::write(&Event::ReloadFailed { cause: &cause });
+        }
+    }
+}
+
+/// Ends all requests, or as many as end in time.
+async fn stop(state: &State) {
+    let grace = state.settings.load().grace.saturating_sub(LAST_MOMENT);
+    let stops_at = clock::now() + grace;
+    listen::stop(state, stops_at);
+    let ends_early = async {
+        // Callers that do not know yet still send requests.
+        sleep(crate::handle::TAKES_REQUESTS_FOR + STOP_INTERVAL).await;
+        while state.open_requests() > 0 {
+            sleep(STOP_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        () = ends_early => {}
+        () = sleep_until(clock::instant(stops_at)) => {}
+    }
+    record::write(&Event::Stopped { open_requests: state.open_requests() });
+}
--- /dev/null
+++ b/crates/gateway/src/handle.rs
@@ -0,0 +1,230 @@
+//! From a caller's request to a [`Job`], or to an answer at once.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use cactusroad_core::{
+    Time,
+    pool::Work,
+    site::{Kind, Route, Site, Workspace},
+};
+use cactusroad_platform::{replica, request::Caller};
+use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::{
+    clock,
+    job::Job,
+    plain,
+    record::{self, Event},
+    reply::{self, Body},
+    state::State,
+    stream,
+};
+
+/// How long after the request to stop new requests are still taken: the
+/// balancer's two questions, with one to spare.
+pub(crate) const TAKES_REQUESTS_FOR: Duration = Duration::from_millis(2_800);
+
+/// Milliseconds that a token of an answer takes, to foresee whether a stream ends
+/// before the process must: an engine's step with several prompts beside it.
+const TOKEN_MS: u64 = 11;
+
+/// Milliseconds to the first token of a stream, for the same purpose.
+const FIRST_TOKEN_MS: u64 = 600;
+
+/// Serves one request.
+pub(crate) async fn serve(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let mut response = answer(&state, head, body).await;
+    if state.stopping.borrow().is_some() {
+        reply::close(&mut response);
+    }
+    response
+}
+
+async fn answer(state: &Arc<State>, head: Parts, body: Incoming) -> Response<Body> {
+    let open = state.open();
+    let arrived_at = clock::now();
+    let Some(site) = state.site.load_full() else {
+        return turn_away(&head, StatusCode::SERVICE_UNAVAILABLE, "no_configuration");
+    };
+    if let Err(cause) = check_framing(&head) {
+        return bad_request(&head, cause);
+    }
+    let held = match read_body(state, &site, body).await {
+        Ok(held) => held,
+        Err((status, cause)) => {
+            let mut response = turn_away(&head, status, cause);
+            reply::close(&mut response);
+            return response;
+        }
+    };
+    let route = match find_route(&site, &head) {
+        Some(route) => Arc::clone(route),
+        None => return turn_away(&head, StatusCode::NOT_FOUND, "no_route"),
+    };
+    let caller = Caller::decode(&head.headers);
+    let workspace = match find_workspace(&site, &route, &caller) {
+        Ok(workspace) => workspace.cloned(),
+        Err(cause) => {
+            let mut response = turn_away(&head, StatusCode::UNAUTHORIZED, cause);
+            let scheme = HeaderValue::from_static("Bearer");
+            response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+            return response;
+        }
+    };
+    let Some(shard) = route.target(rand::random()).and_then(|service| state.shard(service)) else {
+        return turn_away(&head, StatusCode::SERVICE_UNAVAILABLE, "no_service");
+    };
+    shard.count();
+    let kept = Duration::from_millis(route.timeout_ms);
+    let patience = caller.patience.map_or(kept, |patience| patience.min(kept));
+    let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let job = Job {
+        shard,
+        request: caller.attempt.clone().unwrap_or_else(|| "".into()),
+        headers: replica::forwarded(&head.headers, route.resume),
+        method: head.method,
+        uri: head.uri,
+        body: held.bytes.clone(),
+        priority: priority.unwrap_or(route.priority).min(9),
+        workspace: workspace.map(|workspace| Arc::clone(&workspace.name)),
+        work: caller.work(),
+        data_centre: Arc::clone(&state.settings.load().data_centre),
+        arrived_at,
+        deadline: arrived_at + patience,
+        route,
+        state: Arc::clone(state),
+        _open: open,
+    };
+    if let Some(cause) = stops_too_soon(state, &job.route, job.work) {
+        return job.refuse(cause);
+    }
+    match job.route.kind {
+        Kind::Stream => stream::serve(job).await,
+        Kind::Idempotent | Kind::Once => plain::serve(&job).await,
+    }
+}
+
+/// Tells why a request is refused by a process that stops.
+fn stops_too_soon(state: &State, route: &Route, work: Work) -> Option<&'static str> {
+    let stops_at: Time = (*state.stopping.borrow())?;
+    let now = clock::now();
+    let grace = state.settings.load().grace;
+    let left = stops_at.since(now);
+    if left + TAKES_REQUESTS_FOR < grace {
+        return Some("stopping");
+    }
+    let foreseen = Duration::from_millis(FIRST_TOKEN_MS + work.output * TOKEN_MS);
+    (route.kind == Kind::Stream && foreseen > left).then_some("stops_before_its_end")
+}
+
+/// A request with two lengths could be read as two requests by another process.
+fn check_framing(head: &Parts) -> Result<(), &'static str> {
+    let headers = &head.headers;
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    if lengths > 1 || (lengths == 1 && headers.contains_key(header::TRANSFER_ENCODING)) {
+        return Err("two_lengths");
+    }
+    if headers.get_all(header::HOST).iter().count() > 1 {
+        return Err("two_hosts");
+    }
+    Ok(())
+}
+
+fn bad_request(head: &Parts, cause: &'static str) -> Response<Body> {
+    let mut response = turn_away(head, StatusCode::BAD_REQUEST, cause);
+    reply::close(&mut response);
+    response
+}
+
+fn find_route<'a>(site: &'a Site, head: &Parts) -> Option<&'a Arc<Route>> {
+    let named = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = head.uri.host().or(named)?;
+    let host = host.rsplit_once(':').map_or(host, |(host, _)| host).to_ascii_lowercase();
+    site.route(&host, head.uri.path())
+}
+
+fn find_workspace<'a>(
+    site: &'a Site,
+    route: &Route,
+    caller: &Caller,
+) -> Result<Option<&'a Arc<Workspace>>, &'static str> {
+    let held = caller.key.as_ref().and_then(|key| site.workspace(key));
+    if held.is_some() || site.is_open() || route.anonymous {
+        return Ok(held);
+    }
+    Err(if caller.key.is_some() { "unknown_key" } else { "no_key" })
+}
+
+/// Answers a request that is not sent to any endpoint.
+fn turn_away(head: &Parts, status: StatusCode, cause: &'static str) -> Response<Body> {
+    let caller = Caller::decode(&head.headers);
+    let retry_after = reply::retry_after();
+    record::write(&Event::Refused {
+        request: caller.attempt.as_deref().unwrap_or(""),
+        route: "",
+        status: status.as_u16(),
+        cause,
+        retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+    });
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        reply::refusal(cause, retry_after)
+    } else {
+        reply::own(status, cause)
+    }
+}
+
+/// A caller's body, which counts as held until it is dropped.
+struct Held {
+    state: Arc<State>,
+    bytes: Bytes,
+    counted: usize,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.state.release(self.counted);
+    }
+}
+
+async fn read_body(
+    state: &Arc<State>,
+    site: &Site,
+    mut body: Incoming,
+) -> Result<Held, (StatusCode, &'static str)> {
+    let limits = site.limits();
+    let mut held = Held { state: Arc::clone(state), bytes: Bytes::new(), counted: 0 };
+    let announced = hyper::body::Body::size_hint(&body).lower();
+    if announced > limits.body_bytes as u64 {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+    }
+    let mut whole = BytesMut::new();
+    // A body may pause for as long as a connection may be idle.
+    let idle = Duration::from_millis(limits.idle_ms);
+    loop {
+        let frame = timeout(idle, body.frame()).await;
+        let frame = match frame {
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
+            Ok(None) => break,
+            Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "body_unreadable")),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limits.body_bytes {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+        }
+        if !state.hold(data.len()) {
+            return Err((StatusCode::SERVICE_UNAVAILABLE, "bodies_take_all_memory"));
+        }
+        held.counted += data.len();
+        whole.extend_from_slice(&data);
+    }
+    held.bytes = whole.freeze();
+    Ok(held)
+}
--- /dev/null
+++ b/crates/gateway/src/job.rs
@@ -0,0 +1,128 @@
+//! A caller's request on its way.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    pool::{Ask, Endpoint, Work},
+    site::Route,
+};
+use cactusroad_platform::replica::{Order, Source};
+use http::{HeaderMap, Method, Response, StatusCode, Uri};
+
+use crate::{
+    clock,
+    record::{self, Event},
+    reply::{self, Body},
+    state::{Open, Shard, State, left},
+};
+
+/// How long a connection to an endpoint may take to open: many round trips
+/// between data centres, and a fraction of the shortest objective.
+pub(crate) const DIAL_LIMIT: Duration = Duration::from_millis(250);
+
+/// A request that has been read and may be sent.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) state: Arc<State>,
+    pub(crate) shard: Arc<Shard>,
+    pub(crate) route: Arc<Route>,
+    /// The id of the caller's attempt; empty where it sent none.
+    pub(crate) request: Arc<str>,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) workspace: Option<Arc<str>>,
+    pub(crate) priority: u8,
+    pub(crate) work: Work,
+    pub(crate) data_centre: Arc<str>,
+    pub(crate) arrived_at: Time,
+    pub(crate) deadline: Time,
+    pub(crate) _open: Open,
+}
+
+impl Job {
+    /// Returns the question for an endpoint.
+    pub(crate) fn ask<'a>(&'a self, tried: &'a [Arc<str>]) -> Ask<'a> {
+        Ask { work: self.work, data_centre: &self.data_centre, tried, version: None }
+    }
+
+    /// Returns the request as it goes to an endpoint.
+    pub(crate) fn order<'a>(
+        &'a self,
+        endpoint: &'a Endpoint,
+        backup: Option<&Endpoint>,
+        source: Option<Source>,
+    ) -> Order<'a> {
+        Order {
+            method: &self.method,
+            uri: &self.uri,
+            headers: &self.headers,
+            body: self.body.clone(),
+            endpoint,
+            workspace: self.workspace.as_deref(),
+            left: left(self.deadline),
+            priority: (self.work.prompt > 0).then_some(self.priority),
+            backup: backup.map(|backup| backup.address),
+            source,
+            attempt: (!self.request.is_empty()).then_some(&*self.request),
+        }
+    }
+
+    /// Refuses the request: it was not run and will not be.
+    pub(crate) fn refuse(&self, cause: &str) -> Response<Body> {
+        let retry_after = reply::retry_after();
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        record::write(&Event::Refused {
+            request: &self.request,
+            route: &self.route.name,
+            status: status.as_u16(),
+            cause,
+            retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+        });
+        self.count("refused");
+        reply::refusal(cause, retry_after)
+    }
+
+    /// Answers with a failure that promises nothing.
+    pub(crate) fn fail(&self, status: StatusCode, cause: &str, end: &End<'_>) -> Response<Body> {
+        self.ended(status, cause, end);
+        reply::own(status, cause)
+    }
+
+    /// Notes the end of the request.
+    pub(crate) fn ended(&self, status: StatusCode, outcome: &str, end: &End<'_>) {
+        self.count(if status.is_success() && outcome == OK { "served" } else { "failed" });
+        record::write(&Event::Ended {
+            request: &self.request,
+            route: &self.route.name,
+            status: status.as_u16(),
+            outcome,
+            endpoint: end.endpoint,
+            attempts: end.attempts,
+            first_ms: end.first_ms,
+            total_ms: clock::millis_since(self.arrived_at),
+            events: end.events,
+        });
+    }
+
+    fn count(&self, outcome: &str) {
+        let labels = [self.route.kind.into(), outcome];
+        self.state.metrics.requests.with_label_values(&labels).inc();
+    }
+}
+
+/// The outcome of a request whose whole answer was passed on.
+pub(crate) const OK: &str = "answered";
+
+/// How a request ended, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct End<'a> {
+    pub(crate) endpoint: &'a str,
+    pub(crate) attempts: u32,
+    /// Milliseconds to the first event or the answer.
+    pub(crate) first_ms: u64,
+    pub(crate) events: u64,
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,38 @@
+//! The process between callers and endpoints on the users' platform.
+//!
+//! A gateway terminates callers, chooses an endpoint for each request and speaks
+//! to it directly, so that one process stands between a caller and a token. It
+//! keeps nothing: whatever it knows it reads from the platform's store when it
+//! starts and then watches.
+//!
+//! # The way of a request
+//!
+//! `listen` accepts connections; `handle` reads a request, finds its route and
+//! its workspace and makes a job of it; `plain` and `stream` serve the job.
+//! What a request may do is decided in [`cactusroad_core`]: the route and its
+//! limits in `site`, endpoints, copies and repeats in `pool`. How things are
+//! spelled on the wire stands in [`cactusroad_platform`].
+//!
+//! # What it believes
+//!
+//! `state` holds the configuration and the endpoints of each service, each under
+//! its own lock. `watch` follows the store, `observe` asks engines for reports.
+//! Every change of a belief, and every decision about a request, is a line of
+//! the log; see docs/LOGS.md.
+
+mod clock;
+mod daemon;
+mod events;
+mod handle;
+mod job;
+mod listen;
+mod metrics;
+mod observe;
+mod plain;
+mod record;
+mod reply;
+mod state;
+mod stream;
+mod watch;
+
+pub use daemon::{Error, run};
--- /dev/null
+++ b/crates/gateway/src/listen.rs
@@ -0,0 +1,164 @@
+//! Connections of callers, of the balancer, and of whoever reads the metrics.
+
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+
+use cactusroad_core::Time;
+use cactusroad_platform::{READY_PATH, dial};
+use http::{Request, Response, StatusCode};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::sleep,
+};
+
+use crate::{
+    clock, handle,
+    record::{self, Event},
+    reply::{self, Body},
+    state::State,
+};
+
+/// Connections that wait to be accepted. A full queue delays them by seconds.
+const BACKLOG: u32 = 1_024;
+
+/// The pause after a connection could not be accepted, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How much longer than the limit an idle connection is kept, so that a caller
+/// that keeps to the limit never meets the close.
+const IDLE_SLACK: Duration = Duration::from_millis(500);
+
+/// The idle time of connections that were accepted before there is a configuration.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+
+/// Bytes of a head that are read at most before there is a configuration.
+const FIRST_HEAD_BYTES: usize = 16 << 10;
+
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Opens a port.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    // A restart must not wait for connections of the process before it.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections of callers until the process stops taking requests.
+pub(crate) async fn callers(state: Arc<State>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(caller(Arc::clone(&state), stream));
+            }
+            Err(cause) => {
+                log::warn!("a connection was not accepted: {cause}; raise the limit of descriptors");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn caller(state: Arc<State>, stream: TcpStream) {
+    if let Err(cause) = dial::tune(&stream) {
+        log::debug!("a caller left at once: {cause}");
+        return;
+    }
+    let limits = state.site.load().as_ref().map(|site| site.limits());
+    let idle = limits.map_or(FIRST_IDLE, |limits| Duration::from_millis(limits.idle_ms));
+    let head_bytes = limits.map_or(FIRST_HEAD_BYTES, |limits| limits.header_bytes);
+    let mut stopping = state.stopping.subscribe();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let state = Arc::clone(&state);
+        async move { Ok::<_, Infallible>(handle::serve(state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle + IDLE_SLACK)
+        .max_buf_size(head_bytes.max(MIN_HEAD_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let stopped = async {
+        // The sender lives as long as the state.
+        let _ = stopping.wait_for(Option::is_some).await;
+        sleep(handle::TAKES_REQUESTS_FOR).await;
+    };
+    tokio::select! {
+        ended = connection.as_mut() => {
+            note(ended);
+            return;
+        }
+        () = stopped => connection.as_mut().graceful_shutdown(),
+    }
+    note(connection.await);
+}
+
+/// The least buffer that the HTTP library takes.
+const MIN_HEAD_BUFFER: usize = 8_192;
+
+fn note(ended: Result<(), hyper::Error>) {
+    if let Err(cause) = ended {
+        log::debug!("a caller's connection ended: {cause}");
+    }
+}
+
+/// Answers the balancer.
+pub(crate) async fn readiness(state: Arc<State>, listener: TcpListener) {
+    answer(listener, move |path| {
+        if path != READY_PATH {
+            return reply::own(StatusCode::NOT_FOUND, "no_such_page");
+        }
+        if state.is_ready() {
+            reply::own(StatusCode::OK, "")
+        } else {
+            reply::own(StatusCode::SERVICE_UNAVAILABLE, "not_ready")
+        }
+    })
+    .await;
+}
+
+/// Serves the metrics.
+pub(crate) async fn metrics(state: Arc<State>, listener: TcpListener) {
+    answer(listener, move |path| {
+        if path != METRICS_PATH {
+            return reply::own(StatusCode::NOT_FOUND, "no_such_page");
+        }
+        Response::new(Body::Whole(Some(state.metrics.render().into())))
+    })
+    .await;
+}
+
+/// Answers questions that need no waiting.
+async fn answer<F>(listener: TcpListener, page: F)
+where
+    F: Fn(&str) -> Response<Body> + Clone + Send + Sync + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let page = page.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let response = page(request.uri().path());
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(FIRST_IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            note(connection.await);
+        });
+    }
+}
+
+/// Marks the process as stopping.
+pub(crate) fn stop(state: &State, stops_at: Time) {
+    record::write(&Event::Stopping { open_requests: state.open_requests() });
+    state.stopping.send_replace(Some(stops_at));
+    debug_assert!(stops_at >= clock::now());
+}
--- /dev/null
+++ b/crates/gateway/src/observe.rs
@@ -0,0 +1,84 @@
+//! Asks engines for their reports.
+
+use std::{sync::Arc, time::Duration};
+
+use cactusroad_core::pool::Endpoint;
+use cactusroad_platform::replica::Observer;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::{
+    clock,
+    state::{Shard, State},
+};
+
+/// Time between two reports of an engine. Reports are about as late as this when
+/// they arrive, so that asking more often tells little more.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long an engine may take for a report.
+const REPORT_LIMIT: Duration = Duration::from_millis(250);
+
+/// Time between two looks for engines that are not observed yet.
+const SCAN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Starts a task for each engine that is listed, until the engine is gone.
+pub(crate) async fn run(state: Arc<State>) {
+    let mut observed: Vec<Arc<Endpoint>> = Vec::new();
+    let mut ticks = interval(SCAN_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(site) = state.site.load_full() else {
+            continue;
+        };
+        let mut listed = Vec::new();
+        for service in site.services().iter().filter(|service| service.engine.is_some()) {
+            let Some(shard) = state.shard(&service.name) else {
+                continue;
+            };
+            let endpoints: Vec<Arc<Endpoint>> =
+                shard.pool().views(clock::now()).map(|view| view.endpoint).collect();
+            for endpoint in endpoints {
+                let is_known = observed.iter().any(|known| is_same(known, &endpoint));
+                if !is_known {
+                    tokio::spawn(observe(Arc::clone(&shard), Arc::clone(&endpoint)));
+                }
+                listed.push(endpoint);
+            }
+        }
+        observed = listed;
+    }
+}
+
+/// Tells whether two entries name the same incarnation.
+fn is_same(one: &Endpoint, other: &Endpoint) -> bool {
+    one.id == other.id && one.born_ms == other.born_ms && one.address == other.address
+}
+
+/// Takes reports of one engine while it is listed.
+async fn observe(shard: Arc<Shard>, endpoint: Arc<Endpoint>) {
+    let mut observer = Observer::new(endpoint.address);
+    // Gateways that started together must not ask together.
+    sleep(REPORT_INTERVAL.mul_f64(rand::random())).await;
+    let mut ticks = interval(REPORT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let is_listed =
+            shard.pool().get(&endpoint.id).is_some_and(|listed| is_same(listed, &endpoint));
+        if !is_listed {
+            return;
+        }
+        let now = clock::now();
+        match observer.report(REPORT_LIMIT, now).await {
+            Ok(report) => {
+                let change = shard.pool().report(&endpoint.id, report, clock::now());
+                shard.learn(&endpoint.id, change, "report");
+            }
+            Err(cause) => {
+                log::debug!("{} gave no report: {cause}", endpoint.id);
+                shard.pool().unreachable(&endpoint.id, clock::now());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/plain.rs
@@ -0,0 +1,255 @@
+//! Requests with one whole answer.
+//!
+//! A request that may run once is sent again only where it certainly was not
+//! run. One that may be repeated is also sent to a second endpoint when the
+//! first one has been silent for a part of the objective, and the first whole
+//! answer wins; the other attempt ends with its connection.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    pool::{Endpoint, Outcome, Refusal},
+    site::Kind,
+};
+use cactusroad_platform::replica::{self, Fate};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use http::{Response, StatusCode, response};
+use tokio::time::sleep_until;
+
+use crate::{
+    clock,
+    job::{DIAL_LIMIT, End, Job, OK},
+    record::{self, Event},
+    reply::Body,
+    state::left,
+};
+
+/// Bytes of an answer that are held at most.
+const MAX_ANSWER: usize = 8 << 20;
+
+/// The most sends of one request, run or not: one for each endpoint of a small
+/// service and a few more. Each send that fails takes a part of the deadline.
+const MAX_SENDS: u32 = 5;
+
+/// The part of the objective after which a second endpoint is asked.
+const HEDGE_SHARE: f64 = 0.5;
+
+/// The least time that makes another attempt useful.
+const MIN_USEFUL: Duration = Duration::from_millis(5);
+
+/// How one attempt ended.
+#[derive(Debug)]
+enum Attempt {
+    /// The endpoint's whole answer.
+    Answer(Box<response::Parts>, Bytes),
+    /// It was not run, and did not reach the endpoint.
+    Unsent,
+    /// The endpoint refused it and did not run it.
+    Refused,
+    /// It may have run, and there is no answer.
+    Unknown,
+}
+
+/// What has happened to a request so far.
+#[derive(Debug, Default)]
+struct Progress {
+    tried: Vec<Arc<str>>,
+    sends: u32,
+    /// Endpoints on which it may have run.
+    runs: u32,
+    /// A failure that an endpoint answered.
+    failure: Option<(Box<response::Parts>, Bytes)>,
+    refusal: Option<Refusal>,
+}
+
+/// Serves a request.
+pub(crate) async fn serve(job: &Job) -> Response<Body> {
+    let mut progress = Progress::default();
+    let mut running = FuturesUnordered::new();
+    match next(job, &mut progress) {
+        Ok(endpoint) => running.push(attempt(job, endpoint, progress.sends)),
+        Err(refusal) => return job.refuse(refusal.into()),
+    }
+    let objective = Duration::from_millis(job.route.target_ms);
+    let hedge_at = job.arrived_at + objective.mul_f64(HEDGE_SHARE);
+    let mut may_hedge = job.route.kind == Kind::Idempotent;
+    loop {
+        tokio::select! {
+            biased;
+            Some((endpoint, ended)) = running.next() => {
+                if let Some(response) = settle(job, &mut progress, &endpoint, ended) {
+                    return response;
+                }
+                if let Some(endpoint) = again(job, &mut progress, running.len()) {
+                    running.push(attempt(job, endpoint, progress.sends));
+                } else if running.is_empty() {
+                    return give_up(job, progress);
+                }
+            }
+            () = sleep_until(clock::instant(hedge_at)), if may_hedge => {
+                may_hedge = false;
+                if let Some(endpoint) = again(job, &mut progress, running.len()) {
+                    running.push(attempt(job, endpoint, progress.sends));
+                }
+            }
+            () = sleep_until(clock::instant(job.deadline)) => {
+                let end = End { attempts: progress.sends, ..End::default() };
+                return job.fail(StatusCode::GATEWAY_TIMEOUT, "deadline", &end);
+            }
+        }
+    }
+}
+
+/// Chooses the next endpoint.
+fn next(job: &Job, progress: &mut Progress) -> Result<Arc<Endpoint>, Refusal> {
+    let endpoint = job.shard.choose(&job.ask(&progress.tried))?;
+    progress.tried.push(Arc::clone(&endpoint.id));
+    progress.sends += 1;
+    Ok(endpoint)
+}
+
+/// Chooses an endpoint for a further attempt, where there may be one. Attempts
+/// under way count as runs.
+fn again(job: &Job, progress: &mut Progress, under_way: usize) -> Option<Arc<Endpoint>> {
+    let runs = progress.runs + u32::try_from(under_way).unwrap_or(u32::MAX);
+    let may_run = match job.route.kind {
+        Kind::Idempotent => runs < job.route.attempts,
+        Kind::Once | Kind::Stream => runs == 0,
+    };
+    let is_late = job.deadline.is_past(clock::now() + MIN_USEFUL);
+    if !may_run || is_late || progress.sends >= MAX_SENDS || !job.shard.take_repeat() {
+        return None;
+    }
+    match next(job, progress) {
+        Ok(endpoint) => Some(endpoint),
+        Err(refusal) => {
+            progress.refusal = Some(refusal);
+            None
+        }
+    }
+}
+
+/// Takes the end of an attempt, and returns the answer for the caller if it is one.
+fn settle(
+    job: &Job,
+    progress: &mut Progress,
+    endpoint: &Endpoint,
+    ended: Attempt,
+) -> Option<Response<Body>> {
+    match ended {
+        Attempt::Answer(head, body) => {
+            let may_repeat = job.route.kind == Kind::Idempotent && head.status.is_server_error();
+            progress.runs += 1;
+            if may_repeat && progress.runs < job.route.attempts {
+                progress.failure = Some((head, body));
+                return None;
+            }
+            Some(pass_on(job, progress, &endpoint.id, *head, body))
+        }
+        Attempt::Unsent | Attempt::Refused => None,
+        Attempt::Unknown => {
+            progress.runs += 1;
+            None
+        }
+    }
+}
+
+fn pass_on(
+    job: &Job,
+    progress: &Progress,
+    endpoint: &str,
+    head: response::Parts,
+    body: Bytes,
+) -> Response<Body> {
+    let first_ms = clock::millis_since(job.arrived_at);
+    job.state.metrics.first_answer.observe(first_ms as f64 / 1e3);
+    let end = End { endpoint, attempts: progress.sends, first_ms, events: 0 };
+    let outcome = if head.status.is_success() { OK } else { "endpoint_failed" };
+    job.ended(head.status, outcome, &end);
+    Response::from_parts(head, Body::Whole(Some(body)))
+}
+
+/// Answers a request for which there is no further attempt.
+fn give_up(job: &Job, mut progress: Progress) -> Response<Body> {
+    if let Some((head, body)) = progress.failure.take() {
+        return pass_on(job, &progress, "", *head, body);
+    }
+    if progress.runs == 0 {
+        return job.refuse(progress.refusal.map_or("no_endpoint", Into::into));
+    }
+    let end = End { attempts: progress.sends, ..End::default() };
+    job.fail(StatusCode::BAD_GATEWAY, "lost", &end)
+}
+
+/// Sends the request to one endpoint and reads the whole answer.
+async fn attempt(job: &Job, endpoint: Arc<Endpoint>, number: u32) -> (Arc<Endpoint>, Attempt) {
+    record::write(&Event::Placed {
+        request: &job.request,
+        endpoint: &endpoint.id,
+        backup: None,
+        attempt: number,
+    });
+    let mut ticket = job.shard.start(&endpoint, job.work);
+    let started_at = ticket.started_at;
+    let order = job.order(&endpoint, None, None);
+    let sent = replica::send(&order, DIAL_LIMIT.min(left(job.deadline))).await;
+    let collected = match sent {
+        Ok(mut reply) if !reply.is_not_run => {
+            reply.body.collect(MAX_ANSWER).await.map(|body| (reply.head, Some(body)))
+        }
+        Ok(reply) => Ok((reply.head, None)),
+        Err(cause) => Err(cause),
+    };
+    let (outcome, ended, cause) = match collected {
+        Ok((head, Some(body))) => {
+            ticket.answered();
+            judge(head, body, started_at)
+        }
+        Ok((head, None)) => (Outcome::Refused, Attempt::Refused, head.status.to_string()),
+        Err(cause) if cause.fate() == Fate::NotRun => {
+            (Outcome::Unreachable, Attempt::Unsent, cause.to_string())
+        }
+        Err(cause) => (Outcome::Unreachable, Attempt::Unknown, cause.to_string()),
+    };
+    let label: &str = outcome.into();
+    job.state.metrics.attempts.with_label_values(&[label]).inc();
+    if !matches!(outcome, Outcome::Answered { .. }) {
+        let fate = if matches!(ended, Attempt::Unsent | Attempt::Refused) { "not_run" } else { "unknown" };
+        failed(job, &endpoint, &cause, fate, started_at);
+    }
+    ticket.end(outcome);
+    (endpoint, ended)
+}
+
+/// Judges a whole answer.
+fn judge(head: response::Parts, body: Bytes, started_at: Time) -> (Outcome, Attempt, String) {
+    let status = head.status;
+    let latency_ms = clock::millis_since(started_at);
+    // These promise that the request was not run, which the endpoint did not say.
+    let promises = [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::REQUEST_TIMEOUT,
+    ];
+    if promises.contains(&status) {
+        return (Outcome::Failed, Attempt::Unknown, status.to_string());
+    }
+    let outcome = if status.is_server_error() {
+        Outcome::Failed
+    } else {
+        Outcome::Answered { latency_ms }
+    };
+    (outcome, Attempt::Answer(Box::new(head), body), status.to_string())
+}
+
+fn failed(job: &Job, endpoint: &Endpoint, cause: &str, fate: &str, started_at: Time) {
+    record::write(&Event::AttemptFailed {
+        request: &job.request,
+        endpoint: &endpoint.id,
+        cause,
+        fate,
+        after_ms: clock::millis_since(started_at),
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/reply.rs
@@ -0,0 +1,99 @@
+//! Answers to callers.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body::Frame;
+use rand::Rng;
+use tokio::sync::mpsc;
+
+/// The least time after which a refused caller may come back: by then this
+/// gateway has newer reports of its endpoints.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// The spread of return times, so that callers refused together do not return together.
+const RETRY_SPREAD: Duration = Duration::from_millis(500);
+
+/// A stream that broke off. The connection is closed without the end of the
+/// body, so that the answer does not look complete.
+#[derive(Debug, thiserror::Error)]
+#[error("the stream broke off")]
+pub(crate) struct Broken;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) enum Body {
+    /// All bytes at once.
+    Whole(Option<Bytes>),
+    /// Events as they arrive.
+    Events(mpsc::Receiver<Result<Bytes, Broken>>),
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Body::Events(events) => {
+                events.poll_recv(context).map(|event| event.map(|event| event.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Body::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Body::Events(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        match self {
+            Body::Whole(bytes) => {
+                let length = bytes.as_ref().map_or(0, Bytes::len);
+                http_body::SizeHint::with_exact(length as u64)
+            }
+            Body::Events(_) => http_body::SizeHint::default(),
+        }
+    }
+}
+
+/// Returns an answer of the gateway itself.
+pub(crate) fn own(status: StatusCode, message: &str) -> Response<Body> {
+    let text = serde_json::json!({ "error": message }).to_string();
+    let mut response = Response::new(Body::Whole(Some(text.into())));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Returns an answer that promises that the request was not run, and when to come back.
+pub(crate) fn refusal(message: &str, retry_after: Duration) -> Response<Body> {
+    let mut response = own(StatusCode::SERVICE_UNAVAILABLE, message);
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Draws the time after which a refused caller may come back.
+pub(crate) fn retry_after() -> Duration {
+    RETRY_AFTER + RETRY_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
+}
+
+/// Closes the caller's connection after this answer.
+pub(crate) fn close(response: &mut Response<Body>) {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,323 @@
+//! What a gateway believes, shared by all of its tasks.
+//!
+//! The configuration is replaced as a whole and read without a lock. The
+//! endpoints are kept in a shard for each service, each under its own lock,
+//! which is never held across an await.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use cactusroad_core::{
+    Time,
+    pool::{self, Ask, Budget, Change, Endpoint, Outcome, Pool, Refusal, Work},
+    site::Site,
+};
+use cactusroad_platform::settings::Settings;
+use tokio::sync::watch;
+
+use crate::{
+    clock,
+    metrics::Metrics,
+    record::{self, Event},
+};
+
+/// The part of the allowed repeats that gateways use between them; the rest
+/// covers repeats that are counted late.
+const REPEAT_SHARE: f64 = 0.75;
+
+/// The part of the site's floor of repeats that one gateway takes. Gateways do
+/// not know how many they are; a sixteenth adds up to the whole at sixteen, and
+/// the share above leaves room for twice as many.
+const REPEAT_FLOOR_SHARE: f64 = 1.0 / 16.0;
+
+/// Bodies of callers take at most one part in so many of the process's memory.
+/// Usual bodies are a few kilobytes; this holds several of the largest.
+const BODY_MEMORY_PART: u64 = 4;
+
+/// Everything that the tasks of a gateway share.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) settings: ArcSwap<Settings>,
+    pub(crate) site: ArcSwapOption<Site>,
+    shards: ArcSwap<Vec<Arc<Shard>>>,
+    /// The data centres that are out, sorted.
+    pub(crate) out: ArcSwap<Vec<Arc<str>>>,
+    /// Bytes of bodies that callers have sent and that are still held.
+    held_bytes: AtomicUsize,
+    pub(crate) metrics: Metrics,
+    /// Whether the list of endpoints was read once.
+    pub(crate) is_listed: AtomicBool,
+    /// Whether the data centres that are out were read once.
+    pub(crate) knows_out: AtomicBool,
+    /// Set once, when the process is asked to stop.
+    pub(crate) stopping: watch::Sender<Option<Time>>,
+    open_requests: AtomicUsize,
+}
+
+/// The endpoints of one service.
+#[derive(Debug)]
+pub(crate) struct Shard {
+    pub(crate) service: Arc<str>,
+    pool: Mutex<Pool>,
+    budget: Mutex<Budget>,
+    /// Changes whenever an endpoint starts to leave or is gone.
+    pub(crate) leaving: watch::Sender<u64>,
+}
+
+impl State {
+    pub(crate) fn new(settings: Settings) -> State {
+        State {
+            settings: ArcSwap::from_pointee(settings),
+            site: ArcSwapOption::empty(),
+            shards: ArcSwap::default(),
+            out: ArcSwap::default(),
+            held_bytes: AtomicUsize::new(0),
+            metrics: Metrics::new(),
+            is_listed: AtomicBool::new(false),
+            knows_out: AtomicBool::new(false),
+            stopping: watch::Sender::new(None),
+            open_requests: AtomicUsize::new(0),
+        }
+    }
+
+    /// Tells whether new connections can be served.
+    pub(crate) fn is_ready(&self) -> bool {
+        let knows_all = self.is_listed.load(Ordering::Relaxed)
+            && self.knows_out.load(Ordering::Relaxed)
+            && self.site.load().is_some();
+        knows_all && self.stopping.borrow().is_none()
+    }
+
+    /// Returns the shard of a service.
+    pub(crate) fn shard(&self, service: &str) -> Option<Arc<Shard>> {
+        let shards = self.shards.load();
+        let found = shards.binary_search_by(|shard| (*shard.service).cmp(service));
+        found.ok().map(|index| Arc::clone(&shards[index]))
+    }
+
+    /// Returns all shards, sorted by the name of their service.
+    pub(crate) fn shards(&self) -> Arc<Vec<Arc<Shard>>> {
+        self.shards.load_full()
+    }
+
+    /// Puts a configuration in force, with a shard for each of its services.
+    pub(crate) fn adopt(&self, site: Site) {
+        let settings = self.settings.load();
+        let mut shards: Vec<Arc<Shard>> = Vec::with_capacity(site.services().len());
+        for service in site.services() {
+            let shard = self.shard(&service.name);
+            let shard = shard.unwrap_or_else(|| Arc::new(Shard::new(&service.name, &settings)));
+            shard.pool().set_out(&self.out.load());
+            if let Some(engine) = &service.engine {
+                shard.pool().set_engine(engine.memory_tokens);
+            }
+            shards.push(shard);
+        }
+        // Endpoints of a service that was dropped may still serve its last requests.
+        for shard in self.shards.load().iter() {
+            let found = shards.binary_search_by(|kept| kept.service.cmp(&shard.service));
+            if let Err(index) = found {
+                shards.insert(index, Arc::clone(shard));
+            }
+        }
+        self.shards.store(Arc::new(shards));
+        let version = i64::try_from(site.version()).unwrap_or(i64::MAX);
+        self.metrics.config_version.set(version);
+        self.site.store(Some(Arc::new(site)));
+    }
+
+    /// Returns the shard of a service, making one for a service that is not configured yet.
+    pub(crate) fn shard_for(&self, service: &Arc<str>) -> Arc<Shard> {
+        if let Some(shard) = self.shard(service) {
+            return shard;
+        }
+        let settings = self.settings.load();
+        let shard = Arc::new(Shard::new(service, &settings));
+        shard.pool().set_out(&self.out.load());
+        self.shards.rcu(|shards| {
+            let mut shards = Vec::clone(shards);
+            if let Err(index) = shards.binary_search_by(|kept| kept.service.cmp(service)) {
+                shards.insert(index, Arc::clone(&shard));
+            }
+            shards
+        });
+        self.shard(service).unwrap_or(shard)
+    }
+
+    /// Returns the number of requests without a whole answer.
+    pub(crate) fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+
+    /// Takes memory for bytes of a caller's body; tells whether it was to be had.
+    pub(crate) fn hold(&self, bytes: usize) -> bool {
+        let limit = self.settings.load().memory_bytes / BODY_MEMORY_PART;
+        let held = self.held_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let fits = u64::try_from(held).is_ok_and(|held| held <= limit);
+        if !fits {
+            self.release(bytes);
+        }
+        fits
+    }
+
+    /// Gives memory of a body back.
+    pub(crate) fn release(&self, bytes: usize) {
+        self.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn open(self: &Arc<State>) -> Open {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        self.metrics.open_requests.inc();
+        Open(Arc::clone(self))
+    }
+}
+
+/// One open request.
+#[derive(Debug)]
+pub(crate) struct Open(Arc<State>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+        self.0.metrics.open_requests.dec();
+    }
+}
+
+impl Shard {
+    fn new(service: &Arc<str>, settings: &Settings) -> Shard {
+        let floor = settings.repeat_floor * REPEAT_FLOOR_SHARE * REPEAT_SHARE;
+        let share = settings.repeat_share * REPEAT_SHARE;
+        Shard {
+            service: Arc::clone(service),
+            pool: Mutex::new(Pool::new(pool::Config::default())),
+            budget: Mutex::new(Budget::new(share, floor, settings.repeat_window)),
+            leaving: watch::Sender::new(0),
+        }
+    }
+
+    /// Locks the endpoints.
+    pub(crate) fn pool(&self) -> MutexGuard<'_, Pool> {
+        // Each change of a pool leaves it whole.
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request of a caller.
+    pub(crate) fn count(&self) {
+        self.budget().request(clock::now());
+    }
+
+    /// Takes a repeat from the budget of the service.
+    pub(crate) fn take_repeat(&self) -> bool {
+        self.budget().take(clock::now())
+    }
+
+    pub(crate) fn choose(&self, ask: &Ask<'_>) -> Result<Arc<Endpoint>, Refusal> {
+        self.pool().choose(ask, rand::random(), clock::now())
+    }
+
+    /// Notes a change of the list and tells the streams of it.
+    pub(crate) fn learn(&self, id: &str, change: Option<Change>, source: &str) {
+        let Some(change) = change else {
+            return;
+        };
+        record::write(&Event::Endpoint {
+            endpoint: id,
+            service: &self.service,
+            change: change.into(),
+            source,
+        });
+        if matches!(change, Change::Leaving | Change::Gone) {
+            self.leaving.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Counts a request at an endpoint until the ticket ends.
+    pub(crate) fn start(self: &Arc<Shard>, endpoint: &Arc<Endpoint>, work: Work) -> Ticket {
+        let now = clock::now();
+        self.pool().started(&endpoint.id, work, now);
+        Ticket {
+            shard: Arc::clone(self),
+            endpoint: Arc::clone(endpoint),
+            work,
+            started_at: now,
+            is_answered: false,
+            is_ended: false,
+        }
+    }
+
+    /// Counts a copy at an endpoint until the guard is dropped.
+    pub(crate) fn copy(self: &Arc<Shard>, endpoint: &Arc<Endpoint>, work: Work) -> Copy {
+        self.pool().copy_started(&endpoint.id, work);
+        Copy { shard: Arc::clone(self), endpoint: Arc::clone(endpoint), work }
+    }
+}
+
+/// A request at an endpoint. One that is dropped without its end was cancelled.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    shard: Arc<Shard>,
+    pub(crate) endpoint: Arc<Endpoint>,
+    work: Work,
+    pub(crate) started_at: Time,
+    is_answered: bool,
+    is_ended: bool,
+}
+
+impl Ticket {
+    /// Notes the first event or the answer.
+    pub(crate) fn answered(&mut self) {
+        if !self.is_answered {
+            self.is_answered = true;
+            self.shard.pool().answered(&self.endpoint.id, self.work);
+        }
+    }
+
+    /// Notes the end.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.finish(outcome);
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        self.is_ended = true;
+        let now = clock::now();
+        self.shard.pool().ended(&self.endpoint.id, self.work, self.is_answered, outcome, now);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.finish(Outcome::Cancelled);
+        }
+    }
+}
+
+/// The copy of a run at an endpoint.
+#[derive(Debug)]
+pub(crate) struct Copy {
+    shard: Arc<Shard>,
+    pub(crate) endpoint: Arc<Endpoint>,
+    work: Work,
+}
+
+impl Drop for Copy {
+    fn drop(&mut self) {
+        self.shard.pool().copy_ended(&self.endpoint.id, self.work);
+    }
+}
+
+/// Returns how long until a deadline, at least a millisecond.
+pub(crate) fn left(deadline: Time) -> Duration {
+    deadline.since(clock::now()).max(Duration::from_millis(1))
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,526 @@
+//! Requests that are answered with a stream of events.
+//!
+//! The run grows a copy at a second engine while it goes on. When the first
+//! engine is lost, the same request goes on from the copy, after the last event
+//! that the caller has; the caller sees one stream. A run without a copy whose
+//! engine announces that it leaves is copied to another engine before it does.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cactusroad_core::{
+    Time,
+    pool::{Endpoint, Loss, Next, Outcome, Run},
+};
+use cactusroad_platform::replica::{self, Fate, Move, Reply, Source};
+use http::{Response, StatusCode, response};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{sleep_until, timeout},
+};
+
+use crate::{
+    clock,
+    events::{Event as Piece, Splitter},
+    job::{DIAL_LIMIT, End, Job, OK},
+    record::{self, Event},
+    reply::{Body, Broken},
+    state::{Copy, Ticket, left},
+};
+
+/// The most sends of one request that were not run.
+const MAX_SENDS: u32 = 5;
+
+/// How many pauses of the route's bound an engine may be silent after the first
+/// event. A batch that computes several prompts pauses for one; an engine that is
+/// silent for longer makes the stream late whether it lives or not.
+const SILENT_PAUSES: u32 = 3;
+
+/// Events that wait for a slow caller; the connection's own buffer holds more.
+const QUEUED_EVENTS: usize = 16;
+
+/// How long the copies of a move may take: several times that of a full memory
+/// between data centres.
+const MOVE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Why a stream ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Ending {
+    /// The last event has been passed on.
+    Complete,
+    /// The caller's deadline has passed.
+    Deadline,
+    /// The engine is lost, and there is no copy.
+    Lost,
+    /// The caller has left.
+    CallerLeft,
+}
+
+/// A stream on its way from engines to its caller.
+struct Relay {
+    job: Job,
+    run: Run,
+    reply: Option<Reply>,
+    ticket: Option<Ticket>,
+    copy: Option<Copy>,
+    splitter: Splitter,
+    /// The number of the last event that was passed on.
+    last_event: Option<u64>,
+    events: u64,
+    first_ms: u64,
+    sends: u32,
+    event_at: Time,
+    leaving: watch::Receiver<u64>,
+    /// The move that is under way.
+    moving: Option<oneshot::Receiver<Option<Moved>>>,
+}
+
+/// A run that has been moved.
+#[derive(Debug)]
+struct Moved {
+    endpoint: Arc<Endpoint>,
+    source: std::net::SocketAddr,
+    handle: Arc<str>,
+}
+
+/// Serves a request.
+pub(crate) async fn serve(mut job: Job) -> Response<Body> {
+    let mut tried = Vec::new();
+    loop {
+        let endpoint = match job.shard.choose(&job.ask(&tried)) {
+            Ok(endpoint) => endpoint,
+            Err(refusal) => return job.refuse(refusal.into()),
+        };
+        tried.push(Arc::clone(&endpoint.id));
+        let sends = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+        let mut relay = Relay::new(job, endpoint, sends);
+        match relay.open(None).await {
+            Opened::Reply => return relay.answer().await,
+            Opened::NotRun => {
+                job = relay.job;
+                let is_late = job.deadline.is_past(clock::now());
+                if is_late || sends >= MAX_SENDS || !job.shard.take_repeat() {
+                    return job.refuse("endpoints_full");
+                }
+            }
+            Opened::Lost => return relay.answer().await,
+        }
+    }
+}
+
+/// How the opening of a run ended.
+enum Opened {
+    /// The engine answers.
+    Reply,
+    /// It did not run the request.
+    NotRun,
+    /// It may have.
+    Lost,
+}
+
+impl Relay {
+    fn new(job: Job, endpoint: Arc<Endpoint>, sends: u32) -> Relay {
+        let leaving = job.shard.leaving.subscribe();
+        let run = Run { endpoint, backup: None, moves: 0, deadline: job.deadline };
+        Relay {
+            run,
+            reply: None,
+            ticket: None,
+            copy: None,
+            splitter: Splitter::default(),
+            last_event: None,
+            events: 0,
+            first_ms: 0,
+            sends,
+            event_at: clock::now(),
+            leaving,
+            moving: None,
+            job,
+        }
+    }
+
+    /// Sends the request to the run's engine.
+    async fn open(&mut self, source: Option<Source>) -> Opened {
+        self.place_copy();
+        let endpoint = Arc::clone(&self.run.endpoint);
+        record::write(&Event::Placed {
+            request: &self.job.request,
+            endpoint: &endpoint.id,
+            backup: self.run.backup.as_ref().map(|backup| &*backup.id),
+            attempt: self.sends,
+        });
+        let ticket = self.job.shard.start(&endpoint, self.job.work);
+        let started_at = ticket.started_at;
+        let order = self.job.order(&endpoint, self.run.backup.as_deref(), source);
+        let sending = replica::send(&order, DIAL_LIMIT.min(left(self.job.deadline)));
+        let sent = timeout(left(self.job.deadline), sending).await;
+        let (outcome, opened, cause) = match sent {
+            Ok(Ok(reply)) if !reply.is_not_run => {
+                self.reply = Some(reply);
+                self.ticket = Some(ticket);
+                return Opened::Reply;
+            }
+            Ok(Ok(reply)) => (Outcome::Refused, Opened::NotRun, reply.head.status.to_string()),
+            Ok(Err(cause)) if cause.fate() == Fate::NotRun => {
+                (Outcome::Unreachable, Opened::NotRun, cause.to_string())
+            }
+            Ok(Err(cause)) => (Outcome::Unreachable, Opened::Lost, cause.to_string()),
+            Err(_) => (Outcome::Cancelled, Opened::Lost, "deadline".to_owned()),
+        };
+        ticket.end(outcome);
+        let label: &str = outcome.into();
+        self.job.state.metrics.attempts.with_label_values(&[label]).inc();
+        record::write(&Event::AttemptFailed {
+            request: &self.job.request,
+            endpoint: &endpoint.id,
+            cause: &cause,
+            fate: if matches!(opened, Opened::NotRun) { "not_run" } else { "unknown" },
+            after_ms: clock::millis_since(started_at),
+        });
+        if matches!(opened, Opened::NotRun) {
+            self.drop_copy();
+        }
+        opened
+    }
+
+    /// Chooses where a copy of the run grows.
+    fn place_copy(&mut self) {
+        self.drop_copy();
+        if !self.has_copies() {
+            return;
+        }
+        let ask = self.job.ask(&[]);
+        let backup = self.job.shard.pool().backup(&self.run.endpoint.id, &ask, clock::now());
+        if let Some(backup) = backup {
+            self.copy = Some(self.job.shard.copy(&backup, self.job.work));
+            self.run.backup = Some(backup);
+        }
+    }
+
+    fn drop_copy(&mut self) {
+        self.copy = None;
+        self.run.backup = None;
+    }
+
+    /// Tells whether the engines of the service copy runs as they grow.
+    fn has_copies(&self) -> bool {
+        let site = self.job.state.site.load();
+        let service = site.as_ref().and_then(|site| site.service(&self.job.shard.service));
+        service.and_then(|service| service.engine.as_ref()).is_some_and(|engine| engine.backups)
+    }
+
+    /// Waits for the first event, and answers the caller.
+    async fn answer(mut self) -> Response<Body> {
+        if let Some(reply) = &self.reply {
+            if !reply.head.status.is_success() {
+                return self.pass_failure().await;
+            }
+        }
+        let mut head = self.reply.as_ref().map(|reply| reply.head.clone());
+        let first = self.next().await;
+        if let Some(reply) = &self.reply {
+            head.get_or_insert_with(|| reply.head.clone());
+        }
+        match (first, head) {
+            (Ok(first), Some(head)) => {
+                self.first_ms = clock::millis_since(self.job.arrived_at);
+                self.job.state.metrics.first_answer.observe(self.first_ms as f64 / 1e3);
+                self.spawn(head, first)
+            }
+            (Ok(_), None) => self.fail(StatusCode::BAD_GATEWAY, "no_head"),
+            (Err(Ending::Deadline), _) => self.fail(StatusCode::GATEWAY_TIMEOUT, "deadline"),
+            (Err(Ending::Complete), Some(head)) => {
+                let end = self.end();
+                self.job.ended(head.status, OK, &end);
+                Response::from_parts(head, Body::Whole(None))
+            }
+            (Err(ending), _) => self.fail(StatusCode::BAD_GATEWAY, ending.into()),
+        }
+    }
+
+    fn end(&self) -> End<'_> {
+        End {
+            endpoint: &self.run.endpoint.id,
+            attempts: self.sends,
+            first_ms: self.first_ms,
+            events: self.events,
+        }
+    }
+
+    fn fail(&self, status: StatusCode, cause: &str) -> Response<Body> {
+        self.job.fail(status, cause, &self.end())
+    }
+
+    /// Passes a failure of the engine on.
+    async fn pass_failure(mut self) -> Response<Body> {
+        let Some(mut reply) = self.reply.take() else {
+            return self.fail(StatusCode::BAD_GATEWAY, "lost");
+        };
+        let status = reply.head.status;
+        if let Some(ticket) = self.ticket.take() {
+            ticket.end(Outcome::Failed);
+        }
+        // These promise that the request was not run, which the engine did not say.
+        let is_promise = [
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::REQUEST_TIMEOUT,
+        ]
+        .contains(&status);
+        let body = timeout(left(self.job.deadline), reply.body.collect(MAX_FAILURE)).await;
+        match body {
+            Ok(Ok(body)) if !is_promise => {
+                self.job.ended(status, "endpoint_failed", &self.end());
+                Response::from_parts(reply.head, Body::Whole(Some(body)))
+            }
+            _ => self.fail(StatusCode::BAD_GATEWAY, "endpoint_failed"),
+        }
+    }
+
+    /// Passes events on in a task of their own, until the caller leaves.
+    fn spawn(mut self, head: response::Parts, first: Bytes) -> Response<Body> {
+        let (sender, receiver) = mpsc::channel(QUEUED_EVENTS);
+        let status = head.status;
+        tokio::spawn(async move {
+            let mut event = first;
+            let ending = loop {
+                if sender.send(Ok(event)).await.is_err() {
+                    break Ending::CallerLeft;
+                }
+                let next = tokio::select! {
+                    biased;
+                    next = self.next() => next,
+                    () = sender.closed() => Err(Ending::CallerLeft),
+                };
+                match next {
+                    Ok(next) => event = next,
+                    Err(ending) => break ending,
+                }
+            };
+            if !matches!(ending, Ending::Complete | Ending::CallerLeft) {
+                // The caller has left where this cannot be sent.
+                let _ = sender.send(Err(Broken)).await;
+            }
+            let outcome = if ending == Ending::Complete { OK } else { ending.into() };
+            if let (Ending::Complete, Some(ticket)) = (ending, self.ticket.take()) {
+                ticket.end(Outcome::Answered { latency_ms: self.first_ms });
+            }
+            self.job.ended(status, outcome, &self.end());
+        });
+        Response::from_parts(head, Body::Events(receiver))
+    }
+
+    /// Returns the next event for the caller, from whichever engine has it.
+    async fn next(&mut self) -> Result<Bytes, Ending> {
+        loop {
+            while let Some(event) = self.splitter.next() {
+                if self.is_new(&event) {
+                    self.passed(&event);
+                    return Ok(event.bytes);
+                }
+            }
+            match self.read().await {
+                Ok(Some(bytes)) => {
+                    if self.splitter.push(&bytes).is_err() {
+                        self.recover(Loss::Garbled, "an event does not end").await?;
+                    }
+                }
+                Ok(None) if self.splitter.rest().is_empty() => return Err(Ending::Complete),
+                Ok(None) => self.recover(Loss::Broken, "the last event is cut").await?,
+                Err(Stop::Deadline) => return Err(Ending::Deadline),
+                Err(Stop::Loss(loss, cause)) => self.recover(loss, &cause).await?,
+            }
+        }
+    }
+
+    /// Tells whether the caller lacks an event.
+    fn is_new(&self, event: &Piece) -> bool {
+        match (event.id, self.last_event) {
+            (Some(id), Some(last)) => id > last,
+            _ => true,
+        }
+    }
+
+    fn passed(&mut self, event: &Piece) {
+        let now = clock::now();
+        if self.events > 0 {
+            self.job.state.metrics.pause.observe(now.since(self.event_at).as_secs_f64());
+        }
+        self.event_at = now;
+        self.events += 1;
+        self.last_event = event.id.or(self.last_event);
+        if let Some(ticket) = &mut self.ticket {
+            ticket.answered();
+        }
+    }
+
+    /// Reads bytes of the engine, and heeds that engines leave meanwhile.
+    async fn read(&mut self) -> Result<Option<Bytes>, Stop> {
+        let deadline = clock::instant(self.job.deadline);
+        let pause = Duration::from_millis(self.job.route.pause_ms) * SILENT_PAUSES;
+        let silent_at = if self.events > 0 { clock::now() + pause } else { Time::MAX };
+        loop {
+            let Some(reply) = &mut self.reply else {
+                return Err(Stop::Loss(Loss::Broken, "there was no answer".to_owned()));
+            };
+            tokio::select! {
+                biased;
+                read = reply.body.next() => {
+                    return read.map_err(|cause| Stop::Loss(Loss::Broken, cause.to_string()));
+                }
+                changed = self.leaving.changed() => {
+                    if changed.is_ok() {
+                        self.heed_leaving();
+                    }
+                }
+                () = sleep_until(deadline) => return Err(Stop::Deadline),
+                () = sleep_until(clock::instant(silent_at)) => {
+                    return Err(Stop::Loss(Loss::Silent, "no event in time".to_owned()));
+                }
+            }
+        }
+    }
+
+    /// Moves the run if its engine is leaving and no copy can take over.
+    fn heed_leaving(&mut self) {
+        let target = {
+            let pool = self.job.shard.pool();
+            let has_copy =
+                self.run.backup.as_ref().is_some_and(|backup| !pool.is_leaving(&backup.id));
+            let is_staying = !pool.is_leaving(&self.run.endpoint.id);
+            if is_staying || has_copy || self.moving.is_some() || self.job.request.is_empty() {
+                return;
+            }
+            pool.backup(&self.run.endpoint.id, &self.job.ask(&[]), clock::now())
+        };
+        let Some(target) = target else {
+            return;
+        };
+        record::write(&Event::Moving {
+            request: &self.job.request,
+            from: &self.run.endpoint.id,
+            to: &target.id,
+        });
+        let (sender, receiver) = oneshot::channel();
+        let request = Arc::clone(&self.job.request);
+        let source = Arc::clone(&self.run.endpoint);
+        let state = Arc::clone(&self.job.state);
+        tokio::spawn(async move {
+            let moved = move_run(&request, &source, target).await;
+            let outcome = if moved.is_some() { "moved" } else { "failed" };
+            state.metrics.moves.with_label_values(&[outcome]).inc();
+            // The stream has ended where nobody waits for the move.
+            let _ = sender.send(moved);
+        });
+        self.moving = Some(receiver);
+    }
+
+    /// Goes on from a copy after the engine was lost.
+    async fn recover(&mut self, loss: Loss, cause: &str) -> Result<(), Ending> {
+        let lost_at = clock::now();
+        self.reply = None;
+        self.splitter = Splitter::default();
+        if let Some(ticket) = self.ticket.take() {
+            ticket.end(if self.moving.is_some() { Outcome::Cancelled } else { Outcome::Unreachable });
+        }
+        let loss_label: &str = loss.into();
+        self.job.state.metrics.losses.with_label_values(&[loss_label]).inc();
+        record::write(&Event::EngineLost {
+            request: &self.job.request,
+            endpoint: &self.run.endpoint.id,
+            loss: loss_label,
+            last_event: self.last_event.unwrap_or(0),
+            cause,
+        });
+        let Some((endpoint, source)) = self.find_copy().await else {
+            return Err(Ending::Lost);
+        };
+        if !self.job.shard.take_repeat() {
+            return Err(Ending::Lost);
+        }
+        self.run.moves += 1;
+        self.sends += 1;
+        self.run.endpoint = endpoint;
+        let address = source.address.to_string();
+        match self.open(Some(source)).await {
+            Opened::Reply if self.is_resumed() => {
+                self.job.state.metrics.resumes.inc();
+                record::write(&Event::Resumed {
+                    request: &self.job.request,
+                    endpoint: &self.run.endpoint.id,
+                    source: &address,
+                    pause_ms: clock::millis_since(lost_at),
+                });
+                Ok(())
+            }
+            Opened::Reply | Opened::NotRun | Opened::Lost => Err(Ending::Lost),
+        }
+    }
+
+    fn is_resumed(&self) -> bool {
+        self.reply.as_ref().is_some_and(|reply| reply.head.status.is_success())
+    }
+
+    /// Finds the copy to go on from: that of a move, or the one that grew with the run.
+    async fn find_copy(&mut self) -> Option<(Arc<Endpoint>, Source)> {
+        if let Some(moving) = self.moving.take() {
+            let moved = timeout(MOVE_LIMIT, moving).await.ok().and_then(Result::ok).flatten();
+            if let Some(moved) = moved {
+                let source = self.source(moved.source, moved.handle);
+                return Some((moved.endpoint, source));
+            }
+        }
+        let next = self.job.shard.pool().salvage(&self.run, clock::now());
+        match next {
+            Next::Resume(endpoint) => {
+                let source = self.source(endpoint.address, Arc::clone(&self.job.request));
+                Some((endpoint, source))
+            }
+            Next::End(reason) => {
+                record::write(&Event::MoveFailed {
+                    request: &self.job.request,
+                    from: &self.run.endpoint.id,
+                    cause: reason.into(),
+                });
+                None
+            }
+        }
+    }
+
+    fn source(&self, address: std::net::SocketAddr, name: Arc<str>) -> Source {
+        Source { address, name, last_event: Some(self.last_event.unwrap_or(0)) }
+    }
+}
+
+/// Bytes of a failure's body that are passed on at most.
+const MAX_FAILURE: usize = 1 << 20;
+
+/// Why no bytes come.
+enum Stop {
+    Deadline,
+    Loss(Loss, String),
+}
+
+/// Copies a run while it goes on, then stops it and copies the rest.
+async fn move_run(request: &str, source: &Endpoint, target: Arc<Endpoint>) -> Option<Moved> {
+    let step = async |last| {
+        let moved = replica::move_run(source.address, request, target.address, last, MOVE_LIMIT);
+        match moved.await {
+            Ok(Move::Done { handle }) => Ok(handle),
+            Ok(other) => Err(format!("{other:?}")),
+            Err(cause) => Err(cause.to_string()),
+        }
+    };
+    let moved = match step(false).await {
+        Ok(_) => step(true).await,
+        Err(cause) => Err(cause),
+    };
+    match moved {
+        Ok(handle) => Some(Moved { source: source.address, endpoint: target, handle }),
+        Err(cause) => {
+            record::write(&Event::MoveFailed { request, from: &source.id, cause: &cause });
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,336 @@
+//! Follows the platform's store: configuration, endpoints, data centres that are out.
+//!
+//! Each kind is listed once and then watched from the revision of the list. A
+//! call that fails is made again from the same revision, so nothing is missed; a
+//! history that is gone is replaced by a new list. All calls ask for the newest
+//! data, because what they return decides which requests are allowed.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use cactusroad_core::Time;
+use cactusroad_platform::{
+    list, site,
+    store::{Client, Error, Event as Change, Kind, Object},
+};
+use tokio::time::sleep;
+
+use crate::{
+    clock,
+    record::{self, Event},
+    state::State,
+};
+
+/// How long a call may take: many times the store's usual answer of a few
+/// milliseconds, and less than half of the time in which changes must be in force.
+const CALL_LIMIT: Duration = Duration::from_millis(900);
+
+/// How long a watch waits where changes are rare. A connection that has gone
+/// silent is found out after this time at the latest.
+const RARE_WAIT: Duration = Duration::from_millis(2_500);
+
+/// How long a watch of endpoints waits; they renew their entries more often.
+const ENDPOINT_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Time between two watches of endpoints, which collects the renewals of many
+/// endpoints in one call. Leaving endpoints serve for seconds.
+const ENDPOINT_SPACING: Duration = Duration::from_millis(250);
+
+/// The first pause after a call that failed, doubled with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest pause after a call that failed, well below the time in which a
+/// change must be in force once the store is back.
+const LAST_PAUSE: Duration = Duration::from_millis(400);
+
+/// How long endpoints whose entries lapsed while the store was away are kept
+/// after its return. Those that live are listed again by then.
+const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+
+/// Applies what the store says of one kind.
+trait Follower {
+    const KIND: Kind;
+    const WAIT: Duration;
+    const SPACING: Duration;
+
+    /// Takes a whole list.
+    fn replace(&mut self, state: &State, objects: &[Object], at: u64);
+    /// Takes one change.
+    fn apply(&mut self, state: &State, change: &Change);
+    /// Notes that the store answers again.
+    fn regained(&mut self) {}
+}
+
+/// Starts the tasks that follow the store; they end with the runtime.
+pub(crate) fn start(state: &Arc<State>) {
+    tokio::spawn(follow(Arc::clone(state), Configuration));
+    tokio::spawn(follow(Arc::clone(state), Endpoints { returned_at: Time::ZERO }));
+    tokio::spawn(follow(Arc::clone(state), Outs { names: Vec::new() }));
+}
+
+async fn follow<F: Follower>(state: Arc<State>, mut follower: F) {
+    let mut address = state.settings.load().store;
+    let mut client = Client::new(address, CALL_LIMIT);
+    let mut at: Option<u64> = None;
+    let mut outage = Outage::default();
+    loop {
+        let current = state.settings.load().store;
+        if current != address {
+            address = current;
+            client = Client::new(address, CALL_LIMIT);
+        }
+        match step(&state, &mut client, &mut follower, at).await {
+            Ok(next) => {
+                at = Some(next);
+                count(&state, F::KIND, "answered");
+                if outage.ended(F::KIND) {
+                    follower.regained();
+                }
+                sleep(F::SPACING).await;
+            }
+            Err(Error::Compacted) => {
+                count(&state, F::KIND, "compacted");
+                at = None;
+            }
+            Err(cause) => {
+                count(&state, F::KIND, "failed");
+                if outage.began(F::KIND, &cause) {
+                    follower.regained();
+                }
+                sleep(outage.pause()).await;
+            }
+        }
+    }
+}
+
+fn count(state: &State, kind: Kind, outcome: &str) {
+    state.metrics.store_calls.with_label_values(&[kind.into(), outcome]).inc();
+}
+
+/// Lists or watches once, and returns the revision to go on from.
+async fn step<F: Follower>(
+    state: &State,
+    client: &mut Client,
+    follower: &mut F,
+    at: Option<u64>,
+) -> Result<u64, Error> {
+    let Some(at) = at else {
+        let listing = client.list(F::KIND).await?;
+        follower.replace(state, &listing.objects, listing.at);
+        return Ok(listing.at);
+    };
+    let changes = client.watch(F::KIND, at, F::WAIT).await?;
+    for change in &changes.events {
+        follower.apply(state, change);
+    }
+    Ok(changes.at)
+}
+
+/// A time for which the store does not answer.
+#[derive(Default)]
+struct Outage {
+    since: Option<Time>,
+    failures: u32,
+}
+
+impl Outage {
+    /// Notes a failed call, and tells whether it is the first.
+    fn began(&mut self, kind: Kind, cause: &Error) -> bool {
+        self.failures += 1;
+        let is_first = self.since.is_none();
+        if is_first {
+            self.since = Some(clock::now());
+            let cause = cause.to_string();
+            record::write(&Event::DependencyLost { name: kind.into(), cause: &cause });
+        }
+        is_first
+    }
+
+    /// Notes an answer, and tells whether it ends an outage.
+    fn ended(&mut self, kind: Kind) -> bool {
+        self.failures = 0;
+        let Some(since) = self.since.take() else {
+            return false;
+        };
+        let away_ms = clock::millis_since(since);
+        record::write(&Event::DependencyRegained { name: kind.into(), away_ms });
+        true
+    }
+
+    /// Returns how long to wait, drawn so that gateways do not return together.
+    fn pause(&self) -> Duration {
+        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(6));
+        pause.min(LAST_PAUSE).mul_f64(rand::random_range(0.5..1.0))
+    }
+}
+
+/// Follows the configuration.
+struct Configuration;
+
+impl Configuration {
+    fn take(state: &State, object: &Object) {
+        match site::decode(object) {
+            Ok(site) => {
+                let in_force = state.site.load().as_ref().map_or(0, |site| site.version());
+                // A list that was read before a change may arrive after it.
+                if site.version() < in_force {
+                    return;
+                }
+                record::write(&Event::ConfigInForce {
+                    version: site.version(),
+                    routes: site.routes().len(),
+                    revision: object.meta.revision,
+                });
+                state.adopt(site);
+            }
+            Err(cause) => {
+                let cause = cause.to_string();
+                let revision = object.meta.revision;
+                record::write(&Event::ConfigRejected { cause: &cause, revision });
+            }
+        }
+    }
+}
+
+/// The name of the object that holds the configuration.
+const MAIN: &str = "main";
+
+impl Follower for Configuration {
+    const KIND: Kind = Kind::Config;
+    const WAIT: Duration = RARE_WAIT;
+    const SPACING: Duration = Duration::ZERO;
+
+    fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+        if let Some(object) = objects.iter().find(|object| &*object.meta.name == MAIN) {
+            Configuration::take(state, object);
+        }
+    }
+
+    fn apply(&mut self, state: &State, change: &Change) {
+        if &*change.object.meta.name == MAIN && !change.deleted {
+            Configuration::take(state, &change.object);
+        }
+    }
+}
+
+/// Follows the endpoints.
+struct Endpoints {
+    /// When the store answered again after an outage.
+    returned_at: Time,
+}
+
+impl Endpoints {
+    fn enlist(state: &State, object: &Object) -> Option<()> {
+        let name = &object.meta.name;
+        let now = clock::now();
+        let endpoint = match list::endpoint(object, now) {
+            Ok(endpoint) => endpoint,
+            Err(cause) => {
+                let cause = cause.to_string();
+                record::write(&Event::EntryUnreadable { name, cause: &cause });
+                return None;
+            }
+        };
+        let shard = state.shard_for(&endpoint.service);
+        let change = shard.pool().enlist(Arc::new(endpoint), now);
+        shard.learn(name, change, "list");
+        Some(())
+    }
+
+    /// Drops an endpoint from all services but `kept`.
+    fn withdraw(&self, state: &State, name: &str) {
+        let until = clock::now().max(self.returned_at + RETURN_GRACE);
+        for shard in state.shards().iter() {
+            let change = shard.pool().withdraw(name, until);
+            shard.learn(name, change, "list");
+        }
+    }
+
+    fn sweep(state: &State) {
+        let mut listed = 0;
+        for shard in state.shards().iter() {
+            let mut pool = shard.pool();
+            pool.sweep(clock::now());
+            listed += pool.len();
+        }
+        state.metrics.endpoints.set(i64::try_from(listed).unwrap_or(i64::MAX));
+    }
+}
+
+impl Follower for Endpoints {
+    const KIND: Kind = Kind::Servers;
+    const WAIT: Duration = ENDPOINT_WAIT;
+    const SPACING: Duration = ENDPOINT_SPACING;
+
+    fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+        for shard in state.shards().iter() {
+            let ids: Vec<Arc<str>> =
+                shard.pool().views(clock::now()).map(|view| Arc::clone(&view.endpoint.id)).collect();
+            for id in ids {
+                if objects.binary_search_by(|object| object.meta.name.cmp(&id)).is_err() {
+                    self.withdraw(state, &id);
+                }
+            }
+        }
+        for object in objects {
+            Endpoints::enlist(state, object);
+        }
+        Endpoints::sweep(state);
+        state.is_listed.store(true, Ordering::Relaxed);
+    }
+
+    fn apply(&mut self, state: &State, change: &Change) {
+        let name = &change.object.meta.name;
+        let is_readable = !change.deleted && Endpoints::enlist(state, &change.object).is_some();
+        if !is_readable {
+            self.withdraw(state, name);
+        }
+        Endpoints::sweep(state);
+    }
+
+    fn regained(&mut self) {
+        self.returned_at = clock::now();
+    }
+}
+
+/// Follows the data centres that operators took out.
+struct Outs {
+    names: Vec<Arc<str>>,
+}
+
+impl Outs {
+    fn publish(&self, state: &State) {
+        record::write(&Event::DataCentresOut { names: &self.names });
+        for shard in state.shards().iter() {
+            shard.pool().set_out(&self.names);
+        }
+        state.out.store(Arc::new(self.names.clone()));
+        state.knows_out.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Follower for Outs {
+    const KIND: Kind = Kind::Evacuations;
+    const WAIT: Duration = RARE_WAIT;
+    const SPACING: Duration = Duration::ZERO;
+
+    fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+        self.names = objects.iter().map(|object| Arc::clone(&object.meta.name)).collect();
+        self.names.sort();
+        self.publish(state);
+    }
+
+    fn apply(&mut self, state: &State, change: &Change) {
+        let name = &change.object.meta.name;
+        match (self.names.binary_search(name), change.deleted) {
+            (Ok(index), true) => {
+                self.names.remove(index);
+            }
+            (Err(index), false) => self.names.insert(index, Arc::clone(name)),
+            _ => return,
+        }
+        self.publish(state);
+    }
+}
--- a/crates/node/src/agent/blame.rs
+++ b/crates/node/src/agent/blame.rs
@@ -22,7 +22,7 @@
     refusal::Refusal,
     spread::Item,
 };
-use cactusroad_platform::store::{Error, Expect, Store, Version};
+use cactusroad_adapter::store::{Error, Expect, Store, Version};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time,
--- a/crates/node/src/agent/gate/bound.rs
+++ b/crates/node/src/agent/gate/bound.rs
@@ -8,7 +8,7 @@
     id::Attempt,
     ramp,
 };
-use cactusroad_platform::engine::Load;
+use cactusroad_adapter::engine::Load;
 
 use super::Level;
 
--- a/crates/node/src/agent/gate/mod.rs
+++ b/crates/node/src/agent/gate/mod.rs
@@ -24,7 +24,7 @@
     id::Attempt,
     refusal::{Effect, Kind, Refusal},
 };
-use cactusroad_platform::engine::Load;
+use cactusroad_adapter::engine::Load;
 use prometheus::Histogram;
 use tokio::{
     sync::{oneshot, watch},
--- a/crates/node/src/agent/ledger.rs
+++ b/crates/node/src/agent/ledger.rs
@@ -13,7 +13,7 @@
     ledger::{self, Claim, Config, Failure, Op, Partition, Reply},
     refusal::{Effect, Kind, Refusal},
 };
-use cactusroad_platform::store::{self, Store, Version};
+use cactusroad_adapter::store::{self, Store, Version};
 use cactusroad_wire::message;
 use prost::Message;
 use tokio::{
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -38,7 +38,7 @@
     ledger::Config as LedgerConfig,
     refusal::{Effect, Kind, Refusal},
 };
-use cactusroad_platform::{
+use cactusroad_adapter::{
     engine::{Engine, Load},
     service::Service,
     store::Store,
--- a/crates/node/src/agent/run.rs
+++ b/crates/node/src/agent/run.rs
@@ -10,7 +10,7 @@
     ledger::{self as core, Claim},
     refusal::{Effect, Kind, Refusal},
 };
-use cactusroad_platform::{
+use cactusroad_adapter::{
     engine::{self, Engine, Event, Prompt},
     service::{self, Service},
 };
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -9,7 +9,7 @@
     refusal::{Effect, Kind, Refusal},
     stream,
 };
-use cactusroad_platform::{engine::Engine, service::Service};
+use cactusroad_adapter::{engine::Engine, service::Service};
 use cactusroad_wire::message::{
     Accepted, Answer, Attach, End, Header, Open, Ping, Pong, Refused, Reply, Request, Settle,
     Settled, Token, reply, request, settled::State,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -6,7 +6,7 @@
     id::Incarnation,
     member::{Member, Role},
 };
-use cactusroad_platform::{address::Address, engine, roster, service, store};
+use cactusroad_adapter::{address::Address, engine, roster, service, store};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -26,7 +26,7 @@
     config::{Route, Snapshot},
     id::Attempt,
 };
-use cactusroad_platform::store::Store;
+use cactusroad_adapter::store::Store;
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, watch},
--- a/crates/node/src/entry/rollout.rs
+++ b/crates/node/src/entry/rollout.rs
@@ -27,7 +27,7 @@
     },
     spread::Item,
 };
-use cactusroad_platform::store::{Error, Expect, Store};
+use cactusroad_adapter::store::{Error, Expect, Store};
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/crates/node/src/fleet/driver.rs
+++ b/crates/node/src/fleet/driver.rs
@@ -13,7 +13,7 @@
     member::{Member, Role},
     spread::{Action, Hash, Item, Marker, Message, Node, graph::Regions},
 };
-use cactusroad_platform::{roster::Roster, store::Store};
+use cactusroad_adapter::{roster::Roster, store::Store};
 use cactusroad_wire::message::{Exchange, reply};
 use tokio::{
     sync::{mpsc, watch},
--- a/crates/node/src/fleet/lease.rs
+++ b/crates/node/src/fleet/lease.rs
@@ -5,7 +5,7 @@
     Time,
     lease::{Lease, Outcome, Record, Step},
 };
-use cactusroad_platform::store::{Error, Expect, Store, Version};
+use cactusroad_adapter::store::{Error, Expect, Store, Version};
 
 use crate::clock;
 
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -23,7 +23,7 @@
     member::Member,
     spread::{Item, Message, Peer},
 };
-use cactusroad_platform::{roster::Roster, store::Store};
+use cactusroad_adapter::{roster::Roster, store::Store};
 use cactusroad_wire::message::{Exchange, Ping, Pong, Reply, Request, Status, reply, request};
 use prometheus::IntCounter;
 use prost::Message as _;
--- a/crates/node/src/fleet/platform.rs
+++ b/crates/node/src/fleet/platform.rs
@@ -7,7 +7,7 @@
     member::Role,
     spread::{Answer, Hash, Listed, Watched},
 };
-use cactusroad_platform::{
+use cactusroad_adapter::{
     roster::{self, Roster, Vm},
     store::Store,
 };
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -42,7 +42,7 @@
         .level_for("cactusroad", level)
         .level_for("cactusroad_node", level)
         .level_for("cactusroad_ops", level)
-        .level_for("cactusroad_platform", level)
+        .level_for("cactusroad_adapter", level)
         .chain(std::io::stderr())
         .apply();
     if applied.is_err() {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -20,7 +20,7 @@
     rollout::{self, Progress},
     spread::Item,
 };
-use cactusroad_platform::store::{Error, Expect, Store};
+use cactusroad_adapter::store::{Error, Expect, Store};
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/ops/src/apply.rs
+++ b/crates/ops/src/apply.rs
@@ -27,7 +27,7 @@
     },
     rollout::{self, Outcome},
 };
-use cactusroad_platform::store::{self, Store};
+use cactusroad_adapter::store::{self, Store};
 
 use crate::{
     Error,
--- a/crates/ops/src/command.rs
+++ b/crates/ops/src/command.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use cactusroad_core::config::Generation;
-use cactusroad_platform::{address::Address, store::http::Client};
+use cactusroad_adapter::{address::Address, store::http::Client};
 
 use crate::{Error, Exit, apply, folder, history, keys, status, text, view};
 
--- a/crates/ops/src/error.rs
+++ b/crates/ops/src/error.rs
@@ -6,7 +6,7 @@
 use strum::{Display, IntoStaticStr};
 
 use cactusroad_core::config::{Generation, change::Change, fault::Fault, parts};
-use cactusroad_platform::store;
+use cactusroad_adapter::store;
 
 /// The exit code of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
--- a/crates/ops/src/history.rs
+++ b/crates/ops/src/history.rs
@@ -8,7 +8,7 @@
     Generation,
     parts::{HISTORY_PREFIX, Manifest},
 };
-use cactusroad_platform::store::Store;
+use cactusroad_adapter::store::Store;
 
 use crate::{Error, remote, text};
 
--- a/crates/ops/src/remote.rs
+++ b/crates/ops/src/remote.rs
@@ -9,7 +9,7 @@
     Generation, Snapshot,
     parts::{self, Digest, MANIFEST_KEY, Manifest},
 };
-use cactusroad_platform::store::{self, Expect, Store, Version};
+use cactusroad_adapter::store::{self, Expect, Store, Version};
 
 use crate::Error;
 
--- a/crates/ops/src/status.rs
+++ b/crates/ops/src/status.rs
@@ -14,7 +14,7 @@
     },
     rollout::{self, End, Outcome, Reason},
 };
-use cactusroad_platform::store::Store;
+use cactusroad_adapter::store::Store;
 
 use crate::{Error, remote, text};
 
--- a/crates/ops/src/view.rs
+++ b/crates/ops/src/view.rs
@@ -11,7 +11,7 @@
     folder::Folder,
     parts,
 };
-use cactusroad_platform::store::Store;
+use cactusroad_adapter::store::Store;
 
 use crate::{Error, remote, text};
 
--- a/crates/ops/tests/commands/apply.rs
+++ b/crates/ops/tests/commands/apply.rs
@@ -3,7 +3,7 @@
     rollout::{End, Outcome, outcome_key},
 };
 use cactusroad_ops::{Error, Exit, apply::apply, history::history, remote, view};
-use cactusroad_platform::store::{Expect, Store};
+use cactusroad_adapter::store::{Expect, Store};
 
 use super::{
     NOW, PLAN,
--- a/crates/ops/tests/commands/fake.rs
+++ b/crates/ops/tests/commands/fake.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use cactusroad_platform::store::{Change, Error, Expect, Object, Store, Version};
+use cactusroad_adapter::store::{Change, Error, Expect, Object, Store, Version};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// What becomes of the next writes to one key.
--- a/crates/ops/tests/commands/status.rs
+++ b/crates/ops/tests/commands/status.rs
@@ -11,7 +11,7 @@
     rollout::{End, Outcome, Reason, outcome_key},
 };
 use cactusroad_ops::{Exit, apply::apply, status::State, status::status};
-use cactusroad_platform::store::{Expect, Store};
+use cactusroad_adapter::store::{Expect, Store};
 
 use super::{NOW, PLAN, fake::Fake, folder_with, request};
 
--- a/crates/standin/src/engine/message.rs
+++ b/crates/standin/src/engine/message.rs
@@ -1,6 +1,6 @@
 //! The messages of an engine's HTTP interface.
 //!
-//! The stand-in is the other side of the adapter in `cactusroad-platform` and
+//! The stand-in is the other side of the adapter in `cactusroad-adapter` and
 //! reads and writes the protocol by types of its own, so that a change on one
 //! side alone shows in a test.
 
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -13,7 +13,7 @@
     transport::{Files, Identity},
 };
 use cactusroad_ops::{apply, keys};
-use cactusroad_platform::{address::Address, engine, service, store};
+use cactusroad_adapter::{address::Address, engine, service, store};
 use cactusroad_standin as standin;
 use serde_json::{Value, json};
 use tempfile::TempDir;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,8 +11,10 @@
 //!
 //! * `cargo run --release -- demo` runs the whole path in one process.
 //! * [`core`] holds every decision, free of I/O, clocks and randomness.
-//! * [`platform`] holds a small trait and an adapter for each outside system. A
+//! * [`adapter`] holds a small trait and an adapter for each outside system. A
 //!   site with other protocols adds one file there.
+//! * [`platform`] holds names, formats and calls of the users' platform, and [`gateway`]
+//!   the process that serves callers there.
 //! * [`node`] holds the two daemons, which drive the core.
 //! * [`ops`] holds the operators' commands.
 //! * [`standin`] holds small stand-ins of the outside systems.
@@ -38,9 +40,11 @@
 //! starts again.
 
 pub use cactusroad_core as core;
+pub use cactusroad_gateway as gateway;
 pub use cactusroad_node as node;
 pub use cactusroad_ops as ops;
 pub use cactusroad_platform as platform;
+pub use cactusroad_adapter as adapter;
 pub use cactusroad_standin as standin;
 pub use cactusroad_wire as wire;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,7 @@
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use argh::FromArgs;
-use cactusroad::{demo, node::daemon, ops, standin};
+use cactusroad::{demo, gateway, node::daemon, ops, standin};
 
 /// A serving system for model generations of unknown length on crowded engines.
 ///
@@ -28,6 +28,7 @@
 enum Command {
     Entry(EntryCommand),
     Agent(AgentCommand),
+    Gateway(GatewayCommand),
     Demo(DemoCommand),
     Standin(StandinCommand),
     Check(ops::Check),
@@ -57,6 +58,17 @@
     settings: PathBuf,
 }
 
+/// Runs a gateway, which stands between callers and endpoints on the users' platform.
+///
+/// Its settings file is named by the environment variable CACTUSROAD_CONFIG.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+struct GatewayCommand {
+    /// the port on which metrics are served at /metrics; none by default
+    #[argh(option)]
+    metrics: Option<u16>,
+}
+
 /// Runs the whole path in one process and checks what it promises.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
@@ -89,6 +101,7 @@
     match arguments.command {
         Command::Entry(command) => run(daemon::entry(&command.settings)),
         Command::Agent(command) => run(daemon::agent(&command.settings)),
+        Command::Gateway(command) => conclude(gateway::run(command.metrics)),
         Command::Demo(command) => demo(command.stay),
         Command::Standin(command) => run(stand_in(command)),
         Command::Check(command) => ops::run(ops::Command::Check(command)),
@@ -113,7 +126,11 @@
         Ok(runtime) => runtime,
         Err(code) => return code,
     };
-    match runtime.block_on(work) {
+    conclude(runtime.block_on(work))
+}
+
+fn conclude<E: std::fmt::Display>(ended: Result<(), E>) -> ExitCode {
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             eprintln!("{cause}");
--- a/tests/integration/adapters.rs
+++ b/tests/integration/adapters.rs
@@ -1,4 +1,4 @@
-//! The HTTP adapters of `cactusroad-platform` against the stand-ins.
+//! The HTTP adapters of `cactusroad-adapter` against the stand-ins.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 
 use cactusroad_core::{id::Attempt, placement::BLOCK_BYTES};
-use cactusroad_platform::{
+use cactusroad_adapter::{
     address::Address,
     engine::{self, Action, Engine as _, Event, Order, Prompt},
     roster::{self, Roster as _},
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -16,7 +16,7 @@
     transport::{Dialer, Files, Identity},
 };
 use cactusroad_ops::{apply, keys};
-use cactusroad_platform::{
+use cactusroad_adapter::{
     address::Address,
     roster,
     store::{self, Expect, Store as _},
