Copy runs of a leaving engine without stopping them

Moves that began stopped the run for its last part, which waited for the links of both ends until the engine had gone. Nine engines that were silent for three pauses were given up, though they were alive.

Change: an unknown engine counts as leaving; a run is copied while it goes on and continues from the last copy once its engine is gone; silence without a copy is not a loss.

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -177,9 +177,9 @@
         }
     }
 
-    /// Tells whether an endpoint is leaving or no longer listed.
+    /// Tells whether an endpoint is leaving, no longer listed, or unknown.
     pub fn is_leaving(&self, id: &str) -> bool {
-        self.index(id).is_ok_and(|index| {
+        self.index(id).map_or(true, |index| {
             let member = &self.members[index];
             member.leaving_since.is_some() || member.lapses_at.is_some()
         })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod plain;
 mod record;
 mod reply;
+mod rescue;
 mod state;
 mod stream;
 mod watch;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,7 +3,8 @@
 //! The run grows a copy at a second engine while it goes on. When the first
 //! engine is lost, the same request goes on from the copy, after the last event
 //! that the caller has; the caller sees one stream. A run without a copy whose
-//! engine announces that it leaves is copied to another engine before it does.
+//! engine announces that it leaves is copied to another engine before it does, and
+//! goes on there once it has left.
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,10 +13,10 @@
     Time,
     pool::{Endpoint, Loss, Next, Outcome, Run},
 };
-use cactusroad_platform::replica::{self, Fate, Move, Reply, Source};
+use cactusroad_platform::replica::{self, Fate, Reply, Source};
 use http::{Response, StatusCode, response};
 use tokio::{
-    sync::{mpsc, oneshot, watch},
+    sync::{mpsc, watch},
     time::{sleep_until, timeout},
 };
 
@@ -25,6 +26,7 @@
     job::{DIAL_LIMIT, End, Job, OK},
     record::{self, Event},
     reply::{Body, Broken},
+    rescue::Rescue,
     state::{Copy, Ticket, left},
 };
 
@@ -39,10 +41,6 @@
 /// Events that wait for a slow caller; the connection's own buffer holds more.
 const QUEUED_EVENTS: usize = 16;
 
-/// How long the copies of a move may take: several times that of a full memory
-/// between data centres.
-const MOVE_LIMIT: Duration = Duration::from_millis(1_500);
-
 /// Why a stream ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -72,16 +70,8 @@
     sends: u32,
     event_at: Time,
     leaving: watch::Receiver<u64>,
-    /// The move that is under way.
-    moving: Option<oneshot::Receiver<Option<Moved>>>,
-}
-
-/// A run that has been moved.
-#[derive(Debug)]
-struct Moved {
-    endpoint: Arc<Endpoint>,
-    source: std::net::SocketAddr,
-    handle: Arc<str>,
+    /// The copies that are made since the engine is leaving.
+    rescue: Option<Rescue>,
 }
 
 /// Serves a request.
@@ -135,7 +125,7 @@
             sends,
             event_at: clock::now(),
             leaving,
-            moving: None,
+            rescue: None,
             job,
         }
     }
@@ -358,8 +348,7 @@
     /// Reads bytes of the engine, and heeds that engines leave meanwhile.
     async fn read(&mut self) -> Result<Option<Bytes>, Stop> {
         let deadline = clock::instant(self.job.deadline);
-        let pause = Duration::from_millis(self.job.route.pause_ms) * SILENT_PAUSES;
-        let silent_at = if self.events > 0 { clock::now() + pause } else { Time::MAX };
+        let silent_at = self.silent_at();
         loop {
             let Some(reply) = &mut self.reply else {
                 return Err(Stop::Loss(Loss::Broken, "there was no answer".to_owned()));
@@ -382,38 +371,37 @@
         }
     }
 
-    /// Moves the run if its engine is leaving and no copy can take over.
+    /// Returns when an engine counts as silent. One that is preempted is silent
+    /// for long and goes on, so without a copy there is nothing better than to wait.
+    fn silent_at(&self) -> Time {
+        let has_copy = {
+            let pool = self.job.shard.pool();
+            let backup = self.run.backup.as_ref();
+            backup.is_some_and(|backup| pool.holds_copy(&backup.id, clock::now()))
+        };
+        if self.events == 0 || !has_copy {
+            return Time::MAX;
+        }
+        clock::now() + Duration::from_millis(self.job.route.pause_ms) * SILENT_PAUSES
+    }
+
+    /// Has the run copied if its engine is leaving and no copy can take over.
     fn heed_leaving(&mut self) {
         let target = {
             let pool = self.job.shard.pool();
             let has_copy =
                 self.run.backup.as_ref().is_some_and(|backup| !pool.is_leaving(&backup.id));
+            let has_rescue =
+                self.rescue.as_ref().is_some_and(|rescue| !pool.is_leaving(&rescue.target.id));
             let is_staying = !pool.is_leaving(&self.run.endpoint.id);
-            if is_staying || has_copy || self.moving.is_some() || self.job.request.is_empty() {
+            if is_staying || has_copy || has_rescue || self.job.request.is_empty() {
                 return;
             }
             pool.backup(&self.run.endpoint.id, &self.job.ask(&[]), clock::now())
         };
-        let Some(target) = target else {
-            return;
-        };
-        record::write(&Event::Moving {
-            request: &self.job.request,
-            from: &self.run.endpoint.id,
-            to: &target.id,
-        });
-        let (sender, receiver) = oneshot::channel();
-        let request = Arc::clone(&self.job.request);
-        let source = Arc::clone(&self.run.endpoint);
-        let state = Arc::clone(&self.job.state);
-        tokio::spawn(async move {
-            let moved = move_run(&request, &source, target).await;
-            let outcome = if moved.is_some() { "moved" } else { "failed" };
-            state.metrics.moves.with_label_values(&[outcome]).inc();
-            // The stream has ended where nobody waits for the move.
-            let _ = sender.send(moved);
-        });
-        self.moving = Some(receiver);
+        if let Some(target) = target {
+            self.rescue = Some(Rescue::start(&self.job, &self.run.endpoint, target));
+        }
     }
 
     /// Goes on from a copy after the engine was lost.
@@ -422,7 +410,7 @@
         self.reply = None;
         self.splitter = Splitter::default();
         if let Some(ticket) = self.ticket.take() {
-            ticket.end(if self.moving.is_some() { Outcome::Cancelled } else { Outcome::Unreachable });
+            ticket.end(Outcome::Unreachable);
         }
         let loss_label: &str = loss.into();
         self.job.state.metrics.losses.with_label_values(&[loss_label]).inc();
@@ -464,12 +452,9 @@
 
     /// Finds the copy to go on from: that of a move, or the one that grew with the run.
     async fn find_copy(&mut self) -> Option<(Arc<Endpoint>, Source)> {
-        if let Some(moving) = self.moving.take() {
-            let moved = timeout(MOVE_LIMIT, moving).await.ok().and_then(Result::ok).flatten();
-            if let Some(moved) = moved {
-                let source = self.source(moved.source, moved.handle);
-                return Some((moved.endpoint, source));
-            }
+        if let Some(found) = self.rescue.take().and_then(|rescue| rescue.finish(&self.job)) {
+            let source = self.source(found.source, found.handle);
+            return Some((found.target, source));
         }
         let next = self.job.shard.pool().salvage(&self.run, clock::now());
         match next {
@@ -501,26 +486,3 @@
     Deadline,
     Loss(Loss, String),
 }
-
-/// Copies a run while it goes on, then stops it and copies the rest.
-async fn move_run(request: &str, source: &Endpoint, target: Arc<Endpoint>) -> Option<Moved> {
-    let step = async |last| {
-        let moved = replica::move_run(source.address, request, target.address, last, MOVE_LIMIT);
-        match moved.await {
-            Ok(Move::Done { handle }) => Ok(handle),
-            Ok(other) => Err(format!("{other:?}")),
-            Err(cause) => Err(cause.to_string()),
-        }
-    };
-    let moved = match step(false).await {
-        Ok(_) => step(true).await,
-        Err(cause) => Err(cause),
-    };
-    match moved {
-        Ok(handle) => Some(Moved { source: source.address, endpoint: target, handle }),
-        Err(cause) => {
-            record::write(&Event::MoveFailed { request, from: &source.id, cause: &cause });
-            None
-        }
-    }
-}
