Ask the copy before a silent engine is given up, and read a policy file

Trials of parameters needed a new build each.

Change: on silence the copy is asked first, and the engine given up only once the copy answers. `--policy FILE` holds parameters of choices, checked whole. The load of engines is logged once a second.

--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -63,3 +63,48 @@
         }
     }
 }
+
+/// A parameter is out of its range.
+#[derive(Debug, thiserror::Error)]
+#[error("{field} is {value}; it must be {wanted}")]
+pub struct Error {
+    field: &'static str,
+    value: f64,
+    wanted: &'static str,
+}
+
+impl Config {
+    /// Checks that every parameter is in its range.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first one that is not.
+    pub fn check(&self) -> Result<(), Error> {
+        let shares = [
+            ("memory_share", self.memory_share),
+            ("copy_share", self.copy_share),
+            ("tie_share", self.tie_share),
+        ];
+        for (field, value) in shares {
+            if !(0.0..=1.0).contains(&value) {
+                return Err(Error { field, value, wanted: "a share from 0 to 1" });
+            }
+        }
+        let weights = [
+            ("running_tokens", self.running_tokens),
+            ("overflow_weight", self.overflow_weight),
+            ("distance_tokens", self.distance_tokens),
+            ("distance_ms", self.distance_ms),
+            ("failure_ms", self.failure_ms),
+        ];
+        for (field, value) in weights {
+            if !(value.is_finite() && value >= 0.0) {
+                return Err(Error { field, value, wanted: "zero or more" });
+            }
+        }
+        if self.memory_ms == 0 {
+            return Err(Error { field: "memory_ms", value: 0.0, wanted: "above zero" });
+        }
+        Ok(())
+    }
+}
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -42,7 +42,7 @@
 
 pub use budget::Budget;
 pub use choose::{Ask, Refusal};
-pub use config::Config;
+pub use config::{Config, Error};
 pub use member::{Outcome, Report, View};
 pub use salvage::{Loss, Next, Run};
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -2,11 +2,12 @@
 
 use std::{
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::Arc,
     time::{Duration, SystemTime},
 };
 
+use cactusroad_core::pool;
 use cactusroad_platform::settings::{self, Settings};
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -41,24 +42,30 @@
     Settings(#[from] settings::Error),
     #[error("{address} cannot be opened: {cause}; check that no other process listens there")]
     Listen { address: SocketAddr, cause: std::io::Error },
+    #[error("{path}: {cause}; correct the file, or leave it out for the defaults")]
+    Policy { path: String, cause: String },
     #[error("the runtime cannot start: {0}; check the limits of the system")]
     Runtime(std::io::Error),
 }
 
-/// Runs a gateway until it is told to stop; `metrics_port` is where it serves its metrics.
+/// Runs a gateway until it is told to stop.
+///
+/// `metrics_port` is where it serves its metrics, `policy` a file of parameters
+/// of choices; their defaults hold without one.
 ///
 /// # Errors
 ///
-/// Fails where the settings are wrong or a port cannot be opened.
-pub fn run(metrics_port: Option<u16>) -> Result<(), Error> {
+/// Fails where the settings or the policy are wrong, or a port cannot be opened.
+pub fn run(metrics_port: Option<u16>, policy: Option<&Path>) -> Result<(), Error> {
     record::start();
-    let ended = start(metrics_port);
+    let ended = start(metrics_port, policy);
     record::flush();
     Ok(ended?)
 }
 
-fn start(metrics_port: Option<u16>) -> Result<(), Kind> {
+fn start(metrics_port: Option<u16>, policy: Option<&Path>) -> Result<(), Kind> {
     let settings = Settings::load()?;
+    let policy = policy.map_or_else(|| Ok(pool::Config::default()), read_policy)?;
     // Threads beyond the cores only add switches.
     let runtime = if settings.cores > 1 {
         tokio::runtime::Builder::new_multi_thread()
@@ -68,10 +75,23 @@
     } else {
         tokio::runtime::Builder::new_current_thread().enable_all().build()
     };
-    runtime.map_err(Kind::Runtime)?.block_on(serve(settings, metrics_port))
+    runtime.map_err(Kind::Runtime)?.block_on(serve(settings, policy, metrics_port))
+}
+
+fn read_policy(path: &Path) -> Result<pool::Config, Kind> {
+    let fail = |cause: String| Kind::Policy { path: path.display().to_string(), cause };
+    let text = std::fs::read(path).map_err(|cause| fail(cause.to_string()))?;
+    let config: pool::Config =
+        serde_json::from_slice(&text).map_err(|cause| fail(cause.to_string()))?;
+    config.check().map_err(|cause| fail(cause.to_string()))?;
+    Ok(config)
 }
 
-async fn serve(settings: Settings, metrics_port: Option<u16>) -> Result<(), Kind> {
+async fn serve(
+    settings: Settings,
+    policy: pool::Config,
+    metrics_port: Option<u16>,
+) -> Result<(), Kind> {
     record::write(&Event::Started { vm: &settings.vm, data_centre: &settings.data_centre });
     let mut hangup = signal(SignalKind::hangup()).map_err(Kind::Runtime)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(Kind::Runtime)?;
@@ -84,7 +104,7 @@
         Some(port) => Some(open(SocketAddr::new(settings.callers.ip(), port))?),
         None => None,
     };
-    let state = Arc::new(State::new(settings));
+    let state = Arc::new(State::new(settings, policy));
     watch::start(&state);
     tokio::spawn(observe::run(Arc::clone(&state)));
     tokio::spawn(listen::callers(Arc::clone(&state), callers));
@@ -122,7 +142,7 @@
     std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
 }
 
-fn reload(state: &State, path: &std::path::Path) {
+fn reload(state: &State, path: &Path) {
     match Settings::read(path) {
         Ok(settings) => {
             let changed = settings != **state.settings.load();
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -2,12 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cactusroad_core::pool::Endpoint;
+use cactusroad_core::pool::{Endpoint, Report};
 use cactusroad_platform::replica::Observer;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::{
     clock,
+    record::{self, Event},
     state::{Shard, State},
 };
 
@@ -21,21 +22,29 @@
 /// Time between two looks for engines that are not observed yet.
 const SCAN_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Looks between two lines of the log about the load of engines: one a second.
+const SCANS_PER_LINE: u32 = 4;
+
 /// Starts a task for each engine that is listed, until the engine is gone.
 pub(crate) async fn run(state: Arc<State>) {
     let mut observed: Vec<Arc<Endpoint>> = Vec::new();
     let mut ticks = interval(SCAN_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut scans = 0;
     loop {
         ticks.tick().await;
         let Some(site) = state.site.load_full() else {
             continue;
         };
+        scans = (scans + 1) % SCANS_PER_LINE;
         let mut listed = Vec::new();
         for service in site.services().iter().filter(|service| service.engine.is_some()) {
             let Some(shard) = state.shard(&service.name) else {
                 continue;
             };
+            if scans == 0 {
+                log_load(&shard);
+            }
             let endpoints: Vec<Arc<Endpoint>> =
                 shard.pool().views(clock::now()).map(|view| view.endpoint).collect();
             for endpoint in endpoints {
@@ -50,6 +59,31 @@
     }
 }
 
+/// Writes what the engines of a service report.
+fn log_load(shard: &Shard) {
+    let mut sum = Report::default();
+    let (mut engines, mut oldest_report_ms, mut fullest) = (0, 0, 0.0f64);
+    for (report, age) in shard.pool().views(clock::now()).filter_map(|view| view.report) {
+        engines += 1;
+        sum.running += report.running;
+        sum.waiting += report.waiting;
+        sum.used_tokens += report.used_tokens;
+        sum.memory_tokens += report.memory_tokens;
+        fullest = fullest.max(report.used_tokens as f64 / report.memory_tokens.max(1) as f64);
+        oldest_report_ms = oldest_report_ms.max(age);
+    }
+    record::write(&Event::Load {
+        service: &shard.service,
+        engines,
+        running: sum.running,
+        waiting: sum.waiting,
+        used_tokens: sum.used_tokens,
+        memory_tokens: sum.memory_tokens,
+        fullest: (fullest * 1e3).round() / 1e3,
+        oldest_report_ms,
+    });
+}
+
 /// Tells whether two entries name the same incarnation.
 fn is_same(one: &Endpoint, other: &Endpoint) -> bool {
     one.id == other.id && one.born_ms == other.born_ms && one.address == other.address
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -46,6 +46,18 @@
     ConfigRejected { cause: &'a str, revision: u64 },
     /// What the process believes of an endpoint has changed.
     Endpoint { endpoint: &'a str, service: &'a str, change: &'a str, source: &'a str },
+    /// What the engines of a service report, once a second.
+    Load {
+        service: &'a str,
+        engines: usize,
+        running: u32,
+        waiting: u32,
+        used_tokens: u64,
+        memory_tokens: u64,
+        /// The share of memory in use at the fullest engine.
+        fullest: f64,
+        oldest_report_ms: u64,
+    },
     /// An entry of the list names no endpoint.
     EntryUnreadable { name: &'a str, cause: &'a str },
     /// The data centres that are out have changed.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -45,6 +45,7 @@
 pub(crate) struct State {
     pub(crate) settings: ArcSwap<Settings>,
     pub(crate) site: ArcSwapOption<Site>,
+    policy: pool::Config,
     shards: ArcSwap<Vec<Arc<Shard>>>,
     /// The data centres that are out, sorted.
     pub(crate) out: ArcSwap<Vec<Arc<str>>>,
@@ -71,10 +72,11 @@
 }
 
 impl State {
-    pub(crate) fn new(settings: Settings) -> State {
+    pub(crate) fn new(settings: Settings, policy: pool::Config) -> State {
         State {
             settings: ArcSwap::from_pointee(settings),
             site: ArcSwapOption::empty(),
+            policy,
             shards: ArcSwap::default(),
             out: ArcSwap::default(),
             held_bytes: AtomicUsize::new(0),
@@ -112,7 +114,7 @@
         let mut shards: Vec<Arc<Shard>> = Vec::with_capacity(site.services().len());
         for service in site.services() {
             let shard = self.shard(&service.name);
-            let shard = shard.unwrap_or_else(|| Arc::new(Shard::new(&service.name, &settings)));
+            let shard = shard.unwrap_or_else(|| Arc::new(Shard::new(&service.name, &settings, &self.policy)));
             shard.pool().set_out(&self.out.load());
             if let Some(engine) = &service.engine {
                 shard.pool().set_engine(engine.memory_tokens);
@@ -138,7 +140,7 @@
             return shard;
         }
         let settings = self.settings.load();
-        let shard = Arc::new(Shard::new(service, &settings));
+        let shard = Arc::new(Shard::new(service, &settings, &self.policy));
         shard.pool().set_out(&self.out.load());
         self.shards.rcu(|shards| {
             let mut shards = Vec::clone(shards);
@@ -191,12 +193,12 @@
 }
 
 impl Shard {
-    fn new(service: &Arc<str>, settings: &Settings) -> Shard {
+    fn new(service: &Arc<str>, settings: &Settings, policy: &pool::Config) -> Shard {
         let floor = settings.repeat_floor * REPEAT_FLOOR_SHARE * REPEAT_SHARE;
         let share = settings.repeat_share * REPEAT_SHARE;
         Shard {
             service: Arc::clone(service),
-            pool: Mutex::new(Pool::new(pool::Config::default())),
+            pool: Mutex::new(Pool::new(policy.clone())),
             budget: Mutex::new(Budget::new(share, floor, settings.repeat_window)),
             leaving: watch::Sender::new(0),
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -70,6 +70,8 @@
     sends: u32,
     event_at: Time,
     leaving: watch::Receiver<u64>,
+    /// Whether the copy was tried and cannot be used.
+    has_tried_copy: bool,
     /// The copies that are made since the engine is leaving.
     rescue: Option<Rescue>,
 }
@@ -125,6 +127,7 @@
             sends,
             event_at: clock::now(),
             leaving,
+            has_tried_copy: false,
             rescue: None,
             job,
         }
@@ -319,6 +322,7 @@
                 Ok(None) if self.splitter.rest().is_empty() => return Err(Ending::Complete),
                 Ok(None) => self.recover(Loss::Broken, "the last event is cut").await?,
                 Err(Stop::Deadline) => return Err(Ending::Deadline),
+                Err(Stop::Silent) => self.hand_over().await,
                 Err(Stop::Loss(loss, cause)) => self.recover(loss, &cause).await?,
             }
         }
@@ -365,7 +369,7 @@
                 }
                 () = sleep_until(deadline) => return Err(Stop::Deadline),
                 () = sleep_until(clock::instant(silent_at)) => {
-                    return Err(Stop::Loss(Loss::Silent, "no event in time".to_owned()));
+                    return Err(Stop::Silent);
                 }
             }
         }
@@ -379,7 +383,7 @@
             let backup = self.run.backup.as_ref();
             backup.is_some_and(|backup| pool.holds_copy(&backup.id, clock::now()))
         };
-        if self.events == 0 || !has_copy {
+        if self.events == 0 || !has_copy || self.has_tried_copy {
             return Time::MAX;
         }
         clock::now() + Duration::from_millis(self.job.route.pause_ms) * SILENT_PAUSES
@@ -433,13 +437,7 @@
         let address = source.address.to_string();
         match self.open(Some(source)).await {
             Opened::Reply if self.is_resumed() => {
-                self.job.state.metrics.resumes.inc();
-                record::write(&Event::Resumed {
-                    request: &self.job.request,
-                    endpoint: &self.run.endpoint.id,
-                    source: &address,
-                    pause_ms: clock::millis_since(lost_at),
-                });
+                self.resumed(&address, lost_at);
                 Ok(())
             }
             Opened::Reply | Opened::NotRun | Opened::Lost => Err(Ending::Lost),
@@ -450,6 +448,50 @@
         self.reply.as_ref().is_some_and(|reply| reply.head.status.is_success())
     }
 
+    /// Goes on from the copy of a run whose engine is silent, if the copy can be
+    /// used; the engine is given up only then. It works on for a round trip
+    /// longer, whose events are not read.
+    async fn hand_over(&mut self) {
+        let silent_from = clock::now();
+        self.has_tried_copy = true;
+        let next = self.job.shard.pool().salvage(&self.run, silent_from);
+        let Next::Resume(endpoint) = next else {
+            return;
+        };
+        if !self.job.shard.take_repeat() {
+            return;
+        }
+        let source = self.source(endpoint.address, Arc::clone(&self.job.request));
+        let old = (
+            std::mem::replace(&mut self.run.endpoint, endpoint),
+            self.run.backup.take(),
+            self.copy.take(),
+            self.reply.take(),
+            self.ticket.take(),
+        );
+        self.sends += 1;
+        let address = source.address.to_string();
+        let opened = self.open(Some(source)).await;
+        if matches!(opened, Opened::Reply) && self.is_resumed() {
+            self.run.moves += 1;
+            self.splitter = Splitter::default();
+            self.has_tried_copy = false;
+            self.resumed(&address, silent_from);
+            return;
+        }
+        (self.run.endpoint, self.run.backup, self.copy, self.reply, self.ticket) = old;
+    }
+
+    fn resumed(&self, source: &str, lost_at: Time) {
+        self.job.state.metrics.resumes.inc();
+        record::write(&Event::Resumed {
+            request: &self.job.request,
+            endpoint: &self.run.endpoint.id,
+            source,
+            pause_ms: clock::millis_since(lost_at),
+        });
+    }
+
     /// Finds the copy to go on from: that of a move, or the one that grew with the run.
     async fn find_copy(&mut self) -> Option<(Arc<Endpoint>, Source)> {
         if let Some(found) = self.rescue.take().and_then(|rescue| rescue.finish(&self.job)) {
@@ -484,5 +526,7 @@
 /// Why no bytes come.
 enum Stop {
     Deadline,
+    /// The engine is silent, which may be all that is wrong with it.
+    Silent,
     Loss(Loss, String),
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -67,6 +67,9 @@
     /// the port on which metrics are served at /metrics; none by default
     #[argh(option)]
     metrics: Option<u16>,
+    /// a JSON file of parameters of choices; docs/POLICY.md lists them and their defaults
+    #[argh(option)]
+    policy: Option<PathBuf>,
 }
 
 /// Runs the whole path in one process and checks what it promises.
@@ -101,7 +104,7 @@
     match arguments.command {
         Command::Entry(command) => run(daemon::entry(&command.settings)),
         Command::Agent(command) => run(daemon::agent(&command.settings)),
-        Command::Gateway(command) => conclude(gateway::run(command.metrics)),
+        Command::Gateway(command) => conclude(gateway::run(command.metrics, command.policy.as_deref())),
         Command::Demo(command) => demo(command.stay),
         Command::Standin(command) => run(stand_in(command)),
         Command::Check(command) => ops::run(ops::Command::Check(command)),
