Count the gateways, and divide the repeats of a service among them

Rescue copies were not made where a growing copy would not be.

Change: gateways renew an object of their own and count the others (core::census); each takes its part of the floor. Three tenths of a budget are kept for runs that go on elsewhere. Copies of leaving runs may fill an engine to 0.9. The longest pause of a stream is logged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,11 +21,12 @@
 //!   elects a single holder.
 //! * A gateway that speaks to endpoints itself: [`site`] is its configuration, [`pool`]
 //!   chooses endpoints, places copies of runs and saves runs whose engine is lost.
-//! * The fleet: [`member`] keeps the list of processes, [`spread`] carries the
+//! * The fleet: [`census`] counts processes that renew an object, [`member`] keeps the list of processes, [`spread`] carries the
 //!   configuration to each of them.
 
 pub mod admission;
 pub mod blame;
+pub mod census;
 pub mod config;
 pub mod digest;
 pub mod fairness;
--- a/crates/core/src/pool/budget.rs
+++ b/crates/core/src/pool/budget.rs
@@ -12,6 +12,19 @@
 /// Steps that a window is divided into; a step is counted as a whole.
 const STEPS: u64 = 10;
 
+/// The part of a budget that retries may use. The rest is kept for runs that
+/// lost their engine: these have tokens that a caller has seen already.
+const RETRY_PART: f64 = 0.7;
+
+/// What a repeat is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// A run goes on elsewhere.
+    Resume,
+    /// A request that was not run, or may run again, is sent again.
+    Retry,
+}
+
 /// Counts requests and repeats of one service over a sliding window.
 #[derive(Debug)]
 pub struct Budget {
@@ -39,12 +52,23 @@
         self.step(now).requests += 1;
     }
 
+    /// Sets the part of the floor that this gateway takes, once it knows how many
+    /// there are.
+    pub fn set_floor(&mut self, floor: f64) {
+        self.floor = floor;
+    }
+
     /// Takes one repeat, and tells whether it was to be had.
-    pub fn take(&mut self, now: Time) -> bool {
+    pub fn take(&mut self, purpose: Use, now: Time) -> bool {
         self.step(now);
         let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
         let repeats: u32 = self.steps.iter().map(|step| step.repeats).sum();
-        let is_left = f64::from(repeats) + 1.0 <= self.share * f64::from(requests) + self.floor;
+        let allowed = self.share * f64::from(requests) + self.floor;
+        let part = match purpose {
+            Use::Resume => 1.0,
+            Use::Retry => RETRY_PART,
+        };
+        let is_left = f64::from(repeats) + 1.0 <= allowed * part;
         if is_left {
             self.step(now).repeats += 1;
         }
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -18,6 +18,15 @@
     pub version: Option<&'a str>,
 }
 
+/// What a copy is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// It grows with its run, in case the engine is lost.
+    Grow,
+    /// The engine is leaving, and the run goes on from it soon.
+    Rescue,
+}
+
 /// Why no endpoint was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -66,9 +75,19 @@
         }
     }
 
-    /// Chooses where a copy of a run grows that runs at `primary`: the engine
-    /// with the most free memory, as long as the copy leaves room for runs.
-    pub fn backup(&self, primary: &str, ask: &Ask<'_>, now: Time) -> Option<Arc<Endpoint>> {
+    /// Chooses where a copy of a run goes that runs at `primary`: the engine with
+    /// the most free memory, as long as the copy leaves room for runs.
+    pub fn backup(
+        &self,
+        primary: &str,
+        purpose: Purpose,
+        ask: &Ask<'_>,
+        now: Time,
+    ) -> Option<Arc<Endpoint>> {
+        let limit = match purpose {
+            Purpose::Grow => self.config.copy_share,
+            Purpose::Rescue => self.config.rescue_share,
+        };
         let mut best: Option<(f64, &Member)> = None;
         for member in &self.members {
             let is_other = &*member.endpoint.id != primary;
@@ -76,7 +95,7 @@
                 continue;
             }
             let fill = self.fill(member, ask.work, now);
-            if fill <= self.config.copy_share && best.is_none_or(|(least, _)| fill < least) {
+            if fill <= limit && best.is_none_or(|(least, _)| fill < least) {
                 best = Some((fill, member));
             }
         }
--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -13,14 +13,18 @@
     /// The share of an engine's memory that choices fill at most; 0.92 by
     /// default, which leaves room for lengths beyond their hints.
     pub memory_share: f64,
-    /// The share of an engine's memory above which it gets no copies; 0.8 by
-    /// default. A copy must never preempt a run.
+    /// The share of an engine's memory above which it gets no copies that grow
+    /// with their run; 0.55 by default. Runs that come later need the rest: at 0.8
+    /// copies filled the memory and runs were preempted.
     pub copy_share: f64,
+    /// The share of an engine's memory above which it takes no run of an engine
+    /// that leaves; 0.9 by default. Such a run is lost otherwise.
+    pub rescue_share: f64,
     /// How many tokens of prompt a token of overflow counts as; 20 by default, so
     /// that an engine without room is the last choice.
     pub overflow_weight: f64,
-    /// Prompt tokens that another data centre counts as; 150 by default. Bytes
-    /// between data centres cost money, and a queue of 10 ms is worth that.
+    /// Prompt tokens that another data centre counts as; zero by default: a stream's
+    /// events cost less between data centres than a queue delays it.
     pub distance_tokens: f64,
     /// Milliseconds that another data centre counts as for plain services; 1 by
     /// default, the round trip.
@@ -49,9 +53,10 @@
         Config {
             running_tokens: 300.0,
             memory_share: 0.92,
-            copy_share: 0.8,
+            copy_share: 0.55,
+            rescue_share: 0.9,
             overflow_weight: 20.0,
-            distance_tokens: 150.0,
+            distance_tokens: 0.0,
             distance_ms: 1.0,
             failure_ms: 400.0,
             tie_share: 0.1,
@@ -83,6 +88,7 @@
         let shares = [
             ("memory_share", self.memory_share),
             ("copy_share", self.copy_share),
+            ("rescue_share", self.rescue_share),
             ("tie_share", self.tie_share),
         ];
         for (field, value) in shares {
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -40,8 +40,8 @@
 mod member;
 mod salvage;
 
-pub use budget::Budget;
-pub use choose::{Ask, Refusal};
+pub use budget::{Budget, Use};
+pub use choose::{Ask, Purpose, Refusal};
 pub use config::{Config, Error};
 pub use member::{Outcome, Report, View};
 pub use salvage::{Loss, Next, Run};
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    clock, listen, observe,
+    clock, fleet, listen, observe,
     record::{self, Event},
     state::State,
     watch,
@@ -106,6 +106,7 @@
     };
     let state = Arc::new(State::new(settings, policy));
     watch::start(&state);
+    tokio::spawn(fleet::run(Arc::clone(&state)));
     tokio::spawn(observe::run(Arc::clone(&state)));
     tokio::spawn(listen::callers(Arc::clone(&state), callers));
     tokio::spawn(listen::readiness(Arc::clone(&state), readiness));
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -105,6 +105,7 @@
             first_ms: end.first_ms,
             total_ms: clock::millis_since(self.arrived_at),
             events: end.events,
+            pause_ms: end.pause_ms,
         });
     }
 
@@ -125,4 +126,6 @@
     /// Milliseconds to the first event or the answer.
     pub(crate) first_ms: u64,
     pub(crate) events: u64,
+    /// The longest time between two events, in milliseconds.
+    pub(crate) pause_ms: u64,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod clock;
 mod daemon;
 mod events;
+mod fleet;
 mod handle;
 mod job;
 mod listen;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use cactusroad_core::{
     Time,
-    pool::{Endpoint, Outcome, Refusal},
+    pool::{Endpoint, Outcome, Refusal, Use},
     site::Kind,
 };
 use cactusroad_platform::replica::{self, Fate};
@@ -119,7 +119,7 @@
         Kind::Once | Kind::Stream => runs == 0,
     };
     let is_late = job.deadline.is_past(clock::now() + MIN_USEFUL);
-    if !may_run || is_late || progress.sends >= MAX_SENDS || !job.shard.take_repeat() {
+    if !may_run || is_late || progress.sends >= MAX_SENDS || !job.shard.take_repeat(Use::Retry) {
         return None;
     }
     match next(job, progress) {
@@ -165,7 +165,7 @@
 ) -> Response<Body> {
     let first_ms = clock::millis_since(job.arrived_at);
     job.state.metrics.first_answer.observe(first_ms as f64 / 1e3);
-    let end = End { endpoint, attempts: progress.sends, first_ms, events: 0 };
+    let end = End { endpoint, attempts: progress.sends, first_ms, ..End::default() };
     let outcome = if head.status.is_success() { OK } else { "endpoint_failed" };
     job.ended(head.status, outcome, &end);
     Response::from_parts(head, Body::Whole(Some(body)))
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -60,6 +60,8 @@
     },
     /// An entry of the list names no endpoint.
     EntryUnreadable { name: &'a str, cause: &'a str },
+    /// The number of gateways that are alive has changed.
+    Gateways { count: usize },
     /// The data centres that are out have changed.
     DataCentresOut { names: &'a [std::sync::Arc<str>] },
     /// An endpoint was chosen for a request.
@@ -93,6 +95,8 @@
         first_ms: u64,
         total_ms: u64,
         events: u64,
+        /// The longest time between two events.
+        pause_ms: u64,
     },
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cactusroad_core::{
     Time,
-    pool::{self, Ask, Budget, Change, Endpoint, Outcome, Pool, Refusal, Work},
+    pool::{self, Ask, Budget, Change, Endpoint, Outcome, Pool, Refusal, Use, Work},
     site::Site,
 };
 use cactusroad_platform::settings::Settings;
@@ -31,10 +31,9 @@
 /// covers repeats that are counted late.
 const REPEAT_SHARE: f64 = 0.75;
 
-/// The part of the site's floor of repeats that one gateway takes. Gateways do
-/// not know how many they are; a sixteenth adds up to the whole at sixteen, and
-/// the share above leaves room for twice as many.
-const REPEAT_FLOOR_SHARE: f64 = 1.0 / 16.0;
+/// How many gateways there are until their list has been read: more than a small
+/// site has, so that repeats stay bounded without the list.
+const ASSUMED_GATEWAYS: usize = 16;
 
 /// Bodies of callers take at most one part in so many of the process's memory.
 /// Usual bodies are a few kilobytes; this holds several of the largest.
@@ -59,6 +58,8 @@
     /// Set once, when the process is asked to stop.
     pub(crate) stopping: watch::Sender<Option<Time>>,
     open_requests: AtomicUsize,
+    /// Gateways that are alive, this one among them.
+    gateways: AtomicUsize,
 }
 
 /// The endpoints of one service.
@@ -85,6 +86,7 @@
             knows_out: AtomicBool::new(false),
             stopping: watch::Sender::new(None),
             open_requests: AtomicUsize::new(0),
+            gateways: AtomicUsize::new(ASSUMED_GATEWAYS),
         }
     }
 
@@ -114,7 +116,7 @@
         let mut shards: Vec<Arc<Shard>> = Vec::with_capacity(site.services().len());
         for service in site.services() {
             let shard = self.shard(&service.name);
-            let shard = shard.unwrap_or_else(|| Arc::new(Shard::new(&service.name, &settings, &self.policy)));
+            let shard = shard.unwrap_or_else(|| Arc::new(Shard::new(&service.name, &settings, &self.policy, self.gateways.load(Ordering::Relaxed))));
             shard.pool().set_out(&self.out.load());
             if let Some(engine) = &service.engine {
                 shard.pool().set_engine(engine.memory_tokens);
@@ -140,7 +142,7 @@
             return shard;
         }
         let settings = self.settings.load();
-        let shard = Arc::new(Shard::new(service, &settings, &self.policy));
+        let shard = Arc::new(Shard::new(service, &settings, &self.policy, self.gateways.load(Ordering::Relaxed)));
         shard.pool().set_out(&self.out.load());
         self.shards.rcu(|shards| {
             let mut shards = Vec::clone(shards);
@@ -152,6 +154,19 @@
         self.shard(service).unwrap_or(shard)
     }
 
+    /// Notes how many gateways there are, and takes their part of the repeats.
+    pub(crate) fn set_gateways(&self, count: usize) {
+        let count = count.max(1);
+        if self.gateways.swap(count, Ordering::Relaxed) == count {
+            return;
+        }
+        record::write(&Event::Gateways { count });
+        let floor = repeat_floor(&self.settings.load(), count);
+        for shard in self.shards.load().iter() {
+            shard.budget().set_floor(floor);
+        }
+    }
+
     /// Returns the number of requests without a whole answer.
     pub(crate) fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Relaxed)
@@ -181,6 +196,11 @@
     }
 }
 
+/// Returns the repeats that one of `gateways` may make in a window without any requests.
+fn repeat_floor(settings: &Settings, gateways: usize) -> f64 {
+    settings.repeat_floor * REPEAT_SHARE / gateways.max(1) as f64
+}
+
 /// One open request.
 #[derive(Debug)]
 pub(crate) struct Open(Arc<State>);
@@ -193,8 +213,13 @@
 }
 
 impl Shard {
-    fn new(service: &Arc<str>, settings: &Settings, policy: &pool::Config) -> Shard {
-        let floor = settings.repeat_floor * REPEAT_FLOOR_SHARE * REPEAT_SHARE;
+    fn new(
+        service: &Arc<str>,
+        settings: &Settings,
+        policy: &pool::Config,
+        gateways: usize,
+    ) -> Shard {
+        let floor = repeat_floor(settings, gateways);
         let share = settings.repeat_share * REPEAT_SHARE;
         Shard {
             service: Arc::clone(service),
@@ -220,8 +245,8 @@
     }
 
     /// Takes a repeat from the budget of the service.
-    pub(crate) fn take_repeat(&self) -> bool {
-        self.budget().take(clock::now())
+    pub(crate) fn take_repeat(&self, purpose: Use) -> bool {
+        self.budget().take(purpose, clock::now())
     }
 
     pub(crate) fn choose(&self, ask: &Ask<'_>) -> Result<Arc<Endpoint>, Refusal> {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use cactusroad_core::{
     Time,
-    pool::{Endpoint, Loss, Next, Outcome, Run},
+    pool::{Endpoint, Loss, Next, Outcome, Purpose, Run, Use},
 };
 use cactusroad_platform::replica::{self, Fate, Reply, Source};
 use http::{Response, StatusCode, response};
@@ -69,6 +69,8 @@
     first_ms: u64,
     sends: u32,
     event_at: Time,
+    /// The longest time between two events, in milliseconds.
+    pause_ms: u64,
     leaving: watch::Receiver<u64>,
     /// Whether the copy was tried and cannot be used.
     has_tried_copy: bool,
@@ -92,7 +94,7 @@
             Opened::NotRun => {
                 job = relay.job;
                 let is_late = job.deadline.is_past(clock::now());
-                if is_late || sends >= MAX_SENDS || !job.shard.take_repeat() {
+                if is_late || sends >= MAX_SENDS || !job.shard.take_repeat(Use::Retry) {
                     return job.refuse("endpoints_full");
                 }
             }
@@ -126,6 +128,7 @@
             first_ms: 0,
             sends,
             event_at: clock::now(),
+            pause_ms: 0,
             leaving,
             has_tried_copy: false,
             rescue: None,
@@ -152,6 +155,7 @@
             Ok(Ok(reply)) if !reply.is_not_run => {
                 self.reply = Some(reply);
                 self.ticket = Some(ticket);
+                self.heed_leaving();
                 return Opened::Reply;
             }
             Ok(Ok(reply)) => (Outcome::Refused, Opened::NotRun, reply.head.status.to_string()),
@@ -184,7 +188,7 @@
             return;
         }
         let ask = self.job.ask(&[]);
-        let backup = self.job.shard.pool().backup(&self.run.endpoint.id, &ask, clock::now());
+        let backup = self.job.shard.pool().backup(&self.run.endpoint.id, Purpose::Grow, &ask, clock::now());
         if let Some(backup) = backup {
             self.copy = Some(self.job.shard.copy(&backup, self.job.work));
             self.run.backup = Some(backup);
@@ -238,6 +242,7 @@
             attempts: self.sends,
             first_ms: self.first_ms,
             events: self.events,
+            pause_ms: self.pause_ms,
         }
     }
 
@@ -339,7 +344,10 @@
     fn passed(&mut self, event: &Piece) {
         let now = clock::now();
         if self.events > 0 {
-            self.job.state.metrics.pause.observe(now.since(self.event_at).as_secs_f64());
+            let pause = now.since(self.event_at);
+            self.job.state.metrics.pause.observe(pause.as_secs_f64());
+            let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+            self.pause_ms = self.pause_ms.max(pause_ms);
         }
         self.event_at = now;
         self.events += 1;
@@ -401,7 +409,7 @@
             if is_staying || has_copy || has_rescue || self.job.request.is_empty() {
                 return;
             }
-            pool.backup(&self.run.endpoint.id, &self.job.ask(&[]), clock::now())
+            pool.backup(&self.run.endpoint.id, Purpose::Rescue, &self.job.ask(&[]), clock::now())
         };
         if let Some(target) = target {
             self.rescue = Some(Rescue::start(&self.job, &self.run.endpoint, target));
@@ -428,7 +436,12 @@
         let Some((endpoint, source)) = self.find_copy().await else {
             return Err(Ending::Lost);
         };
-        if !self.job.shard.take_repeat() {
+        if !self.job.shard.take_repeat(Use::Resume) {
+            record::write(&Event::MoveFailed {
+                request: &self.job.request,
+                from: &self.run.endpoint.id,
+                cause: "no_repeats_left",
+            });
             return Err(Ending::Lost);
         }
         self.run.moves += 1;
@@ -458,7 +471,7 @@
         let Next::Resume(endpoint) = next else {
             return;
         };
-        if !self.job.shard.take_repeat() {
+        if !self.job.shard.take_repeat(Use::Resume) {
             return;
         }
         let source = self.source(endpoint.address, Arc::clone(&self.job.request));
