Draw the engines to choose from

Cause: six runs of engines that left at once were all copied to the engine that had just joined; its link was busy until they were lost. Gateways that read the same reports chose the same engine for requests as well.

Change: a few engines are drawn and the best of them is taken; copies prefer the data centre of their source, and count at their target from the start.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -39,13 +39,29 @@
     TooLarge,
 }
 
+/// Draws from a seed, by the generator SplitMix64.
+struct Draw(u64);
+
+impl Draw {
+    /// Returns a number below `bound`, or zero where that is zero.
+    fn below(&mut self, bound: usize) -> usize {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^= mixed >> 31;
+        ((u128::from(mixed) * bound as u128) >> 64) as usize
+    }
+}
+
 impl Pool {
-    /// Chooses an endpoint; `draw` is uniform in [0, 1).
+    /// Chooses an endpoint; `seed` is random.
     ///
     /// # Errors
     ///
     /// Fails where no endpoint may get the request.
-    pub fn choose(&self, ask: &Ask<'_>, draw: f64, now: Time) -> Result<Arc<Endpoint>, Refusal> {
+    pub fn choose(&self, ask: &Ask<'_>, seed: u64, now: Time) -> Result<Arc<Endpoint>, Refusal> {
+        let mut draw = Draw(seed);
         if self.is_engine && self.memory_tokens > 0 && ask.work.prompt > self.memory_tokens {
             return Err(Refusal::TooLarge);
         }
@@ -64,11 +80,11 @@
         if scored.iter().any(|(_, member)| member.avoided_until.is_past(now)) {
             scored.retain(|(_, member)| member.avoided_until.is_past(now));
         }
+        self.sample(&mut scored, &mut draw);
         let best = scored.iter().map(|(score, _)| *score).fold(f64::INFINITY, f64::min);
         let limit = best + best.abs() * self.config.tie_share + f64::EPSILON;
         scored.retain(|(score, _)| *score <= limit);
-        let index = (draw * scored.len() as f64) as usize;
-        match scored.get(index.min(scored.len().saturating_sub(1))) {
+        match scored.get(draw.below(scored.len())) {
             Some((_, member)) => Ok(Arc::clone(&member.endpoint)),
             None if open > 0 => Err(Refusal::Exhausted),
             None => Err(Refusal::Empty),
@@ -82,26 +98,46 @@
         primary: &str,
         purpose: Purpose,
         ask: &Ask<'_>,
+        seed: u64,
         now: Time,
     ) -> Option<Arc<Endpoint>> {
+        let mut draw = Draw(seed);
         let limit = match purpose {
             Purpose::Grow => self.config.copy_share,
             Purpose::Rescue => self.config.rescue_share,
         };
-        let mut best: Option<(f64, &Member)> = None;
+        let source = self.get(primary).map(|endpoint| Arc::clone(&endpoint.data_centre));
+        let mut fitting: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
         for member in &self.members {
             let is_other = &*member.endpoint.id != primary;
             if !is_other || !self.may_get(member, ask, now) || !member.avoided_until.is_past(now) {
                 continue;
             }
             let fill = self.fill(member, ask.work, now);
-            if fill <= limit && best.is_none_or(|(least, _)| fill < least) {
-                best = Some((fill, member));
+            if fill <= limit {
+                let is_far = source.as_ref().is_some_and(|near| *near != member.endpoint.data_centre);
+                fitting.push((fill + f64::from(u8::from(is_far)) * self.config.far_copy_share, member));
             }
         }
+        self.sample(&mut fitting, &mut draw);
+        let best = fitting.into_iter().min_by(|one, other| one.0.total_cmp(&other.0));
         best.map(|(_, member)| Arc::clone(&member.endpoint))
     }
 
+    /// Keeps a few candidates, drawn at random, so that gateways which read the
+    /// same reports do not all choose the same one.
+    fn sample(&self, candidates: &mut Vec<(f64, &Member)>, draw: &mut Draw) {
+        if !self.is_engine {
+            return;
+        }
+        let kept = self.config.choices.max(1).min(candidates.len());
+        for index in 0..kept {
+            let other = index + draw.below(candidates.len() - index);
+            candidates.swap(index, other);
+        }
+        candidates.truncate(kept);
+    }
+
     fn may_get(&self, member: &Member, ask: &Ask<'_>, now: Time) -> bool {
         member.is_open(now)
             && !self.is_out(&member.endpoint.data_centre)
--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -20,6 +20,11 @@
     /// The share of an engine's memory above which it takes no run of an engine
     /// that leaves; 0.9 by default. Such a run is lost otherwise.
     pub rescue_share: f64,
+    /// The share of memory that another data centre counts as for a copy; 0.1 by
+    /// default. A copy between data centres takes the links for twice as long.
+    pub far_copy_share: f64,
+    /// Engines of which the best is chosen, drawn at random; 4 by default.
+    pub choices: usize,
     /// How many tokens of prompt a token of overflow counts as; 20 by default, so
     /// that an engine without room is the last choice.
     pub overflow_weight: f64,
@@ -55,6 +60,8 @@
             memory_share: 0.92,
             copy_share: 0.55,
             rescue_share: 0.9,
+            far_copy_share: 0.1,
+            choices: 4,
             overflow_weight: 20.0,
             distance_tokens: 0.0,
             distance_ms: 1.0,
@@ -89,6 +96,7 @@
             ("memory_share", self.memory_share),
             ("copy_share", self.copy_share),
             ("rescue_share", self.rescue_share),
+            ("far_copy_share", self.far_copy_share),
             ("tie_share", self.tie_share),
         ];
         for (field, value) in shares {
--- a/crates/gateway/src/rescue.rs
+++ b/crates/gateway/src/rescue.rs
@@ -19,7 +19,7 @@
 use crate::{
     job::Job,
     record::{self, Event},
-    state::{Shard, State},
+    state::{Copy, Shard, State},
 };
 
 /// How long one copy may take: several times that of a full memory between data centres.
@@ -39,6 +39,7 @@
     source: SocketAddr,
     handle: Arc<Mutex<Option<Arc<str>>>>,
     task: JoinHandle<()>,
+    _copy: Copy,
 }
 
 /// A copy to go on from.
@@ -62,7 +63,13 @@
             target: Arc::clone(&target),
             handle: Arc::clone(&handle),
         };
-        Rescue { target, source: from.address, handle, task: tokio::spawn(copies.run()) }
+        Rescue {
+            _copy: job.shard.copy(&target, job.work),
+            target,
+            source: from.address,
+            handle,
+            task: tokio::spawn(copies.run()),
+        }
     }
 
     /// Returns the last copy, if there is one whose engine stays.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -188,7 +188,7 @@
             return;
         }
         let ask = self.job.ask(&[]);
-        let backup = self.job.shard.pool().backup(&self.run.endpoint.id, Purpose::Grow, &ask, clock::now());
+        let backup = self.job.shard.pool().backup(&self.run.endpoint.id, Purpose::Grow, &ask, rand::random(), clock::now());
         if let Some(backup) = backup {
             self.copy = Some(self.job.shard.copy(&backup, self.job.work));
             self.run.backup = Some(backup);
@@ -409,7 +409,7 @@
             if is_staying || has_copy || has_rescue || self.job.request.is_empty() {
                 return;
             }
-            pool.backup(&self.run.endpoint.id, Purpose::Rescue, &self.job.ask(&[]), clock::now())
+            pool.backup(&self.run.endpoint.id, Purpose::Rescue, &self.job.ask(&[]), rand::random(), clock::now())
         };
         if let Some(target) = target {
             self.rescue = Some(Rescue::start(&self.job, &self.run.endpoint, target));
