Copy leaving runs again each 400 ms, and let fewer copies grow

Cause: runs that went on from a copy made 1.5 s before paused for 200 to 270 ms, over the 180 ms that are on time; copies that grew with every run still filled the memory.

Change: copies grow up to 0.3 of an engine's memory, a target in another data centre counts as half full, a running request as 600 tokens; copies of leaving runs are renewed each 400 ms.

--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -6,21 +6,21 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Config {
-    /// Prompt tokens that one running request counts as in an engine's score; 300
-    /// by default. A running request lengthens each step by about 2%, over the
-    /// 200 steps that a prompt of 3,000 tokens and its first events take.
+    /// Prompt tokens that one running request counts as in an engine's score; 600
+    /// by default. A running request lengthens each step by about 2%, and holds
+    /// memory that a later run would need.
     pub running_tokens: f64,
     /// The share of an engine's memory that choices fill at most; 0.92 by
     /// default, which leaves room for lengths beyond their hints.
     pub memory_share: f64,
     /// The share of an engine's memory above which it gets no copies that grow
-    /// with their run; 0.55 by default. Runs that come later need the rest: at 0.8
+    /// with their run; 0.3 by default. Runs that come later need the rest: at 0.55
     /// copies filled the memory and runs were preempted.
     pub copy_share: f64,
     /// The share of an engine's memory above which it takes no run of an engine
     /// that leaves; 0.9 by default. Such a run is lost otherwise.
     pub rescue_share: f64,
-    /// The share of memory that another data centre counts as for a copy; 0.1 by
+    /// The share of memory that another data centre counts as for a copy; 0.5 by
     /// default. A copy between data centres takes the links for twice as long.
     pub far_copy_share: f64,
     /// Engines of which the best is chosen, drawn at random; 4 by default.
@@ -56,11 +56,11 @@
 impl Default for Config {
     fn default() -> Config {
         Config {
-            running_tokens: 300.0,
+            running_tokens: 600.0,
             memory_share: 0.92,
-            copy_share: 0.55,
+            copy_share: 0.3,
             rescue_share: 0.9,
-            far_copy_share: 0.1,
+            far_copy_share: 0.5,
             choices: 4,
             overflow_weight: 20.0,
             distance_tokens: 0.0,
--- a/crates/gateway/src/rescue.rs
+++ b/crates/gateway/src/rescue.rs
@@ -27,7 +27,7 @@
 
 /// Time between two copies of one run: short enough that the copy is kept, and
 /// that little must be read again, and long enough to leave the links to others.
-const COPY_INTERVAL: Duration = Duration::from_millis(1_500);
+const COPY_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The pause after a copy that was refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
