Ask engines more often while the store is away

Entries that lapsed during an outage were dropped with the first changes after it.

Change: reports each 200 ms while the list is away; what lapses in the first changes after an outage is kept for 2 s as well.

--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -1,6 +1,9 @@
 //! Asks engines for their reports.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use cactusroad_core::pool::{Endpoint, Report};
 use cactusroad_platform::replica::Observer;
@@ -16,6 +19,10 @@
 /// they arrive, so that asking more often tells little more.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two reports while the store is away: they are then the only
+/// notice that an engine is leaving, which it does within two seconds.
+const LONE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How long an engine may take for a report.
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
 
@@ -50,7 +57,8 @@
             for endpoint in endpoints {
                 let is_known = observed.iter().any(|known| is_same(known, &endpoint));
                 if !is_known {
-                    tokio::spawn(observe(Arc::clone(&shard), Arc::clone(&endpoint)));
+                    let task = observe(Arc::clone(&state), Arc::clone(&shard), Arc::clone(&endpoint));
+                    tokio::spawn(task);
                 }
                 listed.push(endpoint);
             }
@@ -90,14 +98,13 @@
 }
 
 /// Takes reports of one engine while it is listed.
-async fn observe(shard: Arc<Shard>, endpoint: Arc<Endpoint>) {
+async fn observe(state: Arc<State>, shard: Arc<Shard>, endpoint: Arc<Endpoint>) {
     let mut observer = Observer::new(endpoint.address);
     // Gateways that started together must not ask together.
     sleep(REPORT_INTERVAL.mul_f64(rand::random())).await;
-    let mut ticks = interval(REPORT_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        let is_alone = state.is_store_away.load(Ordering::Relaxed);
+        sleep(if is_alone { LONE_INTERVAL } else { REPORT_INTERVAL }).await;
         let is_listed =
             shard.pool().get(&endpoint.id).is_some_and(|listed| is_same(listed, &endpoint));
         if !is_listed {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -55,6 +55,8 @@
     pub(crate) is_listed: AtomicBool,
     /// Whether the data centres that are out were read once.
     pub(crate) knows_out: AtomicBool,
+    /// Whether the list of endpoints cannot be had at present.
+    pub(crate) is_store_away: AtomicBool,
     /// Set once, when the process is asked to stop.
     pub(crate) stopping: watch::Sender<Option<Time>>,
     open_requests: AtomicUsize,
@@ -84,6 +86,7 @@
             metrics: Metrics::new(),
             is_listed: AtomicBool::new(false),
             knows_out: AtomicBool::new(false),
+            is_store_away: AtomicBool::new(false),
             stopping: watch::Sender::new(None),
             open_requests: AtomicUsize::new(0),
             gateways: AtomicUsize::new(ASSUMED_GATEWAYS),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -59,8 +59,10 @@
     fn replace(&mut self, state: &State, objects: &[Object], at: u64);
     /// Takes one change.
     fn apply(&mut self, state: &State, change: &Change);
+    /// Notes that the store does not answer.
+    fn lost(&mut self, _state: &State) {}
     /// Notes that the store answers again.
-    fn regained(&mut self) {}
+    fn regained(&mut self, _state: &State) {}
 }
 
 /// Starts the tasks that follow the store; they end with the runtime.
@@ -86,7 +88,7 @@
                 at = Some(next);
                 count(&state, F::KIND, "answered");
                 if outage.ended(F::KIND) {
-                    follower.regained();
+                    follower.regained(&state);
                 }
                 sleep(F::SPACING).await;
             }
@@ -97,7 +99,7 @@
             Err(cause) => {
                 count(&state, F::KIND, "failed");
                 if outage.began(F::KIND, &cause) {
-                    follower.regained();
+                    follower.lost(&state);
                 }
                 sleep(outage.pause()).await;
             }
@@ -241,7 +243,10 @@
 
     /// Drops an endpoint from all services but `kept`.
     fn withdraw(&self, state: &State, name: &str) {
-        let until = clock::now().max(self.returned_at + RETURN_GRACE);
+        // The first changes after an outage arrive before it counts as ended.
+        let is_away = state.is_store_away.load(Ordering::Relaxed);
+        let returned_at = if is_away { clock::now() } else { self.returned_at };
+        let until = clock::now().max(returned_at + RETURN_GRACE);
         for shard in state.shards().iter() {
             let change = shard.pool().withdraw(name, until);
             shard.learn(name, change, "list");
@@ -290,7 +295,12 @@
         Endpoints::sweep(state);
     }
 
-    fn regained(&mut self) {
+    fn lost(&mut self, state: &State) {
+        state.is_store_away.store(true, Ordering::Relaxed);
+    }
+
+    fn regained(&mut self, state: &State) {
+        state.is_store_away.store(false, Ordering::Relaxed);
         self.returned_at = clock::now();
     }
 }
