Test the gateway as a process between stand-ins, and its choices in the core

The choices have tests that replay their load patterns: prompts within the age of one report, a full memory, a failing replica, an engine with many runs that leaves.

--- /dev/null
+++ b/crates/core/tests/pool.rs
@@ -0,0 +1,366 @@
+//! Choices of endpoints, copies of runs, and repeats.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use cactusroad_core::{
+    Time,
+    pool::{
+        Ask, Budget, Change, Config, Endpoint, Loss, Next, Outcome, Pool, Purpose, Refusal, Report,
+        Run, Use, Work,
+    },
+};
+use proptest::prelude::*;
+
+const START: Time = Time::from_millis(1_000_000);
+const MEMORY: u64 = 30_000;
+
+fn after(millis: u64) -> Time {
+    START + Duration::from_millis(millis)
+}
+
+fn endpoint(number: u16) -> Endpoint {
+    Endpoint {
+        id: format!("e-{number:03}").into(),
+        address: ([10, 0, 0, 1], 1_000 + number).into(),
+        service: "engines".into(),
+        data_centre: format!("dc-{}", number % 3).into(),
+        version: "v1".into(),
+        slots: 24,
+        born_ms: 1,
+        draining: false,
+        cold_until: Time::ZERO,
+    }
+}
+
+fn engines(count: u16) -> Pool {
+    let mut pool = Pool::new(Config::default());
+    pool.set_engine(MEMORY);
+    for number in 0..count {
+        assert_eq!(pool.enlist(Arc::new(endpoint(number)), START), Some(Change::Joined));
+    }
+    pool
+}
+
+fn plain(count: u16) -> Pool {
+    let mut pool = Pool::new(Config::default());
+    for number in 0..count {
+        pool.enlist(Arc::new(endpoint(number)), START);
+    }
+    pool
+}
+
+const LONG: Work = Work { prompt: 3_000, output: 900 };
+
+fn ask(work: Work) -> Ask<'static> {
+    Ask { work, data_centre: "dc-0", tried: &[], version: None }
+}
+
+fn draining(number: u16) -> Arc<Endpoint> {
+    Arc::new(Endpoint { draining: true, ..endpoint(number) })
+}
+
+#[test]
+fn choose_empty() {
+    let pool = engines(0);
+    assert_eq!(pool.choose(&ask(LONG), 1, START).unwrap_err(), Refusal::Empty);
+}
+
+#[test]
+fn choose_tried() {
+    let pool = engines(2);
+    let tried: Vec<Arc<str>> = vec!["e-000".into(), "e-001".into()];
+    let ask = Ask { tried: &tried, ..ask(LONG) };
+    assert_eq!(pool.choose(&ask, 1, START).unwrap_err(), Refusal::Exhausted);
+    let ask = Ask { tried: &tried[..1], ..ask };
+    assert_eq!(&*pool.choose(&ask, 1, START).unwrap().id, "e-001");
+}
+
+#[test]
+fn choose_too_large() {
+    let pool = engines(3);
+    let work = Work { prompt: MEMORY + 1, output: 1 };
+    assert_eq!(pool.choose(&ask(work), 1, START).unwrap_err(), Refusal::TooLarge);
+}
+
+/// Each way in which an endpoint stops getting work.
+#[test]
+fn choose_not_leaving() {
+    let leave: [fn(&mut Pool); 4] = [
+        |pool| {
+            assert_eq!(pool.enlist(draining(0), START), Some(Change::Leaving));
+            assert_eq!(pool.enlist(draining(0), START), None);
+        },
+        |pool| assert_eq!(pool.withdraw("e-000", START), Some(Change::Gone)),
+        |pool| {
+            let report = Report { is_leaving: true, ..Report::default() };
+            assert_eq!(pool.report("e-000", report, START), Some(Change::Leaving));
+        },
+        |pool| pool.set_out(&["dc-0".into()]),
+    ];
+    for leave in leave {
+        let mut pool = engines(2);
+        leave(&mut pool);
+        for seed in 0..50 {
+            assert_eq!(&*pool.choose(&ask(LONG), seed, START).unwrap().id, "e-001");
+        }
+    }
+}
+
+#[test]
+fn choose_lapsed_until_return() {
+    // Entries that lapse while the store is away are kept for a while.
+    let mut pool = engines(1);
+    pool.withdraw("e-000", after(2_000));
+    assert!(pool.choose(&ask(LONG), 1, after(1_999)).is_ok());
+    assert!(pool.choose(&ask(LONG), 1, after(2_000)).is_err());
+    assert_eq!(pool.enlist(Arc::new(endpoint(0)), after(2_100)), Some(Change::Joined));
+    assert!(pool.choose(&ask(LONG), 1, after(2_100)).is_ok());
+}
+
+#[test]
+fn choose_restarted() {
+    let mut pool = engines(2);
+    pool.enlist(draining(0), START);
+    let again = Endpoint { born_ms: 2, ..endpoint(0) };
+    assert_eq!(pool.enlist(Arc::new(again), START), Some(Change::Restarted));
+    assert!(!pool.is_leaving("e-000"));
+}
+
+/// Load pattern: a burst of prompts within the age of one report. Gateways that
+/// share the report must not all choose the engine that looks empty.
+#[test]
+fn choose_burst_without_herd() {
+    let mut chosen: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+    for seed in 0..200 {
+        // Each gateway has the same reports and sends one request.
+        let mut pool = engines(10);
+        for number in 0..10 {
+            let report = Report {
+                running: if number == 7 { 0 } else { 3 },
+                used_tokens: if number == 7 { 0 } else { 9_000 },
+                memory_tokens: MEMORY,
+                ..Report::default()
+            };
+            pool.report(&format!("e-{number:03}"), report, START);
+        }
+        let engine = pool.choose(&ask(LONG), seed * 7_919, START).unwrap();
+        *chosen.entry(Arc::clone(&engine.id)).or_default() += 1;
+    }
+    let emptiest = chosen["e-007"];
+    assert!((60..=110).contains(&emptiest), "{chosen:?}");
+    assert!(chosen.len() >= 8, "{chosen:?}");
+}
+
+/// Load pattern: prompts from one gateway, faster than reports come. What was
+/// sent counts at once, so that prompts are spread.
+#[test]
+fn choose_counts_what_was_sent() {
+    let mut pool = engines(4);
+    let mut sent: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+    for seed in 0..40 {
+        let engine = pool.choose(&ask(LONG), seed * 31, after(seed)).unwrap();
+        pool.started(&engine.id, LONG, after(seed));
+        *sent.entry(Arc::clone(&engine.id)).or_default() += 1;
+    }
+    assert!(sent.values().all(|count| (8..=12).contains(count)), "{sent:?}");
+}
+
+/// Load pattern: engines whose memory fills. One without room is the last choice.
+#[test]
+fn choose_full_memory() {
+    let mut pool = engines(2);
+    let full = Report { used_tokens: MEMORY, memory_tokens: MEMORY, ..Report::default() };
+    pool.report("e-000", full, START);
+    let busy = Report { running: 20, waiting: 1, memory_tokens: MEMORY, ..Report::default() };
+    pool.report("e-001", busy, START);
+    assert_eq!(&*pool.choose(&ask(LONG), 3, START).unwrap().id, "e-001");
+}
+
+#[test]
+fn choose_avoids_unreachable() {
+    let mut pool = plain(3);
+    pool.started("e-000", Work::default(), START);
+    pool.ended("e-000", Work::default(), false, Outcome::Unreachable, START);
+    for seed in 0..30 {
+        assert_ne!(&*pool.choose(&ask(Work::default()), seed, START).unwrap().id, "e-000");
+    }
+    // One that is avoided is better than none.
+    pool.withdraw("e-001", START);
+    pool.withdraw("e-002", START);
+    assert_eq!(&*pool.choose(&ask(Work::default()), 1, START).unwrap().id, "e-000");
+}
+
+/// Load pattern: one replica of three fails half of its requests.
+#[test]
+fn choose_failing_replica() {
+    let mut pool = plain(3);
+    for round in 0..60u64 {
+        for number in 0..3u16 {
+            let id = format!("e-{number:03}");
+            pool.started(&id, Work::default(), after(round * 20));
+            let outcome = if number == 0 && round % 2 == 0 {
+                Outcome::Failed
+            } else {
+                Outcome::Answered { latency_ms: 20 }
+            };
+            pool.ended(&id, Work::default(), true, outcome, after(round * 20));
+        }
+    }
+    for seed in 0..30 {
+        let chosen = pool.choose(&ask(Work::default()), seed, after(1_200)).unwrap();
+        assert_ne!(&*chosen.id, "e-000");
+    }
+    // It is tried again once its failures are old.
+    let later = after(1_200 + 60_000);
+    let again = (0..200).any(|seed| {
+        &*pool.choose(&ask(Work::default()), seed * 97, later).unwrap().id == "e-000"
+    });
+    assert!(again);
+}
+
+#[test]
+fn backup_not_primary() {
+    let pool = engines(2);
+    for seed in 0..20 {
+        let copy = pool.backup("e-000", Purpose::Grow, &ask(LONG), seed, START).unwrap();
+        assert_eq!(&*copy.id, "e-001");
+    }
+    assert!(engines(1).backup("e-000", Purpose::Grow, &ask(LONG), 1, START).is_none());
+}
+
+/// Load pattern: memory is short. Copies that may never be needed give way to
+/// runs; those of runs that will be lost do not.
+#[test]
+fn backup_short_memory() {
+    let mut pool = engines(2);
+    let half = Report { used_tokens: MEMORY / 2, memory_tokens: MEMORY, ..Report::default() };
+    pool.report("e-001", half, START);
+    assert!(pool.backup("e-000", Purpose::Grow, &ask(LONG), 1, START).is_none());
+    assert!(pool.backup("e-000", Purpose::Rescue, &ask(LONG), 1, START).is_some());
+    let full = Report { used_tokens: MEMORY, memory_tokens: MEMORY, ..Report::default() };
+    pool.report("e-001", full, START);
+    assert!(pool.backup("e-000", Purpose::Rescue, &ask(LONG), 1, START).is_none());
+}
+
+/// Load pattern: an engine with many runs leaves. Their copies share the links,
+/// so they stay in the data centre where it has room, and go to several engines.
+#[test]
+fn backup_many_runs_of_one_engine() {
+    let mut pool = engines(12);
+    let mut targets: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+    for seed in 0..6u64 {
+        let copy = pool.backup("e-000", Purpose::Rescue, &ask(LONG), seed * 77, START).unwrap();
+        pool.copy_started(&copy.id, LONG);
+        *targets.entry(Arc::clone(&copy.id)).or_default() += 1;
+    }
+    assert!(targets.len() >= 3, "{targets:?}");
+    assert!(targets.values().all(|count| *count <= 2), "{targets:?}");
+}
+
+#[test]
+fn salvage_cases() {
+    let mut pool = engines(3);
+    let backup = Arc::clone(pool.get("e-001").unwrap());
+    let run = Run {
+        endpoint: Arc::clone(pool.get("e-000").unwrap()),
+        backup: Some(Arc::clone(&backup)),
+        moves: 0,
+        deadline: after(10_000),
+    };
+    let resumes = |pool: &Pool, run: &Run, now| matches!(pool.salvage(run, now), Next::Resume(_));
+    assert!(resumes(&pool, &run, START));
+    assert!(!resumes(&pool, &Run { backup: None, ..run.clone() }, START));
+    assert!(!resumes(&pool, &run, after(10_000)));
+    assert!(!resumes(&pool, &Run { moves: 100, ..run.clone() }, START));
+    // One that has just said that it leaves still serves for a moment.
+    pool.enlist(draining(1), START);
+    assert!(resumes(&pool, &run, after(500)));
+    assert!(!resumes(&pool, &run, after(1_500)));
+    pool.set_out(&["dc-1".into()]);
+    assert!(!resumes(&pool, &run, after(500)));
+    assert_eq!(Loss::Broken.to_string(), "broken");
+}
+
+#[test]
+fn is_leaving_unknown() {
+    // An engine that was dropped from the pool holds no copy to wait for.
+    let mut pool = engines(1);
+    pool.withdraw("e-000", START);
+    pool.sweep(after(1));
+    assert!(pool.is_leaving("e-000"));
+    assert!(!pool.holds_copy("e-000", after(1)));
+}
+
+#[test]
+fn sweep_keeps_running() {
+    let mut pool = engines(1);
+    pool.started("e-000", LONG, START);
+    pool.withdraw("e-000", START);
+    pool.sweep(after(10));
+    assert!(pool.get("e-000").is_some());
+    pool.ended("e-000", LONG, true, Outcome::Answered { latency_ms: 5 }, after(10));
+    pool.sweep(after(10));
+    assert!(pool.get("e-000").is_none());
+}
+
+#[test]
+fn budget_window() {
+    let mut budget = Budget::new(0.2, 2.0, Duration::from_secs(10));
+    for _ in 0..50 {
+        budget.request(START);
+    }
+    let taken = (0..100).filter(|_| budget.take(Use::Resume, START)).count();
+    assert_eq!(taken, 12);
+    // The window slides: neither requests nor repeats count any longer.
+    assert!(budget.take(Use::Resume, after(12_000)));
+}
+
+#[test]
+fn budget_keeps_part_for_resumes() {
+    let mut budget = Budget::new(0.0, 10.0, Duration::from_secs(10));
+    let retries = (0..20).filter(|_| budget.take(Use::Retry, START)).count();
+    assert_eq!(retries, 7);
+    let resumes = (0..20).filter(|_| budget.take(Use::Resume, START)).count();
+    assert_eq!(resumes, 3);
+}
+
+proptest! {
+    /// Whenever a repeat is taken, those of the window are within the share of its
+    /// requests and the floor. The counted span is longer than the window by a step.
+    #[test]
+    fn budget_never_exceeded(steps in prop::collection::vec((0u64..400, any::<bool>()), 1..400)) {
+        let window = Duration::from_secs(10);
+        let mut budget = Budget::new(0.2, 3.0, window);
+        let (mut now, mut requests, mut repeats) = (START, Vec::new(), Vec::new());
+        let recent = |times: &[Time], now: Time, span: Duration| {
+            times.iter().filter(|at| now.since(**at) <= span).count()
+        };
+        for (gap, is_request) in steps {
+            now = now + Duration::from_millis(gap);
+            if is_request {
+                budget.request(now);
+                requests.push(now);
+            } else if budget.take(Use::Resume, now) {
+                repeats.push(now);
+                let allowed = 0.2 * recent(&requests, now, window + window / 10) as f64 + 3.0;
+                prop_assert!(recent(&repeats, now, window) as f64 <= allowed);
+            }
+        }
+    }
+
+    /// What is started and ended leaves nothing behind.
+    #[test]
+    fn work_balanced(count in 1usize..60, seed in any::<u64>()) {
+        let mut pool = engines(5);
+        let mut open = Vec::new();
+        for number in 0..count {
+            let engine = pool.choose(&ask(LONG), seed.wrapping_add(number as u64), START).unwrap();
+            pool.started(&engine.id, LONG, START);
+            open.push(engine);
+        }
+        for engine in open {
+            pool.ended(&engine.id, LONG, false, Outcome::Cancelled, START);
+        }
+        prop_assert!(pool.views(START).all(|view| view.running == 0));
+    }
+}
--- /dev/null
+++ b/tests/gateway/config.rs
@@ -0,0 +1,100 @@
+//! What operators write is in force soon, and stays so.
+
+use std::time::Duration;
+
+use cactusroad::platform::standin::store::Mood;
+use http::StatusCode;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::site::{IN_FORCE, Site, config};
+
+#[tokio::test]
+async fn config_route_dropped() {
+    let site = Site::start(0, 1).await;
+    let mut next = config(2);
+    next["routes"].as_array_mut().expect("there are routes").remove(1);
+    site.store.put("config", "main", next);
+    sleep(IN_FORCE).await;
+    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::NOT_FOUND);
+}
+
+#[tokio::test]
+async fn config_key_revoked() {
+    let site = Site::start(0, 1).await;
+    let mut next = config(2);
+    next["tenants"] = json!([{"name": "workshop", "apiKeys": ["another"]}]);
+    site.store.put("config", "main", next);
+    sleep(IN_FORCE).await;
+    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
+    assert_eq!(Site::runs(&site.orders, "o1"), 0);
+}
+
+#[tokio::test]
+async fn config_across_outages() {
+    for mood in [Mood::Refusing, Mood::Closing] {
+        let site = Site::start(0, 1).await;
+        site.store.set_mood(mood);
+        sleep(Duration::from_millis(700)).await;
+        // What was known goes on to be served.
+        let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+        assert_eq!(answer.status, StatusCode::OK, "{mood:?}");
+        let mut next = config(2);
+        next["routes"][1]["pathPrefix"] = json!("/deposits/");
+        site.store.put("config", "main", next);
+        site.store.compact();
+        site.store.set_mood(Mood::Well);
+        sleep(IN_FORCE).await;
+        let answer = site.send("/deposits/1", "o2").await.expect("there is an answer");
+        assert_eq!(answer.status, StatusCode::OK, "{mood:?}");
+    }
+}
+
+#[tokio::test]
+async fn config_unreadable_entry() {
+    let site = Site::start(0, 1).await;
+    for (number, entry) in [json!(null), json!({"service": 7}), json!("text"), json!([])].iter().enumerate() {
+        site.store.put("servers", &format!("a-{number}"), entry.clone());
+    }
+    sleep(Duration::from_millis(600)).await;
+    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn config_data_centre_out() {
+    let site = Site::start(0, 1).await;
+    site.store.put("evacuations", "north", json!({}));
+    sleep(IN_FORCE).await;
+    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    site.store.remove("evacuations", "north");
+    sleep(IN_FORCE).await;
+    let answer = site.send("/orders/1", "o2").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(Site::runs(&site.orders, "o1"), 0);
+}
+
+#[tokio::test]
+async fn config_address_reused() {
+    let site = Site::start(0, 1).await;
+    // The list names a replica that is gone, at an address that another one has now.
+    let entry = site.orders[0].entry("orders-1", "north", "available");
+    site.store.put("servers", "o-gone", entry);
+    sleep(Duration::from_millis(600)).await;
+    for number in 0..6 {
+        let id = format!("o{number}");
+        let answer = site.send("/orders/1", &id).await.expect("there is an answer");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(Site::runs(&site.orders, &id), 1);
+    }
+}
+
+#[tokio::test]
+async fn gateway_counted() {
+    let site = Site::start(0, 1).await;
+    sleep(IN_FORCE).await;
+    assert_eq!(site.store.names("gateways"), ["edge-1"]);
+}
--- /dev/null
+++ b/tests/gateway/plain.rs
@@ -0,0 +1,78 @@
+//! Requests with one whole answer: at most one run, and true refusals.
+
+use cactusroad::platform::standin::replica::Mood;
+use http::StatusCode;
+
+use crate::site::Site;
+
+#[tokio::test]
+async fn order_answered() {
+    let site = Site::start(0, 2).await;
+    let answer = site.send("/orders/1?x=1", "o1").await.expect("there is an answer");
+    assert_eq!((answer.status, answer.text().as_str()), (StatusCode::OK, "answer to o1"));
+    assert!(answer.headers.contains_key("x-cactusroad-replica-signature"));
+    let seen: Vec<_> = site.orders.iter().flat_map(|replica| replica.seen()).collect();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].path, "/orders/1?x=1");
+    assert_eq!(&seen[0].body[..], b"body of o1");
+    assert_eq!(seen[0].headers["x-cactusroad-tenant-id"], "workshop");
+    assert!(!seen[0].headers.contains_key("authorization"));
+}
+
+/// Each way to lose an answer, and the status that tells the truth about it.
+#[tokio::test]
+async fn order_misbehaving_replica() {
+    let cases = [
+        (Mood::Full, StatusCode::SERVICE_UNAVAILABLE, 0),
+        (Mood::Lost, StatusCode::BAD_GATEWAY, 1),
+        (Mood::Crossed, StatusCode::BAD_GATEWAY, 1),
+        (Mood::Unsigned, StatusCode::BAD_GATEWAY, 1),
+        (Mood::Busy, StatusCode::BAD_GATEWAY, 1),
+        (Mood::Failing, StatusCode::INTERNAL_SERVER_ERROR, 1),
+        (Mood::Silent, StatusCode::GATEWAY_TIMEOUT, 1),
+    ];
+    let site = Site::start(0, 2).await;
+    for (number, (mood, status, runs)) in cases.into_iter().enumerate() {
+        site.orders.iter().for_each(|replica| replica.set_mood(mood));
+        let id = format!("o{number}");
+        let patience = [("x-cactusroad-deadline-ms", "700")];
+        let answer = site.send_with("/orders/1", &id, &patience).await;
+        let answer = answer.expect("there is an answer");
+        assert_eq!(answer.status, status, "{mood:?}");
+        assert_eq!(Site::runs(&site.orders, &id), runs, "{mood:?}");
+    }
+}
+
+#[tokio::test]
+async fn look_repeated_elsewhere() {
+    for mood in [Mood::Full, Mood::Lost, Mood::Crossed, Mood::Unsigned, Mood::Failing, Mood::Silent] {
+        let site = Site::start(0, 2).await;
+        site.orders[0].set_mood(mood);
+        for number in 0..3 {
+            let answer = site.send("/looks/1", &format!("l{number}")).await;
+            let answer = answer.expect("there is an answer");
+            assert_eq!(answer.status, StatusCode::OK, "{mood:?}");
+            assert_eq!(answer.text(), format!("answer to l{number}"));
+        }
+    }
+}
+
+#[tokio::test]
+async fn order_replica_gone() {
+    let mut site = Site::start(0, 2).await;
+    drop(site.orders.remove(0));
+    for number in 0..6 {
+        let id = format!("o{number}");
+        let answer = site.send("/orders/1", &id).await.expect("there is an answer");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(Site::runs(&site.orders, &id), 1);
+    }
+}
+
+#[tokio::test]
+async fn order_no_replica() {
+    let site = Site::start(0, 0).await;
+    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+}
--- /dev/null
+++ b/tests/gateway/site.rs
@@ -0,0 +1,334 @@
+//! A platform on loopback with one gateway.
+
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpListener as StdListener},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use cactusroad::platform::standin::{
+    replica::{Memory, Replica},
+    store::Store,
+};
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tempfile::NamedTempFile;
+use tokio::{net::TcpStream, time::sleep};
+
+/// The service of model engines.
+pub(crate) const ENGINES: &str = "llm-1";
+/// The plain service.
+pub(crate) const ORDERS: &str = "orders-1";
+/// The key of the one workspace.
+pub(crate) const KEY: &str = "key-1";
+/// How long a change may take until it is in force.
+pub(crate) const IN_FORCE: Duration = Duration::from_secs(2);
+
+/// Everything that stands around one gateway.
+pub(crate) struct Site {
+    pub(crate) store: Store,
+    pub(crate) engines: Vec<Replica>,
+    pub(crate) orders: Vec<Replica>,
+    pub(crate) gateway: Gateway,
+    memory: Memory,
+}
+
+/// One gateway process, which is killed when it is dropped.
+pub(crate) struct Gateway {
+    child: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    _settings: NamedTempFile,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Gateway {
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("the gateway runs");
+    }
+
+    /// Waits until the process has ended by itself.
+    pub(crate) async fn ended(&mut self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if self.child.try_wait().expect("the gateway can be waited for").is_some() {
+                return true;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+}
+
+/// An answer as a client sees it.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Bytes,
+    /// Whether the body came to its end.
+    pub(crate) is_whole: bool,
+}
+
+impl Answer {
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+impl Site {
+    /// Starts a site with so many engines and replicas of the plain service.
+    pub(crate) async fn start(engines: usize, orders: usize) -> Site {
+        Site::start_with(engines, orders, 20, Duration::from_millis(15)).await
+    }
+
+    /// Starts a site whose streams have so many events, one each `pace`.
+    pub(crate) async fn start_with(
+        engines: usize,
+        orders: usize,
+        events: u64,
+        pace: Duration,
+    ) -> Site {
+        let store = Store::start().await.expect("a port is free");
+        let memory = Memory::default();
+        let start = async |name: String| {
+            Replica::start(&name, &memory, events, pace).await.expect("a port is free")
+        };
+        let mut site = Site {
+            engines: Vec::new(),
+            orders: Vec::new(),
+            gateway: launch(&store),
+            memory: memory.clone(),
+            store,
+        };
+        for number in 0..engines {
+            site.engines.push(start(format!("e-{number}")).await);
+        }
+        for number in 0..orders {
+            site.orders.push(start(format!("o-{number}")).await);
+        }
+        for number in 0..engines {
+            site.list_engine(number, "available");
+        }
+        for (number, replica) in site.orders.iter().enumerate() {
+            let entry = replica.entry(ORDERS, "north", "available");
+            site.store.put("servers", &format!("o-{number}"), entry);
+        }
+        site.store.put("config", "main", config(1));
+        site.ready().await;
+        site
+    }
+
+    /// Writes an engine's entry into the list.
+    pub(crate) fn list_engine(&self, number: usize, phase: &str) {
+        let entry = self.engines[number].entry(ENGINES, "north", phase);
+        self.store.put("servers", &format!("e-{number}"), entry);
+    }
+
+    /// Adds an engine while the site runs.
+    pub(crate) async fn join(&self, id: &str, events: u64, pace: Duration) -> Replica {
+        let engine = Replica::start(id, &self.memory, events, pace).await;
+        let engine = engine.expect("a port is free");
+        self.store.put("servers", id, engine.entry(ENGINES, "north", "available"));
+        engine
+    }
+
+    /// Waits until the gateway says that it is ready and knows all replicas.
+    async fn ready(&self) {
+        let deadline = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < deadline {
+            if self.is_ready().await {
+                // The list is read again within this time if it was read too early.
+                sleep(Duration::from_millis(600)).await;
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the gateway is not ready after 10 s");
+    }
+
+    /// Asks as the balancer does.
+    pub(crate) async fn is_ready(&self) -> bool {
+        let request = Request::get("/v1/readyz").header("host", "x").body(Full::default());
+        match exchange(self.gateway.readiness, request.expect("the request is valid")).await {
+            Some(answer) => answer.status == StatusCode::OK,
+            None => false,
+        }
+    }
+
+    /// Sends a request with the usual headers and returns the answer, if there is one.
+    pub(crate) async fn send(&self, path: &str, id: &str) -> Option<Answer> {
+        self.send_with(path, id, &[]).await
+    }
+
+    /// Sends a request with further headers.
+    pub(crate) async fn send_with(
+        &self,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<Answer> {
+        exchange(self.gateway.callers, request(path, id, headers)).await
+    }
+
+    /// Opens a stream and returns it at its first bytes.
+    pub(crate) async fn open(&self, path: &str, id: &str) -> Stream {
+        let response = connect(self.gateway.callers, request(path, id, &[])).await;
+        let response = response.expect("the gateway answers");
+        assert_eq!(response.status(), StatusCode::OK);
+        Stream { body: response.into_body(), text: String::new() }
+    }
+
+    /// Returns how often the replicas of a group ran a request.
+    pub(crate) fn runs(replicas: &[Replica], id: &str) -> usize {
+        let seen = replicas.iter().flat_map(Replica::seen);
+        seen.filter(|seen| seen.ran && seen.headers["x-cactusroad-attempt-id"] == id).count()
+    }
+
+    /// Returns the number of the engine that ran a request last.
+    pub(crate) fn holder(&self, id: &str) -> usize {
+        let ran = |engine: &Replica| {
+            let seen = engine.seen();
+            seen.iter().any(|seen| seen.ran && seen.headers["x-cactusroad-attempt-id"] == id)
+        };
+        self.engines.iter().position(ran).expect("an engine runs the request")
+    }
+}
+
+/// A stream that is being read.
+pub(crate) struct Stream {
+    body: Incoming,
+    pub(crate) text: String,
+}
+
+impl Stream {
+    /// Reads until so many events have come, or the end. Tells whether the stream
+    /// came to its end.
+    pub(crate) async fn read(&mut self, events: usize) -> Option<bool> {
+        while self.text.matches("\n\n").count() < events {
+            match self.body.frame().await {
+                None => return Some(true),
+                Some(Err(_)) => return Some(false),
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    self.text.push_str(&String::from_utf8_lossy(&data));
+                }
+            }
+        }
+        None
+    }
+}
+
+/// Returns the text of a whole stream of a run.
+pub(crate) fn whole_stream(id: &str, events: u64) -> String {
+    (1..=events).map(|number| format!("id: {number}\ndata: {id} {number}\n\n")).collect()
+}
+
+fn request(path: &str, id: &str, headers: &[(&str, &str)]) -> Request<Full<Bytes>> {
+    let mut request = Request::post(path)
+        .header("host", "shop.example")
+        .header("x-cactusroad-attempt-id", id)
+        .header("authorization", format!("Bearer {KEY}"));
+    if path.starts_with("/drafts/") {
+        request = request.header("x-cactusroad-token-usage", "100,80");
+    }
+    let body = Full::from(format!("body of {id}"));
+    let mut request = request.body(body).expect("the request is valid");
+    for (name, value) in headers {
+        let name: http::HeaderName = name.parse().expect("the name is valid");
+        request.headers_mut().insert(name, value.parse().expect("the value is valid"));
+    }
+    request
+}
+
+async fn connect(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Option<http::Response<Incoming>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    sender.send_request(request).await.ok()
+}
+
+async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Answer> {
+    let (head, mut body) = connect(address, request).await?.into_parts();
+    let mut whole = Vec::new();
+    let is_whole = loop {
+        match body.frame().await {
+            None => break true,
+            Some(Err(_)) => break false,
+            Some(Ok(frame)) => whole.extend_from_slice(&frame.into_data().unwrap_or_default()),
+        }
+    };
+    Some(Answer { status: head.status, headers: head.headers, body: whole.into(), is_whole })
+}
+
+/// Returns the first configuration, with another version.
+pub(crate) fn config(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
+        json!({"name": name, "hostname": "shop.example", "pathPrefix": prefix,
+            "routeType": kind, "timeoutMs": 3000, "targetLatencyMs": 200, "targetItlMs": 180,
+            "priorityClass": 1, "service": service, "attempts": attempts, "anonymous": false})
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("drafts", "/drafts/", "streaming", ENGINES, 1),
+            route("orders", "/orders/", "non_idempotent", ORDERS, 1),
+            route("looks", "/looks/", "idempotent", ORDERS, 2),
+        ],
+        "services": [
+            {"name": ENGINES, "healthPath": "/healthz", "maxConnections": 100,
+                "coldStartS": 0.0, "coldPerS": 0.0,
+                "runtime": {"batchSlots": 24, "kvCapacityTokens": 30000, "migrations": true,
+                    "backups": true}},
+            {"name": ORDERS, "healthPath": "/healthz", "maxConnections": 100},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 5000},
+        "tenants": [{"name": "workshop", "apiKeys": [KEY]}],
+    })
+}
+
+/// Returns a port that was free a moment ago.
+fn free_port() -> SocketAddr {
+    let listener = StdListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("the port has an address")
+}
+
+fn launch(store: &Store) -> Gateway {
+    let (callers, readiness) = (free_port(), free_port());
+    let settings = json!({
+        "nodeName": "edge-1", "zone": "north", "heartbeatMs": 1200,
+        "listenAddrs": {"frontend": callers.to_string(), "readiness": readiness.to_string()},
+        "limits": {"cpuCores": 1, "memoryMb": 110},
+        "parameters": {"drainMs": 2000, "gracePeriodS": 5, "retryBudgetRatio": 0.2,
+            "retryWindowS": 10, "retryMinExtra": 52},
+        "platform": {"address": store.address().to_string()},
+    });
+    let mut file = NamedTempFile::new().expect("a file can be made");
+    file.write_all(settings.to_string().as_bytes()).expect("the file can be written");
+    let child = Command::new(env!("CARGO_BIN_EXE_cactusroad"))
+        .arg("gateway")
+        .env("CACTUSROAD_CONFIG", file.path())
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the gateway starts");
+    Gateway { child, callers, readiness, _settings: file }
+}
--- /dev/null
+++ b/tests/gateway/stop.rs
@@ -0,0 +1,51 @@
+//! A stop that was asked for cuts nothing that can end in time.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use rustix::process::Signal;
+use tokio::time::sleep;
+
+use crate::site::{Site, whole_stream};
+
+#[tokio::test]
+async fn stop_finishes_streams() {
+    let mut site = Site::start_with(2, 0, 100, Duration::from_millis(20)).await;
+    let mut stream = site.open("/drafts/1", "s1").await;
+    assert_eq!(stream.read(3).await, None);
+    site.gateway.signal(Signal::TERM);
+    assert_eq!(stream.read(usize::MAX).await, Some(true));
+    assert_eq!(stream.text, whole_stream("s1", 100));
+    assert!(site.gateway.ended(Duration::from_secs(5)).await);
+}
+
+#[tokio::test]
+async fn stop_unready_and_still_serving() {
+    let site = Site::start(0, 1).await;
+    site.gateway.signal(Signal::TERM);
+    sleep(Duration::from_millis(100)).await;
+    assert!(!site.is_ready().await);
+    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.headers["connection"], "close");
+}
+
+#[tokio::test]
+async fn stop_refuses_what_cannot_end() {
+    let site = Site::start(1, 0).await;
+    site.gateway.signal(Signal::TERM);
+    sleep(Duration::from_millis(100)).await;
+    let long = [("x-cactusroad-token-usage", "100,900"), ("x-cactusroad-length-hint", "900")];
+    let answer = site.send_with("/drafts/1", "s1", &long).await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(Site::runs(&site.engines, "s1"), 0);
+}
+
+#[tokio::test]
+async fn hangup_keeps_serving() {
+    let site = Site::start(0, 1).await;
+    site.gateway.signal(Signal::HUP);
+    sleep(Duration::from_millis(100)).await;
+    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+}
--- /dev/null
+++ b/tests/gateway/stream.rs
@@ -0,0 +1,116 @@
+//! Streams: whole, in order, and from one run, also when engines are lost.
+
+use std::time::Duration;
+
+use cactusroad::platform::standin::replica::Mood;
+use http::StatusCode;
+use tokio::time::sleep;
+
+use crate::site::{Site, whole_stream};
+
+#[tokio::test]
+async fn stream_whole() {
+    let site = Site::start(2, 0).await;
+    let answer = site.send("/drafts/1", "s1").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), whole_stream("s1", 20));
+    assert_eq!(Site::runs(&site.engines, "s1"), 1);
+}
+
+#[tokio::test]
+async fn stream_engine_lost() {
+    let mut site = Site::start_with(3, 0, 40, Duration::from_millis(20)).await;
+    let mut stream = site.open("/drafts/1", "s1").await;
+    assert_eq!(stream.read(5).await, None);
+    let holder = site.holder("s1");
+    drop(site.engines.remove(holder));
+    assert_eq!(stream.read(usize::MAX).await, Some(true));
+    assert_eq!(stream.text, whole_stream("s1", 40));
+}
+
+#[tokio::test]
+async fn stream_cut_inside_event() {
+    let site = Site::start(2, 0).await;
+    site.engines[0].set_mood(Mood::Cut);
+    site.engines[1].set_mood(Mood::Cut);
+    let sending = site.send("/drafts/1", "s1");
+    let heal = async {
+        sleep(Duration::from_millis(60)).await;
+        site.engines[0].set_mood(Mood::Well);
+        site.engines[1].set_mood(Mood::Well);
+    };
+    let (answer, ()) = tokio::join!(sending, heal);
+    let answer = answer.expect("there is an answer");
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), whole_stream("s1", 20));
+}
+
+#[tokio::test]
+async fn stream_engine_lost_without_copy() {
+    let mut site = Site::start_with(1, 0, 40, Duration::from_millis(20)).await;
+    let mut stream = site.open("/drafts/1", "s1").await;
+    assert_eq!(stream.read(3).await, None);
+    site.engines.clear();
+    // The truth: the stream is cut, and does not look complete.
+    assert_eq!(stream.read(usize::MAX).await, Some(false));
+    assert!(whole_stream("s1", 40).starts_with(&stream.text));
+}
+
+#[tokio::test]
+async fn stream_rescued_at_notice() {
+    let mut site = Site::start_with(1, 0, 120, Duration::from_millis(20)).await;
+    let mut stream = site.open("/drafts/1", "s1").await;
+    assert_eq!(stream.read(2).await, None);
+    // The only other engine joins after the run has begun, so no copy grows there.
+    let joined = site.join("e-9", 120, Duration::from_millis(20)).await;
+    assert!(joined.seen().is_empty());
+    sleep(Duration::from_millis(600)).await;
+    site.list_engine(0, "draining");
+    sleep(Duration::from_millis(900)).await;
+    drop(site.engines.remove(0));
+    assert_eq!(stream.read(usize::MAX).await, Some(true));
+    assert_eq!(stream.text, whole_stream("s1", 120));
+}
+
+#[tokio::test]
+async fn stream_silent_engine_without_copy() {
+    // Its silence alone is no reason to end an answer that has no copy.
+    let site = Site::start_with(1, 0, 4, Duration::from_millis(700)).await;
+    let answer = site.send("/drafts/1", "s1").await.expect("there is an answer");
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), whole_stream("s1", 4));
+}
+
+#[tokio::test]
+async fn stream_full_engine() {
+    let site = Site::start(2, 0).await;
+    site.engines[0].set_mood(Mood::Full);
+    for number in 0..4 {
+        let id = format!("s{number}");
+        let answer = site.send("/drafts/1", &id).await.expect("there is an answer");
+        assert_eq!(answer.text(), whole_stream(&id, 20));
+    }
+}
+
+#[tokio::test]
+async fn stream_all_full() {
+    let site = Site::start(2, 0).await;
+    site.engines.iter().for_each(|engine| engine.set_mood(Mood::Full));
+    let answer = site.send("/drafts/1", "s1").await.expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(Site::runs(&site.engines, "s1"), 0);
+}
+
+#[tokio::test]
+async fn stream_caller_leaves() {
+    let site = Site::start_with(1, 0, 2_000, Duration::from_millis(5)).await;
+    let mut stream = site.open("/drafts/1", "s1").await;
+    assert_eq!(stream.read(2).await, None);
+    drop(stream);
+    sleep(Duration::from_millis(400)).await;
+    let before = site.engines[0].events_sent();
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(site.engines[0].events_sent(), before);
+}
