--- /dev/null
+++ b/crates/gateway/src/explain.rs
@@ -0,0 +1,220 @@
+//! Reads log lines of gateways and tells what became of a request.
+//!
+//! Clocks of VMs differ and may jump, so lines of one process are ordered by its
+//! steady clock. A caller's attempt is served by one process, so the story of a
+//! request has one order; where lines of several processes name the same request,
+//! they are shown one process after the other, and the story says so.
+
+use std::{collections::BTreeMap, fmt::Write as _, io::BufRead};
+
+use serde_json::{Map, Value, json};
+
+/// Fields that every line has.
+const COMMON: [&str; 4] = ["time_ms", "steady_ms", "event", "request"];
+
+/// One line of a log.
+#[derive(Clone, Debug)]
+struct Line {
+    /// The file that it was read from.
+    file: usize,
+    /// What stands before the JSON on the line; a collector may put a name there.
+    origin: String,
+    steady_ms: u64,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    fn text(&self, field: &str) -> &str {
+        self.fields.get(field).and_then(Value::as_str).unwrap_or("")
+    }
+
+    fn event(&self) -> &str {
+        self.text("event")
+    }
+
+    fn names(&self, endpoint: &str) -> bool {
+        self.text("endpoint") == endpoint
+    }
+}
+
+/// The lines of several logs.
+#[derive(Debug, Default)]
+pub struct Logs {
+    lines: Vec<Line>,
+    files: usize,
+    unreadable: u64,
+}
+
+impl Logs {
+    /// Adds all lines of a log. Lines that hold no JSON object are counted and skipped.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the log cannot be read.
+    pub fn read(&mut self, log: impl BufRead) -> std::io::Result<()> {
+        let file = self.files;
+        self.files += 1;
+        for line in log.lines() {
+            let line = line?;
+            match parse(file, &line) {
+                Some(line) => self.lines.push(line),
+                None => self.unreadable += 1,
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the number of lines that could not be read.
+    pub fn unreadable(&self) -> u64 {
+        self.unreadable
+    }
+
+    /// Tells what became of a request, in order; `None` where no line names it.
+    pub fn story(&self, request: &str) -> Option<Story> {
+        let mut lines: Vec<&Line> =
+            self.lines.iter().filter(|line| line.text("request") == request).collect();
+        if lines.is_empty() {
+            return None;
+        }
+        lines.sort_by(|a, b| (a.file, &a.origin, a.steady_ms).cmp(&(b.file, &b.origin, b.steady_ms)));
+        let is_one_process =
+            lines.iter().all(|line| line.file == lines[0].file && line.origin == lines[0].origin);
+        let beliefs = self.beliefs(lines[0]);
+        let endpoints = self.endpoints(&lines);
+        let mut told: Vec<Line> = lines.iter().copied().chain(endpoints).cloned().collect();
+        told.sort_by(|a, b| (a.file, &a.origin, a.steady_ms).cmp(&(b.file, &b.origin, b.steady_ms)));
+        Some(Story { lines: told, beliefs, is_one_process })
+    }
+
+    /// Returns what the process believed when it first heard of a request.
+    fn beliefs(&self, first: &Line) -> Vec<Line> {
+        let mut last: BTreeMap<&str, &Line> = BTreeMap::new();
+        let earlier = self.lines.iter().filter(|line| {
+            line.file == first.file && line.origin == first.origin && line.steady_ms <= first.steady_ms
+        });
+        for line in earlier {
+            let is_belief = matches!(
+                line.event(),
+                "config_in_force" | "data_centres_out" | "load" | "gateways" | "dependency_lost" | "dependency_regained"
+            );
+            if is_belief {
+                last.insert(line.event(), line);
+            }
+        }
+        last.into_values().cloned().collect()
+    }
+
+    /// Returns changes of the endpoints that a story names, while it lasts.
+    fn endpoints<'a>(&'a self, story: &[&'a Line]) -> impl Iterator<Item = &'a Line> {
+        let named: Vec<String> = story
+            .iter()
+            .flat_map(|line| [line.text("endpoint"), line.text("backup"), line.text("to")])
+            .filter(|name| !name.is_empty())
+            .map(str::to_owned)
+            .collect();
+        let (file, origin) = (story[0].file, &story[0].origin);
+        let from = story[0].steady_ms;
+        let until = story.last().map_or(from, |line| line.steady_ms);
+        self.lines.iter().filter(move |line| {
+            line.event() == "endpoint"
+                && line.file == file
+                && line.origin == *origin
+                && (from..=until).contains(&line.steady_ms)
+                && named.iter().any(|name| line.names(name))
+        })
+    }
+
+    /// Counts what failed, by cause, most frequent first.
+    pub fn summary(&self) -> Vec<Cause> {
+        let mut counts: BTreeMap<(String, String, String), u64> = BTreeMap::new();
+        for line in &self.lines {
+            let cause = match line.event() {
+                "ended" if line.text("outcome") != "answered" => line.text("outcome"),
+                "refused" | "move_failed" | "attempt_failed" => line.text("cause"),
+                "engine_lost" => line.text("loss"),
+                _ => continue,
+            };
+            let route = line.text("route").to_owned();
+            *counts.entry((line.event().to_owned(), cause.to_owned(), route)).or_default() += 1;
+        }
+        let mut causes: Vec<Cause> = counts
+            .into_iter()
+            .map(|((event, cause, route), count)| Cause { event, cause, route, count })
+            .collect();
+        causes.sort_by(|a, b| b.count.cmp(&a.count));
+        causes
+    }
+}
+
+/// How often something failed for one cause.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cause {
+    /// The event that tells of it.
+    pub event: String,
+    /// The cause.
+    pub cause: String,
+    /// The route, where the event names one.
+    pub route: String,
+    /// How often.
+    pub count: u64,
+}
+
+/// What became of one request.
+#[derive(Debug)]
+pub struct Story {
+    lines: Vec<Line>,
+    beliefs: Vec<Line>,
+    is_one_process: bool,
+}
+
+impl Story {
+    /// Returns the story as text, a line for each decision.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let start = self.lines.first().map_or(0, |line| line.steady_ms);
+        if !self.is_one_process {
+            text.push_str("several processes name this request; their order is a guess\n");
+        }
+        for line in &self.beliefs {
+            let age = start.saturating_sub(line.steady_ms);
+            tell(&mut text, &format!("believed since {age} ms"), line);
+        }
+        for line in &self.lines {
+            let after = line.steady_ms.saturating_sub(start);
+            tell(&mut text, &format!("+{after} ms"), line);
+        }
+        text
+    }
+
+    /// Returns the story as one JSON object.
+    pub fn json(&self) -> Value {
+        let objects = |lines: &[Line]| -> Vec<Value> {
+            lines.iter().map(|line| Value::Object(line.fields.clone())).collect()
+        };
+        json!({
+            "order_is_certain": self.is_one_process,
+            "beliefs": objects(&self.beliefs),
+            "events": objects(&self.lines),
+        })
+    }
+}
+
+fn tell(text: &mut String, when: &str, line: &Line) {
+    // Writing to a string does not fail.
+    let _ = write!(text, "{when:>22}  {}", line.event());
+    for (field, value) in &line.fields {
+        if !COMMON.contains(&field.as_str()) {
+            let _ = write!(text, " {field}={value}");
+        }
+    }
+    text.push('\n');
+}
+
+fn parse(file: usize, line: &str) -> Option<Line> {
+    let start = line.find('{')?;
+    let fields: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
+    // A collector's prefix may hold a time; its last word names the process.
+    let origin = line[..start].split_whitespace().last().unwrap_or("").to_owned();
+    let steady_ms = fields.get("steady_ms").and_then(Value::as_u64)?;
+    Some(Line { file, origin, steady_ms, fields })
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod clock;
 mod daemon;
 mod events;
+pub mod explain;
 mod fleet;
 mod handle;
 mod job;
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,95 @@
+//! The command that tells what became of a request.
+
+use std::{
+    fs::File,
+    io::{self, BufReader},
+    path::PathBuf,
+    process::ExitCode,
+};
+
+use argh::FromArgs;
+use cactusroad::gateway::explain::Logs;
+
+/// Tells what became of a request, from log lines of gateways.
+///
+/// Exit codes: 0 told, 1 no line names the request, 2 a file cannot be read.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Command {
+    /// the request's id; left out with --summary
+    #[argh(option)]
+    id: Option<String>,
+    /// count what failed, by cause
+    #[argh(switch)]
+    summary: bool,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+    /// the logs; standard input where there are none
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+/// The exit code of a file that cannot be read, and of wrong arguments.
+const USAGE: u8 = 2;
+
+pub(crate) fn run(command: &Command) -> ExitCode {
+    let logs = match read(&command.files) {
+        Ok(logs) => logs,
+        Err(cause) => {
+            eprintln!("{cause}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    if logs.unreadable() > 0 {
+        eprintln!("{} lines hold no event of a gateway and were skipped", logs.unreadable());
+    }
+    match (&command.id, command.summary) {
+        (None, true) => summary(&logs, command.json),
+        (Some(id), false) => story(&logs, id, command.json),
+        _ => {
+            eprintln!("name a request with --id, or ask for --summary");
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+fn read(files: &[PathBuf]) -> Result<Logs, String> {
+    let mut logs = Logs::default();
+    if files.is_empty() {
+        let read = logs.read(io::stdin().lock());
+        read.map_err(|cause| format!("standard input: {cause}"))?;
+    }
+    for path in files {
+        let fail = |cause: io::Error| format!("{}: {cause}; check the path", path.display());
+        let file = File::open(path).map_err(fail)?;
+        logs.read(BufReader::new(file)).map_err(fail)?;
+    }
+    Ok(logs)
+}
+
+fn story(logs: &Logs, id: &str, json: bool) -> ExitCode {
+    let Some(story) = logs.story(id) else {
+        eprintln!("no line names the request {id}; check the id, and that these are all logs");
+        return ExitCode::FAILURE;
+    };
+    if json {
+        println!("{}", story.json());
+    } else {
+        print!("{}", story.text());
+    }
+    ExitCode::SUCCESS
+}
+
+fn summary(logs: &Logs, json: bool) -> ExitCode {
+    for cause in logs.summary() {
+        if json {
+            let object = serde_json::json!({"event": cause.event, "cause": cause.cause,
+                "route": cause.route, "count": cause.count});
+            println!("{object}");
+        } else {
+            println!("{:>6}  {:<15} {:<10} {}", cause.count, cause.event, cause.route, cause.cause);
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,8 @@
 //!
 //! The operators' commands have further codes, which `cactusroad_ops` lists.
 
+mod explain;
+
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use argh::FromArgs;
@@ -29,6 +31,7 @@
     Entry(EntryCommand),
     Agent(AgentCommand),
     Gateway(GatewayCommand),
+    Explain(explain::Command),
     Demo(DemoCommand),
     Standin(StandinCommand),
     Check(ops::Check),
@@ -105,6 +108,7 @@
         Command::Entry(command) => run(daemon::entry(&command.settings)),
         Command::Agent(command) => run(daemon::agent(&command.settings)),
         Command::Gateway(command) => conclude(gateway::run(command.metrics, command.policy.as_deref())),
+        Command::Explain(command) => explain::run(&command),
         Command::Demo(command) => demo(command.stay),
         Command::Standin(command) => run(stand_in(command)),
         Command::Check(command) => ops::run(ops::Command::Check(command)),
