Ask for reports when a request needs a choice, not at an interval

Change: a choice draws four engines, asks them at once and takes the best; the target of a rescue copy is chosen the same way. While the store is away the engines that hold runs are asked each 200 ms. Watches of the list are spaced by the number of gateways.

Conclusion: fresher choices at a cost that grows with requests alone.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -14,8 +14,8 @@
     pub data_centre: &'a str,
     /// Endpoints that have had the request, by name.
     pub tried: &'a [Arc<str>],
-    /// A version that the endpoint must run; any where it is `None`.
-    pub version: Option<&'a str>,
+    /// The endpoints to choose from, as [`Pool::draw`] drew them; all where empty.
+    pub among: &'a [Arc<Endpoint>],
 }
 
 /// What a copy is for.
@@ -39,6 +39,10 @@
     TooLarge,
 }
 
+fn is_among(among: &[Arc<Endpoint>], member: &Member) -> bool {
+    among.is_empty() || among.iter().any(|endpoint| endpoint.id == member.endpoint.id)
+}
+
 /// Draws from a seed, by the generator SplitMix64.
 struct Draw(u64);
 
@@ -66,9 +70,10 @@
             return Err(Refusal::TooLarge);
         }
         let mut open = 0;
+        let is_candidate = |member: &Member| is_among(ask.among, member);
         let mut scored: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
         for member in &self.members {
-            if !self.may_get(member, ask, now) {
+            if !self.may_get(member, now) {
                 continue;
             }
             open += 1;
@@ -76,6 +81,10 @@
                 scored.push((self.score(member, ask, now), member));
             }
         }
+        // Candidates that have left meanwhile leave the choice to the others.
+        if scored.iter().any(|(_, member)| is_candidate(member)) {
+            scored.retain(|(_, member)| is_candidate(member));
+        }
         // An endpoint that is avoided is better than none.
         if scored.iter().any(|(_, member)| member.avoided_until.is_past(now)) {
             scored.retain(|(_, member)| member.avoided_until.is_past(now));
@@ -110,11 +119,11 @@
         let mut fitting: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
         for member in &self.members {
             let is_other = &*member.endpoint.id != primary;
-            if !is_other || !self.may_get(member, ask, now) || !member.avoided_until.is_past(now) {
+            if !is_other || !self.may_get(member, now) || !member.avoided_until.is_past(now) {
                 continue;
             }
             let fill = self.fill(member, ask.work, now);
-            if fill <= limit {
+            if fill <= limit && is_among(ask.among, member) {
                 let is_far = source.as_ref().is_some_and(|near| *near != member.endpoint.data_centre);
                 fitting.push((fill + f64::from(u8::from(is_far)) * self.config.far_copy_share, member));
             }
@@ -124,6 +133,26 @@
         best.map(|(_, member)| Arc::clone(&member.endpoint))
     }
 
+    /// Draws [`Config::choices`](super::Config::choices) endpoints to choose from,
+    /// which the caller asks for reports first. Those that are avoided, and those
+    /// in `tried`, are left out.
+    pub fn draw(&self, tried: &[Arc<str>], seed: u64, now: Time) -> Vec<Arc<Endpoint>> {
+        let mut draw = Draw(seed);
+        let is_open = |member: &&Member| {
+            self.may_get(member, now)
+                && member.avoided_until.is_past(now)
+                && !tried.contains(&member.endpoint.id)
+        };
+        let mut drawn: Vec<&Member> = self.members.iter().filter(is_open).collect();
+        let kept = self.config.choices.max(1).min(drawn.len());
+        for index in 0..kept {
+            let other = index + draw.below(drawn.len() - index);
+            drawn.swap(index, other);
+        }
+        drawn.truncate(kept);
+        drawn.into_iter().map(|member| Arc::clone(&member.endpoint)).collect()
+    }
+
     /// Keeps a few candidates, drawn at random, so that gateways which read the
     /// same reports do not all choose the same one.
     fn sample(&self, candidates: &mut Vec<(f64, &Member)>, draw: &mut Draw) {
@@ -138,10 +167,9 @@
         candidates.truncate(kept);
     }
 
-    fn may_get(&self, member: &Member, ask: &Ask<'_>, now: Time) -> bool {
+    fn may_get(&self, member: &Member, now: Time) -> bool {
         member.is_open(now)
             && !self.is_out(&member.endpoint.data_centre)
-            && ask.version.is_none_or(|version| *member.endpoint.version == *version)
     }
 
     fn score(&self, member: &Member, ask: &Ask<'_>, now: Time) -> f64 {
--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -23,7 +23,9 @@
     /// The share of memory that another data centre counts as for a copy; 0.5 by
     /// default. A copy between data centres takes the links for twice as long.
     pub far_copy_share: f64,
-    /// Engines of which the best is chosen, drawn at random; 4 by default.
+    /// Engines of which the best is chosen, drawn at random and asked for reports
+    /// first; 4 by default. The questions grow with requests, not with engines or
+    /// gateways.
     pub choices: usize,
     /// How many tokens of prompt a token of overflow counts as; 20 by default, so
     /// that an engine without room is the last choice.
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -177,6 +177,12 @@
         }
     }
 
+    /// Returns the engines that hold runs or copies of this process.
+    pub fn holding(&self) -> Vec<Arc<Endpoint>> {
+        let is_holding = |member: &&Member| member.running > 0 || member.copies > 0;
+        self.members.iter().filter(is_holding).map(|member| Arc::clone(&member.endpoint)).collect()
+    }
+
     /// Tells whether an endpoint is leaving, no longer listed, or unknown.
     pub fn is_leaving(&self, id: &str) -> bool {
         self.index(id).map_or(true, |index| {
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -52,7 +52,7 @@
 const LONG: Work = Work { prompt: 3_000, output: 900 };
 
 fn ask(work: Work) -> Ask<'static> {
-    Ask { work, data_centre: "dc-0", tried: &[], version: None }
+    Ask { work, data_centre: "dc-0", tried: &[], among: &[] }
 }
 
 fn draining(number: u16) -> Arc<Endpoint> {
@@ -176,6 +176,24 @@
     assert_eq!(&*pool.choose(&ask(LONG), 3, START).unwrap().id, "e-001");
 }
 
+#[test]
+fn choose_among_candidates() {
+    let mut pool = engines(6);
+    let among = pool.draw(&["e-000".into()], 5, START);
+    assert_eq!(among.len(), Config::default().choices);
+    assert!(among.iter().all(|endpoint| &*endpoint.id != "e-000"));
+    let ask = Ask { among: &among, ..ask(LONG) };
+    for seed in 0..20 {
+        let chosen = pool.choose(&ask, seed, START).unwrap();
+        assert!(among.iter().any(|endpoint| endpoint.id == chosen.id));
+    }
+    // Candidates that have left meanwhile leave the choice to the others.
+    for endpoint in &among {
+        pool.withdraw(&endpoint.id, START);
+    }
+    assert!(pool.choose(&ask, 1, START).is_ok());
+}
+
 #[test]
 fn choose_avoids_unreachable() {
     let mut pool = plain(3);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -44,9 +44,9 @@
 }
 
 impl Job {
-    /// Returns the question for an endpoint.
-    pub(crate) fn ask<'a>(&'a self, tried: &'a [Arc<str>]) -> Ask<'a> {
-        Ask { work: self.work, data_centre: &self.data_centre, tried, version: None }
+    /// Returns the question for an endpoint, of `among` where that is not empty.
+    pub(crate) fn ask<'a>(&'a self, tried: &'a [Arc<str>], among: &'a [Arc<Endpoint>]) -> Ask<'a> {
+        Ask { work: self.work, data_centre: &self.data_centre, tried, among }
     }
 
     /// Returns the request as it goes to an endpoint.
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -1,4 +1,11 @@
 //! Asks engines for their reports.
+//!
+//! Reports are asked for when a request needs a choice: a few engines are drawn,
+//! asked at once, and the best of them gets the request. The questions therefore
+//! grow with requests and not with gateways times engines, and what a choice is
+//! made from is as fresh as it can be. While the store is away, engines that hold
+//! runs of this gateway are asked at an interval too, because only they can say
+//! then that they are leaving.
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -7,7 +14,8 @@
 
 use cactusroad_core::pool::{Endpoint, Report};
 use cactusroad_platform::replica::Observer;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use futures_util::future::join_all;
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::{
     clock,
@@ -15,59 +23,77 @@
     state::{Shard, State},
 };
 
-/// Time between two reports of an engine. Reports are about as late as this when
-/// they arrive, so that asking more often tells little more.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a choice waits for reports: several round trips between data centres,
+/// and a hundredth of the time in which a first event is on time.
+const CHOICE_LIMIT: Duration = Duration::from_millis(20);
 
-/// Time between two reports while the store is away: they are then the only
-/// notice that an engine is leaving, which it does within two seconds.
-const LONE_INTERVAL: Duration = Duration::from_millis(200);
-
-/// How long an engine may take for a report.
+/// How long an engine may take for a report that nothing waits for.
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
 
-/// Time between two looks for engines that are not observed yet.
-const SCAN_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two reports of engines that hold runs, while the store is away.
+/// Engines leave within two seconds of their notice.
+const LONE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Intervals between two lines of the log about the load of engines: one a second.
+const INTERVALS_PER_LINE: u32 = 5;
 
-/// Looks between two lines of the log about the load of engines: one a second.
-const SCANS_PER_LINE: u32 = 4;
+/// Draws engines to choose from and asks them for reports.
+pub(crate) async fn candidates(shard: &Arc<Shard>, tried: &[Arc<str>]) -> Vec<Arc<Endpoint>> {
+    let drawn = shard.pool().draw(tried, rand::random(), clock::now());
+    join_all(drawn.iter().map(|endpoint| ask(shard, endpoint, CHOICE_LIMIT))).await;
+    drawn
+}
 
-/// Starts a task for each engine that is listed, until the engine is gone.
+/// Asks engines that hold runs while the store is away, and logs the load.
 pub(crate) async fn run(state: Arc<State>) {
-    let mut observed: Vec<Arc<Endpoint>> = Vec::new();
-    let mut ticks = interval(SCAN_INTERVAL);
+    let mut ticks = interval(LONE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut scans = 0;
+    let mut count = 0;
     loop {
         ticks.tick().await;
+        count = (count + 1) % INTERVALS_PER_LINE;
+        let is_alone = state.is_store_away.load(Ordering::Relaxed);
+        if !is_alone && count != 0 {
+            continue;
+        }
         let Some(site) = state.site.load_full() else {
             continue;
         };
-        scans = (scans + 1) % SCANS_PER_LINE;
-        let mut listed = Vec::new();
         for service in site.services().iter().filter(|service| service.engine.is_some()) {
             let Some(shard) = state.shard(&service.name) else {
                 continue;
             };
-            if scans == 0 {
+            if count == 0 {
                 log_load(&shard);
             }
-            let endpoints: Vec<Arc<Endpoint>> =
-                shard.pool().views(clock::now()).map(|view| view.endpoint).collect();
-            for endpoint in endpoints {
-                let is_known = observed.iter().any(|known| is_same(known, &endpoint));
-                if !is_known {
-                    let task = observe(Arc::clone(&state), Arc::clone(&shard), Arc::clone(&endpoint));
-                    tokio::spawn(task);
-                }
-                listed.push(endpoint);
+            if is_alone {
+                let holding = shard.pool().holding();
+                join_all(holding.iter().map(|endpoint| ask(&shard, endpoint, REPORT_LIMIT))).await;
             }
         }
-        observed = listed;
     }
 }
 
-/// Writes what the engines of a service report.
+/// Asks one engine, and has the pool take its report.
+async fn ask(shard: &Arc<Shard>, endpoint: &Arc<Endpoint>, limit: Duration) {
+    let mut observer = shard
+        .take_observer(&endpoint.id)
+        .filter(|observer| observer.address() == endpoint.address)
+        .unwrap_or_else(|| Observer::new(endpoint.address));
+    match observer.report(limit, clock::now()).await {
+        Ok(report) => {
+            let change = shard.pool().report(&endpoint.id, report, clock::now());
+            shard.learn(&endpoint.id, change, "report");
+            shard.keep_observer(&endpoint.id, observer);
+        }
+        Err(cause) => {
+            log::debug!("{} gave no report: {cause}", endpoint.id);
+            shard.pool().unreachable(&endpoint.id, clock::now());
+        }
+    }
+}
+
+/// Writes what the engines of a service have reported.
 fn log_load(shard: &Shard) {
     let mut sum = Report::default();
     let (mut engines, mut oldest_report_ms, mut fullest) = (0, 0, 0.0f64);
@@ -91,35 +117,3 @@
         oldest_report_ms,
     });
 }
-
-/// Tells whether two entries name the same incarnation.
-fn is_same(one: &Endpoint, other: &Endpoint) -> bool {
-    one.id == other.id && one.born_ms == other.born_ms && one.address == other.address
-}
-
-/// Takes reports of one engine while it is listed.
-async fn observe(state: Arc<State>, shard: Arc<Shard>, endpoint: Arc<Endpoint>) {
-    let mut observer = Observer::new(endpoint.address);
-    // Gateways that started together must not ask together.
-    sleep(REPORT_INTERVAL.mul_f64(rand::random())).await;
-    loop {
-        let is_alone = state.is_store_away.load(Ordering::Relaxed);
-        sleep(if is_alone { LONE_INTERVAL } else { REPORT_INTERVAL }).await;
-        let is_listed =
-            shard.pool().get(&endpoint.id).is_some_and(|listed| is_same(listed, &endpoint));
-        if !is_listed {
-            return;
-        }
-        let now = clock::now();
-        match observer.report(REPORT_LIMIT, now).await {
-            Ok(report) => {
-                let change = shard.pool().report(&endpoint.id, report, clock::now());
-                shard.learn(&endpoint.id, change, "report");
-            }
-            Err(cause) => {
-                log::debug!("{} gave no report: {cause}", endpoint.id);
-                shard.pool().unreachable(&endpoint.id, clock::now());
-            }
-        }
-    }
-}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -104,7 +104,7 @@
 
 /// Chooses the next endpoint.
 fn next(job: &Job, progress: &mut Progress) -> Result<Arc<Endpoint>, Refusal> {
-    let endpoint = job.shard.choose(&job.ask(&progress.tried))?;
+    let endpoint = job.shard.choose(&job.ask(&progress.tried, &[]))?;
     progress.tried.push(Arc::clone(&endpoint.id));
     progress.sends += 1;
     Ok(endpoint)
--- a/crates/gateway/src/rescue.rs
+++ b/crates/gateway/src/rescue.rs
@@ -8,16 +8,19 @@
 
 use std::{
     net::SocketAddr,
+    slice,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use cactusroad_core::pool::Endpoint;
+use cactusroad_core::pool::{Ask, Endpoint, Pool, Purpose, Work};
 use cactusroad_platform::replica::{self, Copied};
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::{
+    clock,
     job::Job,
+    observe,
     record::{self, Event},
     state::{Copy, Shard, State},
 };
@@ -35,11 +38,16 @@
 /// The copies of one run.
 #[derive(Debug)]
 pub(crate) struct Rescue {
-    pub(crate) target: Arc<Endpoint>,
     source: SocketAddr,
-    handle: Arc<Mutex<Option<Arc<str>>>>,
+    progress: Arc<Mutex<Progress>>,
     task: JoinHandle<()>,
-    _copy: Copy,
+}
+
+/// How far the copies are.
+#[derive(Debug, Default)]
+struct Progress {
+    target: Option<Copy>,
+    handle: Option<Arc<str>>,
 }
 
 /// A copy to go on from.
@@ -52,33 +60,37 @@
 
 impl Rescue {
     /// Starts to copy a run from its engine to another.
-    pub(crate) fn start(job: &Job, from: &Arc<Endpoint>, target: Arc<Endpoint>) -> Rescue {
-        record::write(&Event::Moving { request: &job.request, from: &from.id, to: &target.id });
-        let handle = Arc::new(Mutex::new(None));
+    pub(crate) fn start(job: &Job, from: &Arc<Endpoint>) -> Rescue {
+        let progress = Arc::new(Mutex::new(Progress::default()));
         let copies = Copies {
             state: Arc::clone(&job.state),
             shard: Arc::clone(&job.shard),
             request: Arc::clone(&job.request),
+            data_centre: Arc::clone(&job.data_centre),
+            work: job.work,
             from: Arc::clone(from),
-            target: Arc::clone(&target),
-            handle: Arc::clone(&handle),
+            progress: Arc::clone(&progress),
         };
-        Rescue {
-            _copy: job.shard.copy(&target, job.work),
-            target,
-            source: from.address,
-            handle,
-            task: tokio::spawn(copies.run()),
+        Rescue { source: from.address, progress, task: tokio::spawn(copies.run()) }
+    }
+
+    /// Tells whether there is, or will be, a copy at an engine that stays.
+    pub(crate) fn is_under_way(&self, pool: &Pool) -> bool {
+        match &lock(&self.progress).target {
+            Some(copy) => !pool.is_leaving(&copy.endpoint.id) && !self.task.is_finished(),
+            None => !self.task.is_finished(),
         }
     }
 
     /// Returns the last copy, if there is one whose engine stays.
     pub(crate) fn finish(self, job: &Job) -> Option<Found> {
-        let handle = lock(&self.handle).take()?;
-        let is_staying = !job.shard.pool().is_leaving(&self.target.id);
-        self.task.abort();
+        let (handle, copy) = {
+            let mut progress = lock(&self.progress);
+            (progress.handle.take()?, progress.target.take()?)
+        };
+        let is_staying = !job.shard.pool().is_leaving(&copy.endpoint.id);
         is_staying.then(|| Found {
-            target: Arc::clone(&self.target),
+            target: Arc::clone(&copy.endpoint),
             source: self.source,
             handle,
         })
@@ -88,7 +100,7 @@
 impl Drop for Rescue {
     fn drop(&mut self) {
         self.task.abort();
-        let Some(handle) = lock(&self.handle).take() else {
+        let Some(handle) = lock(&self.progress).handle.take() else {
             return;
         };
         let source = self.source;
@@ -101,53 +113,69 @@
     }
 }
 
-fn lock(handle: &Mutex<Option<Arc<str>>>) -> MutexGuard<'_, Option<Arc<str>>> {
-    handle.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock(progress: &Mutex<Progress>) -> MutexGuard<'_, Progress> {
+    progress.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 struct Copies {
     state: Arc<State>,
     shard: Arc<Shard>,
     request: Arc<str>,
+    data_centre: Arc<str>,
+    work: Work,
     from: Arc<Endpoint>,
-    target: Arc<Endpoint>,
-    handle: Arc<Mutex<Option<Arc<str>>>>,
+    progress: Arc<Mutex<Progress>>,
 }
 
 impl Copies {
+    /// Chooses where the copies go, among engines that are asked for reports.
+    async fn choose(&self) -> Option<Arc<Endpoint>> {
+        let among = observe::candidates(&self.shard, slice::from_ref(&self.from.id)).await;
+        let ask = Ask { work: self.work, data_centre: &self.data_centre, tried: &[], among: &among };
+        let seed = rand::random();
+        let target =
+            self.shard.pool().backup(&self.from.id, Purpose::Rescue, &ask, seed, clock::now())?;
+        record::write(&Event::Moving {
+            request: &self.request,
+            from: &self.from.id,
+            to: &target.id,
+        });
+        lock(&self.progress).target = Some(self.shard.copy(&target, self.work));
+        Some(target)
+    }
+
     /// Copies the run again and again, until there is nothing to copy.
     async fn run(self) {
+        let Some(target) = self.choose().await else {
+            self.failed("no_room", "no engine has room");
+            return;
+        };
         loop {
             let copying =
-                replica::copy_run(self.from.address, &self.request, self.target.address, COPY_LIMIT);
-            let (outcome, cause) = match copying.await {
+                replica::copy_run(self.from.address, &self.request, target.address, COPY_LIMIT);
+            match copying.await {
                 Ok(Copied::Done { handle }) => {
-                    *lock(&self.handle) = Some(handle);
+                    lock(&self.progress).handle = Some(handle);
                     self.count("copied");
                     sleep(COPY_INTERVAL).await;
-                    continue;
                 }
-                Ok(Copied::Busy) => {
+                Ok(Copied::Busy) => sleep(REFUSED_PAUSE).await,
+                Ok(Copied::NoRoom) if !self.shard.pool().is_leaving(&target.id) => {
+                    self.count("no_room");
                     sleep(REFUSED_PAUSE).await;
-                    continue;
                 }
-                Ok(Copied::Unknown) => ("unknown", "the engine does not run it".to_owned()),
-                Ok(Copied::NoRoom) => ("no_room", "the target has no room".to_owned()),
-                Err(cause) => ("failed", cause.to_string()),
-            };
-            self.count(outcome);
-            record::write(&Event::MoveFailed {
-                request: &self.request,
-                from: &self.from.id,
-                cause: &cause,
-            });
-            if outcome != "no_room" || self.shard.pool().is_leaving(&self.target.id) {
-                return;
+                Ok(Copied::NoRoom) => return self.failed("no_room", "the target has no room"),
+                Ok(Copied::Unknown) => return self.failed("unknown", "the engine does not run it"),
+                Err(cause) => return self.failed("failed", &cause.to_string()),
             }
-            sleep(REFUSED_PAUSE).await;
         }
     }
 
+    fn failed(&self, outcome: &str, cause: &str) {
+        self.count(outcome);
+        record::write(&Event::MoveFailed { request: &self.request, from: &self.from.id, cause });
+    }
+
     fn count(&self, outcome: &str) {
         self.state.metrics.moves.with_label_values(&[outcome]).inc();
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
     pool::{self, Ask, Budget, Change, Endpoint, Outcome, Pool, Refusal, Use, Work},
     site::Site,
 };
-use cactusroad_platform::settings::Settings;
+use cactusroad_platform::{replica::Observer, settings::Settings};
 use tokio::sync::watch;
 
 use crate::{
@@ -72,6 +72,8 @@
     budget: Mutex<Budget>,
     /// Changes whenever an endpoint starts to leave or is gone.
     pub(crate) leaving: watch::Sender<u64>,
+    /// Observers that are not in use, sorted by the name of their endpoint.
+    observers: Mutex<Vec<(Arc<str>, Observer)>>,
 }
 
 impl State {
@@ -170,6 +172,11 @@
         }
     }
 
+    /// Returns how many gateways are alive, as far as is known.
+    pub(crate) fn gateways(&self) -> usize {
+        self.gateways.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of requests without a whole answer.
     pub(crate) fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Relaxed)
@@ -229,6 +236,26 @@
             pool: Mutex::new(Pool::new(policy.clone())),
             budget: Mutex::new(Budget::new(share, floor, settings.repeat_window)),
             leaving: watch::Sender::new(0),
+            observers: Mutex::default(),
+        }
+    }
+
+    fn observers(&self) -> MutexGuard<'_, Vec<(Arc<str>, Observer)>> {
+        self.observers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the observer of an endpoint, if it is not in use.
+    pub(crate) fn take_observer(&self, id: &str) -> Option<Observer> {
+        let mut observers = self.observers();
+        let found = observers.binary_search_by(|(known, _)| (**known).cmp(id));
+        found.ok().map(|index| observers.remove(index).1)
+    }
+
+    /// Keeps an observer until its endpoint is gone.
+    pub(crate) fn keep_observer(&self, id: &Arc<str>, observer: Observer) {
+        let mut observers = self.observers();
+        if let Err(index) = observers.binary_search_by(|(known, _)| known.cmp(id)) {
+            observers.insert(index, (Arc::clone(id), observer));
         }
     }
 
@@ -267,6 +294,9 @@
             change: change.into(),
             source,
         });
+        if change == Change::Gone {
+            self.take_observer(id);
+        }
         if matches!(change, Change::Leaving | Change::Gone) {
             self.leaving.send_modify(|count| *count += 1);
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,6 +24,7 @@
     clock,
     events::{Event as Piece, Splitter},
     job::{DIAL_LIMIT, End, Job, OK},
+    observe,
     record::{self, Event},
     reply::{Body, Broken},
     rescue::Rescue,
@@ -76,19 +77,22 @@
     has_tried_copy: bool,
     /// The copies that are made since the engine is leaving.
     rescue: Option<Rescue>,
+    /// The engines that were asked for reports, of which one may hold a copy.
+    among: Vec<Arc<Endpoint>>,
 }
 
 /// Serves a request.
 pub(crate) async fn serve(mut job: Job) -> Response<Body> {
     let mut tried = Vec::new();
     loop {
-        let endpoint = match job.shard.choose(&job.ask(&tried)) {
+        let among = observe::candidates(&job.shard, &tried).await;
+        let endpoint = match job.shard.choose(&job.ask(&tried, &among)) {
             Ok(endpoint) => endpoint,
             Err(refusal) => return job.refuse(refusal.into()),
         };
         tried.push(Arc::clone(&endpoint.id));
         let sends = u32::try_from(tried.len()).unwrap_or(u32::MAX);
-        let mut relay = Relay::new(job, endpoint, sends);
+        let mut relay = Relay::new(job, endpoint, among, sends);
         match relay.open(None).await {
             Opened::Reply => return relay.answer().await,
             Opened::NotRun => {
@@ -114,7 +118,7 @@
 }
 
 impl Relay {
-    fn new(job: Job, endpoint: Arc<Endpoint>, sends: u32) -> Relay {
+    fn new(job: Job, endpoint: Arc<Endpoint>, among: Vec<Arc<Endpoint>>, sends: u32) -> Relay {
         let leaving = job.shard.leaving.subscribe();
         let run = Run { endpoint, backup: None, moves: 0, deadline: job.deadline };
         Relay {
@@ -132,6 +136,7 @@
             leaving,
             has_tried_copy: false,
             rescue: None,
+            among,
             job,
         }
     }
@@ -187,7 +192,7 @@
         if !self.has_copies() {
             return;
         }
-        let ask = self.job.ask(&[]);
+        let ask = self.job.ask(&[], &self.among);
         let backup = self.job.shard.pool().backup(&self.run.endpoint.id, Purpose::Grow, &ask, rand::random(), clock::now());
         if let Some(backup) = backup {
             self.copy = Some(self.job.shard.copy(&backup, self.job.work));
@@ -399,20 +404,16 @@
 
     /// Has the run copied if its engine is leaving and no copy can take over.
     fn heed_leaving(&mut self) {
-        let target = {
+        let needs_rescue = {
             let pool = self.job.shard.pool();
             let has_copy =
                 self.run.backup.as_ref().is_some_and(|backup| !pool.is_leaving(&backup.id));
-            let has_rescue =
-                self.rescue.as_ref().is_some_and(|rescue| !pool.is_leaving(&rescue.target.id));
-            let is_staying = !pool.is_leaving(&self.run.endpoint.id);
-            if is_staying || has_copy || has_rescue || self.job.request.is_empty() {
-                return;
-            }
-            pool.backup(&self.run.endpoint.id, Purpose::Rescue, &self.job.ask(&[]), rand::random(), clock::now())
+            let has_rescue = self.rescue.as_ref().is_some_and(|rescue| rescue.is_under_way(&pool));
+            let is_leaving = pool.is_leaving(&self.run.endpoint.id);
+            is_leaving && !has_copy && !has_rescue
         };
-        if let Some(target) = target {
-            self.rescue = Some(Rescue::start(&self.job, &self.run.endpoint, target));
+        if needs_rescue && !self.job.request.is_empty() {
+            self.rescue = Some(Rescue::start(&self.job, &self.run.endpoint));
         }
     }
 
@@ -447,6 +448,7 @@
         self.run.moves += 1;
         self.sends += 1;
         self.run.endpoint = endpoint;
+        self.among = observe::candidates(&self.job.shard, &[]).await;
         let address = source.address.to_string();
         match self.open(Some(source)).await {
             Opened::Reply if self.is_resumed() => {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -34,10 +34,19 @@
 /// How long a watch of endpoints waits; they renew their entries more often.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(1_200);
 
-/// Time between two watches of endpoints, which collects the renewals of many
-/// endpoints in one call. Leaving endpoints serve for seconds.
+/// The least time between two watches of endpoints, which collects the renewals of
+/// many endpoints in one call.
 const ENDPOINT_SPACING: Duration = Duration::from_millis(250);
 
+/// The most time between two watches of endpoints. Leaving ones serve for about
+/// two seconds, of which their runs need one to be copied.
+const ENDPOINT_SPACING_MAX: Duration = Duration::from_millis(700);
+
+/// Watches of endpoints that all gateways make in a second once they are many, so
+/// that what the store bears does not grow with their number until the most time
+/// between two is reached.
+const ENDPOINT_WATCHES_PER_S: f64 = 30.0;
+
 /// The first pause after a call that failed, doubled with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
@@ -53,8 +62,11 @@
 trait Follower {
     const KIND: Kind;
     const WAIT: Duration;
-    const SPACING: Duration;
 
+    /// Returns the time until the next call after one that was answered.
+    fn spacing(&self, _state: &State) -> Duration {
+        Duration::ZERO
+    }
     /// Takes a whole list.
     fn replace(&mut self, state: &State, objects: &[Object], at: u64);
     /// Takes one change.
@@ -90,7 +102,7 @@
                 if outage.ended(F::KIND) {
                     follower.regained(&state);
                 }
-                sleep(F::SPACING).await;
+                sleep(follower.spacing(&state)).await;
             }
             Err(Error::Compacted) => {
                 count(&state, F::KIND, "compacted");
@@ -202,7 +214,6 @@
 impl Follower for Configuration {
     const KIND: Kind = Kind::Config;
     const WAIT: Duration = RARE_WAIT;
-    const SPACING: Duration = Duration::ZERO;
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
         if let Some(object) = objects.iter().find(|object| &*object.meta.name == MAIN) {
@@ -267,7 +278,11 @@
 impl Follower for Endpoints {
     const KIND: Kind = Kind::Servers;
     const WAIT: Duration = ENDPOINT_WAIT;
-    const SPACING: Duration = ENDPOINT_SPACING;
+
+    fn spacing(&self, state: &State) -> Duration {
+        let shared = Duration::from_secs_f64(state.gateways() as f64 / ENDPOINT_WATCHES_PER_S);
+        shared.clamp(ENDPOINT_SPACING, ENDPOINT_SPACING_MAX)
+    }
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
         for shard in state.shards().iter() {
@@ -324,7 +339,6 @@
 impl Follower for Outs {
     const KIND: Kind = Kind::Evacuations;
     const WAIT: Duration = RARE_WAIT;
-    const SPACING: Duration = Duration::ZERO;
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
         self.names = objects.iter().map(|object| Arc::clone(&object.meta.name)).collect();
