--- a/crates/core/src/census.rs
+++ b/crates/core/src/census.rs
@@ -46,7 +46,10 @@
 impl Census {
     /// Returns an empty census of objects that live for `life` after a change.
     pub fn new(life: Duration) -> Census {
-        Census { life, entries: Vec::new() }
+        Census {
+            life,
+            entries: Vec::new(),
+        }
     }
 
     /// Takes a whole list of names and revisions, sorted by name.
@@ -69,12 +72,18 @@
 
     /// Returns how many are alive.
     pub fn alive(&self, now: Time) -> usize {
-        self.entries.iter().filter(|entry| !entry.expires_at.is_past(now)).count()
+        self.entries
+            .iter()
+            .filter(|entry| !entry.expires_at.is_past(now))
+            .count()
     }
 
     /// Returns those that are gone, with the revisions to remove.
     pub fn expired(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, u64)> {
         let expired = move |entry: &&Entry| entry.expires_at.is_past(now);
-        self.entries.iter().filter(expired).map(|entry| (&entry.name, entry.revision))
+        self.entries
+            .iter()
+            .filter(expired)
+            .map(|entry| (&entry.name, entry.revision))
     }
 }
--- a/crates/core/src/pool/budget.rs
+++ b/crates/core/src/pool/budget.rs
@@ -44,7 +44,12 @@
 impl Budget {
     /// Returns a budget of `share` repeats a request plus `floor`, in each `window`.
     pub fn new(share: f64, floor: f64, window: Duration) -> Budget {
-        Budget { share, floor, window, steps: VecDeque::new() }
+        Budget {
+            share,
+            floor,
+            window,
+            steps: VecDeque::new(),
+        }
     }
 
     /// Notes a request of a caller.
@@ -76,13 +81,24 @@
     }
 
     fn step(&mut self, now: Time) -> &mut Step {
-        while self.steps.front().is_some_and(|step| now.since(step.ends_at) > self.window) {
+        while self
+            .steps
+            .front()
+            .is_some_and(|step| now.since(step.ends_at) > self.window)
+        {
             self.steps.pop_front();
         }
-        let is_open = self.steps.back().is_some_and(|step| !step.ends_at.is_past(now));
+        let is_open = self
+            .steps
+            .back()
+            .is_some_and(|step| !step.ends_at.is_past(now));
         if !is_open {
             let ends_at = now + self.window / u32::try_from(STEPS).unwrap_or(1);
-            self.steps.push_back(Step { ends_at, requests: 0, repeats: 0 });
+            self.steps.push_back(Step {
+                ends_at,
+                requests: 0,
+                repeats: 0,
+            });
         }
         self.steps.back_mut().expect("a step was just added")
     }
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -40,7 +40,10 @@
 }
 
 fn is_among(among: &[Arc<Endpoint>], member: &Member) -> bool {
-    among.is_empty() || among.iter().any(|endpoint| endpoint.id == member.endpoint.id)
+    among.is_empty()
+        || among
+            .iter()
+            .any(|endpoint| endpoint.id == member.endpoint.id)
 }
 
 /// Draws from a seed, by the generator SplitMix64.
@@ -86,11 +89,17 @@
             scored.retain(|(_, member)| is_candidate(member));
         }
         // An endpoint that is avoided is better than none.
-        if scored.iter().any(|(_, member)| member.avoided_until.is_past(now)) {
+        if scored
+            .iter()
+            .any(|(_, member)| member.avoided_until.is_past(now))
+        {
             scored.retain(|(_, member)| member.avoided_until.is_past(now));
         }
         self.sample(&mut scored, &mut draw);
-        let best = scored.iter().map(|(score, _)| *score).fold(f64::INFINITY, f64::min);
+        let best = scored
+            .iter()
+            .map(|(score, _)| *score)
+            .fold(f64::INFINITY, f64::min);
         let limit = best + best.abs() * self.config.tie_share + f64::EPSILON;
         scored.retain(|(score, _)| *score <= limit);
         match scored.get(draw.below(scored.len())) {
@@ -115,7 +124,9 @@
             Purpose::Grow => self.config.copy_share,
             Purpose::Rescue => self.config.rescue_share,
         };
-        let source = self.get(primary).map(|endpoint| Arc::clone(&endpoint.data_centre));
+        let source = self
+            .get(primary)
+            .map(|endpoint| Arc::clone(&endpoint.data_centre));
         let mut fitting: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
         for member in &self.members {
             let is_other = &*member.endpoint.id != primary;
@@ -124,12 +135,19 @@
             }
             let fill = self.fill(member, ask.work, now);
             if fill <= limit && is_among(ask.among, member) {
-                let is_far = source.as_ref().is_some_and(|near| *near != member.endpoint.data_centre);
-                fitting.push((fill + f64::from(u8::from(is_far)) * self.config.far_copy_share, member));
+                let is_far = source
+                    .as_ref()
+                    .is_some_and(|near| *near != member.endpoint.data_centre);
+                fitting.push((
+                    fill + f64::from(u8::from(is_far)) * self.config.far_copy_share,
+                    member,
+                ));
             }
         }
         self.sample(&mut fitting, &mut draw);
-        let best = fitting.into_iter().min_by(|one, other| one.0.total_cmp(&other.0));
+        let best = fitting
+            .into_iter()
+            .min_by(|one, other| one.0.total_cmp(&other.0));
         best.map(|(_, member)| Arc::clone(&member.endpoint))
     }
 
@@ -150,7 +168,10 @@
             drawn.swap(index, other);
         }
         drawn.truncate(kept);
-        drawn.into_iter().map(|member| Arc::clone(&member.endpoint)).collect()
+        drawn
+            .into_iter()
+            .map(|member| Arc::clone(&member.endpoint))
+            .collect()
     }
 
     /// Keeps a few candidates, drawn at random, so that gateways which read the
@@ -168,8 +189,7 @@
     }
 
     fn may_get(&self, member: &Member, now: Time) -> bool {
-        member.is_open(now)
-            && !self.is_out(&member.endpoint.data_centre)
+        member.is_open(now) && !self.is_out(&member.endpoint.data_centre)
     }
 
     fn score(&self, member: &Member, ask: &Ask<'_>, now: Time) -> f64 {
@@ -180,7 +200,9 @@
             let slots = f64::from(member.endpoint.slots.max(1));
             let rounds = (f64::from(member.running) / slots).max(0.0);
             let wait = (1.0 + rounds) * member.latency_ms().max(1.0);
-            return wait + failures * config.failure_ms + f64::from(u8::from(is_far)) * config.distance_ms;
+            return wait
+                + failures * config.failure_ms
+                + f64::from(u8::from(is_far)) * config.distance_ms;
         }
         let (running, prompts) = member.load(config, now);
         let overflow = (self.fill(member, ask.work, now) - config.memory_share).max(0.0);
--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -24,8 +24,9 @@
     /// default. A copy between data centres takes the links for twice as long.
     pub far_copy_share: f64,
     /// Engines of which the best is chosen, drawn at random and asked for reports
-    /// first; 4 by default. The questions grow with requests, not with engines or
-    /// gateways.
+    /// first; 3 by default. The questions grow with requests, not with engines or
+    /// gateways; with more of them, gateways whose reports are equally late choose
+    /// the same engines.
     pub choices: usize,
     /// How many tokens of prompt a token of overflow counts as; 20 by default, so
     /// that an engine without room is the last choice.
@@ -63,7 +64,7 @@
             copy_share: 0.3,
             rescue_share: 0.9,
             far_copy_share: 0.5,
-            choices: 4,
+            choices: 3,
             overflow_weight: 20.0,
             distance_tokens: 0.0,
             distance_ms: 1.0,
@@ -103,7 +104,11 @@
         ];
         for (field, value) in shares {
             if !(0.0..=1.0).contains(&value) {
-                return Err(Error { field, value, wanted: "a share from 0 to 1" });
+                return Err(Error {
+                    field,
+                    value,
+                    wanted: "a share from 0 to 1",
+                });
             }
         }
         let weights = [
@@ -115,11 +120,19 @@
         ];
         for (field, value) in weights {
             if !(value.is_finite() && value >= 0.0) {
-                return Err(Error { field, value, wanted: "zero or more" });
+                return Err(Error {
+                    field,
+                    value,
+                    wanted: "zero or more",
+                });
             }
         }
         if self.memory_ms == 0 {
-            return Err(Error { field: "memory_ms", value: 0.0, wanted: "above zero" });
+            return Err(Error {
+                field: "memory_ms",
+                value: 0.0,
+                wanted: "above zero",
+            });
         }
         Ok(())
     }
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -15,6 +15,9 @@
 /// failure does not count as all.
 const FAILURE_PRIOR: f64 = 4.0;
 
+/// The part of a prompt that is left, in the mean, while it is being computed.
+const COMPUTING_REST: f64 = 0.5;
+
 /// What an engine says of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Report {
@@ -22,6 +25,8 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Of those that run, the ones whose prompts are being computed.
+    pub computing: u32,
     /// Tokens in memory that cannot yield.
     pub used_tokens: u64,
     /// Tokens that the memory holds.
@@ -224,7 +229,11 @@
             return None;
         }
         let lag = Duration::from_millis(config.report_lag_ms);
-        let newer = self.sent.iter().rev().take_while(|(sent, _)| at.since(*sent) < lag);
+        let newer = self
+            .sent
+            .iter()
+            .rev()
+            .take_while(|(sent, _)| at.since(*sent) < lag);
         let (mut requests, mut prompts, mut tokens) = (0, 0, 0);
         for (_, work) in newer {
             requests += 1;
@@ -257,7 +266,8 @@
             Some((report, requests, prompts, _)) => {
                 let running = self.running.max(report.running + requests);
                 let mean = self.mean_prompt();
-                let waiting = f64::from(report.waiting) * mean + prompts as f64;
+                let unfinished = f64::from(report.computing) * mean * COMPUTING_REST;
+                let waiting = f64::from(report.waiting) * mean + unfinished + prompts as f64;
                 (f64::from(running), waiting.max(self.prompts as f64))
             }
             None => (f64::from(self.running), self.prompts as f64),
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -180,7 +180,11 @@
     /// Returns the engines that hold runs or copies of this process.
     pub fn holding(&self) -> Vec<Arc<Endpoint>> {
         let is_holding = |member: &&Member| member.running > 0 || member.copies > 0;
-        self.members.iter().filter(is_holding).map(|member| Arc::clone(&member.endpoint)).collect()
+        self.members
+            .iter()
+            .filter(is_holding)
+            .map(|member| Arc::clone(&member.endpoint))
+            .collect()
     }
 
     /// Tells whether an endpoint is leaving, no longer listed, or unknown.
@@ -235,7 +239,9 @@
 
     /// Returns a member's endpoint.
     pub fn get(&self, id: &str) -> Option<&Arc<Endpoint>> {
-        self.index(id).ok().map(|index| &self.members[index].endpoint)
+        self.index(id)
+            .ok()
+            .map(|index| &self.members[index].endpoint)
     }
 
     /// Returns the number of members that are listed and not leaving.
@@ -250,11 +256,14 @@
     }
 
     fn is_out(&self, data_centre: &str) -> bool {
-        self.out.binary_search_by(|out| (**out).cmp(data_centre)).is_ok()
+        self.out
+            .binary_search_by(|out| (**out).cmp(data_centre))
+            .is_ok()
     }
 
     fn index(&self, id: &str) -> Result<usize, usize> {
-        self.members.binary_search_by(|member| (*member.endpoint.id).cmp(id))
+        self.members
+            .binary_search_by(|member| (*member.endpoint.id).cmp(id))
     }
 
     fn member(&mut self, id: &str) -> Option<&mut Member> {
--- a/crates/core/src/site/build.rs
+++ b/crates/core/src/site/build.rs
@@ -50,7 +50,9 @@
     #[must_use]
     pub fn workspace(mut self, workspace: Workspace, keys: &[Arc<str>]) -> Builder {
         let workspace = Arc::new(workspace);
-        let held = keys.iter().map(|key| (Arc::clone(key), Arc::clone(&workspace)));
+        let held = keys
+            .iter()
+            .map(|key| (Arc::clone(key), Arc::clone(&workspace)));
         self.site.keys.extend(held);
         self.site.is_open = false;
         self
--- a/crates/core/src/site/mod.rs
+++ b/crates/core/src/site/mod.rs
@@ -94,7 +94,11 @@
 
     /// Returns the service that a request goes to; `draw` is uniform in [0, 1).
     pub fn target(&self, draw: f64) -> Option<&Arc<str>> {
-        let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
+        let total: u64 = self
+            .targets
+            .iter()
+            .map(|target| u64::from(target.weight))
+            .sum();
         let mut point = draw * total as f64;
         for target in &self.targets {
             point -= f64::from(target.weight);
@@ -102,7 +106,11 @@
                 return Some(&target.service);
             }
         }
-        self.targets.iter().rev().find(|target| target.weight > 0).map(|target| &target.service)
+        self.targets
+            .iter()
+            .rev()
+            .find(|target| target.weight > 0)
+            .map(|target| &target.service)
     }
 }
 
@@ -220,7 +228,9 @@
 
     /// Finds a service by its name.
     pub fn service(&self, name: &str) -> Option<&Service> {
-        let found = self.services.binary_search_by(|service| (*service.name).cmp(name));
+        let found = self
+            .services
+            .binary_search_by(|service| (*service.name).cmp(name));
         found.ok().map(|index| &self.services[index])
     }
 
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -36,7 +36,10 @@
     let mut pool = Pool::new(Config::default());
     pool.set_engine(MEMORY);
     for number in 0..count {
-        assert_eq!(pool.enlist(Arc::new(endpoint(number)), START), Some(Change::Joined));
+        assert_eq!(
+            pool.enlist(Arc::new(endpoint(number)), START),
+            Some(Change::Joined)
+        );
     }
     pool
 }
@@ -49,37 +52,63 @@
     pool
 }
 
-const LONG: Work = Work { prompt: 3_000, output: 900 };
+const LONG: Work = Work {
+    prompt: 3_000,
+    output: 900,
+};
 
 fn ask(work: Work) -> Ask<'static> {
-    Ask { work, data_centre: "dc-0", tried: &[], among: &[] }
+    Ask {
+        work,
+        data_centre: "dc-0",
+        tried: &[],
+        among: &[],
+    }
 }
 
 fn draining(number: u16) -> Arc<Endpoint> {
-    Arc::new(Endpoint { draining: true, ..endpoint(number) })
+    Arc::new(Endpoint {
+        draining: true,
+        ..endpoint(number)
+    })
 }
 
 #[test]
 fn choose_empty() {
     let pool = engines(0);
-    assert_eq!(pool.choose(&ask(LONG), 1, START).unwrap_err(), Refusal::Empty);
+    assert_eq!(
+        pool.choose(&ask(LONG), 1, START).unwrap_err(),
+        Refusal::Empty
+    );
 }
 
 #[test]
 fn choose_tried() {
     let pool = engines(2);
     let tried: Vec<Arc<str>> = vec!["e-000".into(), "e-001".into()];
-    let ask = Ask { tried: &tried, ..ask(LONG) };
+    let ask = Ask {
+        tried: &tried,
+        ..ask(LONG)
+    };
     assert_eq!(pool.choose(&ask, 1, START).unwrap_err(), Refusal::Exhausted);
-    let ask = Ask { tried: &tried[..1], ..ask };
+    let ask = Ask {
+        tried: &tried[..1],
+        ..ask
+    };
     assert_eq!(&*pool.choose(&ask, 1, START).unwrap().id, "e-001");
 }
 
 #[test]
 fn choose_too_large() {
     let pool = engines(3);
-    let work = Work { prompt: MEMORY + 1, output: 1 };
-    assert_eq!(pool.choose(&ask(work), 1, START).unwrap_err(), Refusal::TooLarge);
+    let work = Work {
+        prompt: MEMORY + 1,
+        output: 1,
+    };
+    assert_eq!(
+        pool.choose(&ask(work), 1, START).unwrap_err(),
+        Refusal::TooLarge
+    );
 }
 
 /// Each way in which an endpoint stops getting work.
@@ -92,7 +121,10 @@
         },
         |pool| assert_eq!(pool.withdraw("e-000", START), Some(Change::Gone)),
         |pool| {
-            let report = Report { is_leaving: true, ..Report::default() };
+            let report = Report {
+                is_leaving: true,
+                ..Report::default()
+            };
             assert_eq!(pool.report("e-000", report, START), Some(Change::Leaving));
         },
         |pool| pool.set_out(&["dc-0".into()]),
@@ -113,7 +145,10 @@
     pool.withdraw("e-000", after(2_000));
     assert!(pool.choose(&ask(LONG), 1, after(1_999)).is_ok());
     assert!(pool.choose(&ask(LONG), 1, after(2_000)).is_err());
-    assert_eq!(pool.enlist(Arc::new(endpoint(0)), after(2_100)), Some(Change::Joined));
+    assert_eq!(
+        pool.enlist(Arc::new(endpoint(0)), after(2_100)),
+        Some(Change::Joined)
+    );
     assert!(pool.choose(&ask(LONG), 1, after(2_100)).is_ok());
 }
 
@@ -121,7 +156,10 @@
 fn choose_restarted() {
     let mut pool = engines(2);
     pool.enlist(draining(0), START);
-    let again = Endpoint { born_ms: 2, ..endpoint(0) };
+    let again = Endpoint {
+        born_ms: 2,
+        ..endpoint(0)
+    };
     assert_eq!(pool.enlist(Arc::new(again), START), Some(Change::Restarted));
     assert!(!pool.is_leaving("e-000"));
 }
@@ -162,16 +200,28 @@
         pool.started(&engine.id, LONG, after(seed));
         *sent.entry(Arc::clone(&engine.id)).or_default() += 1;
     }
-    assert!(sent.values().all(|count| (8..=12).contains(count)), "{sent:?}");
+    assert!(
+        sent.values().all(|count| (8..=12).contains(count)),
+        "{sent:?}"
+    );
 }
 
 /// Load pattern: engines whose memory fills. One without room is the last choice.
 #[test]
 fn choose_full_memory() {
     let mut pool = engines(2);
-    let full = Report { used_tokens: MEMORY, memory_tokens: MEMORY, ..Report::default() };
+    let full = Report {
+        used_tokens: MEMORY,
+        memory_tokens: MEMORY,
+        ..Report::default()
+    };
     pool.report("e-000", full, START);
-    let busy = Report { running: 20, waiting: 1, memory_tokens: MEMORY, ..Report::default() };
+    let busy = Report {
+        running: 20,
+        waiting: 1,
+        memory_tokens: MEMORY,
+        ..Report::default()
+    };
     pool.report("e-001", busy, START);
     assert_eq!(&*pool.choose(&ask(LONG), 3, START).unwrap().id, "e-001");
 }
@@ -182,7 +232,10 @@
     let among = pool.draw(&["e-000".into()], 5, START);
     assert_eq!(among.len(), Config::default().choices);
     assert!(among.iter().all(|endpoint| &*endpoint.id != "e-000"));
-    let ask = Ask { among: &among, ..ask(LONG) };
+    let ask = Ask {
+        among: &among,
+        ..ask(LONG)
+    };
     for seed in 0..20 {
         let chosen = pool.choose(&ask, seed, START).unwrap();
         assert!(among.iter().any(|endpoint| endpoint.id == chosen.id));
@@ -200,12 +253,18 @@
     pool.started("e-000", Work::default(), START);
     pool.ended("e-000", Work::default(), false, Outcome::Unreachable, START);
     for seed in 0..30 {
-        assert_ne!(&*pool.choose(&ask(Work::default()), seed, START).unwrap().id, "e-000");
+        assert_ne!(
+            &*pool.choose(&ask(Work::default()), seed, START).unwrap().id,
+            "e-000"
+        );
     }
     // One that is avoided is better than none.
     pool.withdraw("e-001", START);
     pool.withdraw("e-002", START);
-    assert_eq!(&*pool.choose(&ask(Work::default()), 1, START).unwrap().id, "e-000");
+    assert_eq!(
+        &*pool.choose(&ask(Work::default()), 1, START).unwrap().id,
+        "e-000"
+    );
 }
 
 /// Load pattern: one replica of three fails half of its requests.
@@ -225,13 +284,19 @@
         }
     }
     for seed in 0..30 {
-        let chosen = pool.choose(&ask(Work::default()), seed, after(1_200)).unwrap();
+        let chosen = pool
+            .choose(&ask(Work::default()), seed, after(1_200))
+            .unwrap();
         assert_ne!(&*chosen.id, "e-000");
     }
     // It is tried again once its failures are old.
     let later = after(1_200 + 60_000);
     let again = (0..200).any(|seed| {
-        &*pool.choose(&ask(Work::default()), seed * 97, later).unwrap().id == "e-000"
+        &*pool
+            .choose(&ask(Work::default()), seed * 97, later)
+            .unwrap()
+            .id
+            == "e-000"
     });
     assert!(again);
 }
@@ -240,10 +305,16 @@
 fn backup_not_primary() {
     let pool = engines(2);
     for seed in 0..20 {
-        let copy = pool.backup("e-000", Purpose::Grow, &ask(LONG), seed, START).unwrap();
+        let copy = pool
+            .backup("e-000", Purpose::Grow, &ask(LONG), seed, START)
+            .unwrap();
         assert_eq!(&*copy.id, "e-001");
     }
-    assert!(engines(1).backup("e-000", Purpose::Grow, &ask(LONG), 1, START).is_none());
+    assert!(
+        engines(1)
+            .backup("e-000", Purpose::Grow, &ask(LONG), 1, START)
+            .is_none()
+    );
 }
 
 /// Load pattern: memory is short. Copies that may never be needed give way to
@@ -251,13 +322,30 @@
 #[test]
 fn backup_short_memory() {
     let mut pool = engines(2);
-    let half = Report { used_tokens: MEMORY / 2, memory_tokens: MEMORY, ..Report::default() };
+    let half = Report {
+        used_tokens: MEMORY / 2,
+        memory_tokens: MEMORY,
+        ..Report::default()
+    };
     pool.report("e-001", half, START);
-    assert!(pool.backup("e-000", Purpose::Grow, &ask(LONG), 1, START).is_none());
-    assert!(pool.backup("e-000", Purpose::Rescue, &ask(LONG), 1, START).is_some());
-    let full = Report { used_tokens: MEMORY, memory_tokens: MEMORY, ..Report::default() };
+    assert!(
+        pool.backup("e-000", Purpose::Grow, &ask(LONG), 1, START)
+            .is_none()
+    );
+    assert!(
+        pool.backup("e-000", Purpose::Rescue, &ask(LONG), 1, START)
+            .is_some()
+    );
+    let full = Report {
+        used_tokens: MEMORY,
+        memory_tokens: MEMORY,
+        ..Report::default()
+    };
     pool.report("e-001", full, START);
-    assert!(pool.backup("e-000", Purpose::Rescue, &ask(LONG), 1, START).is_none());
+    assert!(
+        pool.backup("e-000", Purpose::Rescue, &ask(LONG), 1, START)
+            .is_none()
+    );
 }
 
 /// Load pattern: an engine with many runs leaves. Their copies share the links,
@@ -267,7 +355,9 @@
     let mut pool = engines(12);
     let mut targets: BTreeMap<Arc<str>, usize> = BTreeMap::new();
     for seed in 0..6u64 {
-        let copy = pool.backup("e-000", Purpose::Rescue, &ask(LONG), seed * 77, START).unwrap();
+        let copy = pool
+            .backup("e-000", Purpose::Rescue, &ask(LONG), seed * 77, START)
+            .unwrap();
         pool.copy_started(&copy.id, LONG);
         *targets.entry(Arc::clone(&copy.id)).or_default() += 1;
     }
@@ -287,9 +377,23 @@
     };
     let resumes = |pool: &Pool, run: &Run, now| matches!(pool.salvage(run, now), Next::Resume(_));
     assert!(resumes(&pool, &run, START));
-    assert!(!resumes(&pool, &Run { backup: None, ..run.clone() }, START));
+    assert!(!resumes(
+        &pool,
+        &Run {
+            backup: None,
+            ..run.clone()
+        },
+        START
+    ));
     assert!(!resumes(&pool, &run, after(10_000)));
-    assert!(!resumes(&pool, &Run { moves: 100, ..run.clone() }, START));
+    assert!(!resumes(
+        &pool,
+        &Run {
+            moves: 100,
+            ..run.clone()
+        },
+        START
+    ));
     // One that has just said that it leaves still serves for a moment.
     pool.enlist(draining(1), START);
     assert!(resumes(&pool, &run, after(500)));
@@ -316,7 +420,13 @@
     pool.withdraw("e-000", START);
     pool.sweep(after(10));
     assert!(pool.get("e-000").is_some());
-    pool.ended("e-000", LONG, true, Outcome::Answered { latency_ms: 5 }, after(10));
+    pool.ended(
+        "e-000",
+        LONG,
+        true,
+        Outcome::Answered { latency_ms: 5 },
+        after(10),
+    );
     pool.sweep(after(10));
     assert!(pool.get("e-000").is_none());
 }
--- a/crates/core/tests/site.rs
+++ b/crates/core/tests/site.rs
@@ -13,7 +13,12 @@
 
 #[test]
 fn route_longest_prefix() {
-    let site = site(&[("all", "a", "/"), ("shop", "a", "/shop/"), ("cart", "a", "/shop/cart/"), ("b", "b", "/x/")]);
+    let site = site(&[
+        ("all", "a", "/"),
+        ("shop", "a", "/shop/"),
+        ("cart", "a", "/shop/cart/"),
+        ("b", "b", "/x/"),
+    ]);
     let cases = [
         ("a", "/", Some("all")),
         ("a", "/shop", Some("all")),
@@ -36,13 +41,26 @@
 
 #[test]
 fn workspace_by_key() {
-    let workspace = |name: &str| Workspace { name: name.into(), priority: None };
+    let workspace = |name: &str| Workspace {
+        name: name.into(),
+        priority: None,
+    };
     let site = Builder::new(1)
         .workspace(workspace("one"), &["k1".into(), "k3".into()])
         .workspace(workspace("two"), &["k2".into()])
         .build();
-    for (key, expected) in [("k1", Some("one")), ("k2", Some("two")), ("k3", Some("one")), ("k", None), ("", None)] {
-        assert_eq!(site.workspace(key).map(|workspace| &*workspace.name), expected, "{key}");
+    for (key, expected) in [
+        ("k1", Some("one")),
+        ("k2", Some("two")),
+        ("k3", Some("one")),
+        ("k", None),
+        ("", None),
+    ] {
+        assert_eq!(
+            site.workspace(key).map(|workspace| &*workspace.name),
+            expected,
+            "{key}"
+        );
     }
     assert!(!site.is_open());
     assert!(Builder::new(1).build().is_open());
@@ -52,12 +70,18 @@
 fn target_by_weight() {
     let mut route = Route::new("r", "h", "/", Kind::Once);
     assert_eq!(route.target(0.5), None);
-    let target = |service: &str, weight| Target { service: service.into(), weight };
+    let target = |service: &str, weight| Target {
+        service: service.into(),
+        weight,
+    };
     route.targets = vec![target("a", 90), target("none", 0), target("b", 10)];
     let mut counts: BTreeMap<Arc<str>, usize> = BTreeMap::new();
     for step in 0..1_000 {
         let service = route.target(f64::from(step) / 1_000.0).unwrap();
         *counts.entry(Arc::clone(service)).or_default() += 1;
     }
-    assert_eq!(counts.into_iter().collect::<Vec<_>>(), [("a".into(), 900), ("b".into(), 100)]);
+    assert_eq!(
+        counts.into_iter().collect::<Vec<_>>(),
+        [("a".into(), 900), ("b".into(), 100)]
+    );
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -41,7 +41,10 @@
     #[error(transparent)]
     Settings(#[from] settings::Error),
     #[error("{address} cannot be opened: {cause}; check that no other process listens there")]
-    Listen { address: SocketAddr, cause: std::io::Error },
+    Listen {
+        address: SocketAddr,
+        cause: std::io::Error,
+    },
     #[error("{path}: {cause}; correct the file, or leave it out for the defaults")]
     Policy { path: String, cause: String },
     #[error("the runtime cannot start: {0}; check the limits of the system")]
@@ -73,13 +76,20 @@
             .enable_all()
             .build()
     } else {
-        tokio::runtime::Builder::new_current_thread().enable_all().build()
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
     };
-    runtime.map_err(Kind::Runtime)?.block_on(serve(settings, policy, metrics_port))
+    runtime
+        .map_err(Kind::Runtime)?
+        .block_on(serve(settings, policy, metrics_port))
 }
 
 fn read_policy(path: &Path) -> Result<pool::Config, Kind> {
-    let fail = |cause: String| Kind::Policy { path: path.display().to_string(), cause };
+    let fail = |cause: String| Kind::Policy {
+        path: path.display().to_string(),
+        cause,
+    };
     let text = std::fs::read(path).map_err(|cause| fail(cause.to_string()))?;
     let config: pool::Config =
         serde_json::from_slice(&text).map_err(|cause| fail(cause.to_string()))?;
@@ -92,12 +102,13 @@
     policy: pool::Config,
     metrics_port: Option<u16>,
 ) -> Result<(), Kind> {
-    record::write(&Event::Started { vm: &settings.vm, data_centre: &settings.data_centre });
+    record::write(&Event::Started {
+        vm: &settings.vm,
+        data_centre: &settings.data_centre,
+    });
     let mut hangup = signal(SignalKind::hangup()).map_err(Kind::Runtime)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(Kind::Runtime)?;
-    let open = |address| {
-        listen::bind(address).map_err(|cause| Kind::Listen { address, cause })
-    };
+    let open = |address| listen::bind(address).map_err(|cause| Kind::Listen { address, cause });
     let callers = open(settings.callers)?;
     let readiness = open(settings.readiness)?;
     let metrics = match metrics_port {
@@ -120,7 +131,9 @@
 
 /// Reads changed settings until the process is told to stop.
 async fn heed(state: &State, hangup: &mut Signal, terminate: &mut Signal) {
-    let path = std::env::var_os(settings::PATH_VARIABLE).map(PathBuf::from).unwrap_or_default();
+    let path = std::env::var_os(settings::PATH_VARIABLE)
+        .map(PathBuf::from)
+        .unwrap_or_default();
     let mut read_at = modified(&path);
     let mut ticks = interval(SETTINGS_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -140,7 +153,9 @@
 }
 
 fn modified(path: &PathBuf) -> Option<SystemTime> {
-    std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
+    std::fs::metadata(path)
+        .and_then(|metadata| metadata.modified())
+        .ok()
 }
 
 fn reload(state: &State, path: &Path) {
@@ -173,5 +188,7 @@
         () = ends_early => {}
         () = sleep_until(clock::instant(stops_at)) => {}
     }
-    record::write(&Event::Stopped { open_requests: state.open_requests() });
+    record::write(&Event::Stopped {
+        open_requests: state.open_requests(),
+    });
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -80,6 +80,8 @@
 }
 
 fn id(event: &[u8]) -> Option<u64> {
-    let line = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    let line = event
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
 }
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -71,31 +71,50 @@
 
     /// Tells what became of a request, in order; `None` where no line names it.
     pub fn story(&self, request: &str) -> Option<Story> {
-        let mut lines: Vec<&Line> =
-            self.lines.iter().filter(|line| line.text("request") == request).collect();
+        let mut lines: Vec<&Line> = self
+            .lines
+            .iter()
+            .filter(|line| line.text("request") == request)
+            .collect();
         if lines.is_empty() {
             return None;
         }
-        lines.sort_by(|a, b| (a.file, &a.origin, a.steady_ms).cmp(&(b.file, &b.origin, b.steady_ms)));
-        let is_one_process =
-            lines.iter().all(|line| line.file == lines[0].file && line.origin == lines[0].origin);
+        lines.sort_by(|a, b| {
+            (a.file, &a.origin, a.steady_ms).cmp(&(b.file, &b.origin, b.steady_ms))
+        });
+        let is_one_process = lines
+            .iter()
+            .all(|line| line.file == lines[0].file && line.origin == lines[0].origin);
         let beliefs = self.beliefs(lines[0]);
         let endpoints = self.endpoints(&lines);
         let mut told: Vec<Line> = lines.iter().copied().chain(endpoints).cloned().collect();
-        told.sort_by(|a, b| (a.file, &a.origin, a.steady_ms).cmp(&(b.file, &b.origin, b.steady_ms)));
-        Some(Story { lines: told, beliefs, is_one_process })
+        told.sort_by(|a, b| {
+            (a.file, &a.origin, a.steady_ms).cmp(&(b.file, &b.origin, b.steady_ms))
+        });
+        Some(Story {
+            lines: told,
+            beliefs,
+            is_one_process,
+        })
     }
 
     /// Returns what the process believed when it first heard of a request.
     fn beliefs(&self, first: &Line) -> Vec<Line> {
         let mut last: BTreeMap<&str, &Line> = BTreeMap::new();
         let earlier = self.lines.iter().filter(|line| {
-            line.file == first.file && line.origin == first.origin && line.steady_ms <= first.steady_ms
+            line.file == first.file
+                && line.origin == first.origin
+                && line.steady_ms <= first.steady_ms
         });
         for line in earlier {
             let is_belief = matches!(
                 line.event(),
-                "config_in_force" | "data_centres_out" | "load" | "gateways" | "dependency_lost" | "dependency_regained"
+                "config_in_force"
+                    | "data_centres_out"
+                    | "load"
+                    | "gateways"
+                    | "dependency_lost"
+                    | "dependency_regained"
             );
             if is_belief {
                 last.insert(line.event(), line);
@@ -135,11 +154,18 @@
                 _ => continue,
             };
             let route = line.text("route").to_owned();
-            *counts.entry((line.event().to_owned(), cause.to_owned(), route)).or_default() += 1;
+            *counts
+                .entry((line.event().to_owned(), cause.to_owned(), route))
+                .or_default() += 1;
         }
         let mut causes: Vec<Cause> = counts
             .into_iter()
-            .map(|((event, cause, route), count)| Cause { event, cause, route, count })
+            .map(|((event, cause, route), count)| Cause {
+                event,
+                cause,
+                route,
+                count,
+            })
             .collect();
         causes.sort_by(|a, b| b.count.cmp(&a.count));
         causes
@@ -189,7 +215,10 @@
     /// Returns the story as one JSON object.
     pub fn json(&self) -> Value {
         let objects = |lines: &[Line]| -> Vec<Value> {
-            lines.iter().map(|line| Value::Object(line.fields.clone())).collect()
+            lines
+                .iter()
+                .map(|line| Value::Object(line.fields.clone()))
+                .collect()
         };
         json!({
             "order_is_certain": self.is_one_process,
@@ -214,7 +243,16 @@
     let start = line.find('{')?;
     let fields: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
     // A collector's prefix may hold a time; its last word names the process.
-    let origin = line[..start].split_whitespace().last().unwrap_or("").to_owned();
+    let origin = line[..start]
+        .split_whitespace()
+        .last()
+        .unwrap_or("")
+        .to_owned();
     let steady_ms = fields.get("steady_ms").and_then(Value::as_u64)?;
-    Some(Line { file, origin, steady_ms, fields })
+    Some(Line {
+        file,
+        origin,
+        steady_ms,
+        fields,
+    })
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -57,8 +57,10 @@
     let listed = client.list_stale(Kind::Gateways).await?;
     let now = clock::now();
     census.observe(&listed, now);
-    let expired: Vec<(Arc<str>, u64)> =
-        census.expired(now).map(|(name, revision)| (Arc::clone(name), revision)).collect();
+    let expired: Vec<(Arc<str>, u64)> = census
+        .expired(now)
+        .map(|(name, revision)| (Arc::clone(name), revision))
+        .collect();
     for (name, revision) in expired {
         // Another gateway may have removed it, or its owner may be back.
         if let Err(cause) = client.remove(Kind::Gateways, &name, revision).await {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -72,11 +72,16 @@
         Err(cause) => {
             let mut response = turn_away(&head, StatusCode::UNAUTHORIZED, cause);
             let scheme = HeaderValue::from_static("Bearer");
-            response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+            response
+                .headers_mut()
+                .insert(header::WWW_AUTHENTICATE, scheme);
             return response;
         }
     };
-    let Some(shard) = route.target(rand::random()).and_then(|service| state.shard(service)) else {
+    let Some(shard) = route
+        .target(rand::random())
+        .and_then(|service| state.shard(service))
+    else {
         return turn_away(&head, StatusCode::SERVICE_UNAVAILABLE, "no_service");
     };
     shard.count();
@@ -142,9 +147,15 @@
 }
 
 fn find_route<'a>(site: &'a Site, head: &Parts) -> Option<&'a Arc<Route>> {
-    let named = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let named = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
     let host = head.uri.host().or(named)?;
-    let host = host.rsplit_once(':').map_or(host, |(host, _)| host).to_ascii_lowercase();
+    let host = host
+        .rsplit_once(':')
+        .map_or(host, |(host, _)| host)
+        .to_ascii_lowercase();
     site.route(&host, head.uri.path())
 }
 
@@ -157,7 +168,11 @@
     if held.is_some() || site.is_open() || route.anonymous {
         return Ok(held);
     }
-    Err(if caller.key.is_some() { "unknown_key" } else { "no_key" })
+    Err(if caller.key.is_some() {
+        "unknown_key"
+    } else {
+        "no_key"
+    })
 }
 
 /// Answers a request that is not sent to any endpoint.
@@ -197,7 +212,11 @@
     mut body: Incoming,
 ) -> Result<Held, (StatusCode, &'static str)> {
     let limits = site.limits();
-    let mut held = Held { state: Arc::clone(state), bytes: Bytes::new(), counted: 0 };
+    let mut held = Held {
+        state: Arc::clone(state),
+        bytes: Bytes::new(),
+        counted: 0,
+    };
     let announced = hyper::body::Body::size_hint(&body).lower();
     if announced > limits.body_bytes as u64 {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -46,7 +46,12 @@
 impl Job {
     /// Returns the question for an endpoint, of `among` where that is not empty.
     pub(crate) fn ask<'a>(&'a self, tried: &'a [Arc<str>], among: &'a [Arc<Endpoint>]) -> Ask<'a> {
-        Ask { work: self.work, data_centre: &self.data_centre, tried, among }
+        Ask {
+            work: self.work,
+            data_centre: &self.data_centre,
+            tried,
+            among,
+        }
     }
 
     /// Returns the request as it goes to an endpoint.
@@ -94,7 +99,11 @@
 
     /// Notes the end of the request.
     pub(crate) fn ended(&self, status: StatusCode, outcome: &str, end: &End<'_>) {
-        self.count(if status.is_success() && outcome == OK { "served" } else { "failed" });
+        self.count(if status.is_success() && outcome == OK {
+            "served"
+        } else {
+            "failed"
+        });
         record::write(&Event::Ended {
             request: &self.request,
             route: &self.route.name,
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -55,7 +55,9 @@
                 tokio::spawn(caller(Arc::clone(&state), stream));
             }
             Err(cause) => {
-                log::warn!("a connection was not accepted: {cause}; raise the limit of descriptors");
+                log::warn!(
+                    "a connection was not accepted: {cause}; raise the limit of descriptors"
+                );
                 sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -158,7 +160,9 @@
 
 /// Marks the process as stopping.
 pub(crate) fn stop(state: &State, stops_at: Time) {
-    record::write(&Event::Stopping { open_requests: state.open_requests() });
+    record::write(&Event::Stopping {
+        open_requests: state.open_requests(),
+    });
     state.stopping.send_replace(Some(stops_at));
     debug_assert!(stops_at >= clock::now());
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,8 +6,9 @@
 };
 
 /// Limits of the buckets for times, in seconds: around the targets of routes.
-const TIME_BUCKETS: [f64; 12] =
-    [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.8, 5.0, 20.0];
+const TIME_BUCKETS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.8, 5.0, 20.0,
+];
 
 /// All metrics of a gateway. docs/METRICS.md lists them.
 #[derive(Debug)]
@@ -34,22 +35,57 @@
             register(&registry, vec.expect("the name of a metric is valid"))
         };
         let gauge = |name: &str, help: &str| {
-            register(&registry, IntGauge::new(name, help).expect("the name of a metric is valid"))
+            register(
+                &registry,
+                IntGauge::new(name, help).expect("the name of a metric is valid"),
+            )
         };
         let times = |name: &str, help: &str| {
             let options = HistogramOpts::new(name, help).buckets(TIME_BUCKETS.to_vec());
-            register(&registry, Histogram::with_opts(options).expect("the name of a metric is valid"))
+            register(
+                &registry,
+                Histogram::with_opts(options).expect("the name of a metric is valid"),
+            )
         };
-        let resumes = IntCounter::new("cactusroad_resumes_total", "Runs that went on at another engine.");
+        let resumes = IntCounter::new(
+            "cactusroad_resumes_total",
+            "Runs that went on at another engine.",
+        );
         Metrics {
-            requests: counters("cactusroad_requests_total", "Requests by kind and outcome.", &["kind", "outcome"]),
-            attempts: counters("cactusroad_attempts_total", "Attempts by outcome.", &["outcome"]),
-            losses: counters("cactusroad_engine_losses_total", "Runs that lost their engine.", &["loss"]),
+            requests: counters(
+                "cactusroad_requests_total",
+                "Requests by kind and outcome.",
+                &["kind", "outcome"],
+            ),
+            attempts: counters(
+                "cactusroad_attempts_total",
+                "Attempts by outcome.",
+                &["outcome"],
+            ),
+            losses: counters(
+                "cactusroad_engine_losses_total",
+                "Runs that lost their engine.",
+                &["loss"],
+            ),
             resumes: register(&registry, resumes.expect("the name of a metric is valid")),
-            moves: counters("cactusroad_moves_total", "Moves of runs by outcome.", &["outcome"]),
-            store_calls: counters("cactusroad_store_calls_total", "Calls to the store.", &["kind", "outcome"]),
-            first_answer: times("cactusroad_first_answer_seconds", "Time to the answer or the first event."),
-            pause: times("cactusroad_pause_seconds", "Time between two events of a stream."),
+            moves: counters(
+                "cactusroad_moves_total",
+                "Moves of runs by outcome.",
+                &["outcome"],
+            ),
+            store_calls: counters(
+                "cactusroad_store_calls_total",
+                "Calls to the store.",
+                &["kind", "outcome"],
+            ),
+            first_answer: times(
+                "cactusroad_first_answer_seconds",
+                "Time to the answer or the first event.",
+            ),
+            pause: times(
+                "cactusroad_pause_seconds",
+                "Time between two events of a stream.",
+            ),
             config_version: gauge("cactusroad_config_version", "The configuration in force."),
             endpoints: gauge("cactusroad_endpoints", "Endpoints that are listed."),
             open_requests: gauge("cactusroad_open_requests", "Requests without an answer."),
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -40,7 +40,12 @@
 /// Draws engines to choose from and asks them for reports.
 pub(crate) async fn candidates(shard: &Arc<Shard>, tried: &[Arc<str>]) -> Vec<Arc<Endpoint>> {
     let drawn = shard.pool().draw(tried, rand::random(), clock::now());
-    join_all(drawn.iter().map(|endpoint| ask(shard, endpoint, CHOICE_LIMIT))).await;
+    join_all(
+        drawn
+            .iter()
+            .map(|endpoint| ask(shard, endpoint, CHOICE_LIMIT)),
+    )
+    .await;
     drawn
 }
 
@@ -59,7 +64,11 @@
         let Some(site) = state.site.load_full() else {
             continue;
         };
-        for service in site.services().iter().filter(|service| service.engine.is_some()) {
+        for service in site
+            .services()
+            .iter()
+            .filter(|service| service.engine.is_some())
+        {
             let Some(shard) = state.shard(&service.name) else {
                 continue;
             };
@@ -68,7 +77,12 @@
             }
             if is_alone {
                 let holding = shard.pool().holding();
-                join_all(holding.iter().map(|endpoint| ask(&shard, endpoint, REPORT_LIMIT))).await;
+                join_all(
+                    holding
+                        .iter()
+                        .map(|endpoint| ask(&shard, endpoint, REPORT_LIMIT)),
+                )
+                .await;
             }
         }
     }
@@ -97,7 +111,11 @@
 fn log_load(shard: &Shard) {
     let mut sum = Report::default();
     let (mut engines, mut oldest_report_ms, mut fullest) = (0, 0, 0.0f64);
-    for (report, age) in shard.pool().views(clock::now()).filter_map(|view| view.report) {
+    for (report, age) in shard
+        .pool()
+        .views(clock::now())
+        .filter_map(|view| view.report)
+    {
         engines += 1;
         sum.running += report.running;
         sum.waiting += report.waiting;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -164,9 +164,21 @@
     body: Bytes,
 ) -> Response<Body> {
     let first_ms = clock::millis_since(job.arrived_at);
-    job.state.metrics.first_answer.observe(first_ms as f64 / 1e3);
-    let end = End { endpoint, attempts: progress.sends, first_ms, ..End::default() };
-    let outcome = if head.status.is_success() { OK } else { "endpoint_failed" };
+    job.state
+        .metrics
+        .first_answer
+        .observe(first_ms as f64 / 1e3);
+    let end = End {
+        endpoint,
+        attempts: progress.sends,
+        first_ms,
+        ..End::default()
+    };
+    let outcome = if head.status.is_success() {
+        OK
+    } else {
+        "endpoint_failed"
+    };
     job.ended(head.status, outcome, &end);
     Response::from_parts(head, Body::Whole(Some(body)))
 }
@@ -179,7 +191,10 @@
     if progress.runs == 0 {
         return job.refuse(progress.refusal.map_or("no_endpoint", Into::into));
     }
-    let end = End { attempts: progress.sends, ..End::default() };
+    let end = End {
+        attempts: progress.sends,
+        ..End::default()
+    };
     job.fail(StatusCode::BAD_GATEWAY, "lost", &end)
 }
 
@@ -196,9 +211,11 @@
     let order = job.order(&endpoint, None, None);
     let sent = replica::send(&order, DIAL_LIMIT.min(left(job.deadline))).await;
     let collected = match sent {
-        Ok(mut reply) if !reply.is_not_run => {
-            reply.body.collect(MAX_ANSWER).await.map(|body| (reply.head, Some(body)))
-        }
+        Ok(mut reply) if !reply.is_not_run => reply
+            .body
+            .collect(MAX_ANSWER)
+            .await
+            .map(|body| (reply.head, Some(body))),
         Ok(reply) => Ok((reply.head, None)),
         Err(cause) => Err(cause),
     };
@@ -216,7 +233,11 @@
     let label: &str = outcome.into();
     job.state.metrics.attempts.with_label_values(&[label]).inc();
     if !matches!(outcome, Outcome::Answered { .. }) {
-        let fate = if matches!(ended, Attempt::Unsent | Attempt::Refused) { "not_run" } else { "unknown" };
+        let fate = if matches!(ended, Attempt::Unsent | Attempt::Refused) {
+            "not_run"
+        } else {
+            "unknown"
+        };
         failed(job, &endpoint, &cause, fate, started_at);
     }
     ticket.end(outcome);
@@ -241,7 +262,11 @@
     } else {
         Outcome::Answered { latency_ms }
     };
-    (outcome, Attempt::Answer(Box::new(head), body), status.to_string())
+    (
+        outcome,
+        Attempt::Answer(Box::new(head), body),
+        status.to_string(),
+    )
 }
 
 fn failed(job: &Job, endpoint: &Endpoint, cause: &str, fate: &str, started_at: Time) {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -41,11 +41,20 @@
     /// A dependency answers again.
     DependencyRegained { name: &'a str, away_ms: u64 },
     /// A configuration is in force from now on.
-    ConfigInForce { version: u64, routes: usize, revision: u64 },
+    ConfigInForce {
+        version: u64,
+        routes: usize,
+        revision: u64,
+    },
     /// A configuration could not be used; the old one stays.
     ConfigRejected { cause: &'a str, revision: u64 },
     /// What the process believes of an endpoint has changed.
-    Endpoint { endpoint: &'a str, service: &'a str, change: &'a str, source: &'a str },
+    Endpoint {
+        endpoint: &'a str,
+        service: &'a str,
+        change: &'a str,
+        source: &'a str,
+    },
     /// What the engines of a service report, once a second.
     Load {
         service: &'a str,
@@ -65,7 +74,12 @@
     /// The data centres that are out have changed.
     DataCentresOut { names: &'a [std::sync::Arc<str>] },
     /// An endpoint was chosen for a request.
-    Placed { request: &'a str, endpoint: &'a str, backup: Option<&'a str>, attempt: u32 },
+    Placed {
+        request: &'a str,
+        endpoint: &'a str,
+        backup: Option<&'a str>,
+        attempt: u32,
+    },
     /// An attempt brought no answer for the caller.
     AttemptFailed {
         request: &'a str,
@@ -75,15 +89,40 @@
         after_ms: u64,
     },
     /// A stream has lost its engine.
-    EngineLost { request: &'a str, endpoint: &'a str, loss: &'a str, last_event: u64, cause: &'a str },
+    EngineLost {
+        request: &'a str,
+        endpoint: &'a str,
+        loss: &'a str,
+        last_event: u64,
+        cause: &'a str,
+    },
     /// A run went on at another engine.
-    Resumed { request: &'a str, endpoint: &'a str, source: &'a str, pause_ms: u64 },
+    Resumed {
+        request: &'a str,
+        endpoint: &'a str,
+        source: &'a str,
+        pause_ms: u64,
+    },
     /// A run is copied to another engine because its own is leaving.
-    Moving { request: &'a str, from: &'a str, to: &'a str },
+    Moving {
+        request: &'a str,
+        from: &'a str,
+        to: &'a str,
+    },
     /// A move came to nothing.
-    MoveFailed { request: &'a str, from: &'a str, cause: &'a str },
+    MoveFailed {
+        request: &'a str,
+        from: &'a str,
+        cause: &'a str,
+    },
     /// A request was refused without being sent.
-    Refused { request: &'a str, route: &'a str, status: u16, cause: &'a str, retry_after_ms: u64 },
+    Refused {
+        request: &'a str,
+        route: &'a str,
+        status: u16,
+        cause: &'a str,
+        retry_after_ms: u64,
+    },
     /// A request has ended.
     Ended {
         request: &'a str,
@@ -124,7 +163,9 @@
 
 /// Adds a line.
 pub(crate) fn write(event: &Event<'_>) {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let line = Line {
         time_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
         steady_ms: clock::now().as_millis(),
@@ -195,7 +236,10 @@
 pub(crate) fn flush() {
     let (bytes, dropped) = {
         let mut buffer = buffer();
-        (std::mem::take(&mut buffer.bytes), std::mem::take(&mut buffer.dropped))
+        (
+            std::mem::take(&mut buffer.bytes),
+            std::mem::take(&mut buffer.dropped),
+        )
     };
     if bytes.is_empty() {
         return;
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -44,9 +44,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match self.get_mut() {
             Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Body::Events(events) => {
-                events.poll_recv(context).map(|event| event.map(|event| event.map(Frame::data)))
-            }
+            Body::Events(events) => events
+                .poll_recv(context)
+                .map(|event| event.map(|event| event.map(Frame::data))),
         }
     }
 
@@ -95,5 +95,7 @@
 
 /// Closes the caller's connection after this answer.
 pub(crate) fn close(response: &mut Response<Body>) {
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+        .headers_mut()
+        .insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
--- a/crates/gateway/src/rescue.rs
+++ b/crates/gateway/src/rescue.rs
@@ -71,7 +71,11 @@
             from: Arc::clone(from),
             progress: Arc::clone(&progress),
         };
-        Rescue { source: from.address, progress, task: tokio::spawn(copies.run()) }
+        Rescue {
+            source: from.address,
+            progress,
+            task: tokio::spawn(copies.run()),
+        }
     }
 
     /// Tells whether there is, or will be, a copy at an engine that stays.
@@ -131,10 +135,17 @@
     /// Chooses where the copies go, among engines that are asked for reports.
     async fn choose(&self) -> Option<Arc<Endpoint>> {
         let among = observe::candidates(&self.shard, slice::from_ref(&self.from.id)).await;
-        let ask = Ask { work: self.work, data_centre: &self.data_centre, tried: &[], among: &among };
+        let ask = Ask {
+            work: self.work,
+            data_centre: &self.data_centre,
+            tried: &[],
+            among: &among,
+        };
         let seed = rand::random();
         let target =
-            self.shard.pool().backup(&self.from.id, Purpose::Rescue, &ask, seed, clock::now())?;
+            self.shard
+                .pool()
+                .backup(&self.from.id, Purpose::Rescue, &ask, seed, clock::now())?;
         record::write(&Event::Moving {
             request: &self.request,
             from: &self.from.id,
@@ -173,7 +184,11 @@
 
     fn failed(&self, outcome: &str, cause: &str) {
         self.count(outcome);
-        record::write(&Event::MoveFailed { request: &self.request, from: &self.from.id, cause });
+        record::write(&Event::MoveFailed {
+            request: &self.request,
+            from: &self.from.id,
+            cause,
+        });
     }
 
     fn count(&self, outcome: &str) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -121,7 +121,14 @@
         let mut shards: Vec<Arc<Shard>> = Vec::with_capacity(site.services().len());
         for service in site.services() {
             let shard = self.shard(&service.name);
-            let shard = shard.unwrap_or_else(|| Arc::new(Shard::new(&service.name, &settings, &self.policy, self.gateways.load(Ordering::Relaxed))));
+            let shard = shard.unwrap_or_else(|| {
+                Arc::new(Shard::new(
+                    &service.name,
+                    &settings,
+                    &self.policy,
+                    self.gateways.load(Ordering::Relaxed),
+                ))
+            });
             shard.pool().set_out(&self.out.load());
             if let Some(engine) = &service.engine {
                 shard.pool().set_engine(engine.memory_tokens);
@@ -147,7 +154,12 @@
             return shard;
         }
         let settings = self.settings.load();
-        let shard = Arc::new(Shard::new(service, &settings, &self.policy, self.gateways.load(Ordering::Relaxed)));
+        let shard = Arc::new(Shard::new(
+            service,
+            &settings,
+            &self.policy,
+            self.gateways.load(Ordering::Relaxed),
+        ));
         shard.pool().set_out(&self.out.load());
         self.shards.rcu(|shards| {
             let mut shards = Vec::clone(shards);
@@ -241,7 +253,9 @@
     }
 
     fn observers(&self) -> MutexGuard<'_, Vec<(Arc<str>, Observer)>> {
-        self.observers.lock().unwrap_or_else(PoisonError::into_inner)
+        self.observers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes the observer of an endpoint, if it is not in use.
@@ -319,7 +333,11 @@
     /// Counts a copy at an endpoint until the guard is dropped.
     pub(crate) fn copy(self: &Arc<Shard>, endpoint: &Arc<Endpoint>, work: Work) -> Copy {
         self.pool().copy_started(&endpoint.id, work);
-        Copy { shard: Arc::clone(self), endpoint: Arc::clone(endpoint), work }
+        Copy {
+            shard: Arc::clone(self),
+            endpoint: Arc::clone(endpoint),
+            work,
+        }
     }
 }
 
@@ -351,7 +369,9 @@
     fn finish(&mut self, outcome: Outcome) {
         self.is_ended = true;
         let now = clock::now();
-        self.shard.pool().ended(&self.endpoint.id, self.work, self.is_answered, outcome, now);
+        self.shard
+            .pool()
+            .ended(&self.endpoint.id, self.work, self.is_answered, outcome, now);
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -120,7 +120,12 @@
 impl Relay {
     fn new(job: Job, endpoint: Arc<Endpoint>, among: Vec<Arc<Endpoint>>, sends: u32) -> Relay {
         let leaving = job.shard.leaving.subscribe();
-        let run = Run { endpoint, backup: None, moves: 0, deadline: job.deadline };
+        let run = Run {
+            endpoint,
+            backup: None,
+            moves: 0,
+            deadline: job.deadline,
+        };
         Relay {
             run,
             reply: None,
@@ -153,7 +158,9 @@
         });
         let ticket = self.job.shard.start(&endpoint, self.job.work);
         let started_at = ticket.started_at;
-        let order = self.job.order(&endpoint, self.run.backup.as_deref(), source);
+        let order = self
+            .job
+            .order(&endpoint, self.run.backup.as_deref(), source);
         let sending = replica::send(&order, DIAL_LIMIT.min(left(self.job.deadline)));
         let sent = timeout(left(self.job.deadline), sending).await;
         let (outcome, opened, cause) = match sent {
@@ -163,7 +170,11 @@
                 self.heed_leaving();
                 return Opened::Reply;
             }
-            Ok(Ok(reply)) => (Outcome::Refused, Opened::NotRun, reply.head.status.to_string()),
+            Ok(Ok(reply)) => (
+                Outcome::Refused,
+                Opened::NotRun,
+                reply.head.status.to_string(),
+            ),
             Ok(Err(cause)) if cause.fate() == Fate::NotRun => {
                 (Outcome::Unreachable, Opened::NotRun, cause.to_string())
             }
@@ -172,12 +183,21 @@
         };
         ticket.end(outcome);
         let label: &str = outcome.into();
-        self.job.state.metrics.attempts.with_label_values(&[label]).inc();
+        self.job
+            .state
+            .metrics
+            .attempts
+            .with_label_values(&[label])
+            .inc();
         record::write(&Event::AttemptFailed {
             request: &self.job.request,
             endpoint: &endpoint.id,
             cause: &cause,
-            fate: if matches!(opened, Opened::NotRun) { "not_run" } else { "unknown" },
+            fate: if matches!(opened, Opened::NotRun) {
+                "not_run"
+            } else {
+                "unknown"
+            },
             after_ms: clock::millis_since(started_at),
         });
         if matches!(opened, Opened::NotRun) {
@@ -193,7 +213,13 @@
             return;
         }
         let ask = self.job.ask(&[], &self.among);
-        let backup = self.job.shard.pool().backup(&self.run.endpoint.id, Purpose::Grow, &ask, rand::random(), clock::now());
+        let backup = self.job.shard.pool().backup(
+            &self.run.endpoint.id,
+            Purpose::Grow,
+            &ask,
+            rand::random(),
+            clock::now(),
+        );
         if let Some(backup) = backup {
             self.copy = Some(self.job.shard.copy(&backup, self.job.work));
             self.run.backup = Some(backup);
@@ -208,8 +234,12 @@
     /// Tells whether the engines of the service copy runs as they grow.
     fn has_copies(&self) -> bool {
         let site = self.job.state.site.load();
-        let service = site.as_ref().and_then(|site| site.service(&self.job.shard.service));
-        service.and_then(|service| service.engine.as_ref()).is_some_and(|engine| engine.backups)
+        let service = site
+            .as_ref()
+            .and_then(|site| site.service(&self.job.shard.service));
+        service
+            .and_then(|service| service.engine.as_ref())
+            .is_some_and(|engine| engine.backups)
     }
 
     /// Waits for the first event, and answers the caller.
@@ -227,7 +257,11 @@
         match (first, head) {
             (Ok(first), Some(head)) => {
                 self.first_ms = clock::millis_since(self.job.arrived_at);
-                self.job.state.metrics.first_answer.observe(self.first_ms as f64 / 1e3);
+                self.job
+                    .state
+                    .metrics
+                    .first_answer
+                    .observe(self.first_ms as f64 / 1e3);
                 self.spawn(head, first)
             }
             (Ok(_), None) => self.fail(StatusCode::BAD_GATEWAY, "no_head"),
@@ -305,9 +339,15 @@
                 // The caller has left where this cannot be sent.
                 let _ = sender.send(Err(Broken)).await;
             }
-            let outcome = if ending == Ending::Complete { OK } else { ending.into() };
+            let outcome = if ending == Ending::Complete {
+                OK
+            } else {
+                ending.into()
+            };
             if let (Ending::Complete, Some(ticket)) = (ending, self.ticket.take()) {
-                ticket.end(Outcome::Answered { latency_ms: self.first_ms });
+                ticket.end(Outcome::Answered {
+                    latency_ms: self.first_ms,
+                });
             }
             self.job.ended(status, outcome, &self.end());
         });
@@ -406,9 +446,15 @@
     fn heed_leaving(&mut self) {
         let needs_rescue = {
             let pool = self.job.shard.pool();
-            let has_copy =
-                self.run.backup.as_ref().is_some_and(|backup| !pool.is_leaving(&backup.id));
-            let has_rescue = self.rescue.as_ref().is_some_and(|rescue| rescue.is_under_way(&pool));
+            let has_copy = self
+                .run
+                .backup
+                .as_ref()
+                .is_some_and(|backup| !pool.is_leaving(&backup.id));
+            let has_rescue = self
+                .rescue
+                .as_ref()
+                .is_some_and(|rescue| rescue.is_under_way(&pool));
             let is_leaving = pool.is_leaving(&self.run.endpoint.id);
             is_leaving && !has_copy && !has_rescue
         };
@@ -426,7 +472,12 @@
             ticket.end(Outcome::Unreachable);
         }
         let loss_label: &str = loss.into();
-        self.job.state.metrics.losses.with_label_values(&[loss_label]).inc();
+        self.job
+            .state
+            .metrics
+            .losses
+            .with_label_values(&[loss_label])
+            .inc();
         record::write(&Event::EngineLost {
             request: &self.job.request,
             endpoint: &self.run.endpoint.id,
@@ -460,7 +511,9 @@
     }
 
     fn is_resumed(&self) -> bool {
-        self.reply.as_ref().is_some_and(|reply| reply.head.status.is_success())
+        self.reply
+            .as_ref()
+            .is_some_and(|reply| reply.head.status.is_success())
     }
 
     /// Goes on from the copy of a run whose engine is silent, if the copy can be
@@ -494,7 +547,13 @@
             self.resumed(&address, silent_from);
             return;
         }
-        (self.run.endpoint, self.run.backup, self.copy, self.reply, self.ticket) = old;
+        (
+            self.run.endpoint,
+            self.run.backup,
+            self.copy,
+            self.reply,
+            self.ticket,
+        ) = old;
     }
 
     fn resumed(&self, source: &str, lost_at: Time) {
@@ -509,7 +568,11 @@
 
     /// Finds the copy to go on from: that of a move, or the one that grew with the run.
     async fn find_copy(&mut self) -> Option<(Arc<Endpoint>, Source)> {
-        if let Some(found) = self.rescue.take().and_then(|rescue| rescue.finish(&self.job)) {
+        if let Some(found) = self
+            .rescue
+            .take()
+            .and_then(|rescue| rescue.finish(&self.job))
+        {
             let source = self.source(found.source, found.handle);
             return Some((found.target, source));
         }
@@ -531,7 +594,11 @@
     }
 
     fn source(&self, address: std::net::SocketAddr, name: Arc<str>) -> Source {
-        Source { address, name, last_event: Some(self.last_event.unwrap_or(0)) }
+        Source {
+            address,
+            name,
+            last_event: Some(self.last_event.unwrap_or(0)),
+        }
     }
 }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -80,7 +80,12 @@
 /// Starts the tasks that follow the store; they end with the runtime.
 pub(crate) fn start(state: &Arc<State>) {
     tokio::spawn(follow(Arc::clone(state), Configuration));
-    tokio::spawn(follow(Arc::clone(state), Endpoints { returned_at: Time::ZERO }));
+    tokio::spawn(follow(
+        Arc::clone(state),
+        Endpoints {
+            returned_at: Time::ZERO,
+        },
+    ));
     tokio::spawn(follow(Arc::clone(state), Outs { names: Vec::new() }));
 }
 
@@ -120,7 +125,11 @@
 }
 
 fn count(state: &State, kind: Kind, outcome: &str) {
-    state.metrics.store_calls.with_label_values(&[kind.into(), outcome]).inc();
+    state
+        .metrics
+        .store_calls
+        .with_label_values(&[kind.into(), outcome])
+        .inc();
 }
 
 /// Lists or watches once, and returns the revision to go on from.
@@ -157,7 +166,10 @@
         if is_first {
             self.since = Some(clock::now());
             let cause = cause.to_string();
-            record::write(&Event::DependencyLost { name: kind.into(), cause: &cause });
+            record::write(&Event::DependencyLost {
+                name: kind.into(),
+                cause: &cause,
+            });
         }
         is_first
     }
@@ -169,7 +181,10 @@
             return false;
         };
         let away_ms = clock::millis_since(since);
-        record::write(&Event::DependencyRegained { name: kind.into(), away_ms });
+        record::write(&Event::DependencyRegained {
+            name: kind.into(),
+            away_ms,
+        });
         true
     }
 
@@ -202,7 +217,10 @@
             Err(cause) => {
                 let cause = cause.to_string();
                 let revision = object.meta.revision;
-                record::write(&Event::ConfigRejected { cause: &cause, revision });
+                record::write(&Event::ConfigRejected {
+                    cause: &cause,
+                    revision,
+                });
             }
         }
     }
@@ -242,7 +260,10 @@
             Ok(endpoint) => endpoint,
             Err(cause) => {
                 let cause = cause.to_string();
-                record::write(&Event::EntryUnreadable { name, cause: &cause });
+                record::write(&Event::EntryUnreadable {
+                    name,
+                    cause: &cause,
+                });
                 return None;
             }
         };
@@ -256,7 +277,11 @@
     fn withdraw(&self, state: &State, name: &str) {
         // The first changes after an outage arrive before it counts as ended.
         let is_away = state.is_store_away.load(Ordering::Relaxed);
-        let returned_at = if is_away { clock::now() } else { self.returned_at };
+        let returned_at = if is_away {
+            clock::now()
+        } else {
+            self.returned_at
+        };
         let until = clock::now().max(returned_at + RETURN_GRACE);
         for shard in state.shards().iter() {
             let change = shard.pool().withdraw(name, until);
@@ -271,7 +296,10 @@
             pool.sweep(clock::now());
             listed += pool.len();
         }
-        state.metrics.endpoints.set(i64::try_from(listed).unwrap_or(i64::MAX));
+        state
+            .metrics
+            .endpoints
+            .set(i64::try_from(listed).unwrap_or(i64::MAX));
     }
 }
 
@@ -286,10 +314,16 @@
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
         for shard in state.shards().iter() {
-            let ids: Vec<Arc<str>> =
-                shard.pool().views(clock::now()).map(|view| Arc::clone(&view.endpoint.id)).collect();
+            let ids: Vec<Arc<str>> = shard
+                .pool()
+                .views(clock::now())
+                .map(|view| Arc::clone(&view.endpoint.id))
+                .collect();
             for id in ids {
-                if objects.binary_search_by(|object| object.meta.name.cmp(&id)).is_err() {
+                if objects
+                    .binary_search_by(|object| object.meta.name.cmp(&id))
+                    .is_err()
+                {
                     self.withdraw(state, &id);
                 }
             }
@@ -341,7 +375,10 @@
     const WAIT: Duration = RARE_WAIT;
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
-        self.names = objects.iter().map(|object| Arc::clone(&object.meta.name)).collect();
+        self.names = objects
+            .iter()
+            .map(|object| Arc::clone(&object.meta.name))
+            .collect();
         self.names.sort();
         self.publish(state);
     }
--- a/crates/node/src/agent/blame.rs
+++ b/crates/node/src/agent/blame.rs
@@ -15,6 +15,7 @@
 };
 
 use bytes::Bytes;
+use cactusroad_adapter::store::{Error, Expect, Store, Version};
 use cactusroad_core::{
     Time,
     blame::{self, Board, Config, Hold, LIST_KEY, List, Take, Verdict},
@@ -22,7 +23,6 @@
     refusal::Refusal,
     spread::Item,
 };
-use cactusroad_adapter::store::{Error, Expect, Store, Version};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time,
--- a/crates/node/src/agent/gate/bound.rs
+++ b/crates/node/src/agent/gate/bound.rs
@@ -1,6 +1,7 @@
 //! What an endpoint is given at most: a model engine by its memory, a plain
 //! service by a count.
 
+use cactusroad_adapter::engine::Load;
 use cactusroad_core::{
     Time,
     admission::{Admission, Config, Decision, Ending, Report, Request},
@@ -8,7 +9,6 @@
     id::Attempt,
     ramp,
 };
-use cactusroad_adapter::engine::Load;
 
 use super::Level;
 
--- a/crates/node/src/agent/gate/mod.rs
+++ b/crates/node/src/agent/gate/mod.rs
@@ -16,6 +16,7 @@
     time::Duration,
 };
 
+use cactusroad_adapter::engine::Load;
 use cactusroad_core::{
     Time,
     admission::{Decision, Ending, Request},
@@ -24,7 +25,6 @@
     id::Attempt,
     refusal::{Effect, Kind, Refusal},
 };
-use cactusroad_adapter::engine::Load;
 use prometheus::Histogram;
 use tokio::{
     sync::{oneshot, watch},
--- a/crates/node/src/agent/ledger.rs
+++ b/crates/node/src/agent/ledger.rs
@@ -7,13 +7,13 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cactusroad_adapter::store::{self, Store, Version};
 use cactusroad_core::{
     Time,
     id::Attempt,
     ledger::{self, Claim, Config, Failure, Op, Partition, Reply},
     refusal::{Effect, Kind, Refusal},
 };
-use cactusroad_adapter::store::{self, Store, Version};
 use cactusroad_wire::message;
 use prost::Message;
 use tokio::{
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -32,17 +32,17 @@
     time::Duration,
 };
 
+use cactusroad_adapter::{
+    engine::{Engine, Load},
+    service::Service,
+    store::Store,
+};
 use cactusroad_core::{
     config::{Objective, drain},
     id::Incarnation,
     ledger::Config as LedgerConfig,
     refusal::{Effect, Kind, Refusal},
 };
-use cactusroad_adapter::{
-    engine::{Engine, Load},
-    service::Service,
-    store::Store,
-};
 use cactusroad_wire::message::Status;
 use tokio::{sync::watch, time};
 
--- a/crates/node/src/agent/run.rs
+++ b/crates/node/src/agent/run.rs
@@ -3,6 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cactusroad_adapter::{
+    engine::{self, Engine, Event, Prompt},
+    service::{self, Service},
+};
 use cactusroad_core::{
     Time,
     digest::Digest,
@@ -10,10 +14,6 @@
     ledger::{self as core, Claim},
     refusal::{Effect, Kind, Refusal},
 };
-use cactusroad_adapter::{
-    engine::{self, Engine, Event, Prompt},
-    service::{self, Service},
-};
 use cactusroad_wire::message::{Call, Generate, Header, Open, open};
 use futures_util::StreamExt;
 use http::Request;
--- a/crates/node/src/agent/serve.rs
+++ b/crates/node/src/agent/serve.rs
@@ -3,13 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cactusroad_adapter::{engine::Engine, service::Service};
 use cactusroad_core::{
     Time,
     id::{Attempt, Incarnation},
     refusal::{Effect, Kind, Refusal},
     stream,
 };
-use cactusroad_adapter::{engine::Engine, service::Service};
 use cactusroad_wire::message::{
     Accepted, Answer, Attach, End, Header, Open, Ping, Pong, Refused, Reply, Request, Settle,
     Settled, Token, reply, request, settled::State,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -2,11 +2,11 @@
 
 use std::{fmt, net::SocketAddr, path::Path};
 
+use cactusroad_adapter::{address::Address, engine, roster, service, store};
 use cactusroad_core::{
     id::Incarnation,
     member::{Member, Role},
 };
-use cactusroad_adapter::{address::Address, engine, roster, service, store};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -22,11 +22,11 @@
     net::SocketAddr, sync::Arc, sync::atomic::AtomicBool, sync::atomic::Ordering, time::Duration,
 };
 
+use cactusroad_adapter::store::Store;
 use cactusroad_core::{
     config::{Route, Snapshot},
     id::Attempt,
 };
-use cactusroad_adapter::store::Store;
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, watch},
--- a/crates/node/src/entry/rollout.rs
+++ b/crates/node/src/entry/rollout.rs
@@ -14,6 +14,7 @@
 };
 
 use bytes::Bytes;
+use cactusroad_adapter::store::{Error, Expect, Store};
 use cactusroad_core::{
     Time,
     config::{Plan, Route, Snapshot},
@@ -27,7 +28,6 @@
     },
     spread::Item,
 };
-use cactusroad_adapter::store::{Error, Expect, Store};
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/crates/node/src/fleet/driver.rs
+++ b/crates/node/src/fleet/driver.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cactusroad_adapter::{roster::Roster, store::Store};
 use cactusroad_core::{
     Time,
     config::{
@@ -13,7 +14,6 @@
     member::{Member, Role},
     spread::{Action, Hash, Item, Marker, Message, Node, graph::Regions},
 };
-use cactusroad_adapter::{roster::Roster, store::Store};
 use cactusroad_wire::message::{Exchange, reply};
 use tokio::{
     sync::{mpsc, watch},
--- a/crates/node/src/fleet/lease.rs
+++ b/crates/node/src/fleet/lease.rs
@@ -1,11 +1,11 @@
 //! Carries out the steps of a [`Lease`] in the platform's store.
 
 use bytes::Bytes;
+use cactusroad_adapter::store::{Error, Expect, Store, Version};
 use cactusroad_core::{
     Time,
     lease::{Lease, Outcome, Record, Step},
 };
-use cactusroad_adapter::store::{Error, Expect, Store, Version};
 
 use crate::clock;
 
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -17,13 +17,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cactusroad_adapter::{roster::Roster, store::Store};
 use cactusroad_core::{
     config::Snapshot,
     id::Incarnation,
     member::Member,
     spread::{Item, Message, Peer},
 };
-use cactusroad_adapter::{roster::Roster, store::Store};
 use cactusroad_wire::message::{Exchange, Ping, Pong, Reply, Request, Status, reply, request};
 use prometheus::IntCounter;
 use prost::Message as _;
--- a/crates/node/src/fleet/platform.rs
+++ b/crates/node/src/fleet/platform.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
+use cactusroad_adapter::{
+    roster::{self, Roster, Vm},
+    store::Store,
+};
 use cactusroad_core::{
     config::parts::{MANIFEST_KEY, PARTS_PREFIX},
     member::Role,
     spread::{Answer, Hash, Listed, Watched},
 };
-use cactusroad_adapter::{
-    roster::{self, Roster, Vm},
-    store::Store,
-};
 
 /// The longest that a watch waits.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -9,6 +9,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cactusroad_adapter::store::{Error, Expect, Store};
 use cactusroad_core::{
     Time,
     config::{
@@ -20,7 +21,6 @@
     rollout::{self, Progress},
     spread::Item,
 };
-use cactusroad_adapter::store::{Error, Expect, Store};
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/ops/src/apply.rs
+++ b/crates/ops/src/apply.rs
@@ -17,6 +17,7 @@
 
 use serde::Serialize;
 
+use cactusroad_adapter::store::{self, Store};
 use cactusroad_core::{
     Time,
     config::{
@@ -27,7 +28,6 @@
     },
     rollout::{self, Outcome},
 };
-use cactusroad_adapter::store::{self, Store};
 
 use crate::{
     Error,
--- a/crates/ops/src/command.rs
+++ b/crates/ops/src/command.rs
@@ -4,8 +4,8 @@
 use rand::Rng;
 use serde::Serialize;
 
-use cactusroad_core::config::Generation;
 use cactusroad_adapter::{address::Address, store::http::Client};
+use cactusroad_core::config::Generation;
 
 use crate::{Error, Exit, apply, folder, history, keys, status, text, view};
 
--- a/crates/ops/src/error.rs
+++ b/crates/ops/src/error.rs
@@ -5,8 +5,8 @@
 use serde::{Serialize, Serializer, ser::SerializeStruct};
 use strum::{Display, IntoStaticStr};
 
-use cactusroad_core::config::{Generation, change::Change, fault::Fault, parts};
 use cactusroad_adapter::store;
+use cactusroad_core::config::{Generation, change::Change, fault::Fault, parts};
 
 /// The exit code of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
--- a/crates/ops/src/history.rs
+++ b/crates/ops/src/history.rs
@@ -4,11 +4,11 @@
 
 use serde::Serialize;
 
+use cactusroad_adapter::store::Store;
 use cactusroad_core::config::{
     Generation,
     parts::{HISTORY_PREFIX, Manifest},
 };
-use cactusroad_adapter::store::Store;
 
 use crate::{Error, remote, text};
 
--- a/crates/ops/src/remote.rs
+++ b/crates/ops/src/remote.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 
+use cactusroad_adapter::store::{self, Expect, Store, Version};
 use cactusroad_core::config::{
     Generation, Snapshot,
     parts::{self, Digest, MANIFEST_KEY, Manifest},
 };
-use cactusroad_adapter::store::{self, Expect, Store, Version};
 
 use crate::Error;
 
--- a/crates/ops/src/status.rs
+++ b/crates/ops/src/status.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 use strum::Display;
 
+use cactusroad_adapter::store::Store;
 use cactusroad_core::{
     Time,
     config::{
@@ -14,7 +15,6 @@
     },
     rollout::{self, End, Outcome, Reason},
 };
-use cactusroad_adapter::store::Store;
 
 use crate::{Error, remote, text};
 
--- a/crates/ops/src/view.rs
+++ b/crates/ops/src/view.rs
@@ -5,13 +5,13 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use cactusroad_adapter::store::Store;
 use cactusroad_core::config::{
     Generation,
     change::{self, Change},
     folder::Folder,
     parts,
 };
-use cactusroad_adapter::store::Store;
 
 use crate::{Error, remote, text};
 
--- a/crates/ops/tests/commands/apply.rs
+++ b/crates/ops/tests/commands/apply.rs
@@ -1,9 +1,9 @@
+use cactusroad_adapter::store::{Expect, Store};
 use cactusroad_core::{
     config::{Generation, fault::Kind, parts::MANIFEST_KEY},
     rollout::{End, Outcome, outcome_key},
 };
 use cactusroad_ops::{Error, Exit, apply::apply, history::history, remote, view};
-use cactusroad_adapter::store::{Expect, Store};
 
 use super::{
     NOW, PLAN,
--- a/crates/ops/tests/commands/status.rs
+++ b/crates/ops/tests/commands/status.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactusroad_adapter::store::{Expect, Store};
 use cactusroad_core::{
     Time,
     config::{
@@ -11,7 +12,6 @@
     rollout::{End, Outcome, Reason, outcome_key},
 };
 use cactusroad_ops::{Exit, apply::apply, status::State, status::status};
-use cactusroad_adapter::store::{Expect, Store};
 
 use super::{NOW, PLAN, fake::Fake, folder_with, request};
 
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
+use cactusroad_adapter::{address::Address, engine, service, store};
 use cactusroad_core::{Time, config::folder, id::Incarnation, member::Role};
 use cactusroad_node::{
     agent::{Agent, Backend},
@@ -13,7 +14,6 @@
     transport::{Files, Identity},
 };
 use cactusroad_ops::{apply, keys};
-use cactusroad_adapter::{address::Address, engine, service, store};
 use cactusroad_standin as standin;
 use serde_json::{Value, json};
 use tempfile::TempDir;
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -42,7 +42,10 @@
         }
     };
     if logs.unreadable() > 0 {
-        eprintln!("{} lines hold no event of a gateway and were skipped", logs.unreadable());
+        eprintln!(
+            "{} lines hold no event of a gateway and were skipped",
+            logs.unreadable()
+        );
     }
     match (&command.id, command.summary) {
         (None, true) => summary(&logs, command.json),
@@ -88,7 +91,10 @@
                 "route": cause.route, "count": cause.count});
             println!("{object}");
         } else {
-            println!("{:>6}  {:<15} {:<10} {}", cause.count, cause.event, cause.route, cause.cause);
+            println!(
+                "{:>6}  {:<15} {:<10} {}",
+                cause.count, cause.event, cause.route, cause.cause
+            );
         }
     }
     ExitCode::SUCCESS
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,12 +39,12 @@
 //! are kept for a grace period only, so a caller that comes back later than that
 //! starts again.
 
+pub use cactusroad_adapter as adapter;
 pub use cactusroad_core as core;
 pub use cactusroad_gateway as gateway;
 pub use cactusroad_node as node;
 pub use cactusroad_ops as ops;
 pub use cactusroad_platform as platform;
-pub use cactusroad_adapter as adapter;
 pub use cactusroad_standin as standin;
 pub use cactusroad_wire as wire;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -107,7 +107,9 @@
     match arguments.command {
         Command::Entry(command) => run(daemon::entry(&command.settings)),
         Command::Agent(command) => run(daemon::agent(&command.settings)),
-        Command::Gateway(command) => conclude(gateway::run(command.metrics, command.policy.as_deref())),
+        Command::Gateway(command) => {
+            conclude(gateway::run(command.metrics, command.policy.as_deref()))
+        }
         Command::Explain(command) => explain::run(&command),
         Command::Demo(command) => demo(command.stay),
         Command::Standin(command) => run(stand_in(command)),
--- a/tests/gateway/config.rs
+++ b/tests/gateway/config.rs
@@ -13,10 +13,16 @@
 async fn config_route_dropped() {
     let site = Site::start(0, 1).await;
     let mut next = config(2);
-    next["routes"].as_array_mut().expect("there are routes").remove(1);
+    next["routes"]
+        .as_array_mut()
+        .expect("there are routes")
+        .remove(1);
     site.store.put("config", "main", next);
     sleep(IN_FORCE).await;
-    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    let answer = site
+        .send("/orders/1", "o1")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::NOT_FOUND);
 }
 
@@ -27,7 +33,10 @@
     next["tenants"] = json!([{"name": "workshop", "apiKeys": ["another"]}]);
     site.store.put("config", "main", next);
     sleep(IN_FORCE).await;
-    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    let answer = site
+        .send("/orders/1", "o1")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
     assert_eq!(Site::runs(&site.orders, "o1"), 0);
 }
@@ -39,7 +48,10 @@
         site.store.set_mood(mood);
         sleep(Duration::from_millis(700)).await;
         // What was known goes on to be served.
-        let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+        let answer = site
+            .send("/orders/1", "o1")
+            .await
+            .expect("there is an answer");
         assert_eq!(answer.status, StatusCode::OK, "{mood:?}");
         let mut next = config(2);
         next["routes"][1]["pathPrefix"] = json!("/deposits/");
@@ -47,7 +59,10 @@
         site.store.compact();
         site.store.set_mood(Mood::Well);
         sleep(IN_FORCE).await;
-        let answer = site.send("/deposits/1", "o2").await.expect("there is an answer");
+        let answer = site
+            .send("/deposits/1", "o2")
+            .await
+            .expect("there is an answer");
         assert_eq!(answer.status, StatusCode::OK, "{mood:?}");
     }
 }
@@ -55,11 +70,18 @@
 #[tokio::test]
 async fn config_unreadable_entry() {
     let site = Site::start(0, 1).await;
-    for (number, entry) in [json!(null), json!({"service": 7}), json!("text"), json!([])].iter().enumerate() {
-        site.store.put("servers", &format!("a-{number}"), entry.clone());
+    for (number, entry) in [json!(null), json!({"service": 7}), json!("text"), json!([])]
+        .iter()
+        .enumerate()
+    {
+        site.store
+            .put("servers", &format!("a-{number}"), entry.clone());
     }
     sleep(Duration::from_millis(600)).await;
-    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    let answer = site
+        .send("/orders/1", "o1")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::OK);
 }
 
@@ -68,11 +90,17 @@
     let site = Site::start(0, 1).await;
     site.store.put("evacuations", "north", json!({}));
     sleep(IN_FORCE).await;
-    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    let answer = site
+        .send("/orders/1", "o1")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     site.store.remove("evacuations", "north");
     sleep(IN_FORCE).await;
-    let answer = site.send("/orders/1", "o2").await.expect("there is an answer");
+    let answer = site
+        .send("/orders/1", "o2")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(Site::runs(&site.orders, "o1"), 0);
 }
@@ -86,7 +114,10 @@
     sleep(Duration::from_millis(600)).await;
     for number in 0..6 {
         let id = format!("o{number}");
-        let answer = site.send("/orders/1", &id).await.expect("there is an answer");
+        let answer = site
+            .send("/orders/1", &id)
+            .await
+            .expect("there is an answer");
         assert_eq!(answer.status, StatusCode::OK);
         assert_eq!(Site::runs(&site.orders, &id), 1);
     }
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -8,10 +8,24 @@
 #[tokio::test]
 async fn order_answered() {
     let site = Site::start(0, 2).await;
-    let answer = site.send("/orders/1?x=1", "o1").await.expect("there is an answer");
-    assert_eq!((answer.status, answer.text().as_str()), (StatusCode::OK, "answer to o1"));
-    assert!(answer.headers.contains_key("x-cactusroad-replica-signature"));
-    let seen: Vec<_> = site.orders.iter().flat_map(|replica| replica.seen()).collect();
+    let answer = site
+        .send("/orders/1?x=1", "o1")
+        .await
+        .expect("there is an answer");
+    assert_eq!(
+        (answer.status, answer.text().as_str()),
+        (StatusCode::OK, "answer to o1")
+    );
+    assert!(
+        answer
+            .headers
+            .contains_key("x-cactusroad-replica-signature")
+    );
+    let seen: Vec<_> = site
+        .orders
+        .iter()
+        .flat_map(|replica| replica.seen())
+        .collect();
     assert_eq!(seen.len(), 1);
     assert_eq!(seen[0].path, "/orders/1?x=1");
     assert_eq!(&seen[0].body[..], b"body of o1");
@@ -33,7 +47,9 @@
     ];
     let site = Site::start(0, 2).await;
     for (number, (mood, status, runs)) in cases.into_iter().enumerate() {
-        site.orders.iter().for_each(|replica| replica.set_mood(mood));
+        site.orders
+            .iter()
+            .for_each(|replica| replica.set_mood(mood));
         let id = format!("o{number}");
         let patience = [("x-cactusroad-deadline-ms", "700")];
         let answer = site.send_with("/orders/1", &id, &patience).await;
@@ -45,7 +61,14 @@
 
 #[tokio::test]
 async fn look_repeated_elsewhere() {
-    for mood in [Mood::Full, Mood::Lost, Mood::Crossed, Mood::Unsigned, Mood::Failing, Mood::Silent] {
+    for mood in [
+        Mood::Full,
+        Mood::Lost,
+        Mood::Crossed,
+        Mood::Unsigned,
+        Mood::Failing,
+        Mood::Silent,
+    ] {
         let site = Site::start(0, 2).await;
         site.orders[0].set_mood(mood);
         for number in 0..3 {
@@ -63,7 +86,10 @@
     drop(site.orders.remove(0));
     for number in 0..6 {
         let id = format!("o{number}");
-        let answer = site.send("/orders/1", &id).await.expect("there is an answer");
+        let answer = site
+            .send("/orders/1", &id)
+            .await
+            .expect("there is an answer");
         assert_eq!(answer.status, StatusCode::OK);
         assert_eq!(Site::runs(&site.orders, &id), 1);
     }
@@ -72,7 +98,10 @@
 #[tokio::test]
 async fn order_no_replica() {
     let site = Site::start(0, 0).await;
-    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    let answer = site
+        .send("/orders/1", "o1")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(answer.headers.contains_key("retry-after"));
 }
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -66,7 +66,12 @@
     pub(crate) async fn ended(&mut self, limit: Duration) -> bool {
         let deadline = Instant::now() + limit;
         while Instant::now() < deadline {
-            if self.child.try_wait().expect("the gateway can be waited for").is_some() {
+            if self
+                .child
+                .try_wait()
+                .expect("the gateway can be waited for")
+                .is_some()
+            {
                 return true;
             }
             sleep(Duration::from_millis(20)).await;
@@ -107,7 +112,9 @@
         let store = Store::start().await.expect("a port is free");
         let memory = Memory::default();
         let start = async |name: String| {
-            Replica::start(&name, &memory, events, pace).await.expect("a port is free")
+            Replica::start(&name, &memory, events, pace)
+                .await
+                .expect("a port is free")
         };
         let mut site = Site {
             engines: Vec::new(),
@@ -144,7 +151,8 @@
     pub(crate) async fn join(&self, id: &str, events: u64, pace: Duration) -> Replica {
         let engine = Replica::start(id, &self.memory, events, pace).await;
         let engine = engine.expect("a port is free");
-        self.store.put("servers", id, engine.entry(ENGINES, "north", "available"));
+        self.store
+            .put("servers", id, engine.entry(ENGINES, "north", "available"));
         engine
     }
 
@@ -164,8 +172,15 @@
 
     /// Asks as the balancer does.
     pub(crate) async fn is_ready(&self) -> bool {
-        let request = Request::get("/v1/readyz").header("host", "x").body(Full::default());
-        match exchange(self.gateway.readiness, request.expect("the request is valid")).await {
+        let request = Request::get("/v1/readyz")
+            .header("host", "x")
+            .body(Full::default());
+        match exchange(
+            self.gateway.readiness,
+            request.expect("the request is valid"),
+        )
+        .await
+        {
             Some(answer) => answer.status == StatusCode::OK,
             None => false,
         }
@@ -191,22 +206,30 @@
         let response = connect(self.gateway.callers, request(path, id, &[])).await;
         let response = response.expect("the gateway answers");
         assert_eq!(response.status(), StatusCode::OK);
-        Stream { body: response.into_body(), text: String::new() }
+        Stream {
+            body: response.into_body(),
+            text: String::new(),
+        }
     }
 
     /// Returns how often the replicas of a group ran a request.
     pub(crate) fn runs(replicas: &[Replica], id: &str) -> usize {
         let seen = replicas.iter().flat_map(Replica::seen);
-        seen.filter(|seen| seen.ran && seen.headers["x-cactusroad-attempt-id"] == id).count()
+        seen.filter(|seen| seen.ran && seen.headers["x-cactusroad-attempt-id"] == id)
+            .count()
     }
 
     /// Returns the number of the engine that ran a request last.
     pub(crate) fn holder(&self, id: &str) -> usize {
         let ran = |engine: &Replica| {
             let seen = engine.seen();
-            seen.iter().any(|seen| seen.ran && seen.headers["x-cactusroad-attempt-id"] == id)
+            seen.iter()
+                .any(|seen| seen.ran && seen.headers["x-cactusroad-attempt-id"] == id)
         };
-        self.engines.iter().position(ran).expect("an engine runs the request")
+        self.engines
+            .iter()
+            .position(ran)
+            .expect("an engine runs the request")
     }
 }
 
@@ -236,7 +259,9 @@
 
 /// Returns the text of a whole stream of a run.
 pub(crate) fn whole_stream(id: &str, events: u64) -> String {
-    (1..=events).map(|number| format!("id: {number}\ndata: {id} {number}\n\n")).collect()
+    (1..=events)
+        .map(|number| format!("id: {number}\ndata: {id} {number}\n\n"))
+        .collect()
 }
 
 fn request(path: &str, id: &str, headers: &[(&str, &str)]) -> Request<Full<Bytes>> {
@@ -251,7 +276,9 @@
     let mut request = request.body(body).expect("the request is valid");
     for (name, value) in headers {
         let name: http::HeaderName = name.parse().expect("the name is valid");
-        request.headers_mut().insert(name, value.parse().expect("the value is valid"));
+        request
+            .headers_mut()
+            .insert(name, value.parse().expect("the value is valid"));
     }
     request
 }
@@ -276,7 +303,12 @@
             Some(Ok(frame)) => whole.extend_from_slice(&frame.into_data().unwrap_or_default()),
         }
     };
-    Some(Answer { status: head.status, headers: head.headers, body: whole.into(), is_whole })
+    Some(Answer {
+        status: head.status,
+        headers: head.headers,
+        body: whole.into(),
+        is_whole,
+    })
 }
 
 /// Returns the first configuration, with another version.
@@ -323,12 +355,18 @@
         "platform": {"address": store.address().to_string()},
     });
     let mut file = NamedTempFile::new().expect("a file can be made");
-    file.write_all(settings.to_string().as_bytes()).expect("the file can be written");
+    file.write_all(settings.to_string().as_bytes())
+        .expect("the file can be written");
     let child = Command::new(env!("CARGO_BIN_EXE_cactusroad"))
         .arg("gateway")
         .env("CACTUSROAD_CONFIG", file.path())
         .stdout(Stdio::null())
         .spawn()
         .expect("the gateway starts");
-    Gateway { child, callers, readiness, _settings: file }
+    Gateway {
+        child,
+        callers,
+        readiness,
+        _settings: file,
+    }
 }
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -25,7 +25,10 @@
     site.gateway.signal(Signal::TERM);
     sleep(Duration::from_millis(100)).await;
     assert!(!site.is_ready().await);
-    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    let answer = site
+        .send("/orders/1", "o1")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(answer.headers["connection"], "close");
 }
@@ -35,8 +38,14 @@
     let site = Site::start(1, 0).await;
     site.gateway.signal(Signal::TERM);
     sleep(Duration::from_millis(100)).await;
-    let long = [("x-cactusroad-token-usage", "100,900"), ("x-cactusroad-length-hint", "900")];
-    let answer = site.send_with("/drafts/1", "s1", &long).await.expect("there is an answer");
+    let long = [
+        ("x-cactusroad-token-usage", "100,900"),
+        ("x-cactusroad-length-hint", "900"),
+    ];
+    let answer = site
+        .send_with("/drafts/1", "s1", &long)
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(Site::runs(&site.engines, "s1"), 0);
 }
@@ -46,6 +55,9 @@
     let site = Site::start(0, 1).await;
     site.gateway.signal(Signal::HUP);
     sleep(Duration::from_millis(100)).await;
-    let answer = site.send("/orders/1", "o1").await.expect("there is an answer");
+    let answer = site
+        .send("/orders/1", "o1")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::OK);
 }
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -11,7 +11,10 @@
 #[tokio::test]
 async fn stream_whole() {
     let site = Site::start(2, 0).await;
-    let answer = site.send("/drafts/1", "s1").await.expect("there is an answer");
+    let answer = site
+        .send("/drafts/1", "s1")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::OK);
     assert!(answer.is_whole);
     assert_eq!(answer.text(), whole_stream("s1", 20));
@@ -77,7 +80,10 @@
 async fn stream_silent_engine_without_copy() {
     // Its silence alone is no reason to end an answer that has no copy.
     let site = Site::start_with(1, 0, 4, Duration::from_millis(700)).await;
-    let answer = site.send("/drafts/1", "s1").await.expect("there is an answer");
+    let answer = site
+        .send("/drafts/1", "s1")
+        .await
+        .expect("there is an answer");
     assert!(answer.is_whole);
     assert_eq!(answer.text(), whole_stream("s1", 4));
 }
@@ -88,7 +94,10 @@
     site.engines[0].set_mood(Mood::Full);
     for number in 0..4 {
         let id = format!("s{number}");
-        let answer = site.send("/drafts/1", &id).await.expect("there is an answer");
+        let answer = site
+            .send("/drafts/1", &id)
+            .await
+            .expect("there is an answer");
         assert_eq!(answer.text(), whole_stream(&id, 20));
     }
 }
@@ -96,8 +105,13 @@
 #[tokio::test]
 async fn stream_all_full() {
     let site = Site::start(2, 0).await;
-    site.engines.iter().for_each(|engine| engine.set_mood(Mood::Full));
-    let answer = site.send("/drafts/1", "s1").await.expect("there is an answer");
+    site.engines
+        .iter()
+        .for_each(|engine| engine.set_mood(Mood::Full));
+    let answer = site
+        .send("/drafts/1", "s1")
+        .await
+        .expect("there is an answer");
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(answer.headers.contains_key("retry-after"));
     assert_eq!(Site::runs(&site.engines, "s1"), 0);
--- a/tests/gateway/wild.rs
+++ b/tests/gateway/wild.rs
@@ -11,7 +11,9 @@
 use crate::site::{KEY, Site};
 
 async fn raw(site: &Site, text: &str) -> String {
-    let mut stream = TcpStream::connect(site.gateway.callers).await.expect("the gateway accepts");
+    let mut stream = TcpStream::connect(site.gateway.callers)
+        .await
+        .expect("the gateway accepts");
     // The gateway may close before it has read everything.
     let _ = stream.write_all(text.as_bytes()).await;
     let mut answer = Vec::new();
@@ -22,7 +24,8 @@
 #[tokio::test]
 async fn request_malformed() {
     let site = Site::start(0, 1).await;
-    let order = format!("POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n");
+    let order =
+        format!("POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n");
     let big = "x".repeat(40_000);
     let cases = [
         ("no request", "nonsense\r\n\r\n".to_owned(), "400"),
@@ -48,7 +51,10 @@
     ];
     for (name, text, status) in cases {
         let answer = raw(&site, &text).await;
-        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{name}: {answer}");
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{name}: {answer}"
+        );
     }
     assert_eq!(site.orders[0].seen().len(), 0);
 }
@@ -86,7 +92,12 @@
     let seen = site.engines[0].seen();
     assert_eq!(seen[0].headers["x-cactusroad-tenant-id"], "workshop");
     assert_eq!(seen[0].headers["x-cactusroad-attempt-id"], "s1");
-    for name in ["x-cactusroad-kv-backup", "x-cactusroad-pin-ms", "x-cactusroad-capacity-reservation", "kv-from"] {
+    for name in [
+        "x-cactusroad-kv-backup",
+        "x-cactusroad-pin-ms",
+        "x-cactusroad-capacity-reservation",
+        "kv-from",
+    ] {
         assert!(!seen[0].headers.contains_key(name), "{name}");
     }
 }
@@ -95,9 +106,15 @@
 async fn request_pipelined() {
     let site = Site::start(0, 1).await;
     let order = |id: &str, last: &str| {
-        format!("POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\nx-cactusroad-attempt-id: {id}\r\n{last}content-length: 2\r\n\r\nhi")
+        format!(
+            "POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\nx-cactusroad-attempt-id: {id}\r\n{last}content-length: 2\r\n\r\nhi"
+        )
     };
-    let answer = raw(&site, &(order("o1", "") + &order("o2", "connection: close\r\n"))).await;
+    let answer = raw(
+        &site,
+        &(order("o1", "") + &order("o2", "connection: close\r\n")),
+    )
+    .await;
     let first = answer.find("answer to o1").expect("the first is answered");
     let second = answer.find("answer to o2").expect("the second is answered");
     assert!(first < second);
--- a/tests/integration/adapters.rs
+++ b/tests/integration/adapters.rs
@@ -7,7 +7,6 @@
 use http::Request;
 use tokio::net::TcpListener;
 
-use cactusroad_core::{id::Attempt, placement::BLOCK_BYTES};
 use cactusroad_adapter::{
     address::Address,
     engine::{self, Action, Engine as _, Event, Order, Prompt},
@@ -15,6 +14,7 @@
     service::{self, Service as _},
     store::{self, Expect, Store as _},
 };
+use cactusroad_core::{id::Attempt, placement::BLOCK_BYTES};
 use cactusroad_standin as standin;
 
 const WAIT: Duration = Duration::from_secs(20);
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -2,6 +2,11 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
+use cactusroad_adapter::{
+    address::Address,
+    roster,
+    store::{self, Expect, Store as _},
+};
 use cactusroad_core::{
     Time,
     config::folder,
@@ -16,11 +21,6 @@
     transport::{Dialer, Files, Identity},
 };
 use cactusroad_ops::{apply, keys};
-use cactusroad_adapter::{
-    address::Address,
-    roster,
-    store::{self, Expect, Store as _},
-};
 use cactusroad_standin as standin;
 use serde_json::json;
 use tempfile::TempDir;
