Format, lint and import the adapters under their new name

Cause: benches and tests still imported the crate by its old name, and clippy was not clean. Conclusion: nothing in behaviour changes.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -16,6 +16,7 @@
 };
 
 use cactusroad::{
+    adapter::engine::{Engine, Event, Prompt, http::Client as Direct},
     core::id::Attempt,
     demo::{
         client::{Client, Piece},
@@ -25,7 +26,6 @@
         metrics::{EntryMetrics, Exporter},
         transport::{Dialer, Files, Identity, Link},
     },
-    platform::engine::{Engine, Event, Prompt, http::Client as Direct},
     standin,
 };
 use futures_util::StreamExt;
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -167,7 +167,7 @@
                 count,
             })
             .collect();
-        causes.sort_by(|a, b| b.count.cmp(&a.count));
+        causes.sort_by_key(|cause| std::cmp::Reverse(cause.count));
         causes
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -244,10 +244,10 @@
 
     /// Waits for the first event, and answers the caller.
     async fn answer(mut self) -> Response<Body> {
-        if let Some(reply) = &self.reply {
-            if !reply.head.status.is_success() {
-                return self.pass_failure().await;
-            }
+        if let Some(reply) = &self.reply
+            && !reply.head.status.is_success()
+        {
+            return self.pass_failure().await;
         }
         let mut head = self.reply.as_ref().map(|reply| reply.head.clone());
         let first = self.next().await;
--- a/tests/integration/rollout.rs
+++ b/tests/integration/rollout.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use cactusroad::{
-    ops::status,
-    platform::{
+    adapter::{
         address::Address,
         store::{Store, http},
     },
+    ops::status,
 };
 use cactusroad_core::{
     Time,
--- a/tests/integration/site.rs
+++ b/tests/integration/site.rs
@@ -18,13 +18,13 @@
 };
 
 use cactusroad::{
+    adapter::{address::Address, store},
     demo::client::{Client, WORKSPACE},
     node::{
         metrics::{EntryMetrics, Exporter},
         transport::{Dialer, Files, Identity},
     },
     ops::{self, keys},
-    platform::{address::Address, store},
 };
 use cactusroad_core::{Time, config::folder};
 use cactusroad_standin::{
