--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -218,7 +218,9 @@
 
     /// Returns what sends requests while the site is changed.
     pub(crate) fn sender(&self) -> Sender {
-        Sender { callers: self.gateway.callers }
+        Sender {
+            callers: self.gateway.callers,
+        }
     }
 
     /// Ends an engine and starts one of another name in its place.
@@ -233,10 +235,15 @@
 
     /// Returns how often any replica ran a request from its beginning.
     pub(crate) fn runs_of(&self, id: &str) -> usize {
-        let living = self.engines.iter().chain(&self.orders).flat_map(Replica::seen);
+        let living = self
+            .engines
+            .iter()
+            .chain(&self.orders)
+            .flat_map(Replica::seen);
         let seen = living.chain(self.gone.iter().cloned());
         let is_begun = |seen: &Seen| seen.ran && !seen.headers.contains_key("kv-from");
-        seen.filter(|seen| is_begun(seen) && seen.headers["x-cactusroad-attempt-id"] == id).count()
+        seen.filter(|seen| is_begun(seen) && seen.headers["x-cactusroad-attempt-id"] == id)
+            .count()
     }
 
     /// Opens a stream and returns it at its first bytes.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -48,7 +48,11 @@
             seeds.extend(parse(first)..parse(last));
         }
         None => {
-            let parse = |text: &str| text.trim().parse::<u64>().expect("SOAK_SEEDS holds numbers");
+            let parse = |text: &str| {
+                text.trim()
+                    .parse::<u64>()
+                    .expect("SOAK_SEEDS holds numbers")
+            };
             seeds.extend(named.split(',').map(parse));
         }
     }
@@ -88,10 +92,15 @@
             let mut number = 0;
             while Instant::now() < ends_at {
                 number += 1;
-                let path = ["/drafts/", "/orders/", "/looks/"].choose(&mut random).expect("there are paths");
+                let path = ["/drafts/", "/orders/", "/looks/"]
+                    .choose(&mut random)
+                    .expect("there are paths");
                 let id = format!("{}{seed}-{caller}-{number}", &path[1..2]);
                 let answer = sender.send(path, &id).await;
-                seen.lock().expect("no caller panics").answers.push((id, answer));
+                seen.lock()
+                    .expect("no caller panics")
+                    .answers
+                    .push((id, answer));
                 sleep(Duration::from_millis(random.random_range(0..60))).await;
             }
         });
@@ -143,7 +152,11 @@
             site.restart_engine(engine, EVENTS, PACE).await;
         }
         5 => {
-            let mood = if random.random() { store::Mood::Refusing } else { store::Mood::Closing };
+            let mood = if random.random() {
+                store::Mood::Refusing
+            } else {
+                store::Mood::Closing
+            };
             site.store.set_mood(mood);
             sleep(span).await;
             site.store.compact();
@@ -168,22 +181,37 @@
     for (id, answer) in &seen.answers {
         let is_idempotent = id.starts_with('l');
         let runs = site.runs_of(id);
-        assert!(is_idempotent || runs <= 1, "seed {seed}: {id} ran {runs} times");
+        assert!(
+            is_idempotent || runs <= 1,
+            "seed {seed}: {id} ran {runs} times"
+        );
         let Some(answer) = answer else {
             continue;
         };
         let is_promise = answer.status == StatusCode::SERVICE_UNAVAILABLE;
-        assert!(!is_promise || is_idempotent || runs == 0, "seed {seed}: {id} ran and was refused");
+        assert!(
+            !is_promise || is_idempotent || runs == 0,
+            "seed {seed}: {id} ran and was refused"
+        );
         if answer.status != StatusCode::OK {
             continue;
         }
-        assert!(answer.headers.contains_key("x-cactusroad-replica-signature"), "seed {seed}: {id}");
+        assert!(
+            answer
+                .headers
+                .contains_key("x-cactusroad-replica-signature"),
+            "seed {seed}: {id}"
+        );
         if id.starts_with('d') {
             let whole = whole_stream(id, EVENTS);
             if answer.is_whole {
                 assert_eq!(answer.text(), whole, "seed {seed}: {id}");
             } else {
-                assert!(whole.starts_with(&answer.text()), "seed {seed}: {id}: {}", answer.text());
+                assert!(
+                    whole.starts_with(&answer.text()),
+                    "seed {seed}: {id}: {}",
+                    answer.text()
+                );
             }
         } else if answer.is_whole {
             assert_eq!(answer.text(), format!("answer to {id}"), "seed {seed}");
@@ -198,11 +226,17 @@
         site.engines[number].set_mood(replica::Mood::Well);
         site.list_engine(number, "available");
     }
-    site.orders.iter().for_each(|replica| replica.set_mood(replica::Mood::Well));
+    site.orders
+        .iter()
+        .for_each(|replica| replica.set_mood(replica::Mood::Well));
     sleep(Duration::from_secs(3)).await;
     for path in ["/drafts/", "/orders/", "/looks/"] {
         let id = format!("{}{seed}-after", &path[1..2]);
         let answer = site.send(path, &id).await.expect("the gateway answers");
-        assert_eq!(answer.status, StatusCode::OK, "seed {seed}: {id} after all faults");
+        assert_eq!(
+            answer.status,
+            StatusCode::OK,
+            "seed {seed}: {id} after all faults"
+        );
     }
 }
