Let early callers wait for the first lists, and count gateways once all are there

The first list of gateways that start together lacks some, so each took more of the repeats, and watched the list more often, than its part.

Change: a request waits up to 400 ms for the first configuration and lists; the number of gateways is taken from the second list, 3 s later.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -21,6 +21,10 @@
 /// the store's staleness may hide.
 const LIFE: Duration = Duration::from_secs(30);
 
+/// Time from the first renewal to the second. The first list of a process that
+/// started together with others lacks some of them, so it is not counted.
+const FIRST_RENEWAL: Duration = Duration::from_secs(3);
+
 /// How long a call may take.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
@@ -37,13 +41,17 @@
     let mut number: u64 = rand::random();
     // Gateways that started together must not call together.
     sleep(Duration::from_secs(1).mul_f64(rand::random())).await;
+    let mut is_first = true;
     loop {
         number = number.wrapping_add(1);
         match renew(&state, &mut census, number).await {
+            Ok(()) if is_first => {}
             Ok(()) => state.set_gateways(census.alive(clock::now())),
             Err(cause) => log::info!("the gateways were not counted: {cause}"),
         }
-        sleep(RENEWAL.mul_f64(rand::random_range(0.9..1.1))).await;
+        let pause = if is_first { FIRST_RENEWAL } else { RENEWAL };
+        is_first = false;
+        sleep(pause.mul_f64(rand::random_range(0.9..1.1))).await;
     }
 }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -28,6 +28,11 @@
 /// balancer's two questions, with one to spare.
 pub(crate) const TAKES_REQUESTS_FOR: Duration = Duration::from_millis(2_800);
 
+/// How long a request waits for the first configuration and lists of a process
+/// that has just started: some calls to the store, and less than a caller that is
+/// sent away stays away.
+const FIRST_LISTS_LIMIT: Duration = Duration::from_millis(400);
+
 /// Milliseconds that a token of an answer takes, to foresee whether a stream ends
 /// before the process must: an engine's step with several prompts beside it.
 const TOKEN_MS: u64 = 11;
@@ -48,6 +53,7 @@
 async fn answer(state: &Arc<State>, head: Parts, body: Incoming) -> Response<Body> {
     let open = state.open();
     let arrived_at = clock::now();
+    state.known(FIRST_LISTS_LIMIT).await;
     let Some(site) = state.site.load_full() else {
         return turn_away(&head, StatusCode::SERVICE_UNAVAILABLE, "no_configuration");
     };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,7 @@
     site::Site,
 };
 use cactusroad_platform::{replica::Observer, settings::Settings};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::timeout};
 
 use crate::{
     clock,
@@ -55,6 +55,8 @@
     pub(crate) is_listed: AtomicBool,
     /// Whether the data centres that are out were read once.
     pub(crate) knows_out: AtomicBool,
+    /// Whether the configuration and both lists are known.
+    known: watch::Sender<bool>,
     /// Whether the list of endpoints cannot be had at present.
     pub(crate) is_store_away: AtomicBool,
     /// Set once, when the process is asked to stop.
@@ -88,6 +90,7 @@
             metrics: Metrics::new(),
             is_listed: AtomicBool::new(false),
             knows_out: AtomicBool::new(false),
+            known: watch::Sender::new(false),
             is_store_away: AtomicBool::new(false),
             stopping: watch::Sender::new(None),
             open_requests: AtomicUsize::new(0),
@@ -97,10 +100,24 @@
 
     /// Tells whether new connections can be served.
     pub(crate) fn is_ready(&self) -> bool {
-        let knows_all = self.is_listed.load(Ordering::Relaxed)
+        *self.known.borrow() && self.stopping.borrow().is_none()
+    }
+
+    /// Waits until the configuration and the endpoints are known, for a limited time.
+    pub(crate) async fn known(&self, limit: Duration) {
+        let mut known = self.known.subscribe();
+        // What is not known in time is answered as unknown.
+        let _ = timeout(limit, known.wait_for(|known| *known)).await;
+    }
+
+    /// Tells those that wait once everything is known.
+    pub(crate) fn tell_known(&self) {
+        let is_known = self.is_listed.load(Ordering::Relaxed)
             && self.knows_out.load(Ordering::Relaxed)
             && self.site.load().is_some();
-        knows_all && self.stopping.borrow().is_none()
+        if is_known && !*self.known.borrow() {
+            self.known.send_replace(true);
+        }
     }
 
     /// Returns the shard of a service.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -103,6 +103,7 @@
         match step(&state, &mut client, &mut follower, at).await {
             Ok(next) => {
                 at = Some(next);
+                state.tell_known();
                 count(&state, F::KIND, "answered");
                 if outage.ended(F::KIND) {
                     follower.regained(&state);
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -123,6 +123,19 @@
         events: u64,
         pace: Duration,
     ) -> Site {
+        let site = Site::fill(engines, orders, events, pace).await;
+        site.ready().await;
+        site
+    }
+
+    /// Starts a site and does not wait until its gateway is ready.
+    pub(crate) async fn start_early(engines: usize, orders: usize) -> Site {
+        let mut site = Site::fill(engines, orders, 20, Duration::from_millis(15)).await;
+        site.gateway = launch(&site.store);
+        site
+    }
+
+    async fn fill(engines: usize, orders: usize, events: u64, pace: Duration) -> Site {
         let store = Store::start().await.expect("a port is free");
         let memory = Memory::default();
         let start = async |name: String| {
@@ -152,10 +165,19 @@
             site.store.put("servers", &format!("o-{number}"), entry);
         }
         site.store.put("config", "main", config(1));
-        site.ready().await;
         site
     }
 
+    /// Sends a request again until the gateway accepts the connection.
+    pub(crate) async fn send_until_connected(&self, path: &str, id: &str) -> Answer {
+        loop {
+            match TcpStream::connect(self.gateway.callers).await {
+                Ok(_) => return self.send(path, id).await.expect("there is an answer"),
+                Err(_) => sleep(Duration::from_millis(1)).await,
+            }
+        }
+    }
+
     /// Writes an engine's entry into the list.
     pub(crate) fn list_engine(&self, number: usize, phase: &str) {
         let entry = self.engines[number].entry(ENGINES, "north", phase);
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -50,6 +50,16 @@
     assert_eq!(Site::runs(&site.engines, "s1"), 0);
 }
 
+/// Load pattern: everything restarts at once, and callers are there before the
+/// first lists are.
+#[tokio::test]
+async fn start_serves_early_callers() {
+    let site = Site::start_early(0, 1).await;
+    let answer = site.send_until_connected("/orders/1", "o1").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(site.runs_of("o1"), 1);
+}
+
 #[tokio::test]
 async fn hangup_keeps_serving() {
     let site = Site::start(0, 1).await;
