--- a/tests/gateway/config.rs
+++ b/tests/gateway/config.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cactusroad::platform::standin::store::Mood;
+use cactusroad::platform::standin::{
+    operator::{with_keys, with_orders_at, without_orders},
+    store::Mood,
+};
 use http::StatusCode;
 use serde_json::json;
 use tokio::time::sleep;
@@ -12,12 +15,7 @@
 #[tokio::test]
 async fn config_route_dropped() {
     let site = Site::start(0, 1).await;
-    let mut next = config(2);
-    next["routes"]
-        .as_array_mut()
-        .expect("there are routes")
-        .remove(1);
-    site.store.put("config", "main", next);
+    site.store.put("config", "main", without_orders(config(2)));
     sleep(IN_FORCE).await;
     let answer = site
         .send("/orders/1", "o1")
@@ -29,9 +27,8 @@
 #[tokio::test]
 async fn config_key_revoked() {
     let site = Site::start(0, 1).await;
-    let mut next = config(2);
-    next["tenants"] = json!([{"name": "workshop", "apiKeys": ["another"]}]);
-    site.store.put("config", "main", next);
+    site.store
+        .put("config", "main", with_keys(config(2), &["another"]));
     sleep(IN_FORCE).await;
     let answer = site
         .send("/orders/1", "o1")
@@ -53,9 +50,8 @@
             .await
             .expect("there is an answer");
         assert_eq!(answer.status, StatusCode::OK, "{mood:?}");
-        let mut next = config(2);
-        next["routes"][1]["pathPrefix"] = json!("/deposits/");
-        site.store.put("config", "main", next);
+        site.store
+            .put("config", "main", with_orders_at(config(2), "/deposits/"));
         site.store.compact();
         site.store.set_mood(Mood::Well);
         sleep(IN_FORCE).await;
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -1,6 +1,9 @@
 //! Requests with one whole answer: at most one run, and true refusals.
 
-use cactusroad::platform::standin::replica::Mood;
+use cactusroad::platform::standin::{
+    caller::{DEADLINE, SIGNATURE, WORKSPACE},
+    replica::Mood,
+};
 use http::StatusCode;
 
 use crate::site::Site;
@@ -16,11 +19,7 @@
         (answer.status, answer.text().as_str()),
         (StatusCode::OK, "answer to o1")
     );
-    assert!(
-        answer
-            .headers
-            .contains_key("x-cactusroad-replica-signature")
-    );
+    assert!(answer.headers.contains_key(SIGNATURE));
     let seen: Vec<_> = site
         .orders
         .iter()
@@ -29,7 +28,7 @@
     assert_eq!(seen.len(), 1);
     assert_eq!(seen[0].path, "/orders/1?x=1");
     assert_eq!(&seen[0].body[..], b"body of o1");
-    assert_eq!(seen[0].headers["x-cactusroad-tenant-id"], "workshop");
+    assert_eq!(seen[0].headers[WORKSPACE], "workshop");
     assert!(!seen[0].headers.contains_key("authorization"));
 }
 
@@ -51,7 +50,7 @@
             .iter()
             .for_each(|replica| replica.set_mood(mood));
         let id = format!("o{number}");
-        let patience = [("x-cactusroad-deadline-ms", "700")];
+        let patience = [(DEADLINE, "700")];
         let answer = site.send_with("/orders/1", &id, &patience).await;
         let answer = answer.expect("there is an answer");
         assert_eq!(answer.status, status, "{mood:?}");
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use cactusroad::platform::standin::{
+    caller, operator,
     replica::{Memory, Replica, Seen},
     store::Store,
 };
@@ -17,7 +18,7 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tempfile::NamedTempFile;
 use tokio::{net::TcpStream, time::sleep};
 
@@ -209,7 +210,7 @@
 
     /// Asks as the balancer does.
     pub(crate) async fn is_ready(&self) -> bool {
-        let request = Request::get("/v1/readyz")
+        let request = Request::get(caller::READY_PATH)
             .header("host", "x")
             .body(Full::default());
         match exchange(
@@ -263,8 +264,8 @@
             .chain(&self.orders)
             .flat_map(Replica::seen);
         let seen = living.chain(self.gone.iter().cloned());
-        let is_begun = |seen: &Seen| seen.ran && !seen.headers.contains_key("kv-from");
-        seen.filter(|seen| is_begun(seen) && seen.headers["x-cactusroad-attempt-id"] == id)
+        let is_begun = |seen: &Seen| seen.ran && !seen.is_resumed();
+        seen.filter(|seen| is_begun(seen) && seen.is_attempt(id))
             .count()
     }
 
@@ -282,16 +283,14 @@
     /// Returns how often the replicas of a group ran a request.
     pub(crate) fn runs(replicas: &[Replica], id: &str) -> usize {
         let seen = replicas.iter().flat_map(Replica::seen);
-        seen.filter(|seen| seen.ran && seen.headers["x-cactusroad-attempt-id"] == id)
-            .count()
+        seen.filter(|seen| seen.ran && seen.is_attempt(id)).count()
     }
 
     /// Returns the number of the engine that ran a request last.
     pub(crate) fn holder(&self, id: &str) -> usize {
         let ran = |engine: &Replica| {
             let seen = engine.seen();
-            seen.iter()
-                .any(|seen| seen.ran && seen.headers["x-cactusroad-attempt-id"] == id)
+            seen.iter().any(|seen| seen.ran && seen.is_attempt(id))
         };
         self.engines
             .iter()
@@ -332,15 +331,8 @@
 }
 
 fn request(path: &str, id: &str, headers: &[(&str, &str)]) -> Request<Full<Bytes>> {
-    let mut request = Request::post(path)
-        .header("host", "shop.example")
-        .header("x-cactusroad-attempt-id", id)
-        .header("authorization", format!("Bearer {KEY}"));
-    if path.starts_with("/drafts/") {
-        request = request.header("x-cactusroad-token-usage", "100,80");
-    }
-    let body = Full::from(format!("body of {id}"));
-    let mut request = request.body(body).expect("the request is valid");
+    let tokens = path.starts_with("/drafts/").then_some("100,80");
+    let mut request = caller::request(path, id, KEY, tokens);
     for (name, value) in headers {
         let name: http::HeaderName = name.parse().expect("the name is valid");
         request
@@ -380,29 +372,7 @@
 
 /// Returns the first configuration, with another version.
 pub(crate) fn config(version: u64) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
-        json!({"name": name, "hostname": "shop.example", "pathPrefix": prefix,
-            "routeType": kind, "timeoutMs": 3000, "targetLatencyMs": 200, "targetItlMs": 180,
-            "priorityClass": 1, "service": service, "attempts": attempts, "anonymous": false})
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("drafts", "/drafts/", "streaming", ENGINES, 1),
-            route("orders", "/orders/", "non_idempotent", ORDERS, 1),
-            route("looks", "/looks/", "idempotent", ORDERS, 2),
-        ],
-        "services": [
-            {"name": ENGINES, "healthPath": "/healthz", "maxConnections": 100,
-                "coldStartS": 0.0, "coldPerS": 0.0,
-                "runtime": {"batchSlots": 24, "kvCapacityTokens": 30000, "migrations": true,
-                    "backups": true}},
-            {"name": ORDERS, "healthPath": "/healthz", "maxConnections": 100},
-        ],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000,
-            "headerTimeoutMs": 3000, "idleTimeoutMs": 5000},
-        "tenants": [{"name": "workshop", "apiKeys": [KEY]}],
-    })
+    operator::config(version, ENGINES, ORDERS, KEY)
 }
 
 /// Returns a port that was free a moment ago.
@@ -413,14 +383,7 @@
 
 fn launch(store: &Store) -> Gateway {
     let (callers, readiness) = (free_port(), free_port());
-    let settings = json!({
-        "nodeName": "edge-1", "zone": "north", "heartbeatMs": 1200,
-        "listenAddrs": {"frontend": callers.to_string(), "readiness": readiness.to_string()},
-        "limits": {"cpuCores": 1, "memoryMb": 110},
-        "parameters": {"drainMs": 2000, "gracePeriodS": 5, "retryBudgetRatio": 0.2,
-            "retryWindowS": 10, "retryMinExtra": 52},
-        "platform": {"address": store.address().to_string()},
-    });
+    let settings = operator::settings(callers, readiness, store.address());
     let mut file = NamedTempFile::new().expect("a file can be made");
     file.write_all(settings.to_string().as_bytes())
         .expect("the file can be written");
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cactusroad::platform::standin::caller::{LENGTH_HINT, TOKENS};
 use http::StatusCode;
 use rustix::process::Signal;
 use tokio::time::sleep;
@@ -38,10 +39,7 @@
     let site = Site::start(1, 0).await;
     site.gateway.signal(Signal::TERM);
     sleep(Duration::from_millis(100)).await;
-    let long = [
-        ("x-cactusroad-token-usage", "100,900"),
-        ("x-cactusroad-length-hint", "900"),
-    ];
+    let long = [(TOKENS, "100,900"), (LENGTH_HINT, "900")];
     let answer = site
         .send_with("/drafts/1", "s1", &long)
         .await
--- a/tests/gateway/wild.rs
+++ b/tests/gateway/wild.rs
@@ -8,6 +8,8 @@
     time::timeout,
 };
 
+use cactusroad::platform::standin::caller::{ATTEMPT, SYSTEM_ONLY, WORKSPACE};
+
 use crate::site::{KEY, Site};
 
 async fn raw(site: &Site, text: &str) -> String {
@@ -79,25 +81,15 @@
 #[tokio::test]
 async fn request_own_headers_stripped() {
     let site = Site::start(1, 0).await;
-    let wild = [
-        ("x-cactusroad-tenant-id", "another"),
-        ("x-cactusroad-kv-backup", "10.0.0.1:1"),
-        ("x-cactusroad-pin-ms", "1000"),
-        ("x-cactusroad-capacity-reservation", "r"),
-        ("kv-from", "10.0.0.1:1/x"),
-        ("connection", "x-cactusroad-attempt-id, keep-alive"),
-    ];
+    let hop = format!("{ATTEMPT}, keep-alive");
+    let mut wild = vec![(WORKSPACE, "another"), ("connection", &hop)];
+    wild.extend(SYSTEM_ONLY.map(|name| (name, "10.0.0.1:1/x")));
     let answer = site.send_with("/drafts/1", "s1", &wild).await;
     assert!(answer.is_some_and(|answer| answer.is_whole));
     let seen = site.engines[0].seen();
-    assert_eq!(seen[0].headers["x-cactusroad-tenant-id"], "workshop");
-    assert_eq!(seen[0].headers["x-cactusroad-attempt-id"], "s1");
-    for name in [
-        "x-cactusroad-kv-backup",
-        "x-cactusroad-pin-ms",
-        "x-cactusroad-capacity-reservation",
-        "kv-from",
-    ] {
+    assert_eq!(seen[0].headers[WORKSPACE], "workshop");
+    assert!(seen[0].is_attempt("s1"));
+    for name in SYSTEM_ONLY {
         assert!(!seen[0].headers.contains_key(name), "{name}");
     }
 }
@@ -107,7 +99,7 @@
     let site = Site::start(0, 1).await;
     let order = |id: &str, last: &str| {
         format!(
-            "POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\nx-cactusroad-attempt-id: {id}\r\n{last}content-length: 2\r\n\r\nhi"
+            "POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n{ATTEMPT}: {id}\r\n{last}content-length: 2\r\n\r\nhi"
         )
     };
     let answer = raw(
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use cactusroad::platform::standin::{replica, store};
+use cactusroad::platform::standin::{caller::SIGNATURE, replica, store};
 use http::StatusCode;
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
@@ -169,7 +169,7 @@
         }
         7 => site.gateway.signal(Signal::HUP),
         _ => {
-            let version = u64::try_from(site.store.calls()).unwrap_or(2) + 2;
+            let version = site.store.calls() + 2;
             site.store.put("config", "main", config(version));
         }
     }
@@ -196,12 +196,7 @@
         if answer.status != StatusCode::OK {
             continue;
         }
-        assert!(
-            answer
-                .headers
-                .contains_key("x-cactusroad-replica-signature"),
-            "seed {seed}: {id}"
-        );
+        assert!(answer.headers.contains_key(SIGNATURE), "seed {seed}: {id}");
         if id.starts_with('d') {
             let whole = whole_stream(id, EVENTS);
             if answer.is_whole {
