--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -22,7 +22,7 @@
     clock,
     job::{DIAL_LIMIT, End, Job, OK},
     record::{self, Event},
-    reply::Body,
+    reply::{self, Body},
     state::left,
 };
 
@@ -248,13 +248,7 @@
 fn judge(head: response::Parts, body: Bytes, started_at: Time) -> (Outcome, Attempt, String) {
     let status = head.status;
     let latency_ms = clock::millis_since(started_at);
-    // These promise that the request was not run, which the endpoint did not say.
-    let promises = [
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::REQUEST_TIMEOUT,
-    ];
-    if promises.contains(&status) {
+    if reply::is_promise(status) {
         return (Outcome::Failed, Attempt::Unknown, status.to_string());
     }
     let outcome = if status.is_server_error() {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -88,6 +88,17 @@
     response
 }
 
+/// Tells whether a status promises that a request was not run. An endpoint's answer
+/// with such a status is passed on only if the endpoint says so too.
+pub(crate) fn is_promise(status: StatusCode) -> bool {
+    [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::REQUEST_TIMEOUT,
+    ]
+    .contains(&status)
+}
+
 /// Draws the time after which a refused caller may come back.
 pub(crate) fn retry_after() -> Duration {
     RETRY_AFTER + RETRY_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
