--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,7 +10,7 @@
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.8, 5.0, 20.0,
 ];
 
-/// All metrics of a gateway. docs/METRICS.md lists them.
+/// All metrics of a gateway. docs/GATEWAY-METRICS.md lists them.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
--- a/tests/gateway/log.rs
+++ b/tests/gateway/log.rs
@@ -90,6 +90,26 @@
     assert_eq!(listed, written);
 }
 
+/// The page lists each metric that the code registers, and no other.
+#[test]
+fn metrics_page_complete() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let names = |path: &str, quote: char| -> BTreeSet<String> {
+        let text = fs::read_to_string(root.join(path)).expect("the file is there");
+        let parts = text
+            .split(quote)
+            .filter(|part| part.starts_with("cactusroad_"));
+        let is_name = |part: &&str| {
+            part.chars()
+                .all(|one| one.is_ascii_lowercase() || one == '_')
+        };
+        parts.filter(is_name).map(str::to_owned).collect()
+    };
+    let registered = names("crates/gateway/src/metrics.rs", '"');
+    assert!(registered.len() > 5);
+    assert_eq!(names("docs/GATEWAY-METRICS.md", '`'), registered);
+}
+
 fn snake(name: &str) -> String {
     let mut text = String::new();
     for character in name.chars() {
