Copy runs of a leaving engine near it, and also those without a first token

Copies between data centres take its link for twice as long, and three engines drawn from all data centres hold a near one in 7 of 10 draws only. A run without its first token is unknown to the engine, after which it was not copied again.

Tests: draw_near_first, stream_rescued_before_first_event (fails before).

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -59,6 +59,13 @@
         mixed ^= mixed >> 31;
         ((u128::from(mixed) * bound as u128) >> 64) as usize
     }
+
+    fn shuffle<T>(&mut self, items: &mut [T]) {
+        for index in 0..items.len() {
+            let other = index + self.below(items.len() - index);
+            items.swap(index, other);
+        }
+    }
 }
 
 impl Pool {
@@ -153,21 +160,28 @@
 
     /// Draws [`Config::choices`](super::Config::choices) endpoints to choose from,
     /// which the caller asks for reports first. Those that are avoided, and those
-    /// in `tried`, are left out.
-    pub fn draw(&self, tried: &[Arc<str>], seed: u64, now: Time) -> Vec<Arc<Endpoint>> {
+    /// in `tried`, are left out; those of the data centre `near` come first.
+    pub fn draw(
+        &self,
+        tried: &[Arc<str>],
+        near: Option<&str>,
+        seed: u64,
+        now: Time,
+    ) -> Vec<Arc<Endpoint>> {
         let mut draw = Draw(seed);
         let is_open = |member: &&Member| {
             self.may_get(member, now)
                 && member.avoided_until.is_past(now)
                 && !tried.contains(&member.endpoint.id)
         };
-        let mut drawn: Vec<&Member> = self.members.iter().filter(is_open).collect();
-        let kept = self.config.choices.max(1).min(drawn.len());
-        for index in 0..kept {
-            let other = index + draw.below(drawn.len() - index);
-            drawn.swap(index, other);
-        }
-        drawn.truncate(kept);
+        let is_far =
+            |member: &&Member| near.is_some_and(|near| *member.endpoint.data_centre != *near);
+        let open = self.members.iter().filter(is_open);
+        let (mut far, mut drawn): (Vec<&Member>, Vec<&Member>) = open.partition(is_far);
+        draw.shuffle(&mut drawn);
+        draw.shuffle(&mut far);
+        drawn.append(&mut far);
+        drawn.truncate(self.config.choices.max(1));
         drawn
             .into_iter()
             .map(|member| Arc::clone(&member.endpoint))
@@ -180,12 +194,8 @@
         if !self.is_engine {
             return;
         }
-        let kept = self.config.choices.max(1).min(candidates.len());
-        for index in 0..kept {
-            let other = index + draw.below(candidates.len() - index);
-            candidates.swap(index, other);
-        }
-        candidates.truncate(kept);
+        draw.shuffle(candidates);
+        candidates.truncate(self.config.choices.max(1));
     }
 
     fn may_get(&self, member: &Member, now: Time) -> bool {
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -229,7 +229,7 @@
 #[test]
 fn choose_among_candidates() {
     let mut pool = engines(6);
-    let among = pool.draw(&["e-000".into()], 5, START);
+    let among = pool.draw(&["e-000".into()], None, 5, START);
     assert_eq!(among.len(), Config::default().choices);
     assert!(among.iter().all(|endpoint| &*endpoint.id != "e-000"));
     let ask = Ask {
@@ -247,6 +247,26 @@
     assert!(pool.choose(&ask, 1, START).is_ok());
 }
 
+/// Load pattern: an engine leaves with several runs. Copies between data centres
+/// occupy its link for twice as long, so they go there only where they must.
+#[test]
+fn draw_near_first() {
+    let pool = engines(12);
+    for seed in 0..20 {
+        let drawn = pool.draw(&["e-000".into()], Some("dc-0"), seed, START);
+        assert_eq!(drawn.len(), 3);
+        assert!(
+            drawn
+                .iter()
+                .all(|endpoint| &*endpoint.data_centre == "dc-0")
+        );
+    }
+    let few = engines(4);
+    let drawn = few.draw(&["e-000".into()], Some("dc-0"), 1, START);
+    assert_eq!(&*drawn[0].id, "e-003");
+    assert_eq!(drawn.len(), 3);
+}
+
 #[test]
 fn choose_avoids_unreachable() {
     let mut pool = plain(3);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -21,10 +21,16 @@
 /// the store's staleness may hide.
 const LIFE: Duration = Duration::from_secs(30);
 
-/// Time from the first renewal to the second. The first list of a process that
-/// started together with others lacks some of them, so it is not counted.
+/// Time from the first renewal to the second, which finds those that started together.
 const FIRST_RENEWAL: Duration = Duration::from_secs(3);
 
+/// The time over which the first renewals of gateways that started together spread.
+const FIRST_SPREAD: Duration = Duration::from_millis(300);
+
+/// The least count that is believed of a first list, which may lack gateways that
+/// started together with this one.
+const FIRST_LEAST: usize = 4;
+
 /// How long a call may take.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
@@ -40,13 +46,15 @@
     let mut census = Census::new(LIFE);
     let mut number: u64 = rand::random();
     // Gateways that started together must not call together.
-    sleep(Duration::from_secs(1).mul_f64(rand::random())).await;
+    sleep(FIRST_SPREAD.mul_f64(rand::random())).await;
     let mut is_first = true;
     loop {
         number = number.wrapping_add(1);
         match renew(&state, &mut census, number).await {
-            Ok(()) if is_first => {}
-            Ok(()) => state.set_gateways(census.alive(clock::now())),
+            Ok(()) => {
+                let least = if is_first { FIRST_LEAST } else { 1 };
+                state.set_gateways(census.alive(clock::now()).max(least));
+            }
             Err(cause) => log::info!("the gateways were not counted: {cause}"),
         }
         let pause = if is_first { FIRST_RENEWAL } else { RENEWAL };
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -37,9 +37,14 @@
 /// Intervals between two lines of the log about the load of engines: one a second.
 const INTERVALS_PER_LINE: u32 = 5;
 
-/// Draws engines to choose from and asks them for reports.
-pub(crate) async fn candidates(shard: &Arc<Shard>, tried: &[Arc<str>]) -> Vec<Arc<Endpoint>> {
-    let drawn = shard.pool().draw(tried, rand::random(), clock::now());
+/// Draws engines to choose from, first from the data centre `near`, and asks them
+/// for reports.
+pub(crate) async fn candidates(
+    shard: &Arc<Shard>,
+    tried: &[Arc<str>],
+    near: Option<&str>,
+) -> Vec<Arc<Endpoint>> {
+    let drawn = shard.pool().draw(tried, near, rand::random(), clock::now());
     join_all(
         drawn
             .iter()
--- a/crates/gateway/src/rescue.rs
+++ b/crates/gateway/src/rescue.rs
@@ -134,7 +134,8 @@
 impl Copies {
     /// Chooses where the copies go, among engines that are asked for reports.
     async fn choose(&self) -> Option<Arc<Endpoint>> {
-        let among = observe::candidates(&self.shard, slice::from_ref(&self.from.id)).await;
+        let near = Some(&*self.from.data_centre);
+        let among = observe::candidates(&self.shard, slice::from_ref(&self.from.id), near).await;
         let ask = Ask {
             work: self.work,
             data_centre: &self.data_centre,
@@ -176,7 +177,11 @@
                     sleep(REFUSED_PAUSE).await;
                 }
                 Ok(Copied::NoRoom) => return self.failed("no_room", "the target has no room"),
-                Ok(Copied::Unknown) => return self.failed("unknown", "the engine does not run it"),
+                // A run is known from its first token on, which may be still to come.
+                Ok(Copied::Unknown) => {
+                    self.count("unknown");
+                    sleep(REFUSED_PAUSE).await;
+                }
                 Err(cause) => return self.failed("failed", &cause.to_string()),
             }
         }
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -82,7 +82,7 @@
 pub(crate) async fn serve(mut job: Job) -> Response<Body> {
     let mut tried = Vec::new();
     loop {
-        let among = observe::candidates(&job.shard, &tried).await;
+        let among = observe::candidates(&job.shard, &tried, None).await;
         let endpoint = match job.shard.choose(&job.ask(&tried, &among)) {
             Ok(endpoint) => endpoint,
             Err(refusal) => return job.refuse(refusal.into()),
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -94,7 +94,7 @@
         self.run.moves += 1;
         self.sends += 1;
         self.run.endpoint = endpoint;
-        self.among = observe::candidates(&self.job.shard, &[]).await;
+        self.among = observe::candidates(&self.job.shard, &[], None).await;
         let address = source.address.to_string();
         match self.open(Some(source)).await {
             Opened::Reply if self.is_resumed() => {
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -76,6 +76,24 @@
     assert_eq!(stream.text, whole_stream("s1", 120));
 }
 
+#[tokio::test]
+async fn stream_rescued_before_first_event() {
+    // The engine knows no such run until its first token.
+    let pace = Duration::from_millis(600);
+    let mut site = Site::start_with(1, 0, 3, pace).await;
+    let sender = site.sender();
+    let answer = tokio::spawn(async move { sender.send("/drafts/1", "s1").await });
+    sleep(Duration::from_millis(50)).await;
+    let _joined = site.join("e-9", 3, pace).await;
+    site.list_engine(0, "draining");
+    sleep(Duration::from_millis(1_050)).await;
+    drop(site.engines.remove(0));
+    let answer = answer.await.expect("the caller is not cancelled");
+    let answer = answer.expect("there is an answer");
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), whole_stream("s1", 3));
+}
+
 #[tokio::test]
 async fn stream_silent_engine_without_copy() {
     // Its silence alone is no reason to end an answer that has no copy.
