Put a sidecar beside each engine, whose reports are not late

Cause: reports of engines are half a second old and the same for all gateways, and notices came with the store's list, 350 to 700 ms late.

Change: the process 'sidecar' on each engine's VM answers for the load of its engine as of now, and tells gateways with runs there of its notice within 100 ms. A gateway whose sidecar does not answer asks the engine as before. Waiting requests count as the mean prompt of the service. The log line of a choice says what it knew.

Tests: sidecar_*, choose_waiting_of_others (fails before), choose_fresh_report.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -214,7 +214,7 @@
                 + failures * config.failure_ms
                 + f64::from(u8::from(is_far)) * config.distance_ms;
         }
-        let (running, prompts) = member.load(config, now);
+        let (running, prompts) = member.load(config, self.mean_prompt, now);
         let overflow = (self.fill(member, ask.work, now) - config.memory_share).max(0.0);
         let memory = self.memory_tokens.max(1) as f64;
         prompts
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -15,6 +15,10 @@
 /// failure does not count as all.
 const FAILURE_PRIOR: f64 = 4.0;
 
+/// How long a request may have been under way when a fresh report was taken: a
+/// round trip between data centres.
+const FRESH_LAG: Duration = Duration::from_millis(6);
+
 /// The part of a prompt that is left, in the mean, while it is being computed.
 const COMPUTING_REST: f64 = 0.5;
 
@@ -35,6 +39,9 @@
     pub is_leaving: bool,
     /// When it leaves, if it knows.
     pub leaves_at: Option<Time>,
+    /// Whether it was taken when it was asked for, and not
+    /// [`Config::report_lag_ms`] before.
+    pub is_fresh: bool,
 }
 
 /// How a request ended at an endpoint, as far as it tells about the endpoint.
@@ -228,7 +235,11 @@
         if now.since(at) > Duration::from_millis(config.report_life_ms) {
             return None;
         }
-        let lag = Duration::from_millis(config.report_lag_ms);
+        let lag = if report.is_fresh {
+            FRESH_LAG
+        } else {
+            Duration::from_millis(config.report_lag_ms)
+        };
         let newer = self
             .sent
             .iter()
@@ -261,13 +272,13 @@
     }
 
     /// Returns the requests that run, and the prompt tokens that wait or are computed.
-    pub(super) fn load(&self, config: &Config, now: Time) -> (f64, f64) {
+    /// `mean_prompt` is the mean prompt of the service, for requests of others.
+    pub(super) fn load(&self, config: &Config, mean_prompt: f64, now: Time) -> (f64, f64) {
         match self.known(config, now) {
             Some((report, requests, prompts, _)) => {
                 let running = self.running.max(report.running + requests);
-                let mean = self.mean_prompt();
-                let unfinished = f64::from(report.computing) * mean * COMPUTING_REST;
-                let waiting = f64::from(report.waiting) * mean + unfinished + prompts as f64;
+                let unfinished = f64::from(report.computing) * mean_prompt * COMPUTING_REST;
+                let waiting = f64::from(report.waiting) * mean_prompt + unfinished + prompts as f64;
                 (f64::from(running), waiting.max(self.prompts as f64))
             }
             None => (f64::from(self.running), self.prompts as f64),
@@ -279,11 +290,6 @@
         self.latency_ms
     }
 
-    fn mean_prompt(&self) -> f64 {
-        let sum: u64 = self.sent.iter().map(|(_, work)| work.prompt).sum();
-        sum as f64 / self.sent.len().max(1) as f64
-    }
-
     /// Tells whether new work may go there at all.
     pub(super) fn is_open(&self, now: Time) -> bool {
         !self.endpoint.draining
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -48,6 +48,9 @@
 
 use member::Member;
 
+/// The part of the mean prompt that each request replaces.
+const PROMPT_GAIN: f64 = 0.05;
+
 /// One endpoint, as the platform's list names it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
@@ -110,6 +113,8 @@
     /// Tokens that an engine's memory holds where no report has said so.
     memory_tokens: u64,
     is_engine: bool,
+    /// The mean prompt of recent requests, in tokens.
+    mean_prompt: f64,
 }
 
 impl Pool {
@@ -121,6 +126,7 @@
             out: Vec::new(),
             memory_tokens: 0,
             is_engine: false,
+            mean_prompt: 0.0,
         }
     }
 
@@ -187,6 +193,12 @@
             .collect()
     }
 
+    /// Tells whether an endpoint holds runs of this process.
+    pub fn holds_runs(&self, id: &str) -> bool {
+        self.index(id)
+            .is_ok_and(|index| self.members[index].running > 0)
+    }
+
     /// Tells whether an endpoint is leaving, no longer listed, or unknown.
     pub fn is_leaving(&self, id: &str) -> bool {
         self.index(id).map_or(true, |index| {
@@ -197,6 +209,12 @@
 
     /// Notes a request that is sent.
     pub fn started(&mut self, id: &str, work: Work, now: Time) {
+        let gain = if self.mean_prompt > 0.0 {
+            PROMPT_GAIN
+        } else {
+            1.0
+        };
+        self.mean_prompt += (work.prompt as f64 - self.mean_prompt) * gain;
         if let Some(member) = self.member(id) {
             member.start(work, now);
         }
@@ -237,6 +255,12 @@
         self.members.iter().map(move |member| member.view(now))
     }
 
+    /// Returns one member.
+    pub fn view(&self, id: &str, now: Time) -> Option<View> {
+        let index = self.index(id).ok()?;
+        Some(self.members[index].view(now))
+    }
+
     /// Returns a member's endpoint.
     pub fn get(&self, id: &str) -> Option<&Arc<Endpoint>> {
         self.index(id)
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -247,6 +247,56 @@
     assert!(pool.choose(&ask, 1, START).is_ok());
 }
 
+/// Load pattern: engines that have just joined get work from many gateways, and
+/// this one has sent them nothing. What waits there counts all the same.
+#[test]
+fn choose_waiting_of_others() {
+    let mut pool = engines(2);
+    pool.started("e-001", LONG, START);
+    pool.ended("e-001", LONG, false, Outcome::Cancelled, START);
+    let queued = Report {
+        running: 1,
+        waiting: 3,
+        memory_tokens: MEMORY,
+        is_fresh: true,
+        ..Report::default()
+    };
+    pool.report("e-000", queued, after(1_000));
+    let busy = Report {
+        running: 4,
+        waiting: 0,
+        ..queued
+    };
+    pool.report("e-001", busy, after(1_000));
+    for seed in 0..20 {
+        let chosen = pool.choose(&ask(LONG), seed, after(1_001)).unwrap();
+        assert_eq!(&*chosen.id, "e-001");
+    }
+}
+
+/// Load pattern: reports of sidecars. What was sent long before a fresh report is
+/// in it already, and counts once.
+#[test]
+fn choose_fresh_report() {
+    let mut pool = engines(2);
+    for number in 0..3 {
+        pool.started("e-000", LONG, after(number));
+        pool.ended("e-000", LONG, false, Outcome::Cancelled, after(number));
+    }
+    let idle = Report {
+        memory_tokens: MEMORY,
+        is_fresh: true,
+        ..Report::default()
+    };
+    pool.report("e-000", idle, after(200));
+    let busy = Report { running: 2, ..idle };
+    pool.report("e-001", busy, after(200));
+    for seed in 0..20 {
+        let chosen = pool.choose(&ask(LONG), seed, after(201)).unwrap();
+        assert_eq!(&*chosen.id, "e-000");
+    }
+}
+
 /// Load pattern: an engine leaves with several runs. Copies between data centres
 /// occupy its link for twice as long, so they go there only where they must.
 #[test]
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -37,7 +37,7 @@
 pub struct Error(#[from] Kind);
 
 #[derive(Debug, thiserror::Error)]
-enum Kind {
+pub(crate) enum Kind {
     #[error(transparent)]
     Settings(#[from] settings::Error),
     #[error("{address} cannot be opened: {cause}; check that no other process listens there")]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod record;
 mod reply;
 mod rescue;
+pub mod sidecar;
 mod state;
 mod stream;
 mod watch;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -23,7 +23,7 @@
 const BACKLOG: u32 = 1_024;
 
 /// The pause after a connection could not be accepted, for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// How much longer than the limit an idle connection is kept, so that a caller
 /// that keeps to the limit never meets the close.
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -1,25 +1,31 @@
-//! Asks engines for their reports.
+//! Asks for the load of engines, and waits for their notice that they leave.
 //!
 //! Reports are asked for when a request needs a choice: a few engines are drawn,
 //! asked at once, and the best of them gets the request. The questions therefore
 //! grow with requests and not with gateways times engines, and what a choice is
-//! made from is as fresh as it can be. While the store is away, engines that hold
+//! made from is as fresh as it can be. The sidecar beside an engine is asked
+//! first, since its reports are not late. While the store is away, engines that hold
 //! runs of this gateway are asked at an interval too, because only they can say
 //! then that they are leaving.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use cactusroad_core::pool::{Endpoint, Report};
-use cactusroad_platform::replica::Observer;
+use cactusroad_core::{
+    Time,
+    pool::{Endpoint, Report},
+};
+use cactusroad_platform::replica::{self, Observer};
 use futures_util::future::join_all;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::{
     clock,
     record::{self, Event},
+    sidecar,
     state::{Shard, State},
 };
 
@@ -27,6 +33,17 @@
 /// and a hundredth of the time in which a first event is on time.
 const CHOICE_LIMIT: Duration = Duration::from_millis(20);
 
+/// How long a choice waits for a sidecar before it asks the engine itself: a few
+/// round trips between data centres.
+const SIDECAR_LIMIT: Duration = Duration::from_millis(12);
+
+/// How long a sidecar that did not answer is not asked; one that starts again is
+/// back within a second or two.
+const SIDECAR_PAUSE: Duration = Duration::from_secs(1);
+
+/// How long a question for a notice may be open: longer than a sidecar waits.
+const NOTICE_LIMIT: Duration = Duration::from_secs(10);
+
 /// How long an engine may take for a report that nothing waits for.
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
 
@@ -93,17 +110,17 @@
     }
 }
 
-/// Asks one engine, and has the pool take its report.
+/// Asks about one engine, and has the pool take the report.
 async fn ask(shard: &Arc<Shard>, endpoint: &Arc<Endpoint>, limit: Duration) {
-    let mut observer = shard
-        .take_observer(&endpoint.id)
-        .filter(|observer| observer.address() == endpoint.address)
-        .unwrap_or_else(|| Observer::new(endpoint.address));
-    match observer.report(limit, clock::now()).await {
+    let mut probe = shard
+        .take_probe(&endpoint.id)
+        .filter(|probe| probe.address == endpoint.address)
+        .unwrap_or_else(|| Probe::new(endpoint.address, shard.sidecar_port));
+    match probe.report(limit).await {
         Ok(report) => {
             let change = shard.pool().report(&endpoint.id, report, clock::now());
             shard.learn(&endpoint.id, change, "report");
-            shard.keep_observer(&endpoint.id, observer);
+            shard.keep_probe(&endpoint.id, probe);
         }
         Err(cause) => {
             log::debug!("{} gave no report: {cause}", endpoint.id);
@@ -112,6 +129,73 @@
     }
 }
 
+/// Asks for the load of one engine: the sidecar beside it, and the engine itself
+/// where there is no sidecar or it does not answer.
+#[derive(Debug)]
+pub(crate) struct Probe {
+    address: SocketAddr,
+    sidecar: Option<sidecar::Client>,
+    engine: Observer,
+    /// Until when the sidecar is not asked because it did not answer.
+    passed_over_until: Time,
+}
+
+impl Probe {
+    fn new(address: SocketAddr, sidecar_port: Option<u16>) -> Probe {
+        let sidecar = sidecar_port.map(|port| SocketAddr::new(address.ip(), port));
+        Probe {
+            address,
+            sidecar: sidecar.map(sidecar::Client::new),
+            engine: Observer::new(address),
+            passed_over_until: Time::ZERO,
+        }
+    }
+
+    async fn report(&mut self, limit: Duration) -> Result<Report, replica::Error> {
+        let now = clock::now();
+        if let Some(sidecar) = &mut self.sidecar
+            && self.passed_over_until.is_past(now)
+        {
+            match sidecar.load(SIDECAR_LIMIT, now).await {
+                Ok(report) => return Ok(report),
+                Err(cause) => {
+                    log::debug!("the sidecar of {} is passed over: {cause}", self.address);
+                    self.passed_over_until = now + SIDECAR_PAUSE;
+                }
+            }
+        }
+        self.engine.report(limit, now).await
+    }
+}
+
+/// Waits for the notice of an engine as long as it holds runs of this gateway.
+pub(crate) fn await_notice(shard: &Arc<Shard>, endpoint: &Arc<Endpoint>) {
+    let Some(port) = shard.sidecar_port else {
+        return;
+    };
+    if !shard.begin_waiting(&endpoint.id) {
+        return;
+    }
+    let (shard, endpoint) = (Arc::clone(shard), Arc::clone(endpoint));
+    tokio::spawn(async move {
+        let mut sidecar = sidecar::Client::new(SocketAddr::new(endpoint.address.ip(), port));
+        while shard.pool().holds_runs(&endpoint.id) && !shard.pool().is_leaving(&endpoint.id) {
+            match sidecar.notice(NOTICE_LIMIT, clock::now()).await {
+                Ok(Some(report)) => {
+                    let change = shard.pool().report(&endpoint.id, report, clock::now());
+                    shard.learn(&endpoint.id, change, "sidecar");
+                }
+                Ok(None) => {}
+                Err(cause) => {
+                    log::debug!("no notice of {} can be had: {cause}", endpoint.id);
+                    sleep(SIDECAR_PAUSE).await;
+                }
+            }
+        }
+        shard.end_waiting(&endpoint.id);
+    });
+}
+
 /// Writes what the engines of a service have reported.
 fn log_load(shard: &Shard) {
     let mut sum = Report::default();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -205,6 +205,7 @@
         endpoint: &endpoint.id,
         backup: None,
         attempt: number,
+        known: job.shard.known(&endpoint.id),
     });
     let mut ticket = job.shard.start(&endpoint, job.work);
     let started_at = ticket.started_at;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -12,6 +12,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use cactusroad_core::pool::View;
 use serde::Serialize;
 
 use crate::clock;
@@ -55,6 +56,8 @@
         change: &'a str,
         source: &'a str,
     },
+    /// The engine beside this sidecar has said that it leaves.
+    EngineLeaving { running: u32, used_tokens: u64 },
     /// What the engines of a service report, once a second.
     Load {
         service: &'a str,
@@ -79,6 +82,9 @@
         endpoint: &'a str,
         backup: Option<&'a str>,
         attempt: u32,
+        /// What was known of the endpoint.
+        #[serde(flatten)]
+        known: Known,
     },
     /// An attempt brought no answer for the caller.
     AttemptFailed {
@@ -139,6 +145,34 @@
     },
 }
 
+/// What a choice knew of the endpoint that it took.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct Known {
+    /// Requests of this process there.
+    own: u32,
+    /// The age of the last report; nothing else is known without one.
+    report_ms: Option<u64>,
+    is_fresh: bool,
+    running: u32,
+    waiting: u32,
+    used_tokens: u64,
+}
+
+impl Known {
+    pub(crate) fn new(view: &View) -> Known {
+        let (report, age) = view.report.unzip();
+        let report = report.unwrap_or_default();
+        Known {
+            own: view.running,
+            report_ms: age,
+            is_fresh: report.is_fresh,
+            running: report.running,
+            waiting: report.waiting,
+            used_tokens: report.used_tokens,
+        }
+    }
+}
+
 /// One line.
 #[derive(Serialize)]
 struct Line<'a> {
--- /dev/null
+++ b/crates/gateway/src/sidecar/engine.rs
@@ -0,0 +1,128 @@
+//! What a sidecar knows of its engine.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cactusroad_core::{Time, pool::Report};
+use cactusroad_platform::replica::{Error, Observer};
+use tokio::{
+    sync::{Mutex, watch},
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::{
+    clock,
+    record::{self, Event},
+};
+
+/// How long the engine may take for a report: many times what it takes on its own VM.
+const REPORT_LIMIT: Duration = Duration::from_millis(100);
+
+/// How long a report answers further questions: gateways that ask within a
+/// millisecond or two share one.
+const REPORT_LIFE: Duration = Duration::from_millis(2);
+
+/// Time between two looks for the engine's notice; a twentieth of the time that
+/// engines serve after it.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The engine beside this process.
+#[derive(Debug)]
+pub(super) struct Engine {
+    asked: Mutex<Asked>,
+    /// The report that first said that the engine is leaving.
+    notice: watch::Sender<Option<Report>>,
+}
+
+#[derive(Debug)]
+struct Asked {
+    observer: Observer,
+    last: Option<(Report, Time)>,
+    is_lost: bool,
+}
+
+impl Engine {
+    pub(super) fn new(address: SocketAddr) -> Engine {
+        let observer = Observer::new(address);
+        Engine {
+            asked: Mutex::new(Asked {
+                observer,
+                last: None,
+                is_lost: false,
+            }),
+            notice: watch::Sender::new(None),
+        }
+    }
+
+    /// Returns the engine's report as of now.
+    pub(super) async fn report(&self) -> Result<Report, Error> {
+        let mut asked = self.asked.lock().await;
+        let now = clock::now();
+        if let Some((report, at)) = asked.last
+            && now.since(at) < REPORT_LIFE
+        {
+            return Ok(report);
+        }
+        let answer = asked.observer.report(REPORT_LIMIT, now).await;
+        asked.note(answer.as_ref().err());
+        let report = Report {
+            is_fresh: true,
+            ..answer?
+        };
+        asked.last = Some((report, clock::now()));
+        self.note(report);
+        Ok(report)
+    }
+
+    /// Returns the report that says that the engine is leaving, once there is one.
+    pub(super) async fn notice(&self) -> Option<Report> {
+        let mut notice = self.notice.subscribe();
+        let found = notice.wait_for(Option::is_some).await;
+        found.ok().and_then(|report| *report)
+    }
+
+    /// Looks for the notice until the process ends.
+    pub(super) async fn watch(&self) {
+        let mut ticks = interval(NOTICE_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            // The loss of the engine is logged where it is noted.
+            let _ = self.report().await;
+        }
+    }
+
+    fn note(&self, report: Report) {
+        let was_leaving = self.notice.borrow().is_some();
+        if was_leaving == report.is_leaving {
+            return;
+        }
+        if report.is_leaving {
+            record::write(&Event::EngineLeaving {
+                running: report.running,
+                used_tokens: report.used_tokens,
+            });
+        }
+        // An engine that began anew at this address is not leaving.
+        self.notice
+            .send_replace(report.is_leaving.then_some(report));
+    }
+}
+
+impl Asked {
+    fn note(&mut self, failure: Option<&Error>) {
+        if self.is_lost == failure.is_some() {
+            return;
+        }
+        self.is_lost = failure.is_some();
+        match failure {
+            Some(cause) => record::write(&Event::DependencyLost {
+                name: "engine",
+                cause: &cause.to_string(),
+            }),
+            None => record::write(&Event::DependencyRegained {
+                name: "engine",
+                away_ms: self.last.map_or(0, |(_, at)| clock::millis_since(at)),
+            }),
+        }
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,13 +18,14 @@
     pool::{self, Ask, Budget, Change, Endpoint, Outcome, Pool, Refusal, Use, Work},
     site::Site,
 };
-use cactusroad_platform::{replica::Observer, settings::Settings};
+use cactusroad_platform::settings::Settings;
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
     clock,
     metrics::Metrics,
-    record::{self, Event},
+    observe::Probe,
+    record::{self, Event, Known},
 };
 
 /// The part of the allowed repeats that gateways use between them; the rest
@@ -74,8 +75,12 @@
     budget: Mutex<Budget>,
     /// Changes whenever an endpoint starts to leave or is gone.
     pub(crate) leaving: watch::Sender<u64>,
-    /// Observers that are not in use, sorted by the name of their endpoint.
-    observers: Mutex<Vec<(Arc<str>, Observer)>>,
+    /// Probes that are not in use, sorted by the name of their endpoint.
+    probes: Mutex<Vec<(Arc<str>, Probe)>>,
+    /// The endpoints whose notice is waited for, sorted.
+    awaited: Mutex<Vec<Arc<str>>>,
+    /// The port on which sidecars listen.
+    pub(crate) sidecar_port: Option<u16>,
 }
 
 impl State {
@@ -265,28 +270,50 @@
             pool: Mutex::new(Pool::new(policy.clone())),
             budget: Mutex::new(Budget::new(share, floor, settings.repeat_window)),
             leaving: watch::Sender::new(0),
-            observers: Mutex::default(),
+            probes: Mutex::default(),
+            awaited: Mutex::default(),
+            sidecar_port: settings.sidecar_port,
         }
     }
 
-    fn observers(&self) -> MutexGuard<'_, Vec<(Arc<str>, Observer)>> {
-        self.observers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn probes(&self) -> MutexGuard<'_, Vec<(Arc<str>, Probe)>> {
+        self.probes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the observer of an endpoint, if it is not in use.
-    pub(crate) fn take_observer(&self, id: &str) -> Option<Observer> {
-        let mut observers = self.observers();
-        let found = observers.binary_search_by(|(known, _)| (**known).cmp(id));
-        found.ok().map(|index| observers.remove(index).1)
+    fn awaited(&self) -> MutexGuard<'_, Vec<Arc<str>>> {
+        self.awaited.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Keeps an observer until its endpoint is gone.
-    pub(crate) fn keep_observer(&self, id: &Arc<str>, observer: Observer) {
-        let mut observers = self.observers();
-        if let Err(index) = observers.binary_search_by(|(known, _)| known.cmp(id)) {
-            observers.insert(index, (Arc::clone(id), observer));
+    /// Takes the probe of an endpoint, if it is not in use.
+    pub(crate) fn take_probe(&self, id: &str) -> Option<Probe> {
+        let mut probes = self.probes();
+        let found = probes.binary_search_by(|(known, _)| (**known).cmp(id));
+        found.ok().map(|index| probes.remove(index).1)
+    }
+
+    /// Keeps a probe until its endpoint is gone.
+    pub(crate) fn keep_probe(&self, id: &Arc<str>, probe: Probe) {
+        let mut probes = self.probes();
+        if let Err(index) = probes.binary_search_by(|(known, _)| known.cmp(id)) {
+            probes.insert(index, (Arc::clone(id), probe));
+        }
+    }
+
+    /// Notes that the notice of an endpoint is waited for; tells whether that is new.
+    pub(crate) fn begin_waiting(&self, id: &Arc<str>) -> bool {
+        let mut awaited = self.awaited();
+        let place = awaited.binary_search(id);
+        if let Err(index) = place {
+            awaited.insert(index, Arc::clone(id));
+        }
+        place.is_err()
+    }
+
+    /// Notes that the notice of an endpoint is no longer waited for.
+    pub(crate) fn end_waiting(&self, id: &Arc<str>) {
+        let mut awaited = self.awaited();
+        if let Ok(index) = awaited.binary_search(id) {
+            awaited.remove(index);
         }
     }
 
@@ -314,6 +341,12 @@
         self.pool().choose(ask, rand::random(), clock::now())
     }
 
+    /// Returns what is known of an endpoint, for the log.
+    pub(crate) fn known(&self, id: &str) -> Known {
+        let view = self.pool().view(id, clock::now());
+        view.map_or_else(Known::default, |view| Known::new(&view))
+    }
+
     /// Notes a change of the list and tells the streams of it.
     pub(crate) fn learn(&self, id: &str, change: Option<Change>, source: &str) {
         let Some(change) = change else {
@@ -326,7 +359,7 @@
             source,
         });
         if change == Change::Gone {
-            self.take_observer(id);
+            self.take_probe(id);
         }
         if matches!(change, Change::Leaving | Change::Gone) {
             self.leaving.send_modify(|count| *count += 1);
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -152,8 +152,10 @@
             endpoint: &endpoint.id,
             backup: self.run.backup.as_ref().map(|backup| &*backup.id),
             attempt: self.sends,
+            known: self.job.shard.known(&endpoint.id),
         });
         let ticket = self.job.shard.start(&endpoint, self.job.work);
+        observe::await_notice(&self.job.shard, &endpoint);
         let started_at = ticket.started_at;
         let order = self
             .job
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,12 @@
     include!("spread.rs");
 }
 
+/// The generated types of what a sidecar tells gateways.
+#[rustfmt::skip]
+pub mod sidecar {
+    include!("sidecar.rs");
+}
+
 /// The largest message that a process reads, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -31,6 +31,7 @@
     Entry(EntryCommand),
     Agent(AgentCommand),
     Gateway(GatewayCommand),
+    Sidecar(SidecarCommand),
     Explain(explain::Command),
     Demo(DemoCommand),
     Standin(StandinCommand),
@@ -75,6 +76,13 @@
     policy: Option<PathBuf>,
 }
 
+/// Runs a sidecar, which tells gateways of the engine beside it on the users' platform.
+///
+/// Its settings file is named by the environment variable CACTUSROAD_CONFIG.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sidecar")]
+struct SidecarCommand {}
+
 /// Runs the whole path in one process and checks what it promises.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
@@ -110,6 +118,7 @@
         Command::Gateway(command) => {
             conclude(gateway::run(command.metrics, command.policy.as_deref()))
         }
+        Command::Sidecar(SidecarCommand {}) => conclude(gateway::sidecar::run()),
         Command::Explain(command) => explain::run(&command),
         Command::Demo(command) => demo(command.stay),
         Command::Standin(command) => run(stand_in(command)),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod log;
 mod plain;
+mod sidecar;
 #[expect(dead_code, reason = "the soak uses the rest")]
 mod site;
 mod stop;
--- /dev/null
+++ b/tests/gateway/sidecar.rs
@@ -0,0 +1,75 @@
+//! Sidecars: fresh loads, notices, and gateways without them.
+
+use std::time::Duration;
+
+use cactusroad::wire::{self, sidecar::Load};
+use http::StatusCode;
+use tokio::time::{Instant, sleep};
+
+use crate::site::{Answer, Site, whole_stream};
+
+const PACE: Duration = Duration::from_millis(20);
+
+fn load(answer: &Answer) -> Load {
+    wire::decode(answer.body.clone()).expect("the sidecar answers with a load")
+}
+
+#[tokio::test]
+async fn sidecar_load_of_engine() {
+    let mut site = Site::start_beside(1, 40, PACE).await;
+    let sidecar = site.sidecar(0);
+    let answer = site.ask(sidecar, "/load").await.expect("it answers");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(load(&answer).memory_tokens, 30_000);
+    assert!(!load(&answer).is_leaving);
+    let unknown = site.ask(sidecar, "/other").await.expect("it answers");
+    assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+    site.engines.clear();
+    sleep(Duration::from_millis(300)).await;
+    let lost = site.ask(sidecar, "/load").await.expect("it answers");
+    assert_eq!(lost.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+#[tokio::test]
+async fn sidecar_tells_notice() {
+    let site = Site::start_beside(1, 40, PACE).await;
+    let asked_at = Instant::now();
+    let waiting = site.ask(site.sidecar(0), "/notice");
+    let notice = async {
+        sleep(Duration::from_millis(200)).await;
+        site.engines[0].drain();
+    };
+    let (answer, ()) = tokio::join!(waiting, notice);
+    assert!(load(&answer.expect("it answers")).is_leaving);
+    assert!(asked_at.elapsed() < Duration::from_millis(600));
+}
+
+#[tokio::test]
+async fn sidecar_notice_moves_run() {
+    // The store's list does not say that the engine leaves.
+    let mut site = Site::start_beside(1, 120, PACE).await;
+    let mut stream = site.open("/drafts/1", "s1").await;
+    assert_eq!(stream.read(2).await, None);
+    let _joined = site.join("e-9", 120, PACE).await;
+    sleep(Duration::from_millis(600)).await;
+    site.engines[0].drain();
+    sleep(Duration::from_millis(600)).await;
+    drop(site.engines.remove(0));
+    assert_eq!(stream.read(usize::MAX).await, Some(true));
+    assert_eq!(stream.text, whole_stream("s1", 120));
+}
+
+#[tokio::test]
+async fn sidecar_killed() {
+    let mut site = Site::start_beside(2, 20, PACE).await;
+    let first = site.send("/drafts/1", "s1").await;
+    let first = first.expect("there is an answer");
+    assert_eq!(first.text(), whole_stream("s1", 20));
+    site.kill_sidecar(1);
+    site.kill_sidecar(0);
+    for id in ["s2", "s3"] {
+        let answer = site.send("/drafts/1", id).await;
+        let answer = answer.expect("there is an answer");
+        assert_eq!(answer.text(), whole_stream(id, 20));
+    }
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::Write,
-    net::{SocketAddr, TcpListener as StdListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener as StdListener},
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
 };
@@ -38,6 +38,9 @@
     pub(crate) orders: Vec<Replica>,
     pub(crate) gateway: Gateway,
     memory: Memory,
+    /// The port of the sidecars, where engines have one each.
+    sidecar_port: Option<u16>,
+    sidecars: Vec<Process>,
     /// Requests that replicas saw which are gone.
     gone: Vec<Seen>,
 }
@@ -54,15 +57,13 @@
     }
 }
 
-/// One gateway process, which is killed when it is dropped.
-pub(crate) struct Gateway {
+/// One process, which is killed when it is dropped.
+pub(crate) struct Process {
     child: Child,
-    pub(crate) callers: SocketAddr,
-    pub(crate) readiness: SocketAddr,
     _settings: NamedTempFile,
 }
 
-impl Drop for Gateway {
+impl Drop for Process {
     fn drop(&mut self) {
         // It may have ended by itself.
         let _ = self.child.kill();
@@ -70,10 +71,36 @@
     }
 }
 
+impl Process {
+    /// Starts a role with its settings.
+    fn start(role: &str, settings: &Value) -> Process {
+        let mut file = NamedTempFile::new().expect("a file can be made");
+        file.write_all(settings.to_string().as_bytes())
+            .expect("the file can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_cactusroad"))
+            .arg(role)
+            .env("CACTUSROAD_CONFIG", file.path())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the process starts");
+        Process {
+            child,
+            _settings: file,
+        }
+    }
+}
+
+/// One gateway.
+pub(crate) struct Gateway {
+    process: Process,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+}
+
 impl Gateway {
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
+        let pid = Pid::from_child(&self.process.child);
         kill_process(pid, signal).expect("the gateway runs");
     }
 
@@ -82,6 +109,7 @@
         let deadline = Instant::now() + limit;
         while Instant::now() < deadline {
             if self
+                .process
                 .child
                 .try_wait()
                 .expect("the gateway can be waited for")
@@ -124,19 +152,33 @@
         events: u64,
         pace: Duration,
     ) -> Site {
-        let site = Site::fill(engines, orders, events, pace).await;
+        let site = Site::fill(engines, orders, events, pace, None).await;
+        site.ready().await;
+        site
+    }
+
+    /// Starts a site with a sidecar beside each engine.
+    pub(crate) async fn start_beside(engines: usize, events: u64, pace: Duration) -> Site {
+        let port = Some(free_port().port());
+        let site = Site::fill(engines, 0, events, pace, port).await;
         site.ready().await;
         site
     }
 
     /// Starts a site and does not wait until its gateway is ready.
     pub(crate) async fn start_early(engines: usize, orders: usize) -> Site {
-        let mut site = Site::fill(engines, orders, 20, Duration::from_millis(15)).await;
-        site.gateway = launch(&site.store);
+        let mut site = Site::fill(engines, orders, 20, Duration::from_millis(15), None).await;
+        site.gateway = launch(&site.store, None);
         site
     }
 
-    async fn fill(engines: usize, orders: usize, events: u64, pace: Duration) -> Site {
+    async fn fill(
+        engines: usize,
+        orders: usize,
+        events: u64,
+        pace: Duration,
+        sidecar_port: Option<u16>,
+    ) -> Site {
         let store = Store::start().await.expect("a port is free");
         let memory = Memory::default();
         let start = async |name: String| {
@@ -147,13 +189,16 @@
         let mut site = Site {
             engines: Vec::new(),
             orders: Vec::new(),
-            gateway: launch(&store),
+            gateway: launch(&store, sidecar_port),
+            sidecar_port,
+            sidecars: Vec::new(),
             memory: memory.clone(),
             gone: Vec::new(),
             store,
         };
         for number in 0..engines {
-            site.engines.push(start(format!("e-{number}")).await);
+            let engine = site.engine(&format!("e-{number}"), events, pace).await;
+            site.engines.push(engine);
         }
         for number in 0..orders {
             site.orders.push(start(format!("o-{number}")).await);
@@ -169,6 +214,39 @@
         site
     }
 
+    /// Starts an engine, with a sidecar beside it where the site has sidecars.
+    async fn engine(&mut self, id: &str, events: u64, pace: Duration) -> Replica {
+        let Some(port) = self.sidecar_port else {
+            let engine = Replica::start(id, &self.memory, events, pace).await;
+            return engine.expect("a port is free");
+        };
+        // Sidecars share a port, so each engine has an address of its own.
+        let number = u8::try_from(self.sidecars.len() + 1).expect("there are few engines");
+        let ip = Ipv4Addr::new(127, 0, 1, number).into();
+        let engine = Replica::start_on(ip, id, &self.memory, events, pace).await;
+        let engine = engine.expect("a port is free");
+        let settings = operator::beside(engine.address(), port);
+        self.sidecars.push(Process::start("sidecar", &settings));
+        engine
+    }
+
+    /// Returns where the sidecar of an engine listens.
+    pub(crate) fn sidecar(&self, number: usize) -> SocketAddr {
+        let port = self.sidecar_port.expect("the site has sidecars");
+        SocketAddr::new(self.engines[number].address().ip(), port)
+    }
+
+    /// Kills the sidecar of an engine.
+    pub(crate) fn kill_sidecar(&mut self, number: usize) {
+        drop(self.sidecars.remove(number));
+    }
+
+    /// Asks any process of the site.
+    pub(crate) async fn ask(&self, address: SocketAddr, path: &str) -> Option<Answer> {
+        let request = Request::get(path).header("host", "x").body(Full::default());
+        exchange(address, request.expect("the request is valid")).await
+    }
+
     /// Sends a request again until the gateway accepts the connection.
     pub(crate) async fn send_until_connected(&self, path: &str, id: &str) -> Answer {
         loop {
@@ -186,9 +264,8 @@
     }
 
     /// Adds an engine while the site runs.
-    pub(crate) async fn join(&self, id: &str, events: u64, pace: Duration) -> Replica {
-        let engine = Replica::start(id, &self.memory, events, pace).await;
-        let engine = engine.expect("a port is free");
+    pub(crate) async fn join(&mut self, id: &str, events: u64, pace: Duration) -> Replica {
+        let engine = self.engine(id, events, pace).await;
         self.store
             .put("servers", id, engine.entry(ENGINES, "north", "available"));
         engine
@@ -210,18 +287,8 @@
 
     /// Asks as the balancer does.
     pub(crate) async fn is_ready(&self) -> bool {
-        let request = Request::get(caller::READY_PATH)
-            .header("host", "x")
-            .body(Full::default());
-        match exchange(
-            self.gateway.readiness,
-            request.expect("the request is valid"),
-        )
-        .await
-        {
-            Some(answer) => answer.status == StatusCode::OK,
-            None => false,
-        }
+        let answer = self.ask(self.gateway.readiness, caller::READY_PATH).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
     }
 
     /// Sends a request with the usual headers and returns the answer, if there is one.
@@ -381,22 +448,12 @@
     listener.local_addr().expect("the port has an address")
 }
 
-fn launch(store: &Store) -> Gateway {
+fn launch(store: &Store, sidecar_port: Option<u16>) -> Gateway {
     let (callers, readiness) = (free_port(), free_port());
-    let settings = operator::settings(callers, readiness, store.address());
-    let mut file = NamedTempFile::new().expect("a file can be made");
-    file.write_all(settings.to_string().as_bytes())
-        .expect("the file can be written");
-    let child = Command::new(env!("CARGO_BIN_EXE_cactusroad"))
-        .arg("gateway")
-        .env("CACTUSROAD_CONFIG", file.path())
-        .stdout(Stdio::null())
-        .spawn()
-        .expect("the gateway starts");
+    let settings = operator::settings(callers, readiness, store.address(), sidecar_port);
     Gateway {
-        child,
+        process: Process::start("gateway", &settings),
         callers,
         readiness,
-        _settings: file,
     }
 }
--- a/tools/protogen/src/main.rs
+++ b/tools/protogen/src/main.rs
@@ -7,13 +7,17 @@
 use std::{error::Error, fs, path::Path};
 
 const PROTO_DIR: &str = "crates/wire/proto";
-const OUT_FILES: [(&str, &str); 2] = [
+const OUT_FILES: [(&str, &str); 3] = [
     ("cactusroad.inner.rs", "crates/wire/src/generated.rs"),
     ("cactusroad.spread.rs", "crates/wire/src/spread.rs"),
+    ("cactusroad.sidecar.rs", "crates/wire/src/sidecar.rs"),
 ];
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let descriptors = protox::compile(["inner.proto", "spread.proto"], [PROTO_DIR])?;
+    let descriptors = protox::compile(
+        ["inner.proto", "spread.proto", "sidecar.proto"],
+        [PROTO_DIR],
+    )?;
     let out_dir = std::env::temp_dir().join("cactusroad-protogen");
     fs::create_dir_all(&out_dir)?;
     prost_build::Config::new()
