--- a/crates/core/src/pool/budget.rs
+++ b/crates/core/src/pool/budget.rs
@@ -14,7 +14,7 @@
 
 /// The part of a budget that retries may use. The rest is kept for runs that
 /// lost their engine: these have tokens that a caller has seen already.
-const RETRY_PART: f64 = 0.7;
+const RETRY_PART: f64 = 0.5;
 
 /// What a repeat is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/rescue.rs
+++ b/crates/gateway/src/rescue.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use cactusroad_core::pool::{Ask, Endpoint, Pool, Purpose, Work};
+use cactusroad_core::pool::{Ask, Endpoint, Purpose, Work};
 use cactusroad_platform::replica::{self, Copied};
 use tokio::{task::JoinHandle, time::sleep};
 
@@ -46,8 +46,10 @@
 /// How far the copies are.
 #[derive(Debug, Default)]
 struct Progress {
-    target: Option<Copy>,
-    handle: Option<Arc<str>>,
+    /// The engine that the first copy goes to, until it is complete.
+    pending: Option<Copy>,
+    /// The last complete copy and its name.
+    complete: Option<(Copy, Arc<str>)>,
 }
 
 /// A copy to go on from.
@@ -78,20 +80,14 @@
         }
     }
 
-    /// Tells whether there is, or will be, a copy at an engine that stays.
-    pub(crate) fn is_under_way(&self, pool: &Pool) -> bool {
-        match &lock(&self.progress).target {
-            Some(copy) => !pool.is_leaving(&copy.endpoint.id) && !self.task.is_finished(),
-            None => !self.task.is_finished(),
-        }
+    /// Tells whether copies are still made.
+    pub(crate) fn is_under_way(&self) -> bool {
+        !self.task.is_finished()
     }
 
     /// Returns the last copy, if there is one whose engine stays.
     pub(crate) fn finish(self, job: &Job) -> Option<Found> {
-        let (handle, copy) = {
-            let mut progress = lock(&self.progress);
-            (progress.handle.take()?, progress.target.take()?)
-        };
+        let (copy, handle) = lock(&self.progress).complete.take()?;
         let is_staying = !job.shard.pool().is_leaving(&copy.endpoint.id);
         is_staying.then(|| Found {
             target: Arc::clone(&copy.endpoint),
@@ -104,7 +100,7 @@
 impl Drop for Rescue {
     fn drop(&mut self) {
         self.task.abort();
-        let Some(handle) = lock(&self.progress).handle.take() else {
+        let Some((_, handle)) = lock(&self.progress).complete.take() else {
             return;
         };
         let source = self.source;
@@ -132,9 +128,10 @@
 }
 
 impl Copies {
-    /// Chooses where the copies go, among engines that are asked for reports.
-    async fn choose(&self) -> Option<Arc<Endpoint>> {
-        let near = Some(&*self.from.data_centre);
+    /// Chooses where the copies go, among engines that are asked for reports: at
+    /// first those of the same data centre.
+    async fn choose(&self, is_first: bool) -> Option<Arc<Endpoint>> {
+        let near = is_first.then_some(&*self.from.data_centre);
         let among = observe::candidates(&self.shard, slice::from_ref(&self.from.id), near).await;
         let ask = Ask {
             work: self.work,
@@ -152,41 +149,63 @@
             from: &self.from.id,
             to: &target.id,
         });
-        lock(&self.progress).target = Some(self.shard.copy(&target, self.work));
+        lock(&self.progress).pending = Some(self.shard.copy(&target, self.work));
         Some(target)
     }
 
-    /// Copies the run again and again, until there is nothing to copy.
+    /// Copies the run again and again, until its engine is gone.
     async fn run(self) {
-        let Some(target) = self.choose().await else {
-            self.failed("no_room", "no engine has room");
-            return;
-        };
+        let mut is_first = true;
+        loop {
+            let chosen = self.choose(is_first).await;
+            is_first = false;
+            match chosen {
+                Some(target) => {
+                    if let Err(cause) = self.renew(&target).await {
+                        return self.failed("failed", &cause.to_string());
+                    }
+                }
+                None => self.count("no_room"),
+            }
+            sleep(REFUSED_PAUSE).await;
+        }
+    }
+
+    /// Copies the run to one engine again and again, until that has no room or leaves.
+    async fn renew(&self, target: &Endpoint) -> Result<(), replica::Error> {
         loop {
-            let copying =
+            let copied =
                 replica::copy_run(self.from.address, &self.request, target.address, COPY_LIMIT);
-            match copying.await {
-                Ok(Copied::Done { handle }) => {
-                    lock(&self.progress).handle = Some(handle);
+            match copied.await? {
+                Copied::Done { handle } => {
+                    self.complete(handle);
                     self.count("copied");
                     sleep(COPY_INTERVAL).await;
                 }
-                Ok(Copied::Busy) => sleep(REFUSED_PAUSE).await,
-                Ok(Copied::NoRoom) if !self.shard.pool().is_leaving(&target.id) => {
-                    self.count("no_room");
-                    sleep(REFUSED_PAUSE).await;
-                }
-                Ok(Copied::NoRoom) => return self.failed("no_room", "the target has no room"),
+                Copied::Busy => sleep(REFUSED_PAUSE).await,
                 // A run is known from its first token on, which may be still to come.
-                Ok(Copied::Unknown) => {
+                Copied::Unknown => {
                     self.count("unknown");
                     sleep(REFUSED_PAUSE).await;
                 }
-                Err(cause) => return self.failed("failed", &cause.to_string()),
+                Copied::NoRoom => {
+                    self.count("no_room");
+                    return Ok(());
+                }
+            }
+            if self.shard.pool().is_leaving(&target.id) {
+                return Ok(());
             }
         }
     }
 
+    fn complete(&self, handle: Arc<str>) {
+        let mut progress = lock(&self.progress);
+        let renewed = progress.complete.take().map(|(copy, _)| copy);
+        let copy = progress.pending.take().or(renewed);
+        progress.complete = copy.map(|copy| (copy, handle));
+    }
+
     fn failed(&self, outcome: &str, cause: &str) {
         self.count(outcome);
         record::write(&Event::MoveFailed {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,8 +29,9 @@
 };
 
 /// The part of the allowed repeats that gateways use between them; the rest
-/// covers repeats that are counted late.
-const REPEAT_SHARE: f64 = 0.75;
+/// covers repeats that are counted late. Few gateways use up their part at the same
+/// time, since only runs that lost their engine may take more than half of it.
+const REPEAT_SHARE: f64 = 0.95;
 
 /// How many gateways there are until their list has been read: more than a small
 /// site has, so that repeats stay bounded without the list.
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -46,10 +46,7 @@
                 .backup
                 .as_ref()
                 .is_some_and(|backup| !pool.is_leaving(&backup.id));
-            let has_rescue = self
-                .rescue
-                .as_ref()
-                .is_some_and(|rescue| rescue.is_under_way(&pool));
+            let has_rescue = self.rescue.as_ref().is_some_and(Rescue::is_under_way);
             let is_leaving = pool.is_leaving(&self.run.endpoint.id);
             is_leaving && !has_copy && !has_rescue
         };
