Ask the store less often where sidecars tell of notices

Change: watches of endpoints are up to 0.45 of the drain time apart, those of data centres that are out wait 4 s, gateways are counted each 20 s.

Watches of the configuration wait 2.5 s as before, and the reason stands at the constant.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -15,11 +15,11 @@
 use crate::{clock, state::State};
 
 /// Time between two renewals. With 30 gateways this is three calls a second.
-const RENEWAL: Duration = Duration::from_secs(10);
+const RENEWAL: Duration = Duration::from_secs(20);
 
 /// How long an object lives after its last change: three renewals, one of which
 /// the store's staleness may hide.
-const LIFE: Duration = Duration::from_secs(30);
+const LIFE: Duration = Duration::from_secs(60);
 
 /// Time from the first renewal to the second, which finds those that started together.
 const FIRST_RENEWAL: Duration = Duration::from_secs(3);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -27,9 +27,13 @@
 /// milliseconds, and less than half of the time in which changes must be in force.
 const CALL_LIMIT: Duration = Duration::from_millis(900);
 
-/// How long a watch waits where changes are rare. A connection that has gone
-/// silent is found out after this time at the latest.
-const RARE_WAIT: Duration = Duration::from_millis(2_500);
+/// How long a watch of the configuration waits. A store that drops its history may
+/// leave a watch without an answer, so a change is missed for this time at the most.
+const CONFIG_WAIT: Duration = Duration::from_millis(2_500);
+
+/// How long a watch of data centres that are out waits: less than the time in which
+/// one must get no more work, for the same reason.
+const OUT_WAIT: Duration = Duration::from_secs(4);
 
 /// How long a watch of endpoints waits; they renew their entries more often.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(1_200);
@@ -38,14 +42,14 @@
 /// many endpoints in one call.
 const ENDPOINT_SPACING: Duration = Duration::from_millis(250);
 
-/// The most time between two watches of endpoints. Leaving ones serve for about
-/// two seconds, of which their runs need one to be copied.
-const ENDPOINT_SPACING_MAX: Duration = Duration::from_millis(700);
+/// The most time between two watches of endpoints, as a share of the time in which
+/// a leaving endpoint must get no more work. Sidecars tell of leaving engines at once.
+const ENDPOINT_SPACING_SHARE: f64 = 0.45;
 
 /// Watches of endpoints that all gateways make in a second once they are many, so
 /// that what the store bears does not grow with their number until the most time
 /// between two is reached.
-const ENDPOINT_WATCHES_PER_S: f64 = 30.0;
+const ENDPOINT_WATCHES_PER_S: f64 = 20.0;
 
 /// The first pause after a call that failed, doubled with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -232,7 +236,7 @@
 
 impl Follower for Configuration {
     const KIND: Kind = Kind::Config;
-    const WAIT: Duration = RARE_WAIT;
+    const WAIT: Duration = CONFIG_WAIT;
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
         if let Some(object) = objects.iter().find(|object| &*object.meta.name == MAIN) {
@@ -310,7 +314,8 @@
 
     fn spacing(&self, state: &State) -> Duration {
         let shared = Duration::from_secs_f64(state.gateways() as f64 / ENDPOINT_WATCHES_PER_S);
-        shared.clamp(ENDPOINT_SPACING, ENDPOINT_SPACING_MAX)
+        let most = state.settings.load().drain.mul_f64(ENDPOINT_SPACING_SHARE);
+        shared.max(ENDPOINT_SPACING).min(most)
     }
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
@@ -373,7 +378,7 @@
 
 impl Follower for Outs {
     const KIND: Kind = Kind::Evacuations;
-    const WAIT: Duration = RARE_WAIT;
+    const WAIT: Duration = OUT_WAIT;
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
         self.names = objects
