--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -58,6 +58,14 @@
     },
     /// The engine beside this sidecar has said that it leaves.
     EngineLeaving { running: u32, used_tokens: u64 },
+    /// What the engine beside this sidecar reports, once a second.
+    EngineLoad {
+        running: u32,
+        waiting: u32,
+        computing: u32,
+        used_tokens: u64,
+        memory_tokens: u64,
+    },
     /// What the engines of a service report, once a second.
     Load {
         service: &'a str,
--- a/crates/gateway/src/sidecar/engine.rs
+++ b/crates/gateway/src/sidecar/engine.rs
@@ -25,6 +25,9 @@
 /// engines serve after it.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Looks between two lines of the log about the engine's load: one a second.
+const LOOKS_PER_LINE: u32 = 10;
+
 /// The engine beside this process.
 #[derive(Debug)]
 pub(super) struct Engine {
@@ -84,10 +87,20 @@
     pub(super) async fn watch(&self) {
         let mut ticks = interval(NOTICE_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut count = 0;
         loop {
             ticks.tick().await;
+            count = (count + 1) % LOOKS_PER_LINE;
             // The loss of the engine is logged where it is noted.
-            let _ = self.report().await;
+            if let (Ok(report), 0) = (self.report().await, count) {
+                record::write(&Event::EngineLoad {
+                    running: report.running,
+                    waiting: report.waiting,
+                    computing: report.computing,
+                    used_tokens: report.used_tokens,
+                    memory_tokens: report.memory_tokens,
+                });
+            }
         }
     }
 
