Announce engines that start while the store is away

Change: a sidecar announces its engine, for 20 s after it was first seen, to the gateways that settings name as seeds. A seed asks the engine for its name; gateways whose store is away ask the seeds. The list is read again whole once the store is back, so that an engine that is not listed then is dropped.

--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -42,6 +42,8 @@
     /// Whether it was taken when it was asked for, and not
     /// [`Config::report_lag_ms`] before.
     pub is_fresh: bool,
+    /// When it started, in milliseconds by its own clock; zero where unknown.
+    pub born_ms: u64,
 }
 
 /// How a request ended at an endpoint, as far as it tells about the endpoint.
--- a/crates/core/src/site/mod.rs
+++ b/crates/core/src/site/mod.rs
@@ -132,6 +132,8 @@
 pub struct Service {
     /// The name, which endpoints name as well.
     pub name: Arc<str>,
+    /// The path of an endpoint's health check.
+    pub health_path: Arc<str>,
     /// Connections that one endpoint accepts from all callers.
     pub max_connections: u32,
     /// Requests a second that an endpoint bears while it is cold; zero for no bound.
--- /dev/null
+++ b/crates/gateway/src/announce.rs
@@ -0,0 +1,242 @@
+//! Engines that start while the store is away.
+//!
+//! The list of endpoints stands in the platform's store, so an engine that starts
+//! while the store is away would stay idle until it returns, beside engines that
+//! are overloaded because others have left. Its sidecar therefore announces it to
+//! the few gateways that settings name as seeds. A seed asks the engine for its
+//! name and remembers it for a while; gateways whose store is away ask the seeds
+//! for what they remember, and add the engines that they do not know.
+//!
+//! An announcement never overrules the list: an endpoint that is known stays as it
+//! is, and the whole list is read again when the store is back.
+
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cactusroad_core::{Time, pool::Endpoint, site::Service};
+use cactusroad_platform::{dial, replica};
+use cactusroad_wire::{
+    self as wire,
+    sidecar::{Announced, Announcement},
+};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use crate::{clock, listen, peer, reply::Body, state::State};
+
+/// The path of announcements, and of the question for those of others.
+pub(crate) const PATH: &str = "/announced";
+
+/// How long a seed remembers an engine; longer than a sidecar announces it, and about
+/// as long as the store is usually away.
+const LIFE: Duration = Duration::from_secs(30);
+
+/// The most engines that a seed remembers, many times those that start in that time.
+const MAX_ENGINES: usize = 1_024;
+
+/// Bytes of an announcement that are read at most.
+const MAX_BODY: usize = 4 << 10;
+
+/// Time between two questions to the seeds while the store is away.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long a seed, or an engine that is asked for its name, may take.
+const ASK_LIMIT: Duration = Duration::from_millis(300);
+
+/// How long a connection of a peer may be idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+/// The engines that were announced to this gateway, by address.
+#[derive(Debug, Default)]
+pub(crate) struct Board(Mutex<BTreeMap<SocketAddr, Notice>>);
+
+#[derive(Debug)]
+struct Notice {
+    engine: Announcement,
+    expires_at: Time,
+}
+
+impl Board {
+    fn notices(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Notice>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Renews an announcement whose engine's name is known; tells whether it was.
+    fn renew(&self, address: SocketAddr, born_ms: u64) -> bool {
+        let mut notices = self.notices();
+        let known = notices.get_mut(&address);
+        let known = known.filter(|notice| notice.engine.born_ms == born_ms);
+        known.is_some_and(|notice| {
+            notice.expires_at = clock::now() + LIFE;
+            true
+        })
+    }
+
+    fn insert(&self, address: SocketAddr, engine: Announcement) {
+        let now = clock::now();
+        let mut notices = self.notices();
+        notices.retain(|_, notice| !notice.expires_at.is_past(now));
+        if notices.len() < MAX_ENGINES {
+            let expires_at = now + LIFE;
+            notices.insert(address, Notice { engine, expires_at });
+        }
+    }
+
+    fn engines(&self) -> Vec<Announcement> {
+        let now = clock::now();
+        let notices = self.notices();
+        let living = notices
+            .values()
+            .filter(|notice| !notice.expires_at.is_past(now));
+        living.map(|notice| notice.engine.clone()).collect()
+    }
+}
+
+/// Serves sidecars and other gateways.
+pub(crate) async fn serve(state: Arc<State>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(listen::ACCEPT_PAUSE).await;
+            continue;
+        };
+        tokio::spawn(connection(Arc::clone(&state), stream));
+    }
+}
+
+async fn connection(state: Arc<State>, stream: TcpStream) {
+    if let Err(cause) = dial::tune(&stream) {
+        log::debug!("a peer left at once: {cause}");
+        return;
+    }
+    let service = service_fn(move |request: Request<Incoming>| {
+        let state = Arc::clone(&state);
+        async move { Ok::<_, Infallible>(answer(&state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_LIMIT)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(cause) = connection.await {
+        log::debug!("a peer's connection ended: {cause}");
+    }
+}
+
+async fn answer(state: &State, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let (status, bytes) = match (&head.method, head.uri.path()) {
+        (&Method::GET, PATH) => {
+            let engines = state.board.engines();
+            (StatusCode::OK, wire::encode(&Announced { engines }))
+        }
+        (&Method::POST, PATH) => {
+            let body = Limited::new(body, MAX_BODY).collect().await;
+            let read = body.ok().map(|body| body.to_bytes());
+            let engine = read.and_then(|bytes| wire::decode::<Announcement>(bytes).ok());
+            match engine {
+                Some(engine) => (take(state, engine).await, Bytes::new()),
+                None => (StatusCode::BAD_REQUEST, Bytes::new()),
+            }
+        }
+        _ => (StatusCode::NOT_FOUND, Bytes::new()),
+    };
+    let mut response = Response::new(Body::Whole(Some(bytes)));
+    *response.status_mut() = status;
+    response
+}
+
+/// Takes an announcement, and asks the engine for its name if it is new.
+async fn take(state: &State, mut engine: Announcement) -> StatusCode {
+    let Ok(address) = engine.address.parse::<SocketAddr>() else {
+        return StatusCode::BAD_REQUEST;
+    };
+    if state.board.renew(address, engine.born_ms) {
+        return StatusCode::NO_CONTENT;
+    }
+    let Some(service) = engines_of(state, &engine.service) else {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    };
+    match replica::identify(address, &service.health_path, ASK_LIMIT).await {
+        Ok(id) => {
+            engine.id = id.to_string();
+            state.board.insert(address, engine);
+            StatusCode::NO_CONTENT
+        }
+        Err(cause) => {
+            log::debug!("{address} did not tell its name: {cause}");
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    }
+}
+
+/// Returns a service if it is one of engines.
+fn engines_of(state: &State, name: &str) -> Option<Service> {
+    let site = state.site.load();
+    let service = site.as_ref().and_then(|site| site.service(name));
+    service.filter(|service| service.engine.is_some()).cloned()
+}
+
+/// Adds engines that were announced to the seeds, while the store is away.
+pub(crate) async fn run(state: Arc<State>) {
+    let mut ticks = interval(ASK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if !state.is_store_away.load(Ordering::Relaxed) {
+            continue;
+        }
+        let seeds = state.settings.load().seeds.clone();
+        for seed in seeds {
+            match peer::exchange(seed, Method::GET, PATH, Bytes::new(), ASK_LIMIT).await {
+                Ok((StatusCode::OK, body)) => match wire::decode::<Announced>(body) {
+                    Ok(announced) => adopt(&state, &announced),
+                    Err(cause) => log::warn!("{seed}: {cause}"),
+                },
+                Ok((status, _)) => log::debug!("the seed {seed} answers {status}"),
+                Err(cause) => log::debug!("the seed {seed} does not answer: {cause}"),
+            }
+        }
+    }
+}
+
+fn adopt(state: &State, announced: &Announced) {
+    let now = clock::now();
+    for engine in &announced.engines {
+        let Ok(address) = engine.address.parse() else {
+            continue;
+        };
+        let Some(service) = engines_of(state, &engine.service) else {
+            continue;
+        };
+        let Some(shard) = state.shard(&service.name) else {
+            continue;
+        };
+        if engine.id.is_empty() || shard.pool().get(&engine.id).is_some() {
+            continue;
+        }
+        let endpoint = Endpoint {
+            id: engine.id.as_str().into(),
+            address,
+            service: Arc::clone(&service.name),
+            data_centre: engine.data_centre.as_str().into(),
+            version: "".into(),
+            slots: service.engine.as_ref().map_or(1, |engine| engine.slots),
+            born_ms: engine.born_ms,
+            draining: false,
+            cold_until: now,
+        };
+        let change = shard.pool().enlist(Arc::new(endpoint), now);
+        shard.learn(&engine.id, change, "announcement");
+    }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    clock, fleet, listen, observe,
+    announce, clock, fleet, listen, observe,
     record::{self, Event},
     state::State,
     watch,
@@ -115,12 +115,17 @@
         Some(port) => Some(open(SocketAddr::new(settings.callers.ip(), port))?),
         None => None,
     };
+    let peers = settings.peers.map(open).transpose()?;
     let state = Arc::new(State::new(settings, policy));
     watch::start(&state);
     tokio::spawn(fleet::run(Arc::clone(&state)));
     tokio::spawn(observe::run(Arc::clone(&state)));
     tokio::spawn(listen::callers(Arc::clone(&state), callers));
     tokio::spawn(listen::readiness(Arc::clone(&state), readiness));
+    tokio::spawn(announce::run(Arc::clone(&state)));
+    if let Some(peers) = peers {
+        tokio::spawn(announce::serve(Arc::clone(&state), peers));
+    }
     if let Some(metrics) = metrics {
         tokio::spawn(listen::metrics(Arc::clone(&state), metrics));
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! Every change of a belief, and every decision about a request, is a line of
 //! the log; see docs/LOGS.md.
 
+mod announce;
 mod clock;
 mod daemon;
 mod events;
@@ -30,6 +31,7 @@
 mod listen;
 mod metrics;
 mod observe;
+mod peer;
 mod plain;
 mod record;
 mod reply;
--- /dev/null
+++ b/crates/gateway/src/sidecar/announce.rs
@@ -0,0 +1,60 @@
+//! Announces the engine to seeds for a while after it has started.
+
+use std::{sync::Arc, time::Duration};
+
+use cactusroad_platform::settings::Beside;
+use cactusroad_wire::{self as wire, sidecar::Announcement};
+use futures_util::future::join_all;
+use http::Method;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::engine::Engine;
+use crate::{announce, clock, peer};
+
+/// Time between two announcements of one engine.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long an engine is announced after it was first seen. By then it stands in the
+/// list that every gateway reads, unless the store is away, when seeds remember it.
+const SPAN: Duration = Duration::from_secs(20);
+
+/// How long a seed may take: it asks the engine for its name first.
+const LIMIT: Duration = Duration::from_millis(600);
+
+/// Announces each incarnation of the engine, until the process ends.
+pub(super) async fn run(engine: Arc<Engine>, settings: Arc<Beside>) {
+    let mut ticks = interval(INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut announced = None;
+    loop {
+        ticks.tick().await;
+        let Ok(report) = engine.report().await else {
+            continue;
+        };
+        let now = clock::now();
+        let until = match announced {
+            Some((born_ms, until)) if born_ms == report.born_ms => until,
+            _ => now + SPAN,
+        };
+        announced = Some((report.born_ms, until));
+        if until.is_past(now) || report.is_leaving {
+            continue;
+        }
+        let body = wire::encode(&Announcement {
+            address: settings.engine.to_string(),
+            service: settings.service.to_string(),
+            data_centre: settings.data_centre.to_string(),
+            born_ms: report.born_ms,
+            id: String::new(),
+        });
+        let tell = settings
+            .seeds
+            .iter()
+            .map(|seed| peer::exchange(*seed, Method::POST, announce::PATH, body.clone(), LIMIT));
+        for told in join_all(tell).await {
+            if let Err(cause) = told {
+                log::debug!("a seed was not told: {cause}");
+            }
+        }
+    }
+}
--- a/crates/gateway/src/sidecar/daemon.rs
+++ b/crates/gateway/src/sidecar/daemon.rs
@@ -15,7 +15,7 @@
     time::{sleep, timeout},
 };
 
-use super::{LOAD_PATH, NOTICE_PATH, engine::Engine};
+use super::{LOAD_PATH, NOTICE_PATH, announce, engine::Engine};
 use crate::{
     clock,
     daemon::{Error, Kind},
@@ -45,15 +45,15 @@
 }
 
 fn start() -> Result<(), Kind> {
-    let settings = Beside::load()?;
+    let settings = Arc::new(Beside::load()?);
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(Kind::Runtime)?
-        .block_on(serve(&settings))
+        .block_on(serve(settings))
 }
 
-async fn serve(settings: &Beside) -> Result<(), Kind> {
+async fn serve(settings: Arc<Beside>) -> Result<(), Kind> {
     record::write(&Event::Started {
         vm: &settings.vm,
         data_centre: &settings.data_centre,
@@ -68,6 +68,7 @@
         let engine = Arc::clone(&engine);
         async move { engine.watch().await }
     });
+    tokio::spawn(announce::run(Arc::clone(&engine), settings));
     tokio::spawn(accept(engine, listener));
     loop {
         tokio::select! {
--- a/crates/gateway/src/sidecar/mod.rs
+++ b/crates/gateway/src/sidecar/mod.rs
@@ -15,6 +15,7 @@
 //! | `GET /load` | 200 and a [`Load`](cactusroad_wire::sidecar::Load), or 503 where the engine does not answer |
 //! | `GET /notice` | 200 and a `Load` once the engine is leaving, or 204 after some seconds |
 
+mod announce;
 mod client;
 mod daemon;
 mod engine;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
+    announce::Board,
     clock,
     metrics::Metrics,
     observe::Probe,
@@ -66,6 +67,8 @@
     open_requests: AtomicUsize,
     /// Gateways that are alive, this one among them.
     gateways: AtomicUsize,
+    /// Engines that sidecars announced here.
+    pub(crate) board: Board,
 }
 
 /// The endpoints of one service.
@@ -101,6 +104,7 @@
             stopping: watch::Sender::new(None),
             open_requests: AtomicUsize::new(0),
             gateways: AtomicUsize::new(ASSUMED_GATEWAYS),
+            board: Board::default(),
         }
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -66,6 +66,8 @@
 trait Follower {
     const KIND: Kind;
     const WAIT: Duration;
+    /// Whether the whole list is read again after the store was away.
+    const RELISTS: bool = false;
 
     /// Returns the time until the next call after one that was answered.
     fn spacing(&self, _state: &State) -> Duration {
@@ -111,6 +113,10 @@
                 count(&state, F::KIND, "answered");
                 if outage.ended(F::KIND) {
                     follower.regained(&state);
+                    if F::RELISTS {
+                        at = None;
+                        continue;
+                    }
                 }
                 sleep(follower.spacing(&state)).await;
             }
@@ -310,6 +316,8 @@
 
 impl Follower for Endpoints {
     const KIND: Kind = Kind::Servers;
+    // Engines that were announced meanwhile may be gone, and not have been listed.
+    const RELISTS: bool = true;
     const WAIT: Duration = ENDPOINT_WAIT;
 
     fn spacing(&self, state: &State) -> Duration {
--- a/crates/wire/src/sidecar.rs
+++ b/crates/wire/src/sidecar.rs
@@ -24,3 +24,29 @@
     #[prost(uint64, optional, tag = "7")]
     pub leaves_in_ms: ::core::option::Option<u64>,
 }
+/// An engine that has started, as its sidecar announces it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Announcement {
+    /// Where it listens.
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+    /// The service that it belongs to.
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    /// The data centre that it stands in.
+    #[prost(string, tag = "3")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// When it started, in milliseconds by its own clock.
+    #[prost(uint64, tag = "4")]
+    pub born_ms: u64,
+    /// The name of this incarnation; empty in what a sidecar sends, which does not know it.
+    #[prost(string, tag = "5")]
+    pub id: ::prost::alloc::string::String,
+}
+/// The engines that were announced to a gateway lately.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Announced {
+    /// In the order of their addresses.
+    #[prost(message, repeated, tag = "1")]
+    pub engines: ::prost::alloc::vec::Vec<Announcement>,
+}
--- a/tests/gateway/config.rs
+++ b/tests/gateway/config.rs
@@ -24,6 +24,20 @@
     assert_eq!(answer.status, StatusCode::NOT_FOUND);
 }
 
+#[tokio::test]
+async fn config_watch_left_unanswered() {
+    // A store that drops its history tells waiting watches nothing until they end.
+    let site = Site::start(0, 1).await;
+    site.store.mute_watches();
+    site.store.put("config", "main", without_orders(config(2)));
+    sleep(Duration::from_millis(2_900)).await;
+    let answer = site
+        .send("/orders/1", "o1")
+        .await
+        .expect("there is an answer");
+    assert_eq!(answer.status, StatusCode::NOT_FOUND);
+}
+
 #[tokio::test]
 async fn config_key_revoked() {
     let site = Site::start(0, 1).await;
--- a/tests/gateway/sidecar.rs
+++ b/tests/gateway/sidecar.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cactusroad::wire::{self, sidecar::Load};
+use cactusroad::{
+    platform::standin::store::Mood,
+    wire::{self, sidecar::Load},
+};
 use http::StatusCode;
 use tokio::time::{Instant, sleep};
 
@@ -73,3 +76,25 @@
         assert_eq!(answer.text(), whole_stream(id, 20));
     }
 }
+
+#[tokio::test]
+async fn sidecar_announces_while_store_away() {
+    let mut site = Site::start_beside(1, 20, PACE).await;
+    site.store.set_mood(Mood::Closing);
+    sleep(Duration::from_millis(1_500)).await;
+    // This engine cannot be listed, and the listed one is gone.
+    let joined = site.start_engine("e-9", 20, PACE).await;
+    site.engines.clear();
+    sleep(Duration::from_millis(2_500)).await;
+    let answer = site.send("/drafts/1", "s1").await;
+    let answer = answer.expect("there is an answer");
+    assert_eq!(answer.text(), whole_stream("s1", 20));
+    assert_eq!(joined.seen().iter().filter(|seen| seen.ran).count(), 1);
+    // Once the store is back, what it does not list is gone.
+    site.store.set_mood(Mood::Well);
+    site.store.remove("servers", "e-0");
+    sleep(Duration::from_millis(3_500)).await;
+    let answer = site.send("/drafts/1", "s2").await;
+    let status = answer.expect("there is an answer").status;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use cactusroad::platform::standin::{
-    caller, operator,
+    caller,
+    operator::{self, Peers},
     replica::{Memory, Replica, Seen},
     store::Store,
 };
@@ -38,8 +39,8 @@
     pub(crate) orders: Vec<Replica>,
     pub(crate) gateway: Gateway,
     memory: Memory,
-    /// The port of the sidecars, where engines have one each.
-    sidecar_port: Option<u16>,
+    /// Where processes find each other, where engines have a sidecar each.
+    peers: Option<Peers>,
     sidecars: Vec<Process>,
     /// Requests that replicas saw which are gone.
     gone: Vec<Seen>,
@@ -159,8 +160,11 @@
 
     /// Starts a site with a sidecar beside each engine.
     pub(crate) async fn start_beside(engines: usize, events: u64, pace: Duration) -> Site {
-        let port = Some(free_port().port());
-        let site = Site::fill(engines, 0, events, pace, port).await;
+        let peers = Peers {
+            sidecar_port: free_port().port(),
+            gateway: free_port(),
+        };
+        let site = Site::fill(engines, 0, events, pace, Some(peers)).await;
         site.ready().await;
         site
     }
@@ -177,7 +181,7 @@
         orders: usize,
         events: u64,
         pace: Duration,
-        sidecar_port: Option<u16>,
+        peers: Option<Peers>,
     ) -> Site {
         let store = Store::start().await.expect("a port is free");
         let memory = Memory::default();
@@ -189,15 +193,17 @@
         let mut site = Site {
             engines: Vec::new(),
             orders: Vec::new(),
-            gateway: launch(&store, sidecar_port),
-            sidecar_port,
+            gateway: launch(&store, peers),
+            peers,
             sidecars: Vec::new(),
             memory: memory.clone(),
             gone: Vec::new(),
             store,
         };
         for number in 0..engines {
-            let engine = site.engine(&format!("e-{number}"), events, pace).await;
+            let engine = site
+                .start_engine(&format!("e-{number}"), events, pace)
+                .await;
             site.engines.push(engine);
         }
         for number in 0..orders {
@@ -215,8 +221,8 @@
     }
 
     /// Starts an engine, with a sidecar beside it where the site has sidecars.
-    async fn engine(&mut self, id: &str, events: u64, pace: Duration) -> Replica {
-        let Some(port) = self.sidecar_port else {
+    pub(crate) async fn start_engine(&mut self, id: &str, events: u64, pace: Duration) -> Replica {
+        let Some(peers) = self.peers else {
             let engine = Replica::start(id, &self.memory, events, pace).await;
             return engine.expect("a port is free");
         };
@@ -225,15 +231,15 @@
         let ip = Ipv4Addr::new(127, 0, 1, number).into();
         let engine = Replica::start_on(ip, id, &self.memory, events, pace).await;
         let engine = engine.expect("a port is free");
-        let settings = operator::beside(engine.address(), port);
+        let settings = operator::beside(engine.address(), ENGINES, peers);
         self.sidecars.push(Process::start("sidecar", &settings));
         engine
     }
 
     /// Returns where the sidecar of an engine listens.
     pub(crate) fn sidecar(&self, number: usize) -> SocketAddr {
-        let port = self.sidecar_port.expect("the site has sidecars");
-        SocketAddr::new(self.engines[number].address().ip(), port)
+        let peers = self.peers.expect("the site has sidecars");
+        SocketAddr::new(self.engines[number].address().ip(), peers.sidecar_port)
     }
 
     /// Kills the sidecar of an engine.
@@ -265,7 +271,7 @@
 
     /// Adds an engine while the site runs.
     pub(crate) async fn join(&mut self, id: &str, events: u64, pace: Duration) -> Replica {
-        let engine = self.engine(id, events, pace).await;
+        let engine = self.start_engine(id, events, pace).await;
         self.store
             .put("servers", id, engine.entry(ENGINES, "north", "available"));
         engine
@@ -448,9 +454,9 @@
     listener.local_addr().expect("the port has an address")
 }
 
-fn launch(store: &Store, sidecar_port: Option<u16>) -> Gateway {
+fn launch(store: &Store, peers: Option<Peers>) -> Gateway {
     let (callers, readiness) = (free_port(), free_port());
-    let settings = operator::settings(callers, readiness, store.address(), sidecar_port);
+    let settings = operator::settings(callers, readiness, store.address(), peers);
     Gateway {
         process: Process::start("gateway", &settings),
         callers,
