--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,4 +1,5 @@
-//! The process between callers and endpoints on the users' platform.
+//! The processes of the users' platform: the gateway between callers and endpoints,
+//! and the [`sidecar`] beside an engine.
 //!
 //! A gateway terminates callers, chooses an endpoint for each request and speaks
 //! to it directly, so that one process stands between a caller and a token. It
@@ -16,7 +17,8 @@
 //! # What it believes
 //!
 //! `state` holds the configuration and the endpoints of each service, each under
-//! its own lock. `watch` follows the store, `observe` asks engines for reports.
+//! its own lock. `watch` follows the store, `observe` asks sidecars and engines for
+//! their load, `announce` learns of engines that start while the store is away.
 //! Every change of a belief, and every decision about a request, is a line of
 //! the log; see docs/LOGS.md.
 
