Keep engines that have left out of announcements, and log lost sidecars

Found by reading the diff: a seed remembers an announcement for 30 s, so a gateway whose store went away right after an engine had left would have taken that engine back and sent it work, although it knew of the leaving. The pool remembers for a minute what it dropped. A sidecar that does not answer, or answers again, is a line of the log.

Tests: sweep_remembers_departed, sidecar_announcement_of_departed (fails before).

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -30,7 +30,7 @@
 //!
 //! A choice is one pass over the members of a service.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::Time;
 
@@ -51,6 +51,10 @@
 /// The part of the mean prompt that each request replaces.
 const PROMPT_GAIN: f64 = 0.05;
 
+/// How long an endpoint that was dropped is remembered: twice as long as a seed
+/// remembers an announcement.
+const DEPARTED_LIFE: Duration = Duration::from_secs(60);
+
 /// One endpoint, as the platform's list names it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
@@ -115,6 +119,8 @@
     is_engine: bool,
     /// The mean prompt of recent requests, in tokens.
     mean_prompt: f64,
+    /// Endpoints that were dropped, and until when that is remembered.
+    departed: Vec<(Arc<str>, Time)>,
 }
 
 impl Pool {
@@ -127,6 +133,7 @@
             memory_tokens: 0,
             is_engine: false,
             mean_prompt: 0.0,
+            departed: Vec::new(),
         }
     }
 
@@ -164,10 +171,22 @@
 
     /// Drops the members whose time has passed and that serve nothing.
     pub fn sweep(&mut self, now: Time) {
-        self.members.retain(|member| {
+        let is_over = |member: &Member| {
             let is_gone = member.lapses_at.is_some_and(|at| at.is_past(now));
-            !is_gone || member.running > 0
-        });
+            is_gone && member.running == 0
+        };
+        let over = self.members.iter().filter(|member| is_over(member));
+        let forgotten_at = now + DEPARTED_LIFE;
+        let departed = over.map(|member| (Arc::clone(&member.endpoint.id), forgotten_at));
+        self.departed.extend(departed);
+        self.departed.retain(|(_, until)| !until.is_past(now));
+        self.members.retain(|member| !is_over(member));
+    }
+
+    /// Tells whether an endpoint was dropped within the last minute. An engine that
+    /// was announced before it left must not come back by that announcement.
+    pub fn has_departed(&self, id: &str) -> bool {
+        self.departed.iter().any(|(departed, _)| **departed == *id)
     }
 
     /// Takes what an engine says of itself.
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -501,6 +501,18 @@
     assert!(pool.get("e-000").is_none());
 }
 
+#[test]
+fn sweep_remembers_departed() {
+    let mut pool = engines(2);
+    pool.withdraw("e-000", after(10));
+    assert!(!pool.has_departed("e-000"));
+    pool.sweep(after(20));
+    assert!(pool.has_departed("e-000"));
+    assert!(!pool.has_departed("e-001"));
+    pool.sweep(after(70_000));
+    assert!(!pool.has_departed("e-000"));
+}
+
 #[test]
 fn budget_window() {
     let mut budget = Budget::new(0.2, 2.0, Duration::from_secs(10));
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -8,7 +8,7 @@
 //! for what they remember, and add the engines that they do not know.
 //!
 //! An announcement never overrules the list: an endpoint that is known stays as it
-//! is, and the whole list is read again when the store is back.
+//! is, one that has left does not come back, and the whole list is read again when the store is back.
 
 use std::{
     collections::BTreeMap,
@@ -222,7 +222,11 @@
         let Some(shard) = state.shard(&service.name) else {
             continue;
         };
-        if engine.id.is_empty() || shard.pool().get(&engine.id).is_some() {
+        let is_known = {
+            let pool = shard.pool();
+            pool.get(&engine.id).is_some() || pool.has_departed(&engine.id)
+        };
+        if engine.id.is_empty() || is_known {
             continue;
         }
         let endpoint = Endpoint {
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -23,7 +23,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::{
-    clock,
+    clock, peer,
     record::{self, Event},
     sidecar,
     state::{Shard, State},
@@ -138,6 +138,7 @@
     engine: Observer,
     /// Until when the sidecar is not asked because it did not answer.
     passed_over_until: Time,
+    lost_since: Option<Time>,
 }
 
 impl Probe {
@@ -148,6 +149,7 @@
             sidecar: sidecar.map(sidecar::Client::new),
             engine: Observer::new(address),
             passed_over_until: Time::ZERO,
+            lost_since: None,
         }
     }
 
@@ -157,15 +159,43 @@
             && self.passed_over_until.is_past(now)
         {
             match sidecar.load(SIDECAR_LIMIT, now).await {
-                Ok(report) => return Ok(report),
+                Ok(report) => {
+                    self.note_sidecar(None, now);
+                    return Ok(report);
+                }
                 Err(cause) => {
-                    log::debug!("the sidecar of {} is passed over: {cause}", self.address);
                     self.passed_over_until = now + SIDECAR_PAUSE;
+                    self.note_sidecar(Some(&cause), now);
                 }
             }
         }
         self.engine.report(limit, now).await
     }
+
+    /// Logs that the sidecar was lost or answers again.
+    fn note_sidecar(&mut self, failure: Option<&peer::Error>, now: Time) {
+        if failure.is_some() == self.lost_since.is_some() {
+            return;
+        }
+        let name = format!("sidecar of {}", self.address);
+        match (failure, self.lost_since) {
+            (Some(cause), None) => {
+                self.lost_since = Some(now);
+                record::write(&Event::DependencyLost {
+                    name: &name,
+                    cause: &cause.to_string(),
+                });
+            }
+            (None, Some(since)) => {
+                self.lost_since = None;
+                record::write(&Event::DependencyRegained {
+                    name: &name,
+                    away_ms: clock::millis_since(since),
+                });
+            }
+            _ => {}
+        }
+    }
 }
 
 /// Waits for the notice of an engine as long as it holds runs of this gateway.
--- a/tests/gateway/sidecar.rs
+++ b/tests/gateway/sidecar.rs
@@ -98,3 +98,18 @@
     let status = answer.expect("there is an answer").status;
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+#[tokio::test]
+async fn sidecar_announcement_of_departed() {
+    // The engine leaves while its seed still remembers the announcement.
+    let site = Site::start_beside(1, 20, PACE).await;
+    sleep(Duration::from_millis(1_200)).await;
+    site.store.remove("servers", "e-0");
+    sleep(Duration::from_millis(800)).await;
+    site.store.set_mood(Mood::Closing);
+    sleep(Duration::from_millis(2_500)).await;
+    let answer = site.send("/drafts/1", "s1").await;
+    let status = answer.expect("there is an answer").status;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(site.engines[0].seen().is_empty());
+}
