Bound how long a key is accepted without the store

Cause: a gateway that the store turns away for seconds keeps the last configuration, and so the keys that operators have revoked meanwhile. Change: core::freshness dates the configuration by the calls that the store answered. A request with a key is accepted only while that proof is younger than the bound; otherwise it is refused truthfully, and its connection is closed so that the caller returns to another gateway. The clock of the gateway is now the boot clock, which counts suspensions. Without the bound nothing changes. Ruled out for now: relaying the proof between gateways earns nothing at a machine that is out of reach of the store; it comes with the relay.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 //!   which endpoints load and unload versions, [`lease`] elects the single
 //!   process that requests them.
 //! * Gateway that talks to endpoints directly: [`site`] is its configuration,
+//!   [`freshness`] bounds how long it acts on a copy that it cannot confirm,
 //!   [`pool`] chooses endpoints, places copies of runs and recovers runs whose
 //!   engine is lost.
 //! * Fleet: [`census`] counts the processes that renew an object in the store,
@@ -45,6 +46,7 @@
 pub mod config;
 pub mod digest;
 pub mod fairness;
+pub mod freshness;
 pub mod id;
 pub mod lease;
 pub mod ledger;
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,17 +1,17 @@
-//! The clock of the gateway; no other module reads the monotonic clock.
+//! The clock of the gateway; no other module reads the system's clocks.
 //!
 //! The wall clock may jump by seconds, so the gateway measures every deadline with
-//! the monotonic clock. A [`Time`] counts from an arbitrary origin: it can be
-//! compared only within this process and must not be sent to others.
+//! the boot clock. Unlike the monotonic clock, it counts the time for which the VM was
+//! suspended: a permission that expired meanwhile must not be used afterwards. A
+//! [`Time`] counts from an arbitrary origin: it can be compared only within this process
+//! and must not be sent to others.
 
-use std::{
-    sync::LazyLock,
-    time::{Duration, Instant},
-};
+use std::{sync::LazyLock, time::Duration};
 
 use cactusroad_core::Time;
+use rustix::time::{ClockId, clock_gettime};
 
-static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+static START: LazyLock<Duration> = LazyLock::new(since_boot);
 
 /// The time at the start of the process. It is above zero so that times before the
 /// start can be represented.
@@ -22,7 +22,12 @@
 
 /// Returns the current time.
 pub(crate) fn now() -> Time {
-    Time::ZERO + START_OFFSET + START.elapsed()
+    Time::ZERO + START_OFFSET + since_boot().saturating_sub(*START)
+}
+
+fn since_boot() -> Duration {
+    // The boot clock is never negative.
+    Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
 }
 
 /// Converts a deadline to the runtime's clock.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -69,11 +69,14 @@
             return response;
         }
     };
+    let caller = Caller::decode(&head.headers);
+    let is_confirmed = caller.key.is_none() || state.permits_keys(STARTUP_TIMEOUT).await;
+    // Reading the body and confirming the configuration may have taken long.
+    let site = state.site.load_full().unwrap_or(site);
     let route = match find_route(&site, &head) {
         Some(route) => Arc::clone(route),
         None => return refuse(&head, StatusCode::NOT_FOUND, "no_route"),
     };
-    let caller = Caller::decode(&head.headers);
     let workspace = match find_workspace(&site, &route, &caller) {
         Ok(workspace) => workspace.cloned(),
         Err(cause) => {
@@ -85,6 +88,12 @@
             return response;
         }
     };
+    if workspace.is_some() && !is_confirmed {
+        let mut response = refuse(&head, StatusCode::SERVICE_UNAVAILABLE, "key_unconfirmed");
+        // Another gateway may be able to confirm the key.
+        reply::close_connection(&mut response);
+        return response;
+    }
     let Some(shard) = route
         .target(rand::random())
         .and_then(|service| state.shard(service))
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -49,6 +49,9 @@
     },
     /// A configuration was rejected; the previous one stays in force.
     ConfigRejected { cause: &'a str, revision: u64 },
+    /// The store has confirmed the configuration after requests with keys were refused
+    /// because that was too long ago.
+    ConfigConfirmed { unconfirmed_ms: u64 },
     /// The state of an endpoint, as known to this process, has changed.
     Endpoint {
         endpoint: &'a str,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cactusroad_core::{
     Time,
+    freshness::{Answer, Freshness},
     pool::{self, Budget, Change, Criteria, Endpoint, Outcome, Pool, Refusal, Repeat, Work},
     site::Site,
 };
@@ -64,6 +65,10 @@
     synced: watch::Sender<bool>,
     /// Whether the list of endpoints currently cannot be read.
     pub(crate) is_store_unreachable: AtomicBool,
+    /// Whether the configuration currently cannot be read.
+    pub(crate) is_config_unreachable: AtomicBool,
+    /// The newest proof that the configuration is current.
+    freshness: watch::Sender<Freshness>,
     /// The deadline of the shutdown, set once when the process is asked to stop.
     pub(crate) stopping: watch::Sender<Option<Time>>,
     /// The number of requests that have not been answered completely.
@@ -92,6 +97,7 @@
 
 impl State {
     pub(crate) fn new(settings: Settings, policy: pool::Config) -> State {
+        let freshness = Freshness::new(settings.revocation);
         State {
             settings: ArcSwap::from_pointee(settings),
             site: ArcSwapOption::empty(),
@@ -104,6 +110,8 @@
             are_evacuations_listed: AtomicBool::new(false),
             synced: watch::Sender::new(false),
             is_store_unreachable: AtomicBool::new(false),
+            is_config_unreachable: AtomicBool::new(false),
+            freshness: watch::Sender::new(freshness),
             stopping: watch::Sender::new(None),
             open_requests: AtomicUsize::new(0),
             gateways: AtomicUsize::new(ASSUMED_GATEWAYS),
@@ -113,7 +121,44 @@
 
     /// Returns whether new connections can be served.
     pub(crate) fn is_ready(&self) -> bool {
-        *self.synced.borrow() && self.stopping.borrow().is_none()
+        *self.synced.borrow()
+            && self.stopping.borrow().is_none()
+            && self.freshness().is_ready(clock::now())
+    }
+
+    /// Returns the newest proof that the configuration is current.
+    pub(crate) fn freshness(&self) -> Freshness {
+        *self.freshness.borrow()
+    }
+
+    /// Records an answer of the store about the configuration.
+    pub(crate) fn record_fresh(&self, answer: &Answer) {
+        let previous = self.freshness();
+        self.freshness
+            .send_modify(|freshness| freshness.record(answer));
+        if self.site.load().is_some() && !previous.permits(clock::now()) {
+            record::write(&Event::ConfigConfirmed {
+                unconfirmed_ms: clock::millis_since(previous.as_of()),
+            });
+        }
+    }
+
+    /// Returns whether a request may be accepted by its key. A process that was paused
+    /// waits for at most `limit` for a new proof, unless the store is known to be
+    /// unreachable.
+    pub(crate) async fn permits_keys(&self, limit: Duration) -> bool {
+        let is_permitted = |freshness: &Freshness| freshness.permits(clock::now());
+        if is_permitted(&self.freshness()) {
+            return true;
+        }
+        if self.is_config_unreachable.load(Ordering::Relaxed) {
+            return false;
+        }
+        let mut freshness = self.freshness.subscribe();
+        matches!(
+            timeout(limit, freshness.wait_for(is_permitted)).await,
+            Ok(Ok(_))
+        )
     }
 
     /// Waits until the configuration and the endpoints are known, for at most `limit`.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use cactusroad_core::Time;
+use cactusroad_core::{Time, freshness::Answer};
 use cactusroad_platform::{
     list, site,
     store::{Client, Error, Event as Change, Kind, Object},
@@ -33,6 +33,10 @@
 /// history may leave a watch unanswered, so this bounds how long a change is missed.
 const CONFIG_WAIT: Duration = Duration::from_millis(2_500);
 
+/// The wait of a watch of the configuration as a share of the bound on revoked keys.
+/// Each answer renews the proof that the configuration is current.
+const CONFIG_WAIT_SHARE: f64 = 0.2;
+
 /// How long a watch of evacuated data centres waits for a change. It is less than the
 /// time within which an evacuated data centre must get no more work, because the store
 /// may leave a watch unanswered.
@@ -73,9 +77,17 @@
 trait Follower {
     const KIND: Kind;
     const WAIT: Duration;
+    /// The number of consecutive failures after which the store counts as unreachable.
+    const OUTAGE_FAILURES: u32 = 1;
     /// Whether the whole list is read again after an outage of the store.
     const RELISTS_AFTER_OUTAGE: bool = false;
 
+    /// Returns how long the next watch waits for a change.
+    fn wait(&self, _state: &State) -> Duration {
+        Self::WAIT
+    }
+    /// Records that the store has confirmed the state of this kind.
+    fn on_answer(&mut self, _state: &State, _answer: &Answer) {}
     /// Returns the delay between a successful call and the next one.
     fn spacing(&self, _state: &State) -> Duration {
         Duration::ZERO
@@ -133,7 +145,8 @@
             }
             Err(cause) => {
                 count_call(&state, F::KIND, "failed");
-                if outage.record_failure(F::KIND, &cause) {
+                outage.record_failure(F::KIND, &cause);
+                if outage.failures == F::OUTAGE_FAILURES {
                     follower.on_outage(&state);
                 }
                 sleep(outage.backoff()).await;
@@ -157,15 +170,22 @@
     follower: &mut F,
     at: Option<u64>,
 ) -> Result<u64, Error> {
+    let sent_at = clock::now();
     let Some(at) = at else {
         let listing = client.list(F::KIND).await?;
+        let answer = Answer::list(sent_at, clock::now());
         follower.replace(state, &listing.objects, listing.at);
+        follower.on_answer(state, &answer);
         return Ok(listing.at);
     };
-    let changes = client.watch(F::KIND, at, F::WAIT).await?;
+    let wait = follower.wait(state);
+    let changes = client.watch(F::KIND, at, wait).await?;
+    let has_changes = !changes.events.is_empty();
+    let answer = Answer::watch(sent_at, clock::now(), wait, has_changes);
     for change in &changes.events {
         follower.apply(state, change);
     }
+    follower.on_answer(state, &answer);
     Ok(changes.at)
 }
 
@@ -177,11 +197,10 @@
 }
 
 impl Outage {
-    /// Records a failed call. Returns whether it begins an outage.
-    fn record_failure(&mut self, kind: Kind, cause: &Error) -> bool {
+    /// Records a failed call.
+    fn record_failure(&mut self, kind: Kind, cause: &Error) {
         self.failures += 1;
-        let is_first = self.since.is_none();
-        if is_first {
+        if self.since.is_none() {
             self.since = Some(clock::now());
             let cause = cause.to_string();
             record::write(&Event::DependencyLost {
@@ -189,7 +208,6 @@
                 cause: &cause,
             });
         }
-        is_first
     }
 
     /// Records an answer. Returns whether it ends an outage.
@@ -251,6 +269,29 @@
 impl Follower for Configuration {
     const KIND: Kind = Kind::Config;
     const WAIT: Duration = CONFIG_WAIT;
+    // The first call after a pause of the process finds that its time is over.
+    const OUTAGE_FAILURES: u32 = 2;
+
+    fn wait(&self, state: &State) -> Duration {
+        if state.freshness().is_urgent(clock::now()) {
+            return Duration::ZERO;
+        }
+        let bound = state.settings.load().revocation;
+        let share = bound.map(|bound| bound.mul_f64(CONFIG_WAIT_SHARE));
+        share.map_or(CONFIG_WAIT, |share| share.min(CONFIG_WAIT))
+    }
+
+    fn on_answer(&mut self, state: &State, answer: &Answer) {
+        state.record_fresh(answer);
+    }
+
+    fn on_outage(&mut self, state: &State) {
+        state.is_config_unreachable.store(true, Ordering::Relaxed);
+    }
+
+    fn on_recovery(&mut self, state: &State) {
+        state.is_config_unreachable.store(false, Ordering::Relaxed);
+    }
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
         if let Some(object) = objects
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -178,7 +178,28 @@
     /// Starts a site without waiting until its gateway is ready.
     pub(crate) async fn start_unready(engines: usize, orders: usize) -> Site {
         let mut site = Site::launch(engines, orders, 20, Duration::from_millis(15), None).await;
-        site.gateway = launch_gateway(&site.store, None);
+        site.gateway = launch_gateway(&site.store, None, |settings| settings);
+        site
+    }
+
+    /// Starts a site of plain replicas with changed settings of its gateway.
+    pub(crate) async fn start_with_settings(
+        orders: usize,
+        change: impl FnOnce(Value) -> Value,
+    ) -> Site {
+        let site = Site::start_unready_with(orders, change).await;
+        site.wait_ready().await;
+        site
+    }
+
+    /// Starts a site of plain replicas with changed settings of its gateway, without
+    /// waiting until it is ready.
+    pub(crate) async fn start_unready_with(
+        orders: usize,
+        change: impl FnOnce(Value) -> Value,
+    ) -> Site {
+        let mut site = Site::launch(0, orders, 20, Duration::from_millis(15), None).await;
+        site.gateway = launch_gateway(&site.store, None, change);
         site
     }
 
@@ -199,7 +220,7 @@
         let mut site = Site {
             engines: Vec::new(),
             orders: Vec::new(),
-            gateway: launch_gateway(&store, peers),
+            gateway: launch_gateway(&store, peers, |settings| settings),
             peers,
             sidecars: Vec::new(),
             copies: copies.clone(),
@@ -330,6 +351,13 @@
         exchange(self.gateway.callers, request(path, id, headers)).await
     }
 
+    /// Sends a request without an API key.
+    pub(crate) async fn send_without_key(&self, path: &str, id: &str) -> Option<Answer> {
+        let mut request = request(path, id, &[]);
+        request.headers_mut().remove(http::header::AUTHORIZATION);
+        exchange(self.gateway.callers, request).await
+    }
+
     /// Returns a sender that can be used while the site is changed.
     pub(crate) fn sender(&self) -> Sender {
         Sender {
@@ -480,9 +508,18 @@
     listener.local_addr().expect("the port has an address")
 }
 
-fn launch_gateway(store: &Store, peers: Option<Peers>) -> Gateway {
+fn launch_gateway(
+    store: &Store,
+    peers: Option<Peers>,
+    change: impl FnOnce(Value) -> Value,
+) -> Gateway {
     let (callers, readiness) = (free_port(), free_port());
-    let settings = operator::settings(callers, readiness, store.address(), peers);
+    let settings = change(operator::settings(
+        callers,
+        readiness,
+        store.address(),
+        peers,
+    ));
     Gateway {
         process: Process::start("gateway", &settings),
         callers,
