Run resumable streams again when no copy of the run is left

Cause: a stream whose route lets callers resume is idempotent, but the gateway ended it like any other when its engine was lost without a usable copy, and forwarded an engine's 500 although the route allows two attempts. Change: pool::failover decides Rerun where no copy can take over and the route's attempts allow it. The request is sent to another engine after the caller's last event; the response keeps the head of the first engine. A failed resume no longer ends the search for a successor. Each rerun is paid from the retry budget. Tests: stream_resumed_after_cut_at_every_byte and stream_rerun_after_failure failed before (an engine that cuts its stream, an engine with status 500); stream_failure_not_rerun holds the rule for streams that run at most once.

--- a/crates/core/src/pool/failover.rs
+++ b/crates/core/src/pool/failover.rs
@@ -2,9 +2,14 @@
 //!
 //! A copy of the run at another engine resumes after the caller's last event. It
 //! is the same run, so even a request that may run only once can resume from it.
-//! Without a copy nothing may be sent again, because the run may have begun. The
-//! caller is then told at once that the stream has ended, since a retry is not
-//! possible and waiting would not help.
+//! Without a copy, a request that may run only once must not be sent again, because the
+//! run may have begun. The caller is then told at once that the stream has ended, since
+//! a retry is not possible and waiting would not help. A stream that callers may resume
+//! is idempotent: another engine runs it again after the caller's last event, as often
+//! as its route allows.
+//!
+//! Answers the load pattern in which engines are taken away every few seconds, also the
+//! one that holds the copy.
 
 use std::sync::Arc;
 
@@ -28,6 +33,8 @@
     pub backup: Option<Arc<Endpoint>>,
     /// The number of engines that the run has left.
     pub moves: u32,
+    /// How often the request may still be run again from the caller's last event.
+    pub reruns: u32,
     /// The deadline of the request.
     pub deadline: Time,
 }
@@ -49,6 +56,8 @@
 pub enum Decision {
     /// Resume the run from the copy at this engine.
     Resume(Arc<Endpoint>),
+    /// Run the request again at any engine, after the caller's last event.
+    Rerun,
     /// End the stream, and tell the caller why.
     End(Reason),
 }
@@ -68,7 +77,8 @@
 }
 
 impl Pool {
-    /// Decides whether a run whose engine is lost resumes from its copy or ends.
+    /// Decides whether a run whose engine is lost resumes from its copy, is run again, or
+    /// ends.
     pub fn fail_over(&self, run: &Run, now: Time) -> Decision {
         if run.deadline.is_past(now) {
             return Decision::End(Reason::Deadline);
@@ -76,13 +86,13 @@
         if run.moves >= MAX_MOVES {
             return Decision::End(Reason::Moves);
         }
-        let Some(backup) = &run.backup else {
-            return Decision::End(Reason::NoCopy);
-        };
-        if self.holds_copy(&backup.id, now) {
-            Decision::Resume(Arc::clone(backup))
-        } else {
-            Decision::End(Reason::CopyLeaving)
+        match &run.backup {
+            Some(backup) if self.holds_copy(&backup.id, now) => {
+                Decision::Resume(Arc::clone(backup))
+            }
+            _ if run.reruns > 0 => Decision::Rerun,
+            Some(_) => Decision::End(Reason::CopyLeaving),
+            None => Decision::End(Reason::NoCopy),
         }
     }
 
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -475,6 +475,7 @@
         endpoint: Arc::clone(pool.get("e-000").unwrap()),
         backup: Some(Arc::clone(&backup)),
         moves: 0,
+        reruns: 0,
         deadline: after(10_000),
     };
     let resumes =
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -70,6 +70,7 @@
         endpoint: &'a Endpoint,
         backup: Option<&Endpoint>,
         source: Option<Source>,
+        last_event: Option<u64>,
     ) -> Call<'a> {
         Call {
             method: &self.method,
@@ -82,6 +83,7 @@
             priority: (self.work.prompt > 0).then_some(self.priority),
             backup: backup.map(|backup| backup.address),
             source,
+            last_event,
             attempt: (!self.request_id.is_empty()).then_some(&*self.request_id),
         }
     }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -213,7 +213,7 @@
     });
     let mut in_flight = job.shard.start(&endpoint, job.work);
     let started_at = in_flight.started_at;
-    let request = job.endpoint_request(&endpoint, None, None);
+    let request = job.endpoint_request(&endpoint, None, None, None);
     let sent = replica::send(&request, CONNECT_TIMEOUT.min(time_left(job.deadline))).await;
     let collected = match sent {
         Ok(mut reply) if !reply.is_not_run => reply
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -124,10 +124,16 @@
 impl Relay {
     fn new(job: Job, endpoint: Arc<Endpoint>, candidates: Vec<Arc<Endpoint>>, sends: u32) -> Relay {
         let leaving_changes = job.shard.leaving.subscribe();
+        let reruns = if job.route.resume {
+            job.route.attempts.saturating_sub(1)
+        } else {
+            0
+        };
         let run = Run {
             endpoint,
             backup: None,
             moves: 0,
+            reruns,
             deadline: job.deadline,
         };
         Relay {
@@ -163,9 +169,10 @@
         });
         let in_flight = self.job.shard.start(&endpoint, self.job.work);
         observe::await_notice(&self.job.shard, &endpoint);
+        let backup = self.run.backup.as_deref();
         let request = self
             .job
-            .endpoint_request(&endpoint, self.run.backup.as_deref(), source);
+            .endpoint_request(&endpoint, backup, source, self.last_event);
         let sending = replica::send(&request, CONNECT_TIMEOUT.min(time_left(self.job.deadline)));
         let sent = timeout(time_left(self.job.deadline), sending).await;
         let (outcome, opened, cause) = match sent {
@@ -237,6 +244,7 @@
 
     /// Waits for the first event, then starts the response to the caller.
     async fn answer(mut self) -> Response<Body> {
+        self.rerun_after_failure().await;
         if let Some(reply) = &self.reply
             && !reply.head.status.is_success()
         {
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -6,7 +6,7 @@
     Time,
     pool::{Decision, Endpoint, Loss, Outcome, Repeat},
 };
-use cactusroad_platform::replica::Source;
+use cactusroad_platform::replica::{Reply, Source};
 
 use super::{Ending, Opened, Relay};
 use crate::{
@@ -81,28 +81,86 @@
             last_event: self.last_event.unwrap_or(0),
             cause,
         });
-        let Some((endpoint, source)) = self.find_copy().await else {
-            return Err(Ending::Lost);
-        };
-        if !self.job.shard.spend_retry(Repeat::Resume) {
-            record::write(&Event::MoveFailed {
-                request: &self.job.request_id,
-                from: &self.run.endpoint.id,
-                cause: "no_repeats_left",
-            });
-            return Err(Ending::Lost);
+        while let Some((endpoint, source)) = self.find_successor().await {
+            let purpose = match source {
+                Some(_) => Repeat::Resume,
+                None => Repeat::Retry,
+            };
+            if !self.job.shard.spend_retry(purpose) {
+                self.record_move_failed("no_repeats_left");
+                return Err(Ending::Lost);
+            }
+            self.run.moves += 1;
+            self.sends += 1;
+            self.run.endpoint = endpoint;
+            if source.is_some() {
+                self.candidates = observe::candidates(&self.job.shard, &[], None).await;
+            }
+            let label = source
+                .as_ref()
+                .map_or_else(|| "rerun".to_owned(), |source| source.address.to_string());
+            let opened = self.open(source).await;
+            if matches!(opened, Opened::Reply) && self.is_resumed() {
+                self.record_resumed(&label, lost_at);
+                return Ok(());
+            }
+            self.reply = None;
+            // Nothing was copied to the engine that was chosen for the failed attempt.
+            self.drop_standby();
         }
-        self.run.moves += 1;
-        self.sends += 1;
-        self.run.endpoint = endpoint;
-        self.candidates = observe::candidates(&self.job.shard, &[], None).await;
-        let address = source.address.to_string();
-        match self.open(Some(source)).await {
-            Opened::Reply if self.is_resumed() => {
-                self.record_resumed(&address, lost_at);
-                Ok(())
+        Err(Ending::Lost)
+    }
+
+    fn record_move_failed(&self, cause: &str) {
+        record::write(&Event::MoveFailed {
+            request: &self.job.request_id,
+            from: &self.run.endpoint.id,
+            cause,
+        });
+    }
+
+    /// Runs a request again whose engine answered with an error, if the route allows it.
+    /// The reply stays as it is if no other engine runs the request.
+    pub(super) async fn rerun_after_failure(&mut self) {
+        let has_failed = |reply: &Reply| reply.head.status.is_server_error();
+        while self.reply.as_ref().is_some_and(has_failed) && self.run.reruns > 0 {
+            let Some(endpoint) = self.choose_rerun().await else {
+                return;
+            };
+            if !self.job.shard.spend_retry(Repeat::Retry) {
+                return;
+            }
+            self.sends += 1;
+            let previous = (
+                std::mem::replace(&mut self.run.endpoint, endpoint),
+                self.reply.take(),
+                self.in_flight.take(),
+            );
+            if matches!(self.open(None).await, Opened::Reply) {
+                if let Some(in_flight) = previous.2 {
+                    in_flight.end(Outcome::Failed);
+                }
+            } else {
+                (self.run.endpoint, self.reply, self.in_flight) = previous;
+            }
+        }
+    }
+
+    /// Chooses another engine to run the request again, if there is time for it.
+    async fn choose_rerun(&mut self) -> Option<Arc<Endpoint>> {
+        if self.job.deadline.is_past(clock::now()) {
+            return None;
+        }
+        self.run.reruns = self.run.reruns.saturating_sub(1);
+        let tried = [Arc::clone(&self.run.endpoint.id)];
+        self.candidates = observe::candidates(&self.job.shard, &tried, None).await;
+        let criteria = self.job.criteria(&tried, &self.candidates);
+        match self.job.shard.choose(&criteria) {
+            Ok(endpoint) => Some(endpoint),
+            Err(refusal) => {
+                self.record_move_failed(refusal.into());
+                None
             }
-            Opened::Reply | Opened::NotRun | Opened::Lost => Err(Ending::Lost),
         }
     }
 
@@ -163,28 +221,27 @@
         });
     }
 
-    /// Finds the copy to resume from: that of a migration, otherwise the standby copy.
-    async fn find_copy(&mut self) -> Option<(Arc<Endpoint>, Source)> {
+    /// Finds the engine that continues the stream: the one with the copy of a migration,
+    /// otherwise the one with the standby copy, otherwise any that may run the request
+    /// again.
+    async fn find_successor(&mut self) -> Option<(Arc<Endpoint>, Option<Source>)> {
         if let Some(found) = self
             .migration
             .take()
             .and_then(|migration| migration.finish(&self.job))
         {
             let source = self.source(found.source, found.handle);
-            return Some((found.target, source));
+            return Some((found.target, Some(source)));
         }
         let decision = self.job.shard.pool().fail_over(&self.run, clock::now());
         match decision {
             Decision::Resume(endpoint) => {
                 let source = self.source(endpoint.address, Arc::clone(&self.job.request_id));
-                Some((endpoint, source))
+                Some((endpoint, Some(source)))
             }
+            Decision::Rerun => Some((self.choose_rerun().await?, None)),
             Decision::End(reason) => {
-                record::write(&Event::MoveFailed {
-                    request: &self.job.request_id,
-                    from: &self.run.endpoint.id,
-                    cause: reason.into(),
-                });
+                self.record_move_failed(reason.into());
                 None
             }
         }
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -203,6 +203,17 @@
         site
     }
 
+    /// Starts two engines whose gateway may retry each request.
+    pub(crate) async fn start_retrying(events: u64, event_interval: Duration) -> Site {
+        let mut site = Site::launch(2, 0, events, event_interval, None).await;
+        site.gateway = launch_gateway(&site.store, None, |mut settings| {
+            settings["parameters"]["retryMinExtra"] = 10_000.into();
+            settings
+        });
+        site.wait_ready().await;
+        site
+    }
+
     async fn launch(
         engines: usize,
         orders: usize,
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use cactusroad::platform::standin::replica::Behaviour;
+use cactusroad::platform::standin::{operator::with_stream_resume, replica::Behaviour};
 use http::StatusCode;
 use tokio::time::sleep;
 
-use crate::site::{Site, full_stream};
+use crate::site::{IN_FORCE, Site, config, full_stream};
 
 #[tokio::test]
 async fn stream_whole() {
@@ -146,3 +146,71 @@
     sleep(Duration::from_millis(200)).await;
     assert_eq!(site.engines[0].events_sent(), before);
 }
+
+/// Starts two engines without copies of runs, on a route whose streams may be resumed.
+async fn start_resumable(events: u64, event_interval: Duration) -> Site {
+    let site = Site::start_retrying(events, event_interval).await;
+    site.store
+        .put("config", "main", with_stream_resume(config(2)));
+    sleep(IN_FORCE / 2).await;
+    site
+}
+
+#[tokio::test]
+async fn stream_resumed_after_cut_at_every_byte() {
+    let site = start_resumable(4, Duration::from_millis(1)).await;
+    // The ids of all runs have the same length as this one.
+    for cut in 0..full_stream("s000", 4).len() {
+        for engine in &site.engines {
+            engine.set_behaviour(Behaviour::CutAfter(cut));
+        }
+        let id = format!("s{cut:03}");
+        let answer = site.send("/drafts/1", &id).await;
+        let answer = answer.expect("the gateway answers");
+        assert!(answer.is_complete, "cut after {cut} bytes");
+        assert_eq!(answer.text(), full_stream(&id, 4), "cut after {cut} bytes");
+        // The headers are those of the engine that was cut. It is the one that was not told
+        // after which event to continue, unless it was cut before its first event.
+        let began = |engine: &usize| {
+            let seen = site.engines[*engine].seen();
+            let mut runs = seen.iter().filter(|seen| seen.is_attempt(&id));
+            runs.any(|seen| !seen.headers.contains_key("last-event-id"))
+        };
+        let began: Vec<String> = (0..2).filter(began).map(|n| format!("signed.e-{n}")).collect();
+        let signature = &answer.headers["x-cactusroad-replica-signature"];
+        assert!(began.iter().any(|name| signature == name), "cut after {cut} bytes");
+        assert_eq!(site.runs_of(&id), 2, "cut after {cut} bytes");
+    }
+}
+
+#[tokio::test]
+async fn stream_rerun_after_failure() {
+    let site = start_resumable(4, Duration::from_millis(1)).await;
+    site.engines[0].set_behaviour(Behaviour::Failing);
+    for number in 0..10 {
+        let id = format!("s{number}");
+        let answer = site.send("/drafts/1", &id).await;
+        let answer = answer.expect("the gateway answers");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.text(), full_stream(&id, 4));
+    }
+    // The route allows two attempts, so a failure of both is forwarded.
+    site.engines[1].set_behaviour(Behaviour::Failing);
+    let answer = site.send("/drafts/1", "s-both").await;
+    let status = answer.expect("the gateway answers").status;
+    assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(site.runs_of("s-both"), 2);
+}
+
+#[tokio::test]
+async fn stream_failure_not_rerun() {
+    // Without the right to resume, a stream runs at most once.
+    let site = Site::start(2, 0).await;
+    for engine in &site.engines {
+        engine.set_behaviour(Behaviour::Failing);
+    }
+    let answer = site.send("/drafts/1", "s1").await;
+    let status = answer.expect("the gateway answers").status;
+    assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(site.runs_of("s1"), 1);
+}
