Relay the changes of the store between gateways

Change: core::relay lets one gateway in sixteen of a data centre watch the store; the others ask it for the changes since their revision and use its answer only if its dated age is within a share of the bound of the kind. After a failure a gateway asks the store itself and avoids the relay, longer each time. Members come from the gateways' own objects. Renewals of endpoints are not relayed. core::spread was weighed first: it replaces a silent watcher after 20 s, and the bounds here are 2 to 5 s. Tried and dropped: turning to the next member in rank. Tests: core (choice, avoidance, a property on the bound), gateway (calls saved; a member killed, paused; endpoint removed).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 //!   [`pool`] chooses endpoints, places copies of runs and recovers runs whose
 //!   engine is lost.
 //! * Fleet: [`census`] counts the processes that renew an object in the store,
+//!   [`relay`] decides which gateways watch the store for the others,
 //!   [`member`] is the record of a process, [`spread`] distributes the records
 //!   and the configuration to all processes.
 //! * Shared types: [`id`] identifies processes and attempts, [`digest`] hashes keys
@@ -58,6 +59,7 @@
 pub mod pool;
 pub mod ramp;
 pub mod refusal;
+pub mod relay;
 pub mod retry;
 pub mod rollout;
 pub mod site;
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -34,7 +34,7 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
-use crate::{clock, listen, peer, reply::Body, state::State};
+use crate::{clock, listen, peer, relay, reply::Body, state::State};
 
 /// The path to which announcements are posted and from which they are read.
 pub(crate) const PATH: &str = "/announced";
@@ -151,6 +151,10 @@
                 None => (StatusCode::BAD_REQUEST, Bytes::new()),
             }
         }
+        (&Method::GET, path) => {
+            let answered = relay::answer(state, path).await;
+            answered.unwrap_or((StatusCode::NOT_FOUND, Bytes::new()))
+        }
         _ => (StatusCode::NOT_FOUND, Bytes::new()),
     };
     let mut response = Response::new(Body::Whole(Some(bytes)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,8 @@
 //! `state` holds the configuration and the endpoints of each service, each under
 //! its own lock. `watch` follows the store, `observe` probes sidecars and engines
 //! for their load, and `announce` learns of engines that start while the store is
-//! unreachable. Every change of this state and every decision about a request is
+//! unreachable. `fleet` finds the other gateways, and `relay` passes changes of the store
+//! on to them. Every change of this state and every decision about a request is
 //! written to the log; see docs/LOGS.md.
 
 mod announce;
@@ -39,6 +40,7 @@
 mod peer;
 mod plain;
 mod record;
+mod relay;
 mod reply;
 pub mod sidecar;
 mod state;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) resumes: IntCounter,
     pub(crate) migrations: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
+    pub(crate) relay_calls: IntCounterVec,
     pub(crate) first_answer: Histogram,
     pub(crate) pause: Histogram,
     pub(crate) config_version: IntGauge,
@@ -79,6 +80,11 @@
                 "Calls to the store.",
                 &["kind", "outcome"],
             ),
+            relay_calls: counter(
+                "cactusroad_relay_calls_total",
+                "Calls to other gateways for changes of the store.",
+                &["kind", "outcome"],
+            ),
             first_answer: histogram(
                 "cactusroad_first_answer_seconds",
                 "Time to the answer or the first event.",
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -9,9 +9,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 
-/// The maximum size of a response body; in a list of engines each takes a few dozen
-/// bytes.
-const MAX_RESPONSE_BYTES: usize = 256 << 10;
+/// The maximum size of a response body: a list of endpoints, or a configuration.
+const MAX_RESPONSE_BYTES: usize = wire::MAX_MESSAGE_BYTES;
 
 /// The reason why a request to a peer failed.
 #[derive(Debug, thiserror::Error)]
@@ -28,6 +27,8 @@
         "the peer's response body is incomplete or too large; check that both run the same release"
     )]
     Body,
+    #[error("the request's path is not a valid URI; correct the name that it contains")]
+    Path,
     #[error(transparent)]
     Format(#[from] wire::Error),
 }
@@ -36,7 +37,7 @@
 pub(crate) async fn exchange(
     address: SocketAddr,
     method: Method,
-    path: &'static str,
+    path: &str,
     body: Bytes,
     limit: Duration,
 ) -> Result<(StatusCode, Bytes), Error> {
@@ -54,12 +55,12 @@
     connection: &mut Connection,
     address: SocketAddr,
     method: Method,
-    path: &'static str,
+    path: &str,
     body: Bytes,
 ) -> Result<(StatusCode, Bytes), Error> {
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
-    *request.uri_mut() = http::Uri::from_static(path);
+    *request.uri_mut() = path.parse().map_err(|_| Error::Path)?;
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(header::HOST, host);
     }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -41,6 +41,14 @@
     DependencyLost { name: &'a str, cause: &'a str },
     /// A dependency can be reached again.
     DependencyRegained { name: &'a str, away_ms: u64 },
+    /// A kind of object is read from another source: from a relay, or from the store if
+    /// `relay` is empty.
+    Source {
+        name: &'a str,
+        relay: &'a str,
+        /// Why the previous relay was given up; empty if it was not.
+        cause: &'a str,
+    },
     /// A configuration was put in force.
     ConfigInForce {
         version: u64,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
     Time,
     freshness::{Answer, Freshness},
     pool::{self, Budget, Change, Criteria, Endpoint, Outcome, Pool, Refusal, Repeat, Work},
+    relay::Plan,
     site::Site,
 };
 use cactusroad_platform::settings::Settings;
@@ -27,6 +28,7 @@
     metrics::Metrics,
     observe::Probe,
     record::{self, Event, Snapshot},
+    relay::Feeds,
 };
 
 /// The part of the retry budget that is divided among the gateways. The rest covers
@@ -77,6 +79,10 @@
     gateways: AtomicUsize,
     /// The engines that sidecars announced to this gateway.
     pub(crate) announcements: Announcements,
+    /// The changes of the store, for other gateways.
+    pub(crate) feeds: Feeds,
+    /// The gateways from which this one learns of changes.
+    relays: Mutex<Plan>,
 }
 
 /// The endpoints of one service.
@@ -98,6 +104,7 @@
 impl State {
     pub(crate) fn new(settings: Settings, policy: pool::Config) -> State {
         let freshness = Freshness::new(settings.revocation);
+        let relays = Mutex::new(Plan::new(&settings.vm, &settings.data_centre));
         State {
             settings: ArcSwap::from_pointee(settings),
             site: ArcSwapOption::empty(),
@@ -116,6 +123,8 @@
             open_requests: AtomicUsize::new(0),
             gateways: AtomicUsize::new(ASSUMED_GATEWAYS),
             announcements: Announcements::default(),
+            feeds: Feeds::default(),
+            relays,
         }
     }
 
@@ -126,6 +135,11 @@
             && self.freshness().is_ready(clock::now())
     }
 
+    /// Locks the plan of relays.
+    pub(crate) fn relays(&self) -> MutexGuard<'_, Plan> {
+        self.relays.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the newest proof that the configuration is current.
     pub(crate) fn freshness(&self) -> Freshness {
         *self.freshness.borrow()
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -6,15 +6,25 @@
 //! compacted the history since that revision, the kind is listed again. All calls ask
 //! for the latest data rather than allow stale reads, because the result decides which
 //! requests are allowed.
+//!
+//! In a large data centre, most gateways watch another gateway instead, by the same
+//! revisions. When its answer fails or is too old, the store is asked at once.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use cactusroad_core::{Time, freshness::Answer};
+use cactusroad_core::{
+    Time,
+    freshness::Answer,
+    relay::{Limits, Member, Source},
+};
 use cactusroad_platform::{
-    list, site,
+    list,
+    settings::Settings,
+    site,
     store::{Client, Error, Event as Change, Kind, Object},
 };
 use tokio::time::sleep;
@@ -22,6 +32,7 @@
 use crate::{
     clock,
     record::{self, Event},
+    relay::{self, Update},
     state::State,
 };
 
@@ -82,13 +93,15 @@
     /// Whether the whole list is read again after an outage of the store.
     const RELISTS_AFTER_OUTAGE: bool = false;
 
-    /// Returns how long the next watch waits for a change.
+    /// Returns the time within which a change of this kind must take effect.
+    fn bound(settings: &Settings) -> Duration;
+    /// Returns how long the next watch of the store waits for a change.
     fn wait(&self, _state: &State) -> Duration {
         Self::WAIT
     }
     /// Records that the store has confirmed the state of this kind.
     fn on_answer(&mut self, _state: &State, _answer: &Answer) {}
-    /// Returns the delay between a successful call and the next one.
+    /// Returns the delay between a successful call to the store and the next one.
     fn spacing(&self, _state: &State) -> Duration {
         Duration::ZERO
     }
@@ -114,79 +127,185 @@
     tokio::spawn(follow(Arc::clone(state), Evacuations { names: Vec::new() }));
 }
 
-async fn follow<F: Follower>(state: Arc<State>, mut follower: F) {
-    let mut address = state.settings.load().store;
-    let mut client = Client::new(address, CALL_TIMEOUT);
-    let mut at: Option<u64> = None;
-    let mut outage = Outage::default();
+/// Follows one kind of object, in the store or at a relay.
+struct Task<F> {
+    state: Arc<State>,
+    follower: F,
+    store: Client,
+    store_address: SocketAddr,
+    relay: Option<relay::Client>,
+    /// The name of the relay that was asked last; empty for the store.
+    source: Arc<str>,
+    /// The revision to continue from, or none before the first list.
+    at: Option<u64>,
+    /// The newest revision that was applied.
+    known: u64,
+    outage: Outage,
+}
+
+async fn follow<F: Follower>(state: Arc<State>, follower: F) {
+    let store_address = state.settings.load().store;
+    let mut task = Task {
+        state,
+        follower,
+        store: Client::new(store_address, CALL_TIMEOUT),
+        store_address,
+        relay: None,
+        source: "".into(),
+        at: None,
+        known: 0,
+        outage: Outage::default(),
+    };
     loop {
-        let current = state.settings.load().store;
-        if current != address {
-            address = current;
-            client = Client::new(address, CALL_TIMEOUT);
+        let source = task.state.relays().source(clock::now());
+        let delay = match source {
+            Source::Relay(relay) => task.ask_relay(&relay).await,
+            Source::Store => task.ask_store().await,
+        };
+        sleep(delay).await;
+    }
+}
+
+impl<F: Follower> Task<F> {
+    /// Lists or watches the store once. Returns the delay until the next call.
+    async fn ask_store(&mut self) -> Duration {
+        self.record_source(&Arc::from(""), "");
+        let current = self.state.settings.load().store;
+        if current != self.store_address {
+            self.store_address = current;
+            self.store = Client::new(current, CALL_TIMEOUT);
         }
-        match poll(&state, &mut client, &mut follower, at).await {
-            Ok(next) => {
-                at = Some(next);
-                state.notify_if_synced();
-                count_call(&state, F::KIND, "answered");
-                if outage.record_answer(F::KIND) {
-                    follower.on_recovery(&state);
-                    if F::RELISTS_AFTER_OUTAGE {
-                        at = None;
-                        continue;
-                    }
+        match self.poll_store().await {
+            Ok(()) => {
+                count_call(&self.state, F::KIND, "answered");
+                if self.end_outage() {
+                    return Duration::ZERO;
                 }
-                sleep(follower.spacing(&state)).await;
+                self.follower.spacing(&self.state)
             }
             Err(Error::Compacted) => {
-                count_call(&state, F::KIND, "compacted");
-                at = None;
+                count_call(&self.state, F::KIND, "compacted");
+                self.at = None;
+                Duration::ZERO
             }
             Err(cause) => {
-                count_call(&state, F::KIND, "failed");
-                outage.record_failure(F::KIND, &cause);
-                if outage.failures == F::OUTAGE_FAILURES {
-                    follower.on_outage(&state);
+                count_call(&self.state, F::KIND, "failed");
+                self.outage.record_failure(F::KIND, &cause);
+                if self.outage.failures == F::OUTAGE_FAILURES {
+                    self.follower.on_outage(&self.state);
+                }
+                self.outage.backoff()
+            }
+        }
+    }
+
+    async fn poll_store(&mut self) -> Result<(), Error> {
+        let sent_at = clock::now();
+        let Some(at) = self.at else {
+            let listing = self.store.list(F::KIND).await?;
+            let answer = Answer::list(sent_at, clock::now());
+            self.apply(Update::Whole(listing), &answer);
+            return Ok(());
+        };
+        let wait = self.follower.wait(&self.state);
+        let changes = self.store.watch(F::KIND, at, wait).await?;
+        let has_changes = !changes.events.is_empty();
+        let answer = Answer::watch(sent_at, clock::now(), wait, has_changes);
+        self.apply(Update::Changed(changes), &answer);
+        Ok(())
+    }
+
+    /// Watches a relay once. Returns the delay until the next call.
+    async fn ask_relay(&mut self, member: &Member) -> Duration {
+        let limits = Limits::new(F::bound(&self.state.settings.load()));
+        let relay = match self.relay.take() {
+            Some(relay) if relay.address() == member.address => relay,
+            _ => relay::Client::new(member.address),
+        };
+        let relay = self.relay.insert(relay);
+        match relay.read(F::KIND, self.at, self.known, &limits).await {
+            Ok((update, answer)) => {
+                self.record_source(&member.name, "");
+                count_relay_call(&self.state, F::KIND, "answered");
+                self.state.relays().record_answer();
+                self.apply(update, &answer);
+                if self.end_outage() {
+                    return Duration::ZERO;
+                }
+                limits.spacing
+            }
+            Err(cause) => {
+                count_relay_call(&self.state, F::KIND, "failed");
+                self.record_source(&Arc::from(""), &format!("{}: {cause}", member.name));
+                self.state.relays().record_failure(clock::now());
+                Duration::ZERO
+            }
+        }
+    }
+
+    /// Applies what the store or a relay answered, and passes it on to followers.
+    fn apply(&mut self, update: Update, answer: &Answer) {
+        let feed = self.state.feeds.get(F::KIND);
+        let at = match &update {
+            Update::Whole(listing) => {
+                self.follower
+                    .replace(&self.state, &listing.objects, listing.at);
+                if let Some(feed) = feed {
+                    feed.replace(&listing.objects, listing.at, answer);
+                }
+                listing.at
+            }
+            Update::Changed(changes) => {
+                for change in &changes.events {
+                    self.follower.apply(&self.state, change);
+                }
+                if let Some(feed) = feed {
+                    feed.apply(F::KIND, &changes.events, changes.at, answer);
                 }
-                sleep(outage.backoff()).await;
+                changes.at
             }
+        };
+        self.follower.on_answer(&self.state, answer);
+        self.at = Some(at);
+        self.known = self.known.max(at);
+        self.state.notify_if_synced();
+    }
+
+    /// Records that changes can be read. Returns whether the whole list is read next,
+    /// because an outage has ended.
+    fn end_outage(&mut self) -> bool {
+        if !self.outage.record_answer(F::KIND) {
+            return false;
         }
+        self.follower.on_recovery(&self.state);
+        if F::RELISTS_AFTER_OUTAGE {
+            self.at = None;
+        }
+        F::RELISTS_AFTER_OUTAGE
+    }
+
+    /// Logs a change of the source from which this kind is read.
+    fn record_source(&mut self, source: &Arc<str>, cause: &str) {
+        if self.source == *source {
+            return;
+        }
+        self.source = Arc::clone(source);
+        record::write(&Event::Source {
+            name: F::KIND.into(),
+            relay: source,
+            cause,
+        });
     }
 }
 
 fn count_call(state: &State, kind: Kind, outcome: &str) {
-    state
-        .metrics
-        .store_calls
-        .with_label_values(&[kind.into(), outcome])
-        .inc();
+    let labels = [kind.into(), outcome];
+    state.metrics.store_calls.with_label_values(&labels).inc();
 }
 
-/// Lists or watches once, and returns the revision to continue from.
-async fn poll<F: Follower>(
-    state: &State,
-    client: &mut Client,
-    follower: &mut F,
-    at: Option<u64>,
-) -> Result<u64, Error> {
-    let sent_at = clock::now();
-    let Some(at) = at else {
-        let listing = client.list(F::KIND).await?;
-        let answer = Answer::list(sent_at, clock::now());
-        follower.replace(state, &listing.objects, listing.at);
-        follower.on_answer(state, &answer);
-        return Ok(listing.at);
-    };
-    let wait = follower.wait(state);
-    let changes = client.watch(F::KIND, at, wait).await?;
-    let has_changes = !changes.events.is_empty();
-    let answer = Answer::watch(sent_at, clock::now(), wait, has_changes);
-    for change in &changes.events {
-        follower.apply(state, change);
-    }
-    follower.on_answer(state, &answer);
-    Ok(changes.at)
+fn count_relay_call(state: &State, kind: Kind, outcome: &str) {
+    let labels = [kind.into(), outcome];
+    state.metrics.relay_calls.with_label_values(&labels).inc();
 }
 
 /// Tracks whether the store answers.
@@ -232,6 +351,16 @@
     }
 }
 
+/// Returns how long a watch of the store waits. A relay asks often enough that its
+/// answers to followers are recent.
+fn relayed_wait<F: Follower>(state: &State) -> Duration {
+    if !state.relays().is_relay() {
+        return F::WAIT;
+    }
+    let limits = Limits::new(F::bound(&state.settings.load()));
+    limits.wait.min(F::WAIT)
+}
+
 /// Follows the configuration.
 struct Configuration;
 
@@ -272,13 +401,18 @@
     // The first call after a pause of the process finds that its time is over.
     const OUTAGE_FAILURES: u32 = 2;
 
+    fn bound(settings: &Settings) -> Duration {
+        settings.apply
+    }
+
     fn wait(&self, state: &State) -> Duration {
         if state.freshness().is_urgent(clock::now()) {
             return Duration::ZERO;
         }
         let bound = state.settings.load().revocation;
         let share = bound.map(|bound| bound.mul_f64(CONFIG_WAIT_SHARE));
-        share.map_or(CONFIG_WAIT, |share| share.min(CONFIG_WAIT))
+        let wait = relayed_wait::<Configuration>(state);
+        share.map_or(wait, |share| share.min(wait))
     }
 
     fn on_answer(&mut self, state: &State, answer: &Answer) {
@@ -373,9 +507,27 @@
     const RELISTS_AFTER_OUTAGE: bool = true;
     const WAIT: Duration = ENDPOINT_WAIT;
 
+    fn bound(settings: &Settings) -> Duration {
+        settings.drain
+    }
+
+    fn wait(&self, state: &State) -> Duration {
+        let spacing = Limits::new(state.settings.load().drain).spacing;
+        if state.relays().is_relay() {
+            // The state of a relay ages during the spacing as well.
+            relayed_wait::<Endpoints>(state).saturating_sub(spacing)
+        } else {
+            ENDPOINT_WAIT
+        }
+    }
+
     fn spacing(&self, state: &State) -> Duration {
+        let settings = state.settings.load();
+        if state.relays().is_relay() {
+            return Limits::new(settings.drain).spacing;
+        }
         let shared = Duration::from_secs_f64(state.gateways() as f64 / ENDPOINT_WATCHES_PER_S);
-        let most = state.settings.load().drain.mul_f64(ENDPOINT_SPACING_SHARE);
+        let most = settings.drain.mul_f64(ENDPOINT_SPACING_SHARE);
         shared.max(ENDPOINT_SPACING).min(most)
     }
 
@@ -441,6 +593,14 @@
     const KIND: Kind = Kind::Evacuations;
     const WAIT: Duration = EVACUATION_WAIT;
 
+    fn bound(settings: &Settings) -> Duration {
+        settings.evacuation
+    }
+
+    fn wait(&self, state: &State) -> Duration {
+        relayed_wait::<Evacuations>(state)
+    }
+
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
         self.names = objects
             .iter()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,6 +29,13 @@
     include!("sidecar.rs");
 }
 
+/// Changes of the store that gateways relay to each other, generated from
+/// `proto/relay.proto`.
+#[rustfmt::skip]
+pub mod relay {
+    include!("relay.rs");
+}
+
 /// The size limit of a received message, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod log;
 mod plain;
+mod relay;
 mod revocation;
 mod sidecar;
 #[expect(dead_code, reason = "the soak test uses the rest")]
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -38,6 +38,8 @@
     pub(crate) engines: Vec<Replica>,
     pub(crate) orders: Vec<Replica>,
     pub(crate) gateway: Gateway,
+    /// Gateways of one data centre that know each other, beside [`Site::gateway`].
+    group: Vec<Gateway>,
     copies: Copies,
     /// The addresses of sidecars and of the gateway's peer port, if engines have
     /// sidecars.
@@ -232,6 +234,7 @@
             engines: Vec::new(),
             orders: Vec::new(),
             gateway: launch_gateway(&store, peers, |settings| settings),
+            group: Vec::new(),
             peers,
             sidecars: Vec::new(),
             copies: copies.clone(),
@@ -362,6 +365,62 @@
         exchange(self.gateway.callers, request(path, id, headers)).await
     }
 
+    /// Starts gateways of another data centre, and waits until they are ready.
+    pub(crate) async fn start_gateways(&mut self, count: usize) {
+        for number in 0..count {
+            let gateway = self.launch_member(number);
+            self.group.push(gateway);
+        }
+        for number in 0..count {
+            self.wait_member(number).await;
+        }
+    }
+
+    fn launch_member(&self, number: usize) -> Gateway {
+        let peers = free_port();
+        launch_gateway(&self.store, None, |mut settings| {
+            settings["nodeName"] = format!("edge-south-{number}").into();
+            settings["zone"] = "south".into();
+            settings["listenAddrs"]["controlPlane"] = peers.to_string().into();
+            settings
+        })
+    }
+
+    async fn wait_member(&self, number: usize) {
+        let deadline = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < deadline {
+            let answer = self
+                .get(self.group[number].readiness, caller::READY_PATH)
+                .await;
+            if answer.is_some_and(|answer| answer.status == StatusCode::OK) {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("gateway {number} is not ready after 10 s");
+    }
+
+    /// Sends a request through a gateway of the group.
+    pub(crate) async fn send_through(&self, number: usize, path: &str, id: &str) -> Option<Answer> {
+        exchange(self.group[number].callers, request(path, id, &[])).await
+    }
+
+    /// Sends a signal to a gateway of the group.
+    pub(crate) fn signal_gateway(&self, number: usize, signal: Signal) {
+        self.group[number].signal(signal);
+    }
+
+    /// Kills a gateway of the group.
+    pub(crate) fn kill_gateway(&self, number: usize) {
+        self.signal_gateway(number, Signal::KILL);
+    }
+
+    /// Starts a gateway of the group again, at another address.
+    pub(crate) async fn restart_gateway(&mut self, number: usize) {
+        self.group[number] = self.launch_member(number);
+        self.wait_member(number).await;
+    }
+
     /// Sends a request without an API key.
     pub(crate) async fn send_without_key(&self, path: &str, id: &str) -> Option<Answer> {
         let mut request = request(path, id, &[]);
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -176,9 +176,15 @@
             let mut runs = seen.iter().filter(|seen| seen.is_attempt(&id));
             runs.any(|seen| !seen.headers.contains_key("last-event-id"))
         };
-        let began: Vec<String> = (0..2).filter(began).map(|n| format!("signed.e-{n}")).collect();
+        let began: Vec<String> = (0..2)
+            .filter(began)
+            .map(|n| format!("signed.e-{n}"))
+            .collect();
         let signature = &answer.headers["x-cactusroad-replica-signature"];
-        assert!(began.iter().any(|name| signature == name), "cut after {cut} bytes");
+        assert!(
+            began.iter().any(|name| signature == name),
+            "cut after {cut} bytes"
+        );
         assert_eq!(site.runs_of(&id), 2, "cut after {cut} bytes");
     }
 }
--- a/tools/protogen/src/main.rs
+++ b/tools/protogen/src/main.rs
@@ -7,15 +7,21 @@
 use std::{error::Error, fs, path::Path};
 
 const PROTO_DIR: &str = "crates/wire/proto";
-const OUT_FILES: [(&str, &str); 3] = [
+const OUT_FILES: [(&str, &str); 4] = [
     ("cactusroad.inner.rs", "crates/wire/src/generated.rs"),
     ("cactusroad.spread.rs", "crates/wire/src/spread.rs"),
     ("cactusroad.sidecar.rs", "crates/wire/src/sidecar.rs"),
+    ("cactusroad.relay.rs", "crates/wire/src/relay.rs"),
 ];
 
 fn main() -> Result<(), Box<dyn Error>> {
     let descriptors = protox::compile(
-        ["inner.proto", "spread.proto", "sidecar.proto"],
+        [
+            "inner.proto",
+            "spread.proto",
+            "sidecar.proto",
+            "relay.proto",
+        ],
         [PROTO_DIR],
     )?;
     let out_dir = std::env::temp_dir().join("cactusroad-protogen");
