Spread the runs of leaving engines over more engines

Cause: when a sixth of the engines leaves, all gateways see the same reports and copy runs to the emptiest engine of their samples. Up to 14 copies of 0.2 to 0.4 s each went to one engine that had just joined, and queued for its link until their own engines were gone (1.5 to 2.1 s). Change: for a migration, engines whose memory use is within 0.5 of the best are equally good and one is drawn at random (`rescue_spread`).

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -125,6 +125,11 @@
     /// Chooses the engine for a copy of the run at the engine `primary`: of a random
     /// sample, the one with the lowest memory use, plus a penalty in another data centre.
     /// Engines whose memory use would exceed the limit for `purpose` are left out.
+    ///
+    /// Runs of a leaving engine are spread at random over those that are nearly as good.
+    /// Answers the load pattern in which many engines leave at once while a few empty
+    /// ones join: copies that all go to the emptiest wait for its link until their own
+    /// engine is gone.
     pub fn backup(
         &self,
         primary: &str,
@@ -159,8 +164,15 @@
             }
         }
         self.retain_sample(&mut scored, &mut rng);
-        let best = scored.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, member)| Arc::clone(&member.endpoint))
+        let best = scored.iter().map(|(score, _)| *score);
+        let best = best.fold(f64::INFINITY, f64::min);
+        let spread = match purpose {
+            Purpose::Standby => 0.0,
+            Purpose::Migration => self.config.rescue_spread,
+        };
+        scored.retain(|(score, _)| *score <= best + spread);
+        let chosen = scored.get(rng.below(scored.len()));
+        chosen.map(|(_, member)| Arc::clone(&member.endpoint))
     }
 
     /// Returns [`Config::choices`](super::Config::choices) random endpoints, which the
--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -20,6 +20,11 @@
     /// The share of an engine's memory above which it takes over no run of a leaving
     /// engine; 0.9 by default. The limit is high because such a run is lost otherwise.
     pub rescue_share: f64,
+    /// The difference in memory use, as a share, within which engines are equally good to
+    /// take over a run of a leaving engine; 0.5 by default. All gateways see the same
+    /// reports, and copies to one engine wait for its link: with 0, up to 14 copies went
+    /// to one engine that had just joined.
+    pub rescue_spread: f64,
     /// The penalty on a copy to another data centre, as a share of memory; 0.5 by
     /// default. Such a copy occupies the links for twice as long.
     pub far_copy_share: f64,
@@ -65,6 +70,7 @@
             memory_share: 0.92,
             copy_share: 0.3,
             rescue_share: 0.9,
+            rescue_spread: 0.5,
             far_copy_share: 0.5,
             choices: 5,
             overflow_weight: 20.0,
@@ -101,6 +107,7 @@
             ("memory_share", self.memory_share),
             ("copy_share", self.copy_share),
             ("rescue_share", self.rescue_share),
+            ("rescue_spread", self.rescue_spread),
             ("far_copy_share", self.far_copy_share),
             ("tie_share", self.tie_share),
         ];
