Drop entries of endpoints that were replaced at their address

Cause: after a power failure of everything the list holds the entries of the old incarnations for 3.6 s beside the new ones, at the same addresses. Change: an entry ends when a later incarnation is listed at its address, when a report from its address names another start, and when the endpoint there rejects a request as misdirected. Sidecars pass the start of their engine on. Tests: choose_all_restarted, choose_report_of_successor and choose_misdirected; none could pass before (no such call).

--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -60,6 +60,8 @@
     Failed,
     /// The endpoint refused the request and did not run it.
     Refused,
+    /// Another endpoint at the same address refused the request and did not run it.
+    Misdirected,
     /// The endpoint could not be reached, or the connection broke.
     Unreachable,
     /// This process cancelled the request, which says nothing about the endpoint.
@@ -158,7 +160,20 @@
         was_unlisted.then_some(Change::Joined)
     }
 
+    /// Records that this incarnation has ended. It stays out of use until the list names
+    /// a later one, or names it again.
+    pub(super) fn end(&mut self, now: Time) -> Option<Change> {
+        let was_listed = self.expires_at.is_none_or(|at| !at.is_past(now));
+        self.expires_at = Some(self.expires_at.map_or(now, |at| at.min(now)));
+        was_listed.then_some(Change::Gone)
+    }
+
     pub(super) fn record_report(&mut self, report: Report, now: Time) -> Option<Change> {
+        let is_known = report.born_ms > 0 && self.endpoint.born_ms > 0;
+        if is_known && report.born_ms != self.endpoint.born_ms {
+            // The report is of another incarnation at the same address.
+            return self.end(now);
+        }
         let starts_leaving = report.is_leaving && self.leaving_since.is_none();
         if starts_leaving {
             self.leaving_since = Some(now);
@@ -211,7 +226,7 @@
                 self.avoid(config, now);
             }
             Outcome::Refused => self.avoid(config, now),
-            Outcome::Cancelled => {}
+            Outcome::Misdirected | Outcome::Cancelled => {}
         }
     }
 
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -167,6 +167,38 @@
         }
     }
 
+    /// Removes incarnations that have ended, because the endpoint `id` or a later one was
+    /// started at the same address. Returns their ids.
+    ///
+    /// The list keeps the entry of an endpoint that crashed until several renewals are
+    /// missing. Answers the load pattern in which all endpoints restart at once: their
+    /// requests would go to old entries as often as to new ones, and be rejected.
+    pub fn supersede(&mut self, id: &str, now: Time) -> Vec<Arc<str>> {
+        let Some(address) = self.get(id).map(|endpoint| endpoint.address) else {
+            return Vec::new();
+        };
+        let is_here = |member: &&Member| member.endpoint.address == address;
+        let newest = self.members.iter().filter(is_here);
+        let newest = newest.map(|member| member.endpoint.born_ms).max();
+        let has_ended = |member: &&mut Member| {
+            let born_ms = member.endpoint.born_ms;
+            member.endpoint.address == address && born_ms > 0 && Some(born_ms) < newest
+        };
+        let ended = self.members.iter_mut().filter(has_ended);
+        ended
+            .filter_map(|member| {
+                let change = member.end(now)?;
+                (change == Change::Gone).then(|| Arc::clone(&member.endpoint.id))
+            })
+            .collect()
+    }
+
+    /// Records that another endpoint answers at the address of this one, which has
+    /// therefore ended.
+    pub fn record_misdirected(&mut self, id: &str, now: Time) -> Option<Change> {
+        self.member(id)?.end(now)
+    }
+
     /// Records that an endpoint is no longer listed. It may receive work until `until`,
     /// because the list may have lost the entries of live endpoints while it was unavailable.
     pub fn mark_unlisted(&mut self, id: &str, until: Time) -> Option<Change> {
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -468,6 +468,48 @@
     assert!(targets.values().all(|count| *count <= 2), "{targets:?}");
 }
 
+/// Replays a sixth of the engines leaving at once under the runs of many gateways, while
+/// engines that have just joined are empty. All gateways see the same reports, and copies
+/// to one engine wait for its link, so the copies must not all go to the emptiest engines.
+#[test]
+fn backup_many_gateways() {
+    const GATEWAYS: u64 = 68;
+    const ENGINES: u16 = 60;
+    const LEAVING: u16 = 10;
+    const JOINED: u16 = 8;
+    let mut targets: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+    for gateway in 0..GATEWAYS {
+        let mut pool = engine_pool(ENGINES);
+        for number in 0..ENGINES {
+            let is_new = number >= ENGINES - JOINED;
+            let report = Report {
+                used_tokens: if is_new { 0 } else { MEMORY_TOKENS / 2 },
+                memory_tokens: MEMORY_TOKENS,
+                is_leaving: number < LEAVING,
+                is_fresh: true,
+                ..Report::default()
+            };
+            pool.report(&format!("e-{number:03}"), report, START);
+        }
+        // Each engine has three runs, which are spread over the gateways.
+        for number in (0..LEAVING * 3).filter(|number| u64::from(*number) % GATEWAYS == gateway) {
+            let primary = format!("e-{:03}", number / 3);
+            let data_centre = format!("dc-{}", number / 3 % 3);
+            let seed = gateway * 1_000_003 + u64::from(number);
+            let near = pool.sample(&[], Some(&data_centre), seed, START);
+            let criteria = Criteria {
+                candidates: &near,
+                ..criteria(LONG_WORK)
+            };
+            let copy = pool.backup(&primary, Purpose::Migration, &criteria, seed + 1, START);
+            *targets.entry(Arc::clone(&copy.unwrap().id)).or_default() += 1;
+        }
+    }
+    // Three copies of 0.2 to 0.3 s each are complete before an engine is gone.
+    let most = targets.values().max();
+    assert!(most <= Some(&3), "{targets:?}");
+}
+
 #[test]
 fn fail_over_cases() {
     let mut pool = engine_pool(3);
@@ -549,6 +591,83 @@
     assert!(!pool.was_removed("e-000"));
 }
 
+/// Returns a later incarnation of an endpoint, at the same address under a new id.
+fn restarted(number: u16) -> Endpoint {
+    Endpoint {
+        id: format!("n-{number:03}").into(),
+        born_ms: 2,
+        ..endpoint(number)
+    }
+}
+
+/// Replays a power failure of all endpoints: the list still has the entries of before,
+/// and those of the new incarnations appear one by one.
+#[test]
+fn choose_all_restarted() {
+    for mut pool in [engine_pool(60), plain_pool(5)] {
+        let count = u16::try_from(pool.len()).unwrap();
+        for number in 0..count {
+            pool.upsert(Arc::new(restarted(number)), after(1));
+            let ended = pool.supersede(&restarted(number).id, after(1));
+            assert_eq!(ended, [endpoint(number).id]);
+            // A relist brings the old entry again.
+            if number % 2 == 0 {
+                pool.upsert(Arc::new(endpoint(number)), after(2));
+                assert_eq!(
+                    pool.supersede(&endpoint(number).id, after(2)),
+                    [endpoint(number).id]
+                );
+            }
+        }
+        for seed in 0..200 {
+            let chosen = pool.choose(&criteria(LONG_WORK), seed, after(3)).unwrap();
+            assert_eq!(chosen.born_ms, 2);
+        }
+        // Endpoints at other addresses are left alone.
+        assert!(pool.supersede("n-001", after(3)).is_empty());
+        assert_eq!(pool.len(), usize::from(count));
+    }
+}
+
+#[test]
+fn choose_report_of_successor() {
+    // The successor is not listed yet, but its report tells that the entry is old.
+    let mut pool = engine_pool(2);
+    let report = Report {
+        born_ms: 2,
+        memory_tokens: MEMORY_TOKENS,
+        ..Report::default()
+    };
+    assert_eq!(pool.report("e-000", report, START), Some(Change::Gone));
+    assert_eq!(pool.report("e-000", report, START), None);
+    for seed in 0..50 {
+        let chosen = pool.choose(&criteria(LONG_WORK), seed, after(1)).unwrap();
+        assert_eq!(&*chosen.id, "e-001");
+    }
+    // A restart under the same id updates the entry.
+    let again = Endpoint {
+        born_ms: 2,
+        ..endpoint(0)
+    };
+    assert_eq!(
+        pool.upsert(Arc::new(again), after(2)),
+        Some(Change::Restarted)
+    );
+    assert_eq!(pool.report("e-000", report, after(2)), None);
+    assert_eq!(pool.len(), 2);
+}
+
+#[test]
+fn choose_misdirected() {
+    let mut pool = plain_pool(2);
+    assert_eq!(pool.record_misdirected("e-000", START), Some(Change::Gone));
+    assert_eq!(pool.record_misdirected("e-000", START), None);
+    for seed in 0..50 {
+        let chosen = pool.choose(&criteria(LONG_WORK), seed, START).unwrap();
+        assert_eq!(&*chosen.id, "e-001");
+    }
+}
+
 #[test]
 fn budget_window() {
     let mut budget = Budget::new(0.2, 2.0, Duration::from_secs(10));
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -175,3 +175,12 @@
     /// The longest time between two events, in milliseconds.
     pub(crate) pause_ms: u64,
 }
+
+/// Returns the outcome of an attempt that an endpoint refused with this status.
+pub(crate) fn refusal(status: StatusCode) -> Outcome {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        Outcome::Misdirected
+    } else {
+        Outcome::Refused
+    }
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     clock,
-    job::{ANSWERED, CONNECT_TIMEOUT, Job, Summary},
+    job::{self, ANSWERED, CONNECT_TIMEOUT, Job, Summary},
     record::{self, Event},
     reply::{self, Body},
     state::time_left,
@@ -229,7 +229,11 @@
             in_flight.record_answer();
             classify(head, body, started_at)
         }
-        Ok((head, None)) => (Outcome::Refused, Attempt::Refused, head.status.to_string()),
+        Ok((head, None)) => (
+            job::refusal(head.status),
+            Attempt::Refused,
+            head.status.to_string(),
+        ),
         Err(cause) if cause.fate() == Fate::NotRun => {
             (Outcome::Unreachable, Attempt::Unsent, cause.to_string())
         }
--- a/crates/gateway/src/sidecar/client.rs
+++ b/crates/gateway/src/sidecar/client.rs
@@ -87,6 +87,6 @@
             .leaves_in_ms
             .map(|left| now + Duration::from_millis(left)),
         is_fresh: true,
-        born_ms: 0,
+        born_ms: load.born_ms,
     })
 }
--- a/crates/gateway/src/sidecar/daemon.rs
+++ b/crates/gateway/src/sidecar/daemon.rs
@@ -146,6 +146,7 @@
         used_tokens: report.used_tokens,
         memory_tokens: report.memory_tokens,
         is_leaving: report.is_leaving,
+        born_ms: report.born_ms,
         leaves_in_ms: leaves_in.map(|left| u64::try_from(left).unwrap_or(u64::MAX)),
     })
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -503,9 +503,16 @@
     fn finish(&mut self, outcome: Outcome) {
         self.is_ended = true;
         let now = clock::now();
-        self.shard
-            .pool()
-            .record_end(&self.endpoint.id, self.work, self.is_answered, outcome, now);
+        let id = &self.endpoint.id;
+        let change = {
+            let mut pool = self.shard.pool();
+            pool.record_end(id, self.work, self.is_answered, outcome, now);
+            let is_misdirected = outcome == Outcome::Misdirected;
+            is_misdirected
+                .then(|| pool.record_misdirected(id, now))
+                .flatten()
+        };
+        self.shard.record_change(id, change, "rejection");
     }
 }
 
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -23,7 +23,7 @@
 use crate::{
     clock,
     events::{Event as StreamEvent, Splitter},
-    job::{ANSWERED, CONNECT_TIMEOUT, Job, Summary},
+    job::{self, ANSWERED, CONNECT_TIMEOUT, Job, Summary},
     migration::Migration,
     observe,
     record::{self, Event},
@@ -183,7 +183,7 @@
                 return Opened::Reply;
             }
             Ok(Ok(reply)) => (
-                Outcome::Refused,
+                job::refusal(reply.head.status),
                 Opened::NotRun,
                 reply.head.status.to_string(),
             ),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -19,13 +19,14 @@
 use cactusroad_core::{
     Time,
     freshness::Answer,
+    pool::Change,
     relay::{Limits, Member, Source},
 };
 use cactusroad_platform::{
     list,
     settings::Settings,
     site,
-    store::{Client, Error, Event as Change, Kind, Object},
+    store::{self, Client, Error, Kind, Object},
 };
 use tokio::time::sleep;
 
@@ -108,7 +109,7 @@
     /// Applies a whole list that was read at revision `at`.
     fn replace(&mut self, state: &State, objects: &[Object], at: u64);
     /// Applies one change.
-    fn apply(&mut self, state: &State, change: &Change);
+    fn apply(&mut self, state: &State, change: &store::Event);
     /// Called when the store stops answering.
     fn on_outage(&mut self, _state: &State) {}
     /// Called when the store answers again.
@@ -436,7 +437,7 @@
         }
     }
 
-    fn apply(&mut self, state: &State, change: &Change) {
+    fn apply(&mut self, state: &State, change: &store::Event) {
         if &*change.object.meta.name == CONFIG_NAME && !change.deleted {
             Configuration::apply_object(state, &change.object);
         }
@@ -465,8 +466,15 @@
             }
         };
         let shard = state.shard_or_new(&endpoint.service);
-        let change = shard.pool().upsert(Arc::new(endpoint), now);
+        let (change, ended) = {
+            let mut pool = shard.pool();
+            let change = pool.upsert(Arc::new(endpoint), now);
+            (change, pool.supersede(name, now))
+        };
         shard.record_change(name, change, "list");
+        for id in ended {
+            shard.record_change(&id, Some(Change::Gone), "successor");
+        }
         Some(())
     }
 
@@ -554,7 +562,7 @@
         state.are_endpoints_listed.store(true, Ordering::Relaxed);
     }
 
-    fn apply(&mut self, state: &State, change: &Change) {
+    fn apply(&mut self, state: &State, change: &store::Event) {
         let name = &change.object.meta.name;
         let is_readable = !change.deleted && Endpoints::upsert(state, &change.object).is_some();
         if !is_readable {
@@ -610,7 +618,7 @@
         self.publish(state);
     }
 
-    fn apply(&mut self, state: &State, change: &Change) {
+    fn apply(&mut self, state: &State, change: &store::Event) {
         let name = &change.object.meta.name;
         match (self.names.binary_search(name), change.deleted) {
             (Ok(index), true) => {
--- a/crates/wire/src/sidecar.rs
+++ b/crates/wire/src/sidecar.rs
@@ -23,6 +23,9 @@
     /// Milliseconds until the engine stops, if known.
     #[prost(uint64, optional, tag = "7")]
     pub leaves_in_ms: ::core::option::Option<u64>,
+    /// When the engine started, in milliseconds by its own clock; zero if unknown.
+    #[prost(uint64, tag = "8")]
+    pub born_ms: u64,
 }
 /// An engine that has started, as announced by its sidecar.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
