Limit what is read from an endpoint that sends without end

Cause: an endpoint in trouble may send bytes that are no answer until its caller closes. Two cases were not bounded. Informational responses are skipped by the HTTP parser without a limit: twelve orders to such an endpoint were answered after 8.3 s instead of their timeout of 3 s, and requests to other endpoints took over 0.5 s, because the process did little else. Bodies being read could take 8 MiB for each request, more than a process of 110 MB has. Responses being read count against the memory for bodies, as requests do. Tests: tests/gateway/endless.rs plays eight kinds of such bytes against plain calls, streams and beside a sound endpoint, and checks the time, the connection, the memory and that no answer claims that nothing ran. `informational` failed in two of the three tests before.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -20,7 +20,7 @@
     plain,
     record::{self, Event},
     reply::{self, Body},
-    state::State,
+    state::{Reservation, State},
     stream,
 };
 
@@ -214,15 +214,8 @@
 
 /// A caller's body, which counts against the memory for bodies until it is dropped.
 struct BufferedBody {
-    state: Arc<State>,
     bytes: Bytes,
-    reserved_bytes: usize,
-}
-
-impl Drop for BufferedBody {
-    fn drop(&mut self) {
-        self.state.release_memory(self.reserved_bytes);
-    }
+    _reservation: Reservation,
 }
 
 async fn read_body(
@@ -231,11 +224,7 @@
     mut body: Incoming,
 ) -> Result<BufferedBody, (StatusCode, &'static str)> {
     let limits = site.limits();
-    let mut buffered = BufferedBody {
-        state: Arc::clone(state),
-        bytes: Bytes::new(),
-        reserved_bytes: 0,
-    };
+    let mut reservation = Reservation::new(state);
     let declared_bytes = hyper::body::Body::size_hint(&body).lower();
     if declared_bytes > limits.body_bytes as u64 {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
@@ -257,12 +246,13 @@
         if buffer.len() + data.len() > limits.body_bytes {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
         }
-        if !state.reserve_memory(data.len()) {
+        if !reservation.extend(data.len()) {
             return Err((StatusCode::SERVICE_UNAVAILABLE, "bodies_take_all_memory"));
         }
-        buffered.reserved_bytes += data.len();
         buffer.extend_from_slice(&data);
     }
-    buffered.bytes = buffer.freeze();
-    Ok(buffered)
+    Ok(BufferedBody {
+        bytes: buffer.freeze(),
+        _reservation: reservation,
+    })
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -64,7 +64,7 @@
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(header::HOST, host);
     }
-    let response = connection.sender.send_request(request).await?;
+    let response = connection.send(request).await?;
     let status = response.status();
     let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
     Ok((status, body.await.map_err(|_| Error::Body)?.to_bytes()))
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -24,7 +24,7 @@
     job::{self, ANSWERED, CONNECT_TIMEOUT, Job, Summary},
     record::{self, Event},
     reply::{self, Body},
-    state::time_left,
+    state::{Reservation, State, time_left},
 };
 
 /// The maximum size of a response that is buffered.
@@ -216,9 +216,7 @@
     let request = job.endpoint_request(&endpoint, None, None, None);
     let sent = replica::send(&request, CONNECT_TIMEOUT.min(time_left(job.deadline))).await;
     let collected = match sent {
-        Ok(mut reply) if !reply.is_not_run => reply
-            .body
-            .collect(MAX_RESPONSE_BYTES)
+        Ok(mut reply) if !reply.is_not_run => read_response(&job.state, &mut reply.body)
             .await
             .map(|body| (reply.head, Some(body))),
         Ok(reply) => Ok((reply.head, None)),
@@ -253,6 +251,17 @@
     (endpoint, result)
 }
 
+/// Reads a complete response. While it is read, it counts against the memory for bodies,
+/// so that endpoints that send without end do not take all of it.
+async fn read_response(
+    state: &Arc<State>,
+    body: &mut replica::Body,
+) -> Result<Bytes, replica::Error> {
+    let mut reservation = Reservation::new(state);
+    let has_room = |bytes| reservation.extend(bytes);
+    body.collect(MAX_RESPONSE_BYTES, has_room).await
+}
+
 /// Classifies a complete response. A status that tells callers that the request was not
 /// run counts as unknown here, because the endpoint did not confirm it.
 fn classify(head: response::Parts, body: Bytes, started_at: Time) -> (Outcome, Attempt, String) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,8 +40,9 @@
 /// a small site has, so that retries stay bounded without a count.
 const ASSUMED_GATEWAYS: usize = 16;
 
-/// The bodies of open requests take at most the process's memory divided by this. Usual
-/// bodies are a few kilobytes; this holds several of the largest.
+/// The bodies of open requests, and of responses that are being read, take at most the
+/// process's memory divided by this. Usual bodies are a few kilobytes; this holds several
+/// of the largest.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
 /// The state that all tasks of a gateway share.
@@ -56,7 +57,7 @@
     shards: ArcSwap<Vec<Arc<Shard>>>,
     /// The evacuated data centres, sorted.
     pub(crate) data_centres_out: ArcSwap<Vec<Arc<str>>>,
-    /// Bytes of request bodies that are held in memory.
+    /// Bytes of bodies that are held in memory.
     held_bytes: AtomicUsize,
     pub(crate) metrics: Metrics,
     /// Whether the list of endpoints has been read at least once.
@@ -288,8 +289,8 @@
         self.open_requests.load(Ordering::Relaxed)
     }
 
-    /// Reserves memory for a part of a request body. Returns whether it was available.
-    pub(crate) fn reserve_memory(&self, bytes: usize) -> bool {
+    /// Reserves memory for a part of a body. Returns whether it was available.
+    fn reserve_memory(&self, bytes: usize) -> bool {
         let limit = self.settings.load().memory_bytes / BODY_MEMORY_DIVISOR;
         let held = self.held_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
         let fits = u64::try_from(held).is_ok_and(|held| held <= limit);
@@ -300,7 +301,7 @@
     }
 
     /// Returns memory that was reserved with [`State::reserve_memory`].
-    pub(crate) fn release_memory(&self, bytes: usize) {
+    fn release_memory(&self, bytes: usize) {
         self.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
     }
 
@@ -317,6 +318,38 @@
     settings.min_retries * RETRY_SHARE / gateways.max(1) as f64
 }
 
+/// Memory for a body that is being read. Dropping it releases the memory.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    state: Arc<State>,
+    bytes: usize,
+}
+
+impl Reservation {
+    /// Returns an empty reservation.
+    pub(crate) fn new(state: &Arc<State>) -> Reservation {
+        Reservation {
+            state: Arc::clone(state),
+            bytes: 0,
+        }
+    }
+
+    /// Reserves memory for another part of the body. Returns whether it was available.
+    pub(crate) fn extend(&mut self, bytes: usize) -> bool {
+        let is_reserved = self.state.reserve_memory(bytes);
+        if is_reserved {
+            self.bytes += bytes;
+        }
+        is_reserved
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.state.release_memory(self.bytes);
+    }
+}
+
 /// Counts one open request; dropping it ends the count.
 #[derive(Debug)]
 pub(crate) struct OpenRequest(Arc<State>);
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -302,7 +302,7 @@
         }
         let body = timeout(
             time_left(self.job.deadline),
-            reply.body.collect(MAX_FAILURE_BYTES),
+            reply.body.collect(MAX_FAILURE_BYTES, |_| true),
         )
         .await;
         match body {
--- /dev/null
+++ b/tests/gateway/endless.rs
@@ -0,0 +1,187 @@
+//! Endpoints that send bytes without end, which are no answer, until the gateway closes.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use http::StatusCode;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+
+use crate::site::{ENGINES, ORDERS, Site};
+
+/// The timeout of all routes, and a margin.
+const LIMIT: Duration = Duration::from_millis(3_700);
+
+/// The memory that the gateway may take, in bytes; its settings allow 110 MB.
+const MEMORY_BYTES: u64 = 96 << 20;
+
+/// An endpoint that answers each request with a prefix and then a chunk without end.
+struct Endless {
+    address: SocketAddr,
+    /// The connections on which it sends.
+    open: Arc<AtomicUsize>,
+}
+
+impl Endless {
+    async fn start(prefix: &'static str, chunk: &'static str) -> Endless {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("the port has an address");
+        let open = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&open);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let count = Arc::clone(&count);
+                tokio::spawn(async move {
+                    count.fetch_add(1, Ordering::Relaxed);
+                    // An error means that the gateway has closed the connection.
+                    let _ = send_endless(stream, prefix, chunk).await;
+                    count.fetch_sub(1, Ordering::Relaxed);
+                });
+            }
+        });
+        Endless { address, open }
+    }
+
+    /// Adds the endpoint to the list of a service.
+    fn list(&self, site: &Site, service: &str) {
+        let entry = json!({"service": service, "address": self.address.to_string(),
+            "zone": "north", "version": "v1", "batchSlots": 8, "phase": "available",
+            "coldRemainingMs": 0, "sequence": 1, "born": 1000});
+        site.store.put("servers", "x-endless", entry);
+    }
+
+    /// Waits until the gateway has closed all connections.
+    async fn wait_closed(&self) -> bool {
+        let closed = async {
+            while self.open.load(Ordering::Relaxed) > 0 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(Duration::from_secs(2), closed).await.is_ok()
+    }
+}
+
+async fn send_endless(mut stream: TcpStream, prefix: &str, chunk: &str) -> std::io::Result<()> {
+    let mut request = [0; 4_096];
+    if stream.read(&mut request).await? == 0 {
+        return Ok(());
+    }
+    stream.write_all(prefix.as_bytes()).await?;
+    let many = chunk.repeat(4_096 / chunk.len() + 1);
+    loop {
+        stream.write_all(many.as_bytes()).await?;
+    }
+}
+
+/// What the endpoint sends: a name, a prefix and what is repeated.
+const CASES: [(&str, &str, &str); 8] = [
+    ("bytes", "", "\0"),
+    ("status line", "HTTP/1.1 2", "0"),
+    ("header", "HTTP/1.1 200 OK\r\nx-a: ", "a"),
+    ("headers", "HTTP/1.1 200 OK\r\n", "x-a: b\r\n"),
+    ("informational", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+    (
+        "length",
+        "HTTP/1.1 200 OK\r\nx-cactusroad-replica-signature: signed\r\ncontent-length: 1000000000000\r\n\r\n",
+        "body",
+    ),
+    (
+        "chunks",
+        "HTTP/1.1 200 OK\r\nx-cactusroad-replica-signature: signed\r\ntransfer-encoding: chunked\r\n\r\n",
+        "4\r\nbody\r\n",
+    ),
+    (
+        "until the end",
+        "HTTP/1.1 200 OK\r\nx-cactusroad-replica-signature: signed\r\n\r\n",
+        "body",
+    ),
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_plain() {
+    for (name, prefix, chunk) in CASES {
+        let site = Site::start(0, 0).await;
+        let endless = Endless::start(prefix, chunk).await;
+        endless.list(&site, ORDERS);
+        sleep(Duration::from_millis(600)).await;
+        let started_at = Instant::now();
+        let sends = (0..12).map(|number| {
+            let sender = site.sender();
+            tokio::spawn(async move { sender.send("/orders/1", &format!("o{number}")).await })
+        });
+        for send in sends.collect::<Vec<_>>() {
+            let answer = send.await.expect("the caller is not cancelled");
+            let status = answer.expect("the gateway answers").status;
+            // The request was sent, so the answer must not say that it has not run.
+            let allowed = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
+            assert!(allowed.contains(&status), "{name}: {status}");
+        }
+        assert!(
+            started_at.elapsed() < LIMIT,
+            "{name}: {:?}",
+            started_at.elapsed()
+        );
+        assert!(endless.wait_closed().await, "{name}");
+        let resident = site.gateway.resident_bytes();
+        assert!(resident < MEMORY_BYTES, "{name}: {resident} bytes");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_stream() {
+    for (name, prefix, chunk) in CASES {
+        let site = Site::start(0, 0).await;
+        let endless = Endless::start(prefix, chunk).await;
+        endless.list(&site, ENGINES);
+        sleep(Duration::from_millis(600)).await;
+        let started_at = Instant::now();
+        let answer = site.send("/drafts/1", "s1").await;
+        let answer = answer.expect("the gateway answers");
+        let is_whole = answer.status.is_success() && answer.is_complete;
+        assert!(!is_whole, "{name}: {}", answer.status);
+        assert!(
+            started_at.elapsed() < LIMIT,
+            "{name}: {:?}",
+            started_at.elapsed()
+        );
+        assert!(endless.wait_closed().await, "{name}");
+        let resident = site.gateway.resident_bytes();
+        assert!(resident < MEMORY_BYTES, "{name}: {resident} bytes");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_beside_others() {
+    // Requests to a sound endpoint are served while another one sends without end.
+    for (name, prefix, chunk) in CASES {
+        let site = Site::start(0, 1).await;
+        let endless = Endless::start(prefix, chunk).await;
+        endless.list(&site, ENGINES);
+        sleep(Duration::from_millis(600)).await;
+        let stuck = site.sender();
+        let stuck = tokio::spawn(async move { stuck.send("/drafts/1", "s1").await });
+        for number in 0..20 {
+            let sent_at = Instant::now();
+            let answer = site.send("/orders/1", &format!("o{number}")).await;
+            assert_eq!(
+                answer.expect("the gateway answers").status,
+                StatusCode::OK,
+                "{name}"
+            );
+            assert!(sent_at.elapsed() < Duration::from_millis(500), "{name}");
+        }
+        assert!(stuck.await.is_ok());
+    }
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -109,6 +109,14 @@
         kill_process(pid, signal).expect("the gateway runs");
     }
 
+    /// Returns the memory of the process, in bytes.
+    pub(crate) fn resident_bytes(&self) -> u64 {
+        let pid = self.process.child.id().try_into().expect("a pid is small");
+        let process = procfs::process::Process::new(pid).expect("the gateway runs");
+        let pages = process.statm().expect("its memory can be read").resident;
+        pages * procfs::page_size()
+    }
+
     /// Waits until the process has exited. Returns false after `limit`.
     pub(crate) async fn wait_exit(&mut self, limit: Duration) -> bool {
         let deadline = Instant::now() + limit;
