Let one kind probe the store during an outage

Change: the configuration probes the store (0.8 s at most between calls, 0.4 s where keys are refused meanwhile); the other kinds back off to 2 s and are read at once when the configuration can be read again.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -72,6 +72,8 @@
     pub(crate) is_config_unreachable: AtomicBool,
     /// The newest proof that the configuration is current.
     freshness: watch::Sender<Freshness>,
+    /// Counts the outages of the store that have ended, as seen by the configuration.
+    pub(crate) recoveries: watch::Sender<u64>,
     /// The deadline of the shutdown, set once when the process is asked to stop.
     pub(crate) stopping: watch::Sender<Option<Time>>,
     /// The number of requests that have not been answered completely.
@@ -120,6 +122,7 @@
             is_store_unreachable: AtomicBool::new(false),
             is_config_unreachable: AtomicBool::new(false),
             freshness: watch::Sender::new(freshness),
+            recoveries: watch::Sender::new(0),
             stopping: watch::Sender::new(None),
             open_requests: AtomicUsize::new(0),
             gateways: AtomicUsize::new(ASSUMED_GATEWAYS),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -28,7 +28,7 @@
     site,
     store::{self, Client, Error, Kind, Object},
 };
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 
 use crate::{
     clock,
@@ -76,9 +76,16 @@
 /// this and doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 
-/// The maximum backoff, well below the time within which a change must be in force after
-/// the store has recovered.
-const MAX_BACKOFF: Duration = Duration::from_millis(400);
+/// The maximum backoff of the configuration, well below the time within which a change
+/// must be in force after the store has recovered.
+const MAX_CONFIG_BACKOFF: Duration = Duration::from_millis(800);
+
+/// The maximum backoff of the configuration where requests are refused meanwhile.
+const MAX_STRICT_BACKOFF: Duration = Duration::from_millis(400);
+
+/// The maximum backoff of the other kinds. They are read at once when the configuration
+/// can be read again.
+const MAX_BACKOFF: Duration = Duration::from_millis(2_000);
 
 /// How long endpoints that are missing from the list are kept after the store has
 /// recovered. Their entries may have expired during the outage; those that are alive are
@@ -106,6 +113,10 @@
     fn spacing(&self, _state: &State) -> Duration {
         Duration::ZERO
     }
+    /// Returns the maximum backoff after failed calls.
+    fn max_backoff(_settings: &Settings) -> Duration {
+        MAX_BACKOFF
+    }
     /// Applies a whole list that was read at revision `at`.
     fn replace(&mut self, state: &State, objects: &[Object], at: u64);
     /// Applies one change.
@@ -142,12 +153,16 @@
     /// The newest revision that was applied.
     known: u64,
     outage: Outage,
+    /// Changes when the configuration can be read again after an outage.
+    recoveries: watch::Receiver<u64>,
 }
 
 async fn follow<F: Follower>(state: Arc<State>, follower: F) {
     let store_address = state.settings.load().store;
+    let recoveries = state.recoveries.subscribe();
     let mut task = Task {
         state,
+        recoveries,
         follower,
         store: Client::new(store_address, CALL_TIMEOUT),
         store_address,
@@ -163,11 +178,25 @@
             Source::Relay(relay) => task.ask_relay(&relay).await,
             Source::Store => task.ask_store().await,
         };
-        sleep(delay).await;
+        task.pause(delay).await;
     }
 }
 
 impl<F: Follower> Task<F> {
+    /// Waits until the next call is due. During an outage, that is also the case when
+    /// another kind can be read again.
+    async fn pause(&mut self, delay: Duration) {
+        if self.outage.since.is_none() {
+            return sleep(delay).await;
+        }
+        self.recoveries.mark_unchanged();
+        tokio::select! {
+            () = sleep(delay) => {}
+            // The sender lives as long as the state.
+            _ = self.recoveries.changed() => {}
+        }
+    }
+
     /// Lists or watches the store once. Returns the delay until the next call.
     async fn ask_store(&mut self) -> Duration {
         self.record_source(&Arc::from(""), "");
@@ -195,7 +224,8 @@
                 if self.outage.failures == F::OUTAGE_FAILURES {
                     self.follower.on_outage(&self.state);
                 }
-                self.outage.backoff()
+                let settings = self.state.settings.load();
+                self.outage.backoff(F::max_backoff(&settings))
             }
         }
     }
@@ -346,9 +376,9 @@
 
     /// Returns the delay until the next attempt, with jitter so that gateways do not
     /// retry at the same time.
-    fn backoff(&self) -> Duration {
+    fn backoff(&self, max: Duration) -> Duration {
         let pause = MIN_BACKOFF * 2u32.pow(self.failures.min(6));
-        pause.min(MAX_BACKOFF).mul_f64(rand::random_range(0.5..1.0))
+        pause.min(max).mul_f64(rand::random_range(0.5..1.0))
     }
 }
 
@@ -426,6 +456,14 @@
 
     fn on_recovery(&mut self, state: &State) {
         state.is_config_unreachable.store(false, Ordering::Relaxed);
+        state.recoveries.send_modify(|count| *count += 1);
+    }
+
+    fn max_backoff(settings: &Settings) -> Duration {
+        match settings.revocation {
+            Some(_) => MAX_STRICT_BACKOFF,
+            None => MAX_CONFIG_BACKOFF,
+        }
     }
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
