--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -154,7 +154,7 @@
         let previous = self.freshness();
         self.freshness
             .send_modify(|freshness| freshness.record(answer));
-        if self.site.load().is_some() && !previous.permits(clock::now()) {
+        if previous.as_of() > Time::ZERO && !previous.permits(clock::now()) {
             record::write(&Event::ConfigConfirmed {
                 unconfirmed_ms: clock::millis_since(previous.as_of()),
             });
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -4,6 +4,7 @@
     io::Write,
     net::{Ipv4Addr, SocketAddr, TcpListener as StdListener},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -579,11 +580,25 @@
     operator::config(version, ENGINES, ORDERS, KEY)
 }
 
-/// Returns an address whose port was free when it was checked; another process may take
-/// it before it is used.
+/// The first port for processes of the tests, and their number: below the ports that the
+/// system assigns to others.
+const FIRST_PORT: u32 = 20_000;
+const PORTS: u32 = 12_000;
+
+/// Returns an address whose port is free and is returned only once. Test processes that
+/// run at the same time begin at different ports.
 fn free_port() -> SocketAddr {
-    let listener = StdListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the port has an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id()
+            .wrapping_mul(509)
+            .wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + number % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port.try_into().expect("a port")));
+        if StdListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn launch_gateway(
