Log how long an endpoint that is gone stays in use

The line of an endpoint that is gone did not say whether requests stop at once or go on for the grace that follows an outage of the store, so the two hypotheses could only be told apart by matching placements by hand. The field kept_ms says it.

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -213,6 +213,17 @@
         was_listed.then_some(Change::Gone)
     }
 
+    /// Returns how long an endpoint that is not listed may still receive work, in
+    /// milliseconds.
+    pub fn kept_ms(&self, id: &str, now: Time) -> u64 {
+        let expires_at = self
+            .index(id)
+            .ok()
+            .and_then(|index| self.members[index].expires_at);
+        let kept = expires_at.map_or(Duration::ZERO, |at| at.since(now));
+        u64::try_from(kept.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Removes the unlisted members that have expired and run no request of this process.
     pub fn remove_expired(&mut self, now: Time) {
         let is_expired = |member: &Member| {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -66,6 +66,8 @@
         service: &'a str,
         change: &'a str,
         source: &'a str,
+        /// How long an endpoint that is gone still receives requests, in milliseconds.
+        kept_ms: u64,
     },
     /// The engine beside this sidecar has announced that it is leaving.
     EngineLeaving { running: u32, used_tokens: u64 },
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -474,6 +474,7 @@
             service: &self.service,
             change: change.into(),
             source,
+            kept_ms: self.pool().kept_ms(id, clock::now()),
         });
         if change == Change::Gone {
             self.take_idle_probe(id);
