Keep missing endpoints only after outages in which entries expire

Cause: any failed call, such as a watch that was cut off, counted as an outage of the store, and endpoints whose removal the next answer showed were kept for 2 s after it. That grace is meant for entries that expire in a long outage, and it is as long as drainMs on the sites where that is 2 s. Class: a tolerance for one situation that is granted in all, with a length not derived from its bound. Change: core::pool::Grace grants it only if two heartbeats passed between two answers, the shortest time in which an entry of a live endpoint can expire, and for at most 0.85 of drainMs.

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -44,12 +44,14 @@
 mod choose;
 mod config;
 mod failover;
+mod grace;
 mod member;
 
 pub use budget::{Budget, Repeat};
 pub use choose::{Criteria, Purpose, Refusal};
 pub use config::{Config, Error};
 pub use failover::{Decision, Loss, Run};
+pub use grace::Grace;
 pub use member::{Outcome, Report, View};
 
 use member::Member;
@@ -199,8 +201,8 @@
         self.member(id)?.end(now)
     }
 
-    /// Records that an endpoint is no longer listed. It may receive work until `until`,
-    /// because the list may have lost the entries of live endpoints while it was unavailable.
+    /// Records that an endpoint is no longer listed. It may receive work until `until`; see
+    /// [`Grace`].
     pub fn mark_unlisted(&mut self, id: &str, until: Time) -> Option<Change> {
         let index = self.index(id).ok()?;
         let member = &mut self.members[index];
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -19,7 +19,7 @@
 use cactusroad_core::{
     Time,
     freshness::Answer,
-    pool::Change,
+    pool::{Change, Grace},
     relay::{Limits, Member, Source},
 };
 use cactusroad_platform::{
@@ -87,11 +87,6 @@
 /// can be read again.
 const MAX_BACKOFF: Duration = Duration::from_millis(2_000);
 
-/// How long endpoints that are missing from the list are kept after the store has
-/// recovered. Their entries may have expired during the outage; those that are alive are
-/// listed again within this time.
-const RECOVERY_GRACE: Duration = Duration::from_millis(2_000);
-
 /// Applies the state of one kind of object in the store.
 trait Follower {
     const KIND: Kind;
@@ -133,7 +128,7 @@
     tokio::spawn(follow(
         Arc::clone(state),
         Endpoints {
-            recovered_at: Time::ZERO,
+            grace: Grace::default(),
         },
     ));
     tokio::spawn(follow(Arc::clone(state), Evacuations { names: Vec::new() }));
@@ -484,8 +479,7 @@
 
 /// Follows the endpoints.
 struct Endpoints {
-    /// When the store last recovered from an outage.
-    recovered_at: Time,
+    grace: Grace,
 }
 
 impl Endpoints {
@@ -518,20 +512,19 @@
 
     /// Marks an endpoint as missing from the list, in all services.
     fn mark_unlisted(&self, state: &State, name: &str) {
-        // The first changes after an outage are applied before `on_recovery` is called.
-        let is_unreachable = state.is_store_unreachable.load(Ordering::Relaxed);
-        let recovered_at = if is_unreachable {
-            clock::now()
-        } else {
-            self.recovered_at
-        };
-        let until = clock::now().max(recovered_at + RECOVERY_GRACE);
+        let until = self.grace.until(clock::now());
         for shard in state.shards().iter() {
             let change = shard.pool().mark_unlisted(name, until);
             shard.record_change(name, change, "list");
         }
     }
 
+    fn record_answer(&mut self, state: &State) {
+        let settings = state.settings.load();
+        self.grace
+            .record_answer(settings.heartbeat, settings.drain, clock::now());
+    }
+
     fn remove_expired(state: &State) {
         let mut listed = 0;
         for shard in state.shards().iter() {
@@ -578,6 +571,7 @@
     }
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+        self.record_answer(state);
         for shard in state.shards().iter() {
             let ids: Vec<Arc<str>> = shard
                 .pool()
@@ -601,6 +595,7 @@
     }
 
     fn apply(&mut self, state: &State, change: &store::Event) {
+        self.record_answer(state);
         let name = &change.object.meta.name;
         let is_readable = !change.deleted && Endpoints::upsert(state, &change.object).is_some();
         if !is_readable {
@@ -609,13 +604,17 @@
         Endpoints::remove_expired(state);
     }
 
+    fn on_answer(&mut self, state: &State, _answer: &Answer) {
+        // An answer without changes ends an interruption as well.
+        self.record_answer(state);
+    }
+
     fn on_outage(&mut self, state: &State) {
         state.is_store_unreachable.store(true, Ordering::Relaxed);
     }
 
     fn on_recovery(&mut self, state: &State) {
         state.is_store_unreachable.store(false, Ordering::Relaxed);
-        self.recovered_at = clock::now();
     }
 }
 
