--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use cactusroad::platform::standin::{
-    replica::{Behaviour, Replica},
-    store::Behaviour as StoreBehaviour,
+use cactusroad::platform::{
+    standin::{
+        replica::{Behaviour, Replica},
+        store::{Behaviour as StoreBehaviour, Store},
+    },
+    store::{Client, Kind},
 };
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -101,3 +104,24 @@
     let again = sent_until(&site, 0, Instant::now() + Duration::from_secs(2)).await;
     assert!(again > 0);
 }
+
+/// Guards against changes that are never seen because they were made between two pages of
+/// a list.
+#[tokio::test]
+async fn list_changed_between_pages() {
+    let store = Store::start().await.expect("a port is free");
+    for name in ["o-0", "o-1"] {
+        store.put("servers", name, serde_json::json!({}));
+    }
+    store.set_page_size(1);
+    let mut client = Client::new(store.address(), Duration::from_secs(1));
+    let listing = client.list(Kind::Servers).await.expect("the store answers");
+    assert_eq!(listing.objects.len(), 2);
+    let changes = client.watch(Kind::Servers, listing.at, Duration::ZERO);
+    let changes = changes.await.expect("the store answers");
+    let changed = |name: &str| {
+        let mut events = changes.events.iter();
+        events.any(|event| &*event.object.meta.name == name)
+    };
+    assert!(changed("o-0") && changed("o-1"));
+}
