Stop using endpoints that say in an answer that they leave

Cause: replicas say in the header of each answer that they leave, and no code read it; the list and the field of load reports were the only sources. Class: a sign that is sent with each answer and ignored.

--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -151,13 +151,10 @@
             self.held_tokens = held_tokens;
             return Some(Change::Restarted);
         }
-        let is_leaving = endpoint.draining && self.leaving_since.is_none();
+        let is_leaving = endpoint.draining;
         self.endpoint = endpoint;
-        if is_leaving {
-            self.leaving_since = Some(now);
-            return Some(Change::Leaving);
-        }
-        was_unlisted.then_some(Change::Joined)
+        let change = is_leaving.then(|| self.record_leaving(now)).flatten();
+        change.or(was_unlisted.then_some(Change::Joined))
     }
 
     /// Records that this incarnation has ended. It stays out of use until the list names
@@ -174,15 +171,22 @@
             // The report is of another incarnation at the same address.
             return self.end(now);
         }
-        let starts_leaving = report.is_leaving && self.leaving_since.is_none();
-        if starts_leaving {
-            self.leaving_since = Some(now);
-        }
+        let change = report
+            .is_leaving
+            .then(|| self.record_leaving(now))
+            .flatten();
         if report.leaves_at.is_some() {
             self.leaves_at = report.leaves_at;
         }
         self.report = Some((report, now));
-        starts_leaving.then_some(Change::Leaving)
+        change
+    }
+
+    /// Records that the endpoint is leaving, and returns the change if that is new.
+    pub(super) fn record_leaving(&mut self, now: Time) -> Option<Change> {
+        let is_new = self.leaving_since.is_none();
+        self.leaving_since.get_or_insert(now);
+        is_new.then_some(Change::Leaving)
     }
 
     pub(super) fn record_start(&mut self, work: Work, now: Time) {
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -251,6 +251,11 @@
         self.member(id)?.record_report(report, now)
     }
 
+    /// Records that an endpoint said that it is leaving.
+    pub fn record_leaving(&mut self, id: &str, now: Time) -> Option<Change> {
+        self.member(id)?.record_leaving(now)
+    }
+
     /// Records that an endpoint did not answer a load query; requests avoid it for a while.
     pub fn record_unreachable(&mut self, id: &str, now: Time) {
         let config = self.config.clone();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -215,6 +215,9 @@
     let started_at = in_flight.started_at;
     let request = job.endpoint_request(&endpoint, None, None, None);
     let sent = replica::send(&request, CONNECT_TIMEOUT.min(time_left(job.deadline))).await;
+    if let Ok(reply) = &sent {
+        in_flight.record_head(reply);
+    }
     let collected = match sent {
         Ok(mut reply) if !reply.is_not_run => read_response(&job.state, &mut reply.body)
             .await
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,7 @@
     relay::Plan,
     site::Site,
 };
-use cactusroad_platform::settings::Settings;
+use cactusroad_platform::{replica::Reply, settings::Settings};
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
@@ -484,6 +484,12 @@
         }
     }
 
+    /// Records that an endpoint said in an answer that it is leaving.
+    fn record_leaving(&self, id: &str) {
+        let change = self.pool().record_leaving(id, clock::now());
+        self.record_change(id, change, "answer");
+    }
+
     /// Counts a request at an endpoint until the returned guard is ended or dropped.
     pub(crate) fn start(self: &Arc<Shard>, endpoint: &Arc<Endpoint>, work: Work) -> InFlight {
         let now = clock::now();
@@ -532,6 +538,13 @@
         }
     }
 
+    /// Records what the head of an answer says about the endpoint.
+    pub(crate) fn record_head(&self, reply: &Reply) {
+        if reply.is_leaving {
+            self.shard.record_leaving(&self.endpoint.id);
+        }
+    }
+
     /// Records how the request ended.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.finish(outcome);
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -175,6 +175,9 @@
             .endpoint_request(&endpoint, backup, source, self.last_event);
         let sending = replica::send(&request, CONNECT_TIMEOUT.min(time_left(self.job.deadline)));
         let sent = timeout(time_left(self.job.deadline), sending).await;
+        if let Ok(Ok(reply)) = &sent {
+            in_flight.record_head(reply);
+        }
         let (outcome, opened, cause) = match sent {
             Ok(Ok(reply)) if !reply.is_not_run => {
                 self.reply = Some(reply);
