Remember that an incarnation leaves when its entry comes back

Callers would have been sent to a replica that had said that it leaves: once its entry had expired in an outage the gateway forgot it, and an entry that came back, or one without a start time, counted as a new endpoint. Cause: what a replica said about itself was kept in the member that is dropped with the entry. Change: removed endpoints are remembered with their start time and that they were leaving; an unknown start time is no restart. Before: departure::leaving_listed_again and leaving_entry_without_start_time fail (Joined and Restarted, the endpoint is used again); after: they pass.

--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -83,6 +83,11 @@
     pub failure_share: f64,
 }
 
+/// Returns whether two start times, zero if unknown, are of different incarnations.
+pub(super) fn is_other_incarnation(known_ms: u64, born_ms: u64) -> bool {
+    known_ms > 0 && born_ms > 0 && known_ms != born_ms
+}
+
 /// One endpoint and the requests that this process has sent to it.
 #[derive(Debug)]
 pub(super) struct Member {
@@ -140,9 +145,14 @@
     }
 
     /// Applies a new list entry of the endpoint, and returns what changed.
-    pub(super) fn update(&mut self, endpoint: Arc<Endpoint>, now: Time) -> Option<Change> {
+    pub(super) fn update(&mut self, mut endpoint: Arc<Endpoint>, now: Time) -> Option<Change> {
+        if endpoint.born_ms == 0 && self.endpoint.born_ms > 0 {
+            // A restart must still be recognized by the next entry that has a start time.
+            Arc::make_mut(&mut endpoint).born_ms = self.endpoint.born_ms;
+        }
         let was_unlisted = self.expires_at.take().is_some();
-        if endpoint.born_ms != self.endpoint.born_ms || endpoint.address != self.endpoint.address {
+        let has_restarted = is_other_incarnation(self.endpoint.born_ms, endpoint.born_ms);
+        if has_restarted || endpoint.address != self.endpoint.address {
             let running = self.running;
             let held_tokens = self.held_tokens;
             *self = Member::new(endpoint);
@@ -166,8 +176,7 @@
     }
 
     pub(super) fn record_report(&mut self, report: Report, now: Time) -> Option<Change> {
-        let is_known = report.born_ms > 0 && self.endpoint.born_ms > 0;
-        if is_known && report.born_ms != self.endpoint.born_ms {
+        if is_other_incarnation(self.endpoint.born_ms, report.born_ms) {
             // The report is of another incarnation at the same address.
             return self.end(now);
         }
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -59,8 +59,8 @@
 /// The weight of a new request in the moving average of the prompt length.
 const PROMPT_WEIGHT: f64 = 0.05;
 
-/// How long the id of a removed endpoint is kept, so that a late announcement does not add
-/// the endpoint again: twice as long as the seed gateways keep an announcement.
+/// How long a removed endpoint is remembered, so that a late announcement or entry does not
+/// bring it back: twice as long as the seed gateways keep an announcement.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 
 /// One endpoint, as described by the platform's list.
@@ -129,8 +129,19 @@
     is_engine: bool,
     /// The moving average of the prompt length, in tokens.
     mean_prompt: f64,
-    /// The ids of removed endpoints, each with the time until which it is kept.
-    removed: Vec<(Arc<str>, Time)>,
+    /// Endpoints that were removed a short time ago.
+    removed: Vec<Removed>,
+}
+
+/// An endpoint that was removed.
+#[derive(Debug)]
+struct Removed {
+    id: Arc<str>,
+    born_ms: u64,
+    /// Whether it had said that it is leaving.
+    was_leaving: bool,
+    /// When this record is dropped.
+    until: Time,
 }
 
 impl Pool {
@@ -162,8 +173,17 @@
     pub fn upsert(&mut self, endpoint: Arc<Endpoint>, now: Time) -> Option<Change> {
         match self.index(&endpoint.id) {
             Err(index) => {
-                self.members.insert(index, Member::new(endpoint));
-                Some(Change::Joined)
+                let mut member = Member::new(endpoint);
+                let is_leaving = self.is_known_to_leave(&member.endpoint);
+                if is_leaving {
+                    member.leaving_since = Some(Time::ZERO);
+                }
+                self.members.insert(index, member);
+                Some(if is_leaving {
+                    Change::Leaving
+                } else {
+                    Change::Joined
+                })
             }
             Ok(index) => self.members[index].update(endpoint, now),
         }
@@ -234,16 +254,32 @@
         };
         let expired = self.members.iter().filter(|member| is_expired(member));
         let kept_until = now + REMOVED_RETENTION;
-        let removed = expired.map(|member| (Arc::clone(&member.endpoint.id), kept_until));
+        let removed = expired.map(|member| Removed {
+            id: Arc::clone(&member.endpoint.id),
+            born_ms: member.endpoint.born_ms,
+            was_leaving: member.leaving_since.is_some(),
+            until: kept_until,
+        });
         self.removed.extend(removed);
-        self.removed.retain(|(_, until)| !until.is_past(now));
+        self.removed.retain(|removed| !removed.until.is_past(now));
         self.members.retain(|member| !is_expired(member));
     }
 
     /// Returns whether an endpoint was removed within the last minute. An announcement
     /// that an engine made before it left must not add it again.
     pub fn was_removed(&self, id: &str) -> bool {
-        self.removed.iter().any(|(removed, _)| **removed == *id)
+        self.removed.iter().any(|removed| *removed.id == *id)
+    }
+
+    /// Returns whether this incarnation of an endpoint said that it is leaving before it
+    /// was removed. Its entry may be listed again, because an outage had removed it.
+    fn is_known_to_leave(&self, endpoint: &Endpoint) -> bool {
+        let is_same = |removed: &&Removed| {
+            removed.id == endpoint.id
+                && !member::is_other_incarnation(removed.born_ms, endpoint.born_ms)
+        };
+        let last = self.removed.iter().rev().find(is_same);
+        last.is_some_and(|removed| removed.was_leaving)
     }
 
     /// Records an engine's load report.
--- a/crates/core/tests/departure.rs
+++ b/crates/core/tests/departure.rs
@@ -1,8 +1,11 @@
 //! Tests of endpoints that leave or are missing from the list.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use cactusroad_core::{Time, pool::Grace};
+use cactusroad_core::{
+    Time,
+    pool::{Change, Config, Criteria, Endpoint, Grace, Pool, Work},
+};
 
 const START: Time = Time::from_millis(1_000_000);
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -45,3 +48,65 @@
     grace.record_answer(HEARTBEAT, DRAIN, START);
     assert_eq!(grace.until(START), START);
 }
+
+fn endpoint(born_ms: u64) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        id: "e-1".into(),
+        address: ([10, 0, 0, 1], 1_000).into(),
+        service: "orders".into(),
+        data_centre: "dc-0".into(),
+        version: "v1".into(),
+        slots: 6,
+        born_ms,
+        draining: false,
+        cold_until: Time::ZERO,
+    })
+}
+
+fn accepts_work(pool: &Pool, now: Time) -> bool {
+    let criteria = Criteria {
+        work: Work::default(),
+        data_centre: "dc-0",
+        tried: &[],
+        candidates: &[],
+    };
+    pool.choose(&criteria, 1, now).is_ok()
+}
+
+/// Returns a pool whose only endpoint, born at `born_ms`, has said that it is leaving.
+fn leaving_pool(born_ms: u64) -> Pool {
+    let mut pool = Pool::new(Config::default());
+    assert_eq!(pool.upsert(endpoint(born_ms), START), Some(Change::Joined));
+    assert_eq!(pool.record_leaving("e-1", START), Some(Change::Leaving));
+    assert_eq!(pool.record_leaving("e-1", START), None);
+    pool
+}
+
+/// Guards against an endpoint that is used again because its entry is listed once more
+/// after an outage in which it had expired.
+#[test]
+fn leaving_listed_again() {
+    let mut pool = leaving_pool(5);
+    pool.mark_unlisted("e-1", after(100));
+    pool.remove_expired(after(200));
+    assert!(pool.get("e-1").is_none());
+    assert_eq!(pool.upsert(endpoint(5), after(300)), Some(Change::Leaving));
+    assert!(!accepts_work(&pool, after(300)));
+    // The incarnation that follows it is another endpoint.
+    assert_eq!(
+        pool.upsert(endpoint(6), after(400)),
+        Some(Change::Restarted)
+    );
+    assert!(accepts_work(&pool, after(400)));
+}
+
+/// Guards against an entry without a start time that counts as a restart.
+#[test]
+fn leaving_entry_without_start_time() {
+    let mut pool = leaving_pool(5);
+    assert_eq!(pool.upsert(endpoint(0), after(100)), None);
+    assert!(!accepts_work(&pool, after(100)));
+    let change = pool.upsert(endpoint(6), after(200));
+    assert_eq!(change, Some(Change::Restarted));
+    assert!(accepts_work(&pool, after(200)));
+}
