Send nothing to an endpoint during the delay that it asked for

Cause: the header was not read. If all endpoints in use have asked for a pause, callers are refused at once and told when the first wants requests again. The log has endpoint_paused. Before: drain::rejected_with_delay fails with 107 requests; after: 0, and the endpoint is used again afterwards.

--- a/crates/core/src/pool/failover.rs
+++ b/crates/core/src/pool/failover.rs
@@ -107,6 +107,10 @@
         let is_staying = member
             .leaving_since
             .is_none_or(|since| now.since(since) < grace);
-        is_listed && is_staying && !self.is_data_centre_out(&member.endpoint.data_centre)
+        let is_paused = !member.paused_until.is_past(now);
+        is_listed
+            && is_staying
+            && !is_paused
+            && !self.is_data_centre_out(&member.endpoint.data_centre)
     }
 }
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -119,6 +119,8 @@
     /// How often the endpoint has been avoided since its last answer.
     backoff_exponent: u32,
     pub(super) avoided_until: Time,
+    /// Until when the endpoint wants no requests.
+    pub(super) paused_until: Time,
 }
 
 impl Member {
@@ -141,6 +143,7 @@
             decayed_at: Time::ZERO,
             backoff_exponent: 0,
             avoided_until: Time::ZERO,
+            paused_until: Time::ZERO,
         }
     }
 
@@ -331,9 +334,13 @@
         self.latency_ms
     }
 
-    /// Returns whether the endpoint may receive work: it is not leaving, and it is listed
-    /// or has not expired yet.
+    /// Returns whether the endpoint may receive work now.
     pub(super) fn accepts_work(&self, now: Time) -> bool {
+        self.is_in_use(now) && self.paused_until.is_past(now)
+    }
+
+    /// Returns whether the endpoint is not leaving, and is listed or has not expired yet.
+    pub(super) fn is_in_use(&self, now: Time) -> bool {
         !self.endpoint.draining
             && self.leaving_since.is_none()
             && self.expires_at.is_none_or(|at| !at.is_past(now))
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -292,6 +292,23 @@
         self.member(id)?.record_leaving(now)
     }
 
+    /// Records that an endpoint has rejected a request and wants no other before `until`.
+    pub fn pause(&mut self, id: &str, until: Time) {
+        if let Some(member) = self.member(id) {
+            member.paused_until = member.paused_until.max(until);
+        }
+    }
+
+    /// Returns when the first endpoint wants requests again, if all that are in use have
+    /// asked for a pause.
+    pub fn paused_until(&self, now: Time) -> Option<Time> {
+        let in_use = self.members.iter().filter(|member| {
+            member.is_in_use(now) && !self.is_data_centre_out(&member.endpoint.data_centre)
+        });
+        let first = in_use.map(|member| member.paused_until).min()?;
+        (!first.is_past(now)).then_some(first)
+    }
+
     /// Records that an endpoint did not answer a load query; requests avoid it for a while.
     pub fn record_unreachable(&mut self, id: &str, now: Time) {
         let config = self.config.clone();
--- a/crates/core/tests/departure.rs
+++ b/crates/core/tests/departure.rs
@@ -110,3 +110,19 @@
     assert_eq!(change, Some(Change::Restarted));
     assert!(accepts_work(&pool, after(200)));
 }
+
+#[test]
+fn pause_until_deadline() {
+    let mut pool = Pool::new(Config::default());
+    pool.upsert(endpoint(5), START);
+    pool.pause("e-1", after(1_000));
+    // A shorter pause that is named later does not end the first one.
+    pool.pause("e-1", after(500));
+    assert!(!accepts_work(&pool, after(999)));
+    assert_eq!(pool.paused_until(after(999)), Some(after(1_000)));
+    assert!(accepts_work(&pool, after(1_000)));
+    assert_eq!(pool.paused_until(after(1_000)), None);
+    pool.pause("e-1", after(9_000));
+    pool.upsert(endpoint(6), after(2_000));
+    assert!(accepts_work(&pool, after(2_000)));
+}
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -90,7 +90,10 @@
 
     /// Refuses the request; the response states that it was not run.
     pub(crate) fn refuse(&self, cause: &str) -> Response<Body> {
-        let retry_after = reply::retry_after();
+        let now = clock::now();
+        let paused_until = self.shard.pool().paused_until(now);
+        let retry_after =
+            reply::retry_after() + paused_until.map_or(Duration::ZERO, |at| at.since(now));
         let status = StatusCode::SERVICE_UNAVAILABLE;
         record::write(&Event::Refused {
             request: &self.request_id,
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -69,6 +69,8 @@
         /// How long an endpoint that is gone still receives requests, in milliseconds.
         kept_ms: u64,
     },
+    /// An endpoint has rejected a request and wants no other for a while.
+    EndpointPaused { endpoint: &'a str, pause_ms: u64 },
     /// The engine beside this sidecar has announced that it is leaving.
     EngineLeaving { running: u32, used_tokens: u64 },
     /// The load of the engine beside this sidecar, written once a second.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -543,6 +543,14 @@
         if reply.is_leaving {
             self.shard.record_leaving(&self.endpoint.id);
         }
+        if let Some(pause) = reply.pause {
+            let until = clock::now() + pause;
+            self.shard.pool().pause(&self.endpoint.id, until);
+            record::write(&Event::EndpointPaused {
+                endpoint: &self.endpoint.id,
+                pause_ms: u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
+            });
+        }
     }
 
     /// Records how the request ended.
