--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -116,6 +116,7 @@
         priority: priority.unwrap_or(route.priority).min(9),
         workspace: workspace.map(|workspace| Arc::clone(&workspace.name)),
         work: caller.work(),
+        parts: caller.parts,
         data_centre: Arc::clone(&state.settings.load().data_centre),
         arrived_at,
         deadline: arrived_at + request_timeout,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -40,6 +40,8 @@
     pub(crate) priority: u8,
     /// The tokens of the prompt and the expected tokens of the response.
     pub(crate) work: Work,
+    /// The parts of the prompt that other prompts may share.
+    pub(crate) parts: Vec<Arc<str>>,
     /// The data centre of this gateway.
     pub(crate) data_centre: Arc<str>,
     pub(crate) arrived_at: Time,
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -123,6 +123,8 @@
         endpoint: &'a str,
         loss: &'a str,
         last_event: u64,
+        /// The parts of the prompt that other prompts may share.
+        parts: &'a [std::sync::Arc<str>],
         cause: &'a str,
     },
     /// A run was resumed at another engine.
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -79,6 +79,7 @@
             endpoint: &self.run.endpoint.id,
             loss: loss_label,
             last_event: self.last_event.unwrap_or(0),
+            parts: &self.job.parts,
             cause,
         });
         while let Some((endpoint, source)) = self.find_successor().await {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a gateway process between a client and stand-ins of the platform.
 
 mod config;
+mod crash;
 mod drain;
 mod endless;
 mod log;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -414,6 +414,19 @@
         exchange(self.group[number].callers, request(path, id, &[])).await
     }
 
+    /// Sends a prompt with these parts through a gateway of the group, or through the first
+    /// gateway.
+    pub(crate) async fn send_parts(
+        &self,
+        gateway: Option<usize>,
+        id: &str,
+        parts: &str,
+    ) -> Option<Answer> {
+        let gateway = gateway.map_or(&self.gateway, |number| &self.group[number]);
+        let headers = [(caller::PARTS, parts)];
+        exchange(gateway.callers, request("/drafts/1", id, &headers)).await
+    }
+
     /// Sends a signal to a gateway of the group.
     pub(crate) fn signal_gateway(&self, number: usize, signal: Signal) {
         self.group[number].signal(signal);
