Refuse prompts with a part that crashes engines

Cause: nothing looked for a common cause of crashes; failover took such a run to up to eight further engines; one gateway alone sees one or two of five crashes. Class: work is repeated elsewhere without asking whether the work is the cause. Change: core::crash finds the part (three crashes, or five if it was answered before, while others are answered and none with it); gateways share what they saw through the store; a run that lost its engine before its second event is resumed once. One object and one long watch per gateway; relays serve the others.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,7 +33,7 @@
 //! * Gateway that talks to endpoints directly: [`site`] is its configuration,
 //!   [`freshness`] bounds how long it acts on a copy that it cannot confirm,
 //!   [`pool`] chooses endpoints, places copies of runs and recovers runs whose
-//!   engine is lost.
+//!   engine is lost, [`crash`] finds parts of prompts that crash engines.
 //! * Fleet: [`census`] counts the processes that renew an object in the store,
 //!   [`relay`] decides which gateways watch the store for the others,
 //!   [`member`] is the record of a process, [`spread`] distributes the records
@@ -45,6 +45,7 @@
 pub mod blame;
 pub mod census;
 pub mod config;
+pub mod crash;
 pub mod digest;
 pub mod fairness;
 pub mod freshness;
--- a/crates/core/src/pool/failover.rs
+++ b/crates/core/src/pool/failover.rs
@@ -20,6 +20,10 @@
 /// and a run that loses so many engines is more likely the cause of their failures.
 const MAX_MOVES: u32 = 8;
 
+/// The maximum number of engines that may crash under a run before its first events. Its
+/// prompt is more likely the cause of the second crash than an accident.
+const MAX_CRASHES: u32 = 1;
+
 /// How long a run may still resume at an engine that was seen to be leaving, in
 /// milliseconds; shorter than the two seconds for which the engine keeps serving.
 const LEAVING_GRACE_MS: u64 = 1_000;
@@ -33,6 +37,8 @@
     pub backup: Option<Arc<Endpoint>>,
     /// The number of engines that the run has left.
     pub moves: u32,
+    /// The number of engines that crashed before the run was answered.
+    pub crashes: u32,
     /// How often the request may still be run again from the caller's last event.
     pub reruns: u32,
     /// The deadline of the request.
@@ -74,6 +80,8 @@
     Deadline,
     /// The run has left too many engines.
     Moves,
+    /// Too many engines have crashed before the run was answered.
+    Crashes,
 }
 
 impl Pool {
@@ -86,6 +94,9 @@
         if run.moves >= MAX_MOVES {
             return Decision::End(Reason::Moves);
         }
+        if run.crashes > MAX_CRASHES {
+            return Decision::End(Reason::Crashes);
+        }
         match &run.backup {
             Some(backup) if self.holds_copy(&backup.id, now) => {
                 Decision::Resume(Arc::clone(backup))
--- /dev/null
+++ b/crates/core/tests/crash.rs
@@ -0,0 +1,233 @@
+//! Tests of the search for parts of prompts that crash engines.
+
+use std::{sync::Arc, time::Duration};
+
+use cactusroad_core::{
+    Time,
+    crash::{News, Tracker},
+};
+use proptest::prelude::*;
+
+const START: Time = Time::from_millis(1_000_000);
+
+fn after(millis: u64) -> Time {
+    START + Duration::from_millis(millis)
+}
+
+fn parts(names: &[&str]) -> Vec<Arc<str>> {
+    names.iter().map(|name| Arc::from(*name)).collect()
+}
+
+fn is_blocked(tracker: &mut Tracker, names: &[&str], at: Time) -> bool {
+    tracker.blocked(&parts(names), at).is_some()
+}
+
+/// Returns a tracker that has seen this many crashes, one a second, with answers to other
+/// prompts between them.
+fn tracker(crashes: u64) -> Tracker {
+    let mut tracker = Tracker::default();
+    for number in 0..crashes {
+        let at = after(number * 1_000);
+        let news = tracker.record_crash(&format!("e-{number}"), 1, &parts(&["a", "bad"]), at);
+        assert_eq!(news, News::Now);
+        tracker.record_answer(&parts(&["a", "good"]), at + Duration::from_millis(300));
+    }
+    tracker
+}
+
+#[test]
+fn blocked_after_three_crashes() {
+    assert!(!is_blocked(&mut tracker(2), &["a", "bad"], after(3_000)));
+    let mut tracker = tracker(3);
+    let block = tracker.blocked(&parts(&["a", "bad"]), after(3_000));
+    let block = block.expect("the part is refused");
+    assert_eq!((&*block.part, block.crashes), ("bad", 3));
+    assert_eq!(block.since, after(3_000));
+    let again = tracker.blocked(&parts(&["x", "bad"]), after(4_000));
+    assert_eq!(
+        again.expect("the part is still refused").since,
+        after(3_000)
+    );
+    assert!(!is_blocked(&mut tracker, &["a", "good"], after(3_000)));
+}
+
+#[test]
+fn blocked_until_deadline() {
+    let mut tracker = tracker(3);
+    assert!(is_blocked(&mut tracker, &["bad"], after(599_999)));
+    assert!(!is_blocked(&mut tracker, &["bad"], after(600_001)));
+}
+
+#[test]
+fn blocked_cleared_by_answer() {
+    let mut tracker = tracker(3);
+    assert!(is_blocked(&mut tracker, &["bad"], after(3_000)));
+    let news = tracker.record_answer(&parts(&["bad"]), after(3_100));
+    assert_eq!(news, News::Now);
+    assert!(!is_blocked(&mut tracker, &["bad"], after(3_200)));
+    tracker.record_crash("e-9", 1, &parts(&["bad"]), after(4_000));
+    assert!(!is_blocked(&mut tracker, &["bad"], after(4_100)));
+}
+
+/// Guards against refusing everything when a data centre loses power: many engines crash at
+/// the same moment, and nothing has been answered since.
+#[test]
+fn blocked_not_by_power_loss() {
+    let mut tracker = Tracker::default();
+    tracker.record_answer(&parts(&["a"]), START);
+    for number in 1..=8 {
+        let at = after(number);
+        tracker.record_crash(&format!("e-{number}"), 1, &parts(&["a"]), at);
+    }
+    for number in 0..5 {
+        tracker.record_answer(&parts(&["b"]), after(100 + number));
+    }
+    assert!(!is_blocked(&mut tracker, &["a"], after(200)));
+}
+
+/// Guards against refusing what most prompts share when no engine answers anything.
+#[test]
+fn blocked_not_without_answers() {
+    let mut tracker = Tracker::default();
+    for number in 0..8 {
+        let at = after(number * 1_000);
+        tracker.record_crash(&format!("e-{number}"), 1, &parts(&["a"]), at);
+    }
+    assert!(!is_blocked(&mut tracker, &["a"], after(9_000)));
+}
+
+#[test]
+fn merge_same_crash() {
+    let mut seen = [Tracker::default(), Tracker::default()];
+    for number in 0..2 {
+        let at = after(number * 1_000);
+        for tracker in &mut seen {
+            tracker.record_crash(&format!("e-{number}"), 1, &parts(&["bad"]), at);
+        }
+    }
+    let mut other = Tracker::default();
+    for tracker in &seen {
+        other.merge(&tracker.evidence(after(1_500)), false, after(1_510));
+    }
+    for number in 0..3 {
+        other.record_answer(&parts(&["a"]), after(1_600 + number));
+    }
+    // Two crashes that two gateways saw are not four.
+    assert!(!is_blocked(&mut other, &["bad"], after(1_700)));
+    seen[0].record_crash("e-2", 1, &parts(&["bad"]), after(2_000));
+    other.merge(&seen[0].evidence(after(2_010)), false, after(2_020));
+    assert!(is_blocked(&mut other, &["bad"], after(2_100)));
+    // What others saw is not published again.
+    assert_eq!(other.evidence(after(2_100)).crashes.len(), 0);
+}
+
+/// Guards against a part that stays refused at gateways that get no prompts with it, since
+/// they refuse them.
+#[test]
+fn merge_cleared_elsewhere() {
+    let mut refusing = tracker(3);
+    assert!(is_blocked(&mut refusing, &["bad"], after(3_000)));
+    let mut serving = Tracker::default();
+    serving.merge(&refusing.evidence(after(3_000)), false, after(3_005));
+    let news = serving.record_answer(&parts(&["a", "bad"]), after(3_100));
+    assert_eq!(news, News::Now);
+    refusing.merge(&serving.evidence(after(3_110)), false, after(3_120));
+    assert!(!is_blocked(&mut refusing, &["bad"], after(3_200)));
+}
+
+/// Guards against a part that most prompts share and that a gateway refuses after its start,
+/// because it learns only of the crashes and not of the answers between them.
+#[test]
+fn merge_after_start() {
+    let mut seen: Vec<Tracker> = (0..4).map(|_| Tracker::default()).collect();
+    for (number, tracker) in (0..).zip(&mut seen) {
+        let at = after(number * 1_000);
+        tracker.record_crash(&format!("e-{number}"), 1, &parts(&["a", "bad"]), at);
+        let news = tracker.record_answer(&parts(&["a", "good"]), at + Duration::from_millis(50));
+        assert_eq!(news, News::Later);
+    }
+    let mut started = Tracker::default();
+    for tracker in &seen {
+        started.merge(&tracker.evidence(after(8_000)), false, after(9_000));
+    }
+    started.record_answer(&parts(&["b"]), after(9_100));
+    started.record_answer(&parts(&["b"]), after(9_200));
+    assert!(!is_blocked(&mut started, &["a", "good"], after(9_300)));
+    assert!(is_blocked(&mut started, &["a", "bad"], after(9_300)));
+}
+
+#[test]
+fn merge_own_after_restart() {
+    let published = tracker(3).evidence(after(3_000));
+    let mut restarted = Tracker::default();
+    restarted.merge(&published, true, after(9_000));
+    assert_eq!(restarted.evidence(after(9_000)).crashes.len(), 3);
+}
+
+/// Guards against refusing a part in use after a series of accidents.
+#[test]
+fn blocked_later_if_answered_before() {
+    let mut tracker = Tracker::default();
+    tracker.record_answer(&parts(&["t"]), START);
+    for number in 1..=5 {
+        assert!(!is_blocked(&mut tracker, &["t"], after(number * 1_000)));
+        let at = after(number * 1_000);
+        tracker.record_crash(&format!("e-{number}"), 1, &parts(&["t"]), at);
+        tracker.record_answer(&parts(&["u"]), at);
+    }
+    assert!(is_blocked(&mut tracker, &["t"], after(6_000)));
+}
+
+/// Guards against refusing prompts with a part that accompanied the deadly one by chance.
+#[test]
+fn blocked_only_with_all_suspects() {
+    let mut tracker = Tracker::default();
+    for number in 0..3 {
+        let at = after(number * 1_000);
+        tracker.record_crash(&format!("e-{number}"), 1, &parts(&["t", "bad"]), at);
+        tracker.record_answer(&parts(&["u", "good"]), at);
+    }
+    assert!(is_blocked(&mut tracker, &["t", "bad"], after(3_000)));
+    assert!(!is_blocked(&mut tracker, &["t", "good"], after(3_000)));
+    assert!(!is_blocked(&mut tracker, &["u", "bad"], after(3_000)));
+    tracker.record_crash("e-4", 1, &parts(&["u", "bad"]), after(3_100));
+    assert!(is_blocked(&mut tracker, &["v", "bad"], after(3_200)));
+    assert!(!is_blocked(&mut tracker, &["t", "good"], after(3_200)));
+}
+
+proptest! {
+    /// Prompts of which some hold a deadly part reach engines that also crash by accident.
+    /// The deadly part is refused after few crashes, and most other prompts are served.
+    #[test]
+    fn blocked_among_accidents(seed in any::<u64>()) {
+        let mut tracker = Tracker::default();
+        let mut state = seed;
+        let mut next = |bound: u64| {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            (state >> 33) % bound
+        };
+        let (mut deadly_crashes, mut refused_sound, mut sound) = (0, 0, 0);
+        for number in 0..2_000u64 {
+            let now = after(number * 100);
+            let second = format!("t{}", next(5));
+            let is_deadly = next(10) == 0;
+            let third = if is_deadly { "bad".to_owned() } else { format!("s{}", next(20)) };
+            let prompt = parts(&["a", &second, &third]);
+            sound += u64::from(!is_deadly);
+            if tracker.blocked(&prompt, now).is_some() {
+                refused_sound += u64::from(!is_deadly);
+                continue;
+            }
+            let crashes_by_accident = next(50) == 0;
+            if is_deadly || crashes_by_accident {
+                deadly_crashes += u64::from(is_deadly);
+                tracker.record_crash(&format!("e-{number}"), 1, &prompt, now);
+            } else {
+                tracker.record_answer(&prompt, now);
+            }
+        }
+        // Five crashes, and three more that were on their way.
+        prop_assert!(deadly_crashes <= 8, "{deadly_crashes}");
+        prop_assert!(refused_sound * 2 <= sound, "{refused_sound} of {sound}");
+    }
+}
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -518,6 +518,7 @@
         endpoint: Arc::clone(pool.get("e-000").unwrap()),
         backup: Some(Arc::clone(&backup)),
         moves: 0,
+        crashes: 0,
         reruns: 0,
         deadline: after(10_000),
     };
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    announce, clock, fleet, listen, observe,
+    announce, clock, crash, fleet, listen, observe,
     record::{self, Event},
     state::State,
     watch,
@@ -123,6 +123,7 @@
     let state = Arc::new(State::new(settings, policy));
     watch::start(&state);
     tokio::spawn(fleet::run(Arc::clone(&state)));
+    tokio::spawn(crash::publish(Arc::clone(&state)));
     tokio::spawn(observe::run(Arc::clone(&state)));
     tokio::spawn(listen::accept_callers(Arc::clone(&state), callers));
     tokio::spawn(listen::serve_readiness(Arc::clone(&state), readiness));
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -127,6 +127,9 @@
     if let Some(cause) = check_shutdown(state, &job.route, job.work) {
         return job.refuse(cause);
     }
+    if let Some(refusal) = job.refuse_crashing() {
+        return refusal;
+    }
     match job.route.kind {
         Kind::Stream => stream::serve(job).await,
         Kind::Idempotent | Kind::Once => plain::serve(&job).await,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -92,10 +92,13 @@
 
     /// Refuses the request; the response states that it was not run.
     pub(crate) fn refuse(&self, cause: &str) -> Response<Body> {
-        let now = clock::now();
-        let paused_until = self.shard.pool().paused_until(now);
-        let retry_after =
-            reply::retry_after() + paused_until.map_or(Duration::ZERO, |at| at.since(now));
+        let paused_until = self.shard.pool().paused_until(clock::now());
+        self.refuse_until(cause, paused_until.unwrap_or(Time::ZERO))
+    }
+
+    /// Refuses the request until shortly after `until`.
+    fn refuse_until(&self, cause: &str, until: Time) -> Response<Body> {
+        let retry_after = until.since(clock::now()) + reply::retry_after();
         let status = StatusCode::SERVICE_UNAVAILABLE;
         record::write(&Event::Refused {
             request: &self.request_id,
@@ -108,6 +111,16 @@
         reply::refusal(cause, retry_after)
     }
 
+    /// Refuses the request if its prompt would crash an engine. The caller is told to wait as
+    /// long again as such prompts have been refused: a part that is not the cause is cleared
+    /// soon.
+    pub(crate) fn refuse_crashing(&self) -> Option<Response<Body>> {
+        let block = self.state.crashes.blocked(&self.parts)?;
+        let now = clock::now();
+        let until = (now + now.since(block.since)).min(block.until);
+        Some(self.refuse_until(CRASHES_ENGINES, until))
+    }
+
     /// Counts and logs an attempt that gave no response for the caller.
     pub(crate) fn record_failed_attempt(
         &self,
@@ -166,6 +179,9 @@
     }
 }
 
+/// The cause of refusals of prompts that crash engines.
+pub(crate) const CRASHES_ENGINES: &str = "prompt_crashes_engines";
+
 /// The outcome of a request whose response was forwarded completely.
 pub(crate) const ANSWERED: &str = "answered";
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,12 +21,13 @@
 //! `state` holds the configuration and the endpoints of each service, each under
 //! its own lock. `watch` follows the store, `observe` probes sidecars and engines
 //! for their load, and `announce` learns of engines that start while the store is
-//! unreachable. `fleet` finds the other gateways, and `relay` passes changes of the store
+//! unreachable. `crash` shares which prompts crash engines. `fleet` finds the other gateways, and `relay` passes changes of the store
 //! on to them. Every change of this state and every decision about a request is
 //! written to the log; see docs/LOGS.md.
 
 mod announce;
 mod clock;
+mod crash;
 mod daemon;
 mod events;
 pub mod explain;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -121,7 +121,12 @@
         Kind::Once | Kind::Stream => executions == 0,
     };
     let is_late = job.deadline.is_past(clock::now() + MIN_ATTEMPT_TIME);
-    if !may_retry || is_late || progress.sends >= MAX_SENDS || !job.shard.spend_retry(Repeat::Retry)
+    let is_crashing = || job.state.crashes.blocked(&job.parts).is_some();
+    if !may_retry
+        || is_late
+        || is_crashing()
+        || progress.sends >= MAX_SENDS
+        || !job.shard.spend_retry(Repeat::Retry)
     {
         return None;
     }
@@ -228,6 +233,7 @@
     let (outcome, result, cause) = match collected {
         Ok((head, Some(body))) => {
             in_flight.record_answer();
+            job.state.crashes.record_answer(&job.parts);
             classify(head, body, started_at)
         }
         Ok((head, None)) => (
@@ -238,7 +244,12 @@
         Err(cause) if cause.fate() == Fate::NotRun => {
             (Outcome::Unreachable, Attempt::Unsent, cause.to_string())
         }
-        Err(cause) => (Outcome::Unreachable, Attempt::Unknown, cause.to_string()),
+        Err(cause) => {
+            if cause.is_lost() && !job.shard.pool().is_leaving(&endpoint.id) {
+                job.state.crashes.record_crash(&endpoint, &job.parts);
+            }
+            (Outcome::Unreachable, Attempt::Unknown, cause.to_string())
+        }
     };
     if matches!(outcome, Outcome::Answered { .. }) {
         let label: &str = outcome.into();
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -99,6 +99,12 @@
     Gateways { count: usize },
     /// The set of data centres that are out of service has changed.
     DataCentresOut { names: &'a [std::sync::Arc<str>] },
+    /// Prompts with a part are refused, because engines crash on it.
+    PartRefused {
+        part: &'a str,
+        crashes: usize,
+        refused_ms: u64,
+    },
     /// An endpoint was chosen for a request.
     Placed {
         request: &'a str,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -28,7 +28,12 @@
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
 /// The kinds that are relayed.
-const KINDS: [Kind; 3] = [Kind::Config, Kind::Servers, Kind::Evacuations];
+const KINDS: [Kind; 4] = [
+    Kind::Config,
+    Kind::Servers,
+    Kind::Evacuations,
+    Kind::Crashes,
+];
 
 /// The feeds of all kinds.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use crate::{
     announce::Announcements,
     clock,
+    crash::Crashes,
     metrics::Metrics,
     observe::Probe,
     record::{self, Event, Snapshot},
@@ -74,6 +75,8 @@
     freshness: watch::Sender<Freshness>,
     /// Counts the outages of the store that have ended, as seen by the configuration.
     pub(crate) recoveries: watch::Sender<u64>,
+    /// Counts the calls to the store that failed.
+    pub(crate) watch_failures: watch::Sender<u64>,
     /// The deadline of the shutdown, set once when the process is asked to stop.
     pub(crate) stopping: watch::Sender<Option<Time>>,
     /// The number of requests that have not been answered completely.
@@ -82,6 +85,8 @@
     gateways: AtomicUsize,
     /// The engines that sidecars announced to this gateway.
     pub(crate) announcements: Announcements,
+    /// The prompts that crash engines.
+    pub(crate) crashes: Crashes,
     /// The changes of the store, for other gateways.
     pub(crate) feeds: Feeds,
     /// The gateways from which this one learns of changes.
@@ -123,10 +128,12 @@
             is_config_unreachable: AtomicBool::new(false),
             freshness: watch::Sender::new(freshness),
             recoveries: watch::Sender::new(0),
+            watch_failures: watch::Sender::new(0),
             stopping: watch::Sender::new(None),
             open_requests: AtomicUsize::new(0),
             gateways: AtomicUsize::new(ASSUMED_GATEWAYS),
             announcements: Announcements::default(),
+            crashes: Crashes::default(),
             feeds: Feeds::default(),
             relays,
         }
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     clock,
+    crash::ANSWERED_EVENTS,
     events::{Event as StreamEvent, Splitter},
     job::{self, ANSWERED, CONNECT_TIMEOUT, Job, Summary},
     migration::Migration,
@@ -102,6 +103,9 @@
             Opened::NotRun => {
                 job = relay.job;
                 let is_late = job.deadline.is_past(clock::now());
+                if let Some(refusal) = job.refuse_crashing() {
+                    return refusal;
+                }
                 if is_late || sends >= MAX_SENDS || !job.shard.spend_retry(Repeat::Retry) {
                     return job.refuse("endpoints_full");
                 }
@@ -133,6 +137,7 @@
             endpoint,
             backup: None,
             moves: 0,
+            crashes: 0,
             reruns,
             deadline: job.deadline,
         };
@@ -193,7 +198,12 @@
             Ok(Err(cause)) if cause.fate() == Fate::NotRun => {
                 (Outcome::Unreachable, Opened::NotRun, cause.to_string())
             }
-            Ok(Err(cause)) => (Outcome::Unreachable, Opened::Lost, cause.to_string()),
+            Ok(Err(cause)) => {
+                if cause.is_lost() {
+                    self.record_crash();
+                }
+                (Outcome::Unreachable, Opened::Lost, cause.to_string())
+            }
             Err(_) => (Outcome::Cancelled, Opened::Lost, "deadline".to_owned()),
         };
         let fate = match opened {
@@ -401,6 +411,9 @@
         }
         self.last_event_at = now;
         self.events += 1;
+        if self.events == ANSWERED_EVENTS {
+            self.job.state.crashes.record_answer(&self.job.parts);
+        }
         self.last_event = event.id.or(self.last_event);
         if let Some(in_flight) = &mut self.in_flight {
             in_flight.record_answer();
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -11,7 +11,9 @@
 use super::{Ending, Opened, Relay};
 use crate::{
     clock,
+    crash::ANSWERED_EVENTS,
     events::Splitter,
+    job,
     migration::Migration,
     observe,
     record::{self, Event},
@@ -62,7 +64,9 @@
     /// Resumes the run from a copy after its engine was lost.
     pub(super) async fn recover(&mut self, loss: Loss, cause: &str) -> Result<(), Ending> {
         let lost_at = clock::now();
-        self.reply = None;
+        if self.reply.take().is_some() && loss == Loss::Broken {
+            self.record_crash();
+        }
         self.splitter = Splitter::default();
         if let Some(in_flight) = self.in_flight.take() {
             in_flight.end(Outcome::Unreachable);
@@ -83,6 +87,10 @@
             cause,
         });
         while let Some((endpoint, source)) = self.find_successor().await {
+            if self.job.state.crashes.blocked(&self.job.parts).is_some() {
+                self.record_move_failed(job::CRASHES_ENGINES);
+                return Err(Ending::Lost);
+            }
             let purpose = match source {
                 Some(_) => Repeat::Resume,
                 None => Repeat::Retry,
@@ -112,6 +120,17 @@
         Err(Ending::Lost)
     }
 
+    /// Records that the connection to the run's engine broke, as it does in a crash, if the
+    /// run had not been answered and the engine was not leaving.
+    pub(super) fn record_crash(&mut self) {
+        let engine = &self.run.endpoint;
+        let is_crash = !self.job.shard.pool().is_leaving(&engine.id);
+        if is_crash && self.events < ANSWERED_EVENTS {
+            self.run.crashes += 1;
+            self.job.state.crashes.record_crash(engine, &self.job.parts);
+        }
+    }
+
     fn record_move_failed(&self, cause: &str) {
         record::write(&Event::MoveFailed {
             request: &self.job.request_id,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -31,7 +31,7 @@
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
-    clock,
+    clock, crash,
     record::{self, Event},
     relay::{self, Update},
     state::State,
@@ -88,7 +88,7 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(2_000);
 
 /// Applies the state of one kind of object in the store.
-trait Follower {
+pub(crate) trait Follower {
     const KIND: Kind;
     const WAIT: Duration;
     /// The number of consecutive failures after which the store counts as unreachable.
@@ -96,8 +96,11 @@
     /// Whether the whole list is read again after an outage of the store.
     const RELISTS_AFTER_OUTAGE: bool = false;
 
-    /// Returns the time within which a change of this kind must take effect.
-    fn bound(settings: &Settings) -> Duration;
+    /// Whether a watch is made again when one of another kind has failed.
+    const IS_INTERRUPTIBLE: bool = false;
+
+    /// Returns the limits within which a relay must answer about this kind.
+    fn limits(settings: &Settings) -> Limits;
     /// Returns how long the next watch of the store waits for a change.
     fn wait(&self, _state: &State) -> Duration {
         Self::WAIT
@@ -132,6 +135,7 @@
         },
     ));
     tokio::spawn(follow(Arc::clone(state), Evacuations { names: Vec::new() }));
+    tokio::spawn(follow(Arc::clone(state), crash::Reports));
 }
 
 /// Follows one kind of object, in the store or at a relay.
@@ -201,7 +205,8 @@
             self.store = Client::new(current, CALL_TIMEOUT);
         }
         match self.poll_store().await {
-            Ok(()) => {
+            Ok(false) => Duration::ZERO,
+            Ok(true) => {
                 count_call(&self.state, F::KIND, "answered");
                 if self.end_outage() {
                     return Duration::ZERO;
@@ -209,11 +214,13 @@
                 self.follower.spacing(&self.state)
             }
             Err(Error::Compacted) => {
+                self.state.watch_failures.send_modify(|count| *count += 1);
                 count_call(&self.state, F::KIND, "compacted");
                 self.at = None;
                 Duration::ZERO
             }
             Err(cause) => {
+                self.state.watch_failures.send_modify(|count| *count += 1);
                 count_call(&self.state, F::KIND, "failed");
                 self.outage.record_failure(F::KIND, &cause);
                 if self.outage.failures == F::OUTAGE_FAILURES {
@@ -225,25 +232,32 @@
         }
     }
 
-    async fn poll_store(&mut self) -> Result<(), Error> {
+    /// Lists or watches the store. Returns false if it was interrupted before an answer.
+    async fn poll_store(&mut self) -> Result<bool, Error> {
         let sent_at = clock::now();
         let Some(at) = self.at else {
             let listing = self.store.list(F::KIND).await?;
             let answer = Answer::list(sent_at, clock::now());
             self.apply(Update::Whole(listing), &answer);
-            return Ok(());
+            return Ok(true);
         };
         let wait = self.follower.wait(&self.state);
-        let changes = self.store.watch(F::KIND, at, wait).await?;
+        let watch = self.store.watch(F::KIND, at, wait);
+        let mut interruptions = self.state.watch_failures.subscribe();
+        let changes = tokio::select! {
+            changes = watch => changes?,
+            // The sender lives as long as the state.
+            _ = interruptions.changed(), if F::IS_INTERRUPTIBLE => return Ok(false),
+        };
         let has_changes = !changes.events.is_empty();
         let answer = Answer::watch(sent_at, clock::now(), wait, has_changes);
         self.apply(Update::Changed(changes), &answer);
-        Ok(())
+        Ok(true)
     }
 
     /// Watches a relay once. Returns the delay until the next call.
     async fn ask_relay(&mut self, member: &Member) -> Duration {
-        let limits = Limits::new(F::bound(&self.state.settings.load()));
+        let limits = F::limits(&self.state.settings.load());
         let relay = match self.relay.take() {
             Some(relay) if relay.address() == member.address => relay,
             _ => relay::Client::new(member.address),
@@ -383,7 +397,7 @@
     if !state.relays().is_relay() {
         return F::WAIT;
     }
-    let limits = Limits::new(F::bound(&state.settings.load()));
+    let limits = F::limits(&state.settings.load());
     limits.wait.min(F::WAIT)
 }
 
@@ -427,8 +441,8 @@
     // The first call after a pause of the process finds that its time is over.
     const OUTAGE_FAILURES: u32 = 2;
 
-    fn bound(settings: &Settings) -> Duration {
-        settings.apply
+    fn limits(settings: &Settings) -> Limits {
+        Limits::new(settings.apply)
     }
 
     fn wait(&self, state: &State) -> Duration {
@@ -546,8 +560,8 @@
     const RELISTS_AFTER_OUTAGE: bool = true;
     const WAIT: Duration = ENDPOINT_WAIT;
 
-    fn bound(settings: &Settings) -> Duration {
-        settings.drain
+    fn limits(settings: &Settings) -> Limits {
+        Limits::new(settings.drain)
     }
 
     fn wait(&self, state: &State) -> Duration {
@@ -638,8 +652,8 @@
     const KIND: Kind = Kind::Evacuations;
     const WAIT: Duration = EVACUATION_WAIT;
 
-    fn bound(settings: &Settings) -> Duration {
-        settings.evacuation
+    fn limits(settings: &Settings) -> Limits {
+        Limits::new(settings.evacuation)
     }
 
     fn wait(&self, state: &State) -> Duration {
