Put a new version on trial before it gets the traffic of a service

Cause: no code of the gateway read the operators' orders or the versions of replicas; core::rollout served only the other face. Class: an order that nobody follows. Change: the gateway follows the orders. core::rollout::canary sends the version on trial a share within a budget of each gateway, judge compares the versions on the counts of all gateways, and the first conditional write of the status decides. A run, its copies and its migrations stay with the weights that it began with. Tests: rollout::rollout_slow_version and rollout::rollout_good_version fail without the follower of the orders (122 of 352 requests exposed; no status); core/tests/rollout/canary.rs.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{Endpoint, Member, Pool, Work};
-use crate::Time;
+use crate::{Time, rollout::Side};
 
 /// The requirements of a request.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +16,8 @@
     pub tried: &'a [Arc<str>],
     /// The endpoints to choose from, as returned by [`Pool::sample`]; all if empty.
     pub candidates: &'a [Arc<Endpoint>],
+    /// The version to choose, while the service is moved to another one.
+    pub side: Side,
 }
 
 /// Why a copy of a run is made.
@@ -89,7 +91,7 @@
         let is_candidate = |member: &Member| allows(criteria.candidates, member);
         let mut scored: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
         for member in &self.members {
-            if !self.is_eligible(member, now) {
+            if !self.is_eligible(member, now) || !self.is_on(criteria.side, member) {
                 continue;
             }
             eligible += 1;
@@ -143,19 +145,20 @@
             Purpose::Standby => self.config.copy_share,
             Purpose::Migration => self.config.rescue_share,
         };
-        let source_data_centre = self
-            .get(primary)
-            .map(|endpoint| Arc::clone(&endpoint.data_centre));
+        let source = self.get(primary).cloned();
+        let source_data_centre = source.as_ref().map(|source| &source.data_centre);
+        // A run continues only at an engine with the weights that it began with.
+        let side = source.as_ref().map(|source| self.side_of(&source.version));
         let mut scored: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
         for member in &self.members {
-            let is_other = &*member.endpoint.id != primary;
+            let is_other =
+                &*member.endpoint.id != primary && side.is_none_or(|side| self.is_on(side, member));
             if !is_other || !self.is_eligible(member, now) || !member.avoided_until.is_past(now) {
                 continue;
             }
             let memory_use = self.memory_use(member, criteria.work, now);
             if memory_use <= limit && allows(criteria.candidates, member) {
                 let is_remote = source_data_centre
-                    .as_ref()
                     .is_some_and(|data_centre| *data_centre != member.endpoint.data_centre);
                 scored.push((
                     memory_use + f64::from(u8::from(is_remote)) * self.config.far_copy_share,
@@ -177,17 +180,20 @@
 
     /// Returns [`Config::choices`](super::Config::choices) random endpoints, which the
     /// caller asks for load reports before it chooses one. Endpoints that are avoided for
-    /// now or are in `tried` are left out; those in the data centre `near` come first.
+    /// now, are in `tried` or are not on `side` are left out; those in the data centre
+    /// `near` come first.
     pub fn sample(
         &self,
         tried: &[Arc<str>],
         near: Option<&str>,
+        side: Side,
         seed: u64,
         now: Time,
     ) -> Vec<Arc<Endpoint>> {
         let mut rng = Rng(seed);
         let is_available = |member: &&Member| {
             self.is_eligible(member, now)
+                && self.is_on(side, member)
                 && member.avoided_until.is_past(now)
                 && !tried.contains(&member.endpoint.id)
         };
@@ -216,6 +222,19 @@
         candidates.truncate(self.config.choices.max(1));
     }
 
+    /// Returns the side of a version; all are the baseline unless the service is moved to
+    /// another one.
+    pub fn side_of(&self, version: &str) -> Side {
+        match &self.candidate {
+            Some(candidate) if **candidate == *version => Side::Candidate,
+            _ => Side::Baseline,
+        }
+    }
+
+    fn is_on(&self, side: Side, member: &Member) -> bool {
+        self.candidate.is_none() || self.side_of(&member.endpoint.version) == side
+    }
+
     fn is_eligible(&self, member: &Member, now: Time) -> bool {
         member.accepts_work(now) && !self.is_data_centre_out(&member.endpoint.data_centre)
     }
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -129,6 +129,8 @@
     is_engine: bool,
     /// The moving average of the prompt length, in tokens.
     mean_prompt: f64,
+    /// The version to which the service is being moved, if it is.
+    candidate: Option<Arc<str>>,
     /// Endpoints that were removed a short time ago.
     removed: Vec<Removed>,
 }
@@ -154,6 +156,7 @@
             memory_tokens: 0,
             is_engine: false,
             mean_prompt: 0.0,
+            candidate: None,
             removed: Vec::new(),
         }
     }
@@ -164,6 +167,11 @@
         self.memory_tokens = memory_tokens;
     }
 
+    /// Sets the version to which the service is being moved, if it is.
+    pub fn set_candidate(&mut self, candidate: Option<Arc<str>>) {
+        self.candidate = candidate;
+    }
+
     /// Sets the data centres that are out of service. `out` must be sorted.
     pub fn set_data_centres_out(&mut self, out: &[Arc<str>]) {
         self.data_centres_out = out.to_vec();
--- a/crates/core/src/rollout/evidence.rs
+++ b/crates/core/src/rollout/evidence.rs
@@ -343,6 +343,17 @@
     pub baseline: Counters,
 }
 
+impl Sum {
+    /// Adds the counts of another sum.
+    pub fn add(&mut self, other: &Sum) {
+        self.in_step.add(&other.in_step);
+        for (recent, more) in self.recent.iter_mut().zip(&other.recent) {
+            recent.add(more);
+        }
+        self.baseline.add(&other.baseline);
+    }
+}
+
 impl Tally {
     /// Stores a report unless a newer one of the same source is known.
     pub fn merge(&mut self, report: &Report) {
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -52,6 +52,7 @@
     config::{Plan, WHOLE_SHARE},
 };
 
+pub mod canary;
 pub mod evidence;
 pub mod judge;
 mod machine;
@@ -65,14 +66,25 @@
 pub const MIN_BASELINE_SHARE: u16 = 100;
 
 /// The version that a request is sent to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub enum Side {
     /// The baseline: the version that the route moves from.
+    #[default]
     Baseline,
     /// The candidate: the version that the route moves to.
     Candidate,
 }
 
+impl Side {
+    /// Returns the other side.
+    pub fn other(self) -> Side {
+        match self {
+            Side::Baseline => Side::Candidate,
+            Side::Candidate => Side::Baseline,
+        }
+    }
+}
+
 /// A rollback of the candidate, which is never undone.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Rollback {
--- a/crates/core/tests/departure.rs
+++ b/crates/core/tests/departure.rs
@@ -5,6 +5,7 @@
 use cactusroad_core::{
     Time,
     pool::{Change, Config, Criteria, Endpoint, Grace, Pool, Work},
+    rollout::Side,
 };
 
 const START: Time = Time::from_millis(1_000_000);
@@ -69,6 +70,7 @@
         data_centre: "dc-0",
         tried: &[],
         candidates: &[],
+        side: Side::Baseline,
     };
     pool.choose(&criteria, 1, now).is_ok()
 }
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -8,6 +8,7 @@
         Budget, Change, Config, Criteria, Decision, Endpoint, Loss, Outcome, Pool, Purpose,
         Refusal, Repeat, Report, Run, Work,
     },
+    rollout::Side,
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -65,6 +66,7 @@
         data_centre: "dc-0",
         tried: &[],
         candidates: &[],
+        side: Side::Baseline,
     }
 }
 
@@ -247,7 +249,7 @@
 #[test]
 fn choose_among_candidates() {
     let mut pool = engine_pool(6);
-    let candidates = pool.sample(&["e-000".into()], None, 5, START);
+    let candidates = pool.sample(&["e-000".into()], None, Side::Baseline, 5, START);
     assert_eq!(candidates.len(), Config::default().choices);
     assert!(candidates.iter().all(|endpoint| &*endpoint.id != "e-000"));
     let criteria = Criteria {
@@ -323,7 +325,7 @@
 fn sample_near_first() {
     let pool = engine_pool(24);
     for seed in 0..20 {
-        let drawn = pool.sample(&["e-000".into()], Some("dc-0"), seed, START);
+        let drawn = pool.sample(&["e-000".into()], Some("dc-0"), Side::Baseline, seed, START);
         assert_eq!(drawn.len(), Config::default().choices);
         assert!(
             drawn
@@ -332,7 +334,7 @@
         );
     }
     let few = engine_pool(4);
-    let drawn = few.sample(&["e-000".into()], Some("dc-0"), 1, START);
+    let drawn = few.sample(&["e-000".into()], Some("dc-0"), Side::Baseline, 1, START);
     assert_eq!(&*drawn[0].id, "e-003");
     assert_eq!(drawn.len(), 3);
 }
@@ -496,7 +498,7 @@
             let primary = format!("e-{:03}", number / 3);
             let data_centre = format!("dc-{}", number / 3 % 3);
             let seed = gateway * 1_000_003 + u64::from(number);
-            let near = pool.sample(&[], Some(&data_centre), seed, START);
+            let near = pool.sample(&[], Some(&data_centre), Side::Baseline, seed, START);
             let criteria = Criteria {
                 candidates: &near,
                 ..criteria(LONG_WORK)
--- a/crates/core/tests/rollout/main.rs
+++ b/crates/core/tests/rollout/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gradual rollouts between two versions.
 
+mod canary;
 mod interleaving;
 mod rules;
 mod trials;
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -6,7 +6,10 @@
 //! [`Time`] counts from an arbitrary origin: it can be compared only within this process
 //! and must not be sent to others.
 
-use std::{sync::LazyLock, time::Duration};
+use std::{
+    sync::LazyLock,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use cactusroad_core::Time;
 use rustix::time::{ClockId, clock_gettime};
@@ -25,6 +28,19 @@
     Time::ZERO + START_OFFSET + since_boot().saturating_sub(*START)
 }
 
+/// Returns the time of the wall clock, for what several VMs compare. It may jump.
+pub(crate) fn wall() -> Time {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    Time::ZERO + since_epoch.unwrap_or_default()
+}
+
+/// Returns the time of the wall clock at the first call, in microseconds since 1970, which
+/// tells one start of the process from another.
+pub(crate) fn started_micros() -> u64 {
+    static STARTED: LazyLock<u64> = LazyLock::new(|| wall().as_micros());
+    *STARTED
+}
+
 fn since_boot() -> Duration {
     // The boot clock is never negative.
     Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -27,6 +27,7 @@
 use crate::{
     clock,
     record::{self, Event},
+    relay::{RARE_LIMITS, RARE_WAIT},
     state::State,
     watch::Follower,
 };
@@ -35,19 +36,6 @@
 /// begins to answer may have sent one.
 pub(crate) const ANSWERED_EVENTS: u64 = 2;
 
-/// How long a watch waits for a change. Crashes are rare, and the watch is made again when
-/// one of another kind fails.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-
-/// The limits within which a relay must answer. The age is that of a whole watch: a relay
-/// that has lost the store is found by its answers about other kinds.
-const LIMITS: Limits = Limits {
-    wait: Duration::from_secs(2),
-    timeout: Duration::from_millis(600),
-    max_age: Duration::from_secs(25),
-    spacing: Duration::from_millis(200),
-};
-
 /// The time over which news is collected before it is published, so that the runs that one
 /// crash ends make one call.
 const PUBLISH_DELAY: Duration = Duration::from_millis(30);
@@ -164,12 +152,12 @@
 
 impl Follower for Reports {
     const KIND: Kind = Kind::Crashes;
-    const WAIT: Duration = WATCH_WAIT;
+    const WAIT: Duration = RARE_WAIT;
 
     const IS_INTERRUPTIBLE: bool = true;
 
     fn limits(_settings: &Settings) -> Limits {
-        LIMITS
+        RARE_LIMITS
     }
 
     fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -17,6 +17,7 @@
 use crate::{
     announce, clock, crash, fleet, listen, observe,
     record::{self, Event},
+    rollout,
     state::State,
     watch,
 };
@@ -124,6 +125,7 @@
     watch::start(&state);
     tokio::spawn(fleet::run(Arc::clone(&state)));
     tokio::spawn(crash::publish(Arc::clone(&state)));
+    tokio::spawn(rollout::run(Arc::clone(&state)));
     tokio::spawn(observe::run(Arc::clone(&state)));
     tokio::spawn(listen::accept_callers(Arc::clone(&state), callers));
     tokio::spawn(listen::serve_readiness(Arc::clone(&state), readiness));
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -101,6 +101,8 @@
         return refuse(&head, StatusCode::SERVICE_UNAVAILABLE, "no_service");
     };
     shard.record_request();
+    let settings = state.settings.load();
+    let side = shard.rollout.side(&settings, state.gateways());
     let route_timeout = Duration::from_millis(route.timeout_ms);
     let request_timeout = caller
         .timeout
@@ -116,8 +118,10 @@
         priority: priority.unwrap_or(route.priority).min(9),
         workspace: workspace.map(|workspace| Arc::clone(&workspace.name)),
         work: caller.work(),
+        side,
         parts: caller.parts,
-        data_centre: Arc::clone(&state.settings.load().data_centre),
+        vm: Arc::clone(&settings.vm),
+        data_centre: Arc::clone(&settings.data_centre),
         arrived_at,
         deadline: arrived_at + request_timeout,
         route,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,6 +6,7 @@
 use cactusroad_core::{
     Time,
     pool::{Criteria, Endpoint, Outcome, Work},
+    rollout::Side,
     site::Route,
 };
 use cactusroad_platform::replica::{Call, Fate, Source};
@@ -40,8 +41,12 @@
     pub(crate) priority: u8,
     /// The tokens of the prompt and the expected tokens of the response.
     pub(crate) work: Work,
+    /// The version for the request, while its service is moved to another one.
+    pub(crate) side: Side,
     /// The parts of the prompt that other prompts may share.
     pub(crate) parts: Vec<Arc<str>>,
+    /// The VM of this gateway.
+    pub(crate) vm: Arc<str>,
     /// The data centre of this gateway.
     pub(crate) data_centre: Arc<str>,
     pub(crate) arrived_at: Time,
@@ -63,6 +68,7 @@
             data_centre: &self.data_centre,
             tried,
             candidates,
+            side: self.side,
         }
     }
 
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -137,13 +137,15 @@
     /// choice prefers engines in the data centre of the run.
     async fn choose_target(&self, is_first: bool) -> Option<Arc<Endpoint>> {
         let data_centre = is_first.then_some(&*self.engine.data_centre);
-        let candidates =
-            observe::candidates(&self.shard, slice::from_ref(&self.engine.id), data_centre).await;
+        let side = self.shard.pool().side_of(&self.engine.version);
+        let tried = slice::from_ref(&self.engine.id);
+        let candidates = observe::candidates(&self.shard, tried, data_centre, side).await;
         let criteria = Criteria {
             work: self.work,
             data_centre: &self.data_centre,
             tried: &[],
             candidates: &candidates,
+            side,
         };
         let seed = rand::random();
         let target = self.shard.pool().backup(
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -18,6 +18,7 @@
 use cactusroad_core::{
     Time,
     pool::{Endpoint, Report},
+    rollout::Side,
 };
 use cactusroad_platform::replica::{self, Observer};
 use futures_util::future::join_all;
@@ -56,15 +57,17 @@
 /// second.
 const POLLS_PER_LOG_LINE: u32 = 5;
 
-/// Samples engines to choose from, first from the data centre `near`, and polls them.
+/// Samples engines of a version to choose from, first from the data centre `near`, and polls
+/// them.
 pub(crate) async fn candidates(
     shard: &Arc<Shard>,
     tried: &[Arc<str>],
     near: Option<&str>,
+    side: Side,
 ) -> Vec<Arc<Endpoint>> {
     let sampled = shard
         .pool()
-        .sample(tried, near, rand::random(), clock::now());
+        .sample(tried, near, side, rand::random(), clock::now());
     join_all(
         sampled
             .iter()
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -216,7 +216,9 @@
         attempt: number,
         snapshot: job.shard.endpoint_snapshot(&endpoint.id),
     });
-    let mut in_flight = job.shard.start(&endpoint, job.work);
+    let mut in_flight = job
+        .shard
+        .start(&endpoint, job.work, &job.vm, &job.route.name);
     let started_at = in_flight.started_at;
     let request = job.endpoint_request(&endpoint, None, None, None);
     let sent = replica::send(&request, CONNECT_TIMEOUT.min(time_left(job.deadline))).await;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -99,6 +99,13 @@
     Gateways { count: usize },
     /// The set of data centres that are out of service has changed.
     DataCentresOut { names: &'a [std::sync::Arc<str>] },
+    /// The rollout of a service has changed.
+    Rollout {
+        service: &'a str,
+        target: &'a str,
+        change: &'a str,
+        reason: &'a str,
+    },
     /// Prompts with a part are refused, because engines crash on it.
     PartRefused {
         part: &'a str,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactusroad_core::relay::Limits;
 use cactusroad_platform::store::Kind;
 use cactusroad_wire as wire;
 use http::StatusCode;
@@ -28,13 +29,27 @@
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
 /// The kinds that are relayed.
-const KINDS: [Kind; 4] = [
+const KINDS: [Kind; 5] = [
     Kind::Config,
     Kind::Servers,
     Kind::Evacuations,
     Kind::Crashes,
+    Kind::Evidence,
 ];
 
+/// How long a watch of the store waits for changes of a kind that changes rarely. It is made
+/// again when one of another kind fails.
+pub(crate) const RARE_WAIT: Duration = Duration::from_secs(20);
+
+/// The limits within which a relay must answer about such a kind. The age is that of a whole
+/// watch: a relay that has lost the store is found by its answers about other kinds.
+pub(crate) const RARE_LIMITS: Limits = Limits {
+    wait: Duration::from_secs(2),
+    timeout: Duration::from_millis(600),
+    max_age: Duration::from_secs(25),
+    spacing: Duration::from_millis(200),
+};
+
 /// The feeds of all kinds.
 #[derive(Debug, Default)]
 pub(crate) struct Feeds([Feed; KINDS.len()]);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
     freshness::{Answer, Freshness},
     pool::{self, Budget, Change, Criteria, Endpoint, Outcome, Pool, Refusal, Repeat, Work},
     relay::Plan,
+    rollout::evidence::Ending,
     site::Site,
 };
 use cactusroad_platform::{replica::Reply, settings::Settings};
@@ -30,6 +31,7 @@
     observe::Probe,
     record::{self, Event, Snapshot},
     relay::Feeds,
+    rollout::{self, Witness},
 };
 
 /// The part of the retry budget that is divided among the gateways. The rest covers
@@ -101,6 +103,8 @@
     budget: Mutex<Budget>,
     /// Incremented whenever an endpoint starts to leave or is gone.
     pub(crate) leaving: watch::Sender<u64>,
+    /// The rollout of the service, if there is one.
+    pub(crate) rollout: rollout::Slot,
     /// Probes that are not in use, sorted by endpoint id.
     idle_probes: Mutex<Vec<(Arc<str>, Probe)>>,
     /// The endpoints for which a task waits for the shutdown notice, sorted.
@@ -387,6 +391,7 @@
             pool: Mutex::new(Pool::new(policy.clone())),
             budget: Mutex::new(budget),
             leaving: watch::Sender::new(0),
+            rollout: rollout::Slot::default(),
             idle_probes: Mutex::default(),
             notice_waits: Mutex::default(),
             sidecar_port: settings.sidecar_port,
@@ -462,7 +467,16 @@
     }
 
     pub(crate) fn choose(&self, criteria: &Criteria<'_>) -> Result<Arc<Endpoint>, Refusal> {
-        self.pool().choose(criteria, rand::random(), clock::now())
+        let chosen = self.pool().choose(criteria, rand::random(), clock::now());
+        if chosen.is_ok() || !self.rollout.allows_other(criteria.side) {
+            return chosen;
+        }
+        let other = Criteria {
+            side: criteria.side.other(),
+            ..*criteria
+        };
+        let found = self.pool().choose(&other, rand::random(), clock::now());
+        found.or(chosen)
     }
 
     /// Returns what is known of an endpoint, for the log.
@@ -498,14 +512,24 @@
     }
 
     /// Counts a request at an endpoint until the returned guard is ended or dropped.
-    pub(crate) fn start(self: &Arc<Shard>, endpoint: &Arc<Endpoint>, work: Work) -> InFlight {
+    pub(crate) fn start(
+        self: &Arc<Shard>,
+        endpoint: &Arc<Endpoint>,
+        work: Work,
+        vm: &Arc<str>,
+        route: &Arc<str>,
+    ) -> InFlight {
         let now = clock::now();
+        let side = self.pool().side_of(&endpoint.version);
+        let is_counted = self.rollout.record_sent(side);
+        let witness = is_counted.then(|| Witness::new(vm, route, side, now));
         self.pool().record_start(&endpoint.id, work, now);
         InFlight {
             shard: Arc::clone(self),
             endpoint: Arc::clone(endpoint),
             work,
             started_at: now,
+            witness,
             is_answered: false,
             is_ended: false,
         }
@@ -530,13 +554,18 @@
     pub(crate) endpoint: Arc<Endpoint>,
     work: Work,
     pub(crate) started_at: Time,
+    /// What is counted while a version is on trial.
+    witness: Option<Witness>,
     is_answered: bool,
     is_ended: bool,
 }
 
 impl InFlight {
-    /// Records that the endpoint has sent the first event or the response.
+    /// Records that the endpoint has sent an event or the response.
     pub(crate) fn record_answer(&mut self) {
+        if let Some(witness) = &mut self.witness {
+            witness.record_event(&self.shard.rollout, clock::now());
+        }
         if !self.is_answered {
             self.is_answered = true;
             self.shard
@@ -569,6 +598,20 @@
         self.is_ended = true;
         let now = clock::now();
         let id = &self.endpoint.id;
+        if let Some(witness) = &self.witness {
+            let slot = &self.shard.rollout;
+            match outcome {
+                Outcome::Failed => witness.record_failure(slot, Ending::Failed),
+                Outcome::Unreachable if !self.shard.pool().is_leaving(id) => {
+                    witness.record_failure(slot, rollout::endpoint_lost(id));
+                }
+                Outcome::Cancelled => witness.record_given_up(slot, now),
+                Outcome::Answered { .. }
+                | Outcome::Refused
+                | Outcome::Misdirected
+                | Outcome::Unreachable => {}
+            }
+        }
         let change = {
             let mut pool = self.shard.pool();
             pool.record_end(id, self.work, self.is_answered, outcome, now);
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -90,7 +90,7 @@
 pub(crate) async fn serve(mut job: Job) -> Response<Body> {
     let mut tried = Vec::new();
     loop {
-        let candidates = observe::candidates(&job.shard, &tried, None).await;
+        let candidates = observe::candidates(&job.shard, &tried, None, job.side).await;
         let endpoint = match job.shard.choose(&job.criteria(&tried, &candidates)) {
             Ok(endpoint) => endpoint,
             Err(refusal) => return job.refuse(refusal.into()),
@@ -172,7 +172,10 @@
             attempt: self.sends,
             snapshot: self.job.shard.endpoint_snapshot(&endpoint.id),
         });
-        let in_flight = self.job.shard.start(&endpoint, self.job.work);
+        let in_flight =
+            self.job
+                .shard
+                .start(&endpoint, self.job.work, &self.job.vm, &self.job.route.name);
         observe::await_notice(&self.job.shard, &endpoint);
         let backup = self.run.backup.as_deref();
         let request = self
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -103,7 +103,8 @@
             self.sends += 1;
             self.run.endpoint = endpoint;
             if source.is_some() {
-                self.candidates = observe::candidates(&self.job.shard, &[], None).await;
+                let side = self.job.shard.pool().side_of(&self.run.endpoint.version);
+                self.candidates = observe::candidates(&self.job.shard, &[], None, side).await;
             }
             let label = source
                 .as_ref()
@@ -173,7 +174,7 @@
         }
         self.run.reruns = self.run.reruns.saturating_sub(1);
         let tried = [Arc::clone(&self.run.endpoint.id)];
-        self.candidates = observe::candidates(&self.job.shard, &tried, None).await;
+        self.candidates = observe::candidates(&self.job.shard, &tried, None, self.job.side).await;
         let criteria = self.job.criteria(&tried, &self.candidates);
         match self.job.shard.choose(&criteria) {
             Ok(endpoint) => Some(endpoint),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -34,6 +34,7 @@
     clock, crash,
     record::{self, Event},
     relay::{self, Update},
+    rollout,
     state::State,
 };
 
@@ -96,6 +97,8 @@
     /// Whether the whole list is read again after an outage of the store.
     const RELISTS_AFTER_OUTAGE: bool = false;
 
+    /// Whether gateways may learn of this kind from a relay, which passes on no status.
+    const IS_RELAYED: bool = true;
     /// Whether a watch is made again when one of another kind has failed.
     const IS_INTERRUPTIBLE: bool = false;
 
@@ -136,6 +139,8 @@
     ));
     tokio::spawn(follow(Arc::clone(state), Evacuations { names: Vec::new() }));
     tokio::spawn(follow(Arc::clone(state), crash::Reports));
+    tokio::spawn(follow(Arc::clone(state), rollout::Orders::default()));
+    tokio::spawn(follow(Arc::clone(state), rollout::Counts));
 }
 
 /// Follows one kind of object, in the store or at a relay.
@@ -174,8 +179,8 @@
     loop {
         let source = task.state.relays().source(clock::now());
         let delay = match source {
-            Source::Relay(relay) => task.ask_relay(&relay).await,
-            Source::Store => task.ask_store().await,
+            Source::Relay(relay) if F::IS_RELAYED => task.ask_relay(&relay).await,
+            _ => task.ask_store().await,
         };
         task.pause(delay).await;
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod relay;
 mod revocation;
+mod rollout;
 mod sidecar;
 #[expect(dead_code, reason = "the soak test uses the rest")]
 mod site;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -214,6 +214,35 @@
         site
     }
 
+    /// Starts engines of the version `v1`, whose gateway may send a bad version `extra`
+    /// requests in addition to its share.
+    pub(crate) async fn start_exposing(
+        engines: usize,
+        event_interval: Duration,
+        extra: u32,
+    ) -> Site {
+        let mut site = Site::launch(engines, 0, 12, event_interval, None).await;
+        site.gateway = launch_gateway(&site.store, None, |settings| {
+            operator::with_exposure(settings, extra)
+        });
+        site.wait_ready().await;
+        site
+    }
+
+    /// Starts an engine of another version and adds it to the list.
+    pub(crate) async fn add_version(
+        &mut self,
+        id: &str,
+        version: &str,
+        event_interval: Duration,
+    ) -> Replica {
+        let engine = self.start_engine(id, 12, event_interval).await;
+        let mut entry = engine.entry(ENGINES, "north", "available");
+        entry["version"] = version.into();
+        self.store.put("servers", id, entry);
+        engine
+    }
+
     /// Starts two engines whose gateway may retry each request.
     pub(crate) async fn start_retrying(events: u64, event_interval: Duration) -> Site {
         let mut site = Site::launch(2, 0, events, event_interval, None).await;
