--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::Write,
-    net::{Ipv4Addr, SocketAddr, TcpListener as StdListener},
+    net::{Ipv4Addr, SocketAddr},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
@@ -22,7 +22,10 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use tempfile::NamedTempFile;
-use tokio::{net::TcpStream, time::sleep};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::sleep,
+};
 
 /// The service of model engines.
 pub(crate) const ENGINES: &str = "llm-1";
@@ -637,12 +640,21 @@
             .wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
         let port = FIRST_PORT + number % PORTS;
         let address = SocketAddr::from(([127, 0, 0, 1], port.try_into().expect("a port")));
-        if StdListener::bind(address).is_ok() {
+        if is_free(address) {
             return address;
         }
     }
 }
 
+/// Returns whether no process listens on a port. The socket that finds out never listens
+/// itself: a process that is being started at the same time inherits it for a moment, in
+/// which the port would count as in use.
+fn is_free(address: SocketAddr) -> bool {
+    let socket = TcpSocket::new_v4().expect("a socket can be made");
+    socket.set_reuseaddr(true).expect("the option is supported");
+    socket.bind(address).is_ok()
+}
+
 fn launch_gateway(
     store: &Store,
     peers: Option<Peers>,
