End streams that break off before their first event as broken

What callers saw: if a replica stopped right behind the head of a stream with neither a length nor chunks, they got a 200 with an empty body and a length of 0. Cause: the end of the connection was taken for the end of the answer. A stop inside the head, a length, a chunk or an event was noticed already. Change: a stream without an event whose end only the connection marks counts as broken off; it goes on from a copy or ends with 502. Tests: cut::cut_stream (every byte of a chunked and of an unframed stream) failed after 54 bytes of the unframed one and passes; cut::cut_whole_answer (every byte of an answer with a length) passed before.

--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -386,8 +386,14 @@
                         self.recover(Loss::Garbled, "an event does not end").await?;
                     }
                 }
-                Ok(None) if self.splitter.take_rest().is_empty() => return Err(Ending::Complete),
-                Ok(None) => self.recover(Loss::Broken, "the last event is cut").await?,
+                Ok(None) if !self.splitter.take_rest().is_empty() => {
+                    self.recover(Loss::Broken, "the last event is cut").await?;
+                }
+                Ok(None) if self.may_be_cut() => {
+                    self.recover(Loss::Broken, "the connection ended before the first event")
+                        .await?;
+                }
+                Ok(None) => return Err(Ending::Complete),
                 Err(Interruption::Deadline) => return Err(Ending::Deadline),
                 Err(Interruption::Silent) => self.try_standby().await,
                 Err(Interruption::Loss(loss, cause)) => self.recover(loss, &cause).await?,
@@ -395,6 +401,12 @@
         }
     }
 
+    /// Returns whether an answer that ended between two events may have been cut: it has no
+    /// event, and only the end of the connection marks its end.
+    fn may_be_cut(&self) -> bool {
+        self.events == 0 && self.reply.as_ref().is_some_and(|reply| !reply.is_framed)
+    }
+
     /// Returns whether the caller has not yet received an event.
     fn is_new(&self, event: &StreamEvent) -> bool {
         match (event.id, self.last_event) {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod crash;
+mod cut;
 mod drain;
 mod endless;
 mod log;
