Tidy the roll-outs of the gateway after a read of the diff

No behaviour changes: the counts of a gateway are collected in one place, the settings are not borrowed for as long as a request lasts, and a test takes the platform's header names from the folder that defines them.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -101,7 +101,7 @@
         return refuse(&head, StatusCode::SERVICE_UNAVAILABLE, "no_service");
     };
     shard.record_request();
-    let settings = state.settings.load();
+    let settings = state.settings.load_full();
     let side = shard.rollout.side(&settings, state.gateways());
     let route_timeout = Duration::from_millis(route.timeout_ms);
     let request_timeout = caller
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -128,12 +128,19 @@
         self.tallies[index].1.merge(report);
     }
 
+    /// Returns the counts of this gateway by route.
+    fn reports(&self) -> Vec<(Arc<str>, Report)> {
+        let reports = self.recorders.iter();
+        reports
+            .map(|(route, recorder)| (Arc::clone(route), recorder.report().clone()))
+            .collect()
+    }
+
     /// Judges each route by itself, because a version may be bad on one only, and all
     /// together, which shows rare failures sooner.
     fn judge(&mut self) -> Verdict {
-        for (route, recorder) in std::mem::take(&mut self.recorders) {
-            self.merge(&route, recorder.report());
-            self.recorders.push((route, recorder));
+        for (route, report) in self.reports() {
+            self.merge(&route, &report);
         }
         let config = judge::Config::default();
         let mut all = Sum::default();
@@ -521,13 +528,10 @@
             continue;
         };
         has_news |= std::mem::take(&mut trial.has_news);
-        let reports = trial.recorders.iter();
         published.push(Published {
             service: Arc::clone(&trial.canary.order().service),
             target: Arc::clone(&trial.canary.order().target),
-            reports: reports
-                .map(|(route, recorder)| (Arc::clone(route), recorder.report().clone()))
-                .collect(),
+            reports: trial.reports(),
         });
     }
     if !has_news {
--- a/tests/gateway/cut.rs
+++ b/tests/gateway/cut.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use cactusroad::platform::standin::caller::{ATTEMPT, NOT_RUN, SIGNATURE};
 use http::StatusCode;
 use serde_json::json;
 use tokio::{
@@ -103,7 +104,7 @@
 }
 
 fn head(framing: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nX-Cactusroad-Replica-Signature: s\r\n{framing}\r\n")
+    format!("HTTP/1.1 200 OK\r\n{SIGNATURE}: s\r\n{framing}\r\n")
 }
 
 /// Guards against a 200 with an empty or short body after a replica has stopped in the
@@ -165,8 +166,8 @@
     replica.list(&site, ORDERS).await;
     let refusal = |id: &str| {
         format!(
-            "HTTP/1.1 503 Service Unavailable\r\nX-Cactusroad-Not-Executed: 1\r\n\
-             X-Cactusroad-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            "HTTP/1.1 503 Service Unavailable\r\n{NOT_RUN}: 1\r\n{ATTEMPT}: {id}\r\n\
+             Content-Length: 0\r\n\r\n"
         )
     };
     let earlier = refusal("o1-end");
