Name the listed test so that no other is passed over with it

The entry of rollout_good_version, a test of the gateway, also matched rollout_good_version_completed of the integration tests: 105 ran where 106 should (two filtered out). The gateway's test is now rollout_promoted_after_deadline; what it checks is unchanged, and the entry follows.

--- a/tests/gateway/rollout.rs
+++ b/tests/gateway/rollout.rs
@@ -77,7 +77,7 @@
 /// Guards against old engines that are stopped under their runs: all new requests go to the
 /// new version first.
 #[tokio::test]
-async fn rollout_good_version() {
+async fn rollout_promoted_after_deadline() {
     // Enough requests to prove that no more than a few in a hundred fail.
     const EXTRA: u32 = 80;
     let (site, new, deadline) = start(EVENT_INTERVAL, EXTRA).await;
