Resume migrated runs only where data centres are in service

Cause: the target of a migration was checked when it was chosen. When the run resumed from its copy, only whether the target was leaving was asked, so an evacuation in between was missed. Standby copies ask for both. Class: a permission that ran out between the choice and its use. Change: Pool::accepts_runs, the rule for choosing an engine, also decides whether a copy is used, and whether a run goes on being copied to its target. Before: stream::stream_migrated_to_evacuated fails, the run resumes at the evacuated engine; after: it resumes at another one, in 3 of 3 runs.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -235,7 +235,7 @@
         self.candidate.is_none() || self.side_of(&member.endpoint.version) == side
     }
 
-    fn is_eligible(&self, member: &Member, now: Time) -> bool {
+    pub(super) fn is_eligible(&self, member: &Member, now: Time) -> bool {
         member.accepts_work(now) && !self.is_data_centre_out(&member.endpoint.data_centre)
     }
 
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -349,6 +349,13 @@
         })
     }
 
+    /// Returns whether an endpoint may take over a run: it is in use, has not asked for a
+    /// pause, and its data centre is in service.
+    pub fn accepts_runs(&self, id: &str, now: Time) -> bool {
+        self.index(id)
+            .is_ok_and(|index| self.is_eligible(&self.members[index], now))
+    }
+
     /// Records that a request is sent.
     pub fn record_start(&mut self, id: &str, work: Work, now: Time) {
         let weight = if self.mean_prompt > 0.0 {
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -89,11 +89,14 @@
         !self.task.is_finished()
     }
 
-    /// Returns the last complete copy, unless the engine that holds it is leaving too.
+    /// Returns the last complete copy, unless the engine that holds it is out of use.
     pub(crate) fn finish(self, job: &Job) -> Option<ResumePoint> {
         let (copy, handle) = lock(&self.progress).complete.take()?;
-        let is_staying = !job.shard.pool().is_leaving(&copy.endpoint.id);
-        is_staying.then(|| ResumePoint {
+        let is_in_use = job
+            .shard
+            .pool()
+            .accepts_runs(&copy.endpoint.id, clock::now());
+        is_in_use.then(|| ResumePoint {
             target: Arc::clone(&copy.endpoint),
             source: self.source,
             handle,
@@ -183,8 +186,8 @@
         }
     }
 
-    /// Copies the run to one target repeatedly, until the target has no room or is
-    /// leaving.
+    /// Copies the run to one target repeatedly, until the target has no room or is out of
+    /// use.
     async fn copy_to(&self, target: &Endpoint) -> Result<(), replica::Error> {
         loop {
             let copied = replica::copy_run(
@@ -210,7 +213,7 @@
                     return Ok(());
                 }
             }
-            if self.shard.pool().is_leaving(&target.id) {
+            if !self.shard.pool().accepts_runs(&target.id, clock::now()) {
                 return Ok(());
             }
         }
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 use tokio::time::sleep;
 
-use crate::site::{IN_FORCE, Site, config, full_stream};
+use crate::site::{ENGINES, IN_FORCE, Site, config, full_stream};
 
 #[tokio::test]
 async fn stream_whole() {
@@ -76,6 +76,31 @@
     assert_eq!(stream.text, full_stream("s1", 120));
 }
 
+/// Guards against a run that resumes in a data centre that was evacuated after the run had
+/// been copied there.
+#[tokio::test]
+async fn stream_migrated_to_evacuated() {
+    let interval = Duration::from_millis(20);
+    let mut site = Site::start_with(1, 0, 130, interval).await;
+    let mut stream = site.open("/drafts/1", "s1").await;
+    assert_eq!(stream.read(2).await, None);
+    let evacuated = site.start_engine("e-8", 130, interval).await;
+    let entry = evacuated.entry(ENGINES, "south", "available");
+    site.store.put("servers", "e-8", entry);
+    sleep(Duration::from_millis(600)).await;
+    site.list_engine(0, "draining");
+    // By then the run has been copied.
+    sleep(Duration::from_millis(800)).await;
+    site.store
+        .put("evacuations", "south", serde_json::json!({}));
+    let _joined = site.add_engine("e-9", 130, interval).await;
+    sleep(Duration::from_millis(900)).await;
+    drop(site.engines.remove(0));
+    assert_eq!(stream.read(usize::MAX).await, Some(true));
+    assert_eq!(stream.text, full_stream("s1", 130));
+    assert!(evacuated.seen().is_empty());
+}
+
 #[tokio::test]
 async fn stream_migrated_before_first_event() {
     // The engine does not know the run until its first token.
