--- a/review/standins/src/bin/cold.rs
+++ b/review/standins/src/bin/cold.rs
@@ -89,13 +89,26 @@
             if arrivals.iter().rev().take_while(is_recent).count() > CRASH_PER_S {
                 let own = stream.local_addr().unwrap_or(address);
                 http::stop(&server.is_up, own);
-                record.say(format!("replica {} crashes: more than {CRASH_PER_S} requests in a second", server.id));
+                record.say(format!(
+                    "replica {} crashes: more than {CRASH_PER_S} requests in a second",
+                    server.id
+                ));
             }
         }
-        record.line(format!("replica {} runs {attempt}, cold: {is_cold}", server.id));
-        thread::sleep(if is_cold { WORK.mul_f64(COLD_SLOWDOWN) } else { WORK });
+        record.line(format!(
+            "replica {} runs {attempt}, cold: {is_cold}",
+            server.id
+        ));
+        thread::sleep(if is_cold {
+            WORK.mul_f64(COLD_SLOWDOWN)
+        } else {
+            WORK
+        });
         if !server.is_up.load(Ordering::SeqCst) {
-            record.line(format!("replica {} has crashed and does not answer {attempt}", server.id));
+            record.line(format!(
+                "replica {} has crashed and does not answer {attempt}",
+                server.id
+            ));
             return Next::Close;
         }
         replica::answer(&request, &server.id, 200, &[b'a'; 800], stream);
@@ -114,28 +127,46 @@
     for number in 0..3_u8 {
         let is_up = Arc::new(AtomicBool::new(true));
         let id = format!("i-{number}");
-        let server = Server { id: id.clone(), is_up: Arc::clone(&is_up), cold_until: None };
+        let server = Server {
+            id: id.clone(),
+            is_up: Arc::clone(&is_up),
+            cold_until: None,
+        };
         let address = SocketAddr::from((site::ip(10 + number), 0));
         let address = start(record, server, address, &sent, &arrivals);
         let zone = ["north", "south", "east"][usize::from(number)];
-        replica::register(&store, &id, replica::entry(SERVICE, address, zone, "v1", SLOTS), &is_up);
+        replica::register(
+            &store,
+            &id,
+            replica::entry(SERVICE, address, zone, "v1", SLOTS),
+            &is_up,
+        );
         flags.push((is_up, address));
     }
     let routes = [
         site::route("orders", "/orders/", "non_idempotent", SERVICE, 1_000, 1),
         site::route("looks", "/looks/", "idempotent", SERVICE, 1_000, 2),
     ];
-    let services = [json!({"name": SERVICE, "healthPath": "/healthz", "maxConnections": 220,
-        "coldStartS": COLD_S, "coldPerS": COLD_PER_S})];
+    let services = [
+        json!({"name": SERVICE, "healthPath": "/healthz", "maxConnections": 220,
+        "coldStartS": COLD_S, "coldPerS": COLD_PER_S}),
+    ];
     site::put_config(&store, 100, &routes, &services);
-    let settings = must("settings", site::settings("edge-1", "north", site::ip(2), store.address));
+    let settings = must(
+        "settings",
+        site::settings("edge-1", "north", site::ip(2), store.address),
+    );
     let gateway = must("gateway", Gateway::start(&files, "edge-1", &settings));
     must("readiness", gateway.wait_ready());
     thread::sleep(Duration::from_millis(500));
 
     if has_trouble() {
-        let (record, store, sent, arrivals) =
-            (Arc::clone(record), store.clone(), Arc::clone(&sent), Arc::clone(&arrivals));
+        let (record, store, sent, arrivals) = (
+            Arc::clone(record),
+            store.clone(),
+            Arc::clone(&sent),
+            Arc::clone(&arrivals),
+        );
         let (is_up, address) = flags[0].clone();
         thread::spawn(move || {
             thread::sleep(DOWN_AT);
@@ -148,7 +179,11 @@
             let cold_until = Instant::now() + Duration::from_secs_f64(COLD_S);
             let is_up = Arc::new(AtomicBool::new(true));
             let id = "i-0b".to_owned();
-            let server = Server { id, is_up: Arc::clone(&is_up), cold_until: Some(cold_until) };
+            let server = Server {
+                id,
+                is_up: Arc::clone(&is_up),
+                cold_until: Some(cold_until),
+            };
             let address = SocketAddr::from((site::ip(20), 0));
             let address = start(&record, server, address, &sent, &arrivals);
             let mut entry = replica::entry(SERVICE, address, "north", "v1", SLOTS);
@@ -169,17 +204,27 @@
         let callers = gateway.callers;
         clients.push(thread::spawn(move || {
             sent.lock().expect("not poisoned")[number] = Some(Instant::now());
-            let (method, path) = if is_look { ("GET", "/looks/1") } else { ("POST", "/orders/1") };
+            let (method, path) = if is_look {
+                ("GET", "/looks/1")
+            } else {
+                ("POST", "/orders/1")
+            };
             let answer = client::exchange(callers, method, path, &number.to_string(), DEADLINE_MS);
             let status = answer.status;
             let text = format!("client got {status} for {number} ({path})");
-            if status == 200 { record.line(text) } else { record.say(text) }
+            if status == 200 {
+                record.line(text)
+            } else {
+                record.say(text)
+            }
             let counter = if answer.status == 200 { served } else { failed };
             counter.fetch_add(1, Ordering::SeqCst);
         }));
     }
     for client in clients {
-        client.join().expect("the case could not run: a client failed");
+        client
+            .join()
+            .expect("the case could not run: a client failed");
     }
     let most = most_in_a_second(&arrivals.lock().expect("not poisoned"));
     record.say(format!(
@@ -197,11 +242,19 @@
     let mut most = 0;
     for arrival in arrivals {
         window.push_back(*arrival);
-        while window.front().is_some_and(|first| arrival.1 - first.1 > Duration::from_secs(1)) {
+        while window
+            .front()
+            .is_some_and(|first| arrival.1 - first.1 > Duration::from_secs(1))
+        {
             window.pop_front();
         }
         let begins_at = arrival.1 - Duration::from_secs(1);
-        most = most.max(window.iter().filter(|(sent_at, _)| *sent_at >= begins_at).count());
+        most = most.max(
+            window
+                .iter()
+                .filter(|(sent_at, _)| *sent_at >= begins_at)
+                .count(),
+        );
     }
     most
 }
--- a/review/standins/src/bin/entry.rs
+++ b/review/standins/src/bin/entry.rs
@@ -52,7 +52,9 @@
                     let attempt = request.get("x-cactusroad-attempt-id").to_owned();
                     let path = request.path();
                     let is_foreign = !path.starts_with(prefix);
-                    record.line(format!("replica {own} runs {attempt} ({path}), foreign: {is_foreign}"));
+                    record.line(format!(
+                        "replica {own} runs {attempt} ({path}), foreign: {is_foreign}"
+                    ));
                     if is_foreign {
                         foreign.fetch_add(1, Ordering::SeqCst);
                     }
@@ -65,19 +67,43 @@
             let ip = site::ip(10 + 10 * u8::try_from(number).unwrap_or(0) + copy);
             let address = must("replica", http::serve(SocketAddr::from((ip, 0)), handle));
             let zone = ["north", "south", "east"][usize::from(copy)];
-            replica::register(&store, &id, replica::entry(service, address, zone, "v1", SLOTS), &up);
+            replica::register(
+                &store,
+                &id,
+                replica::entry(service, address, zone, "v1", SLOTS),
+                &up,
+            );
             if id == "stock-app-0" {
                 stock_address = Some(address);
             }
         }
     }
     let routes = [
-        site::route("orders", SERVICES[0].1, "non_idempotent", SERVICES[0].0, 1_000, 1),
-        site::route("looks", SERVICES[1].1, "idempotent", SERVICES[1].0, 1_000, 2),
+        site::route(
+            "orders",
+            SERVICES[0].1,
+            "non_idempotent",
+            SERVICES[0].0,
+            1_000,
+            1,
+        ),
+        site::route(
+            "looks",
+            SERVICES[1].1,
+            "idempotent",
+            SERVICES[1].0,
+            1_000,
+            2,
+        ),
     ];
-    let services = SERVICES.map(|(service, _)| json!({"name": service, "healthPath": "/healthz", "maxConnections": 96}));
+    let services = SERVICES.map(
+        |(service, _)| json!({"name": service, "healthPath": "/healthz", "maxConnections": 96}),
+    );
     site::put_config(&store, 100, &routes, &services);
-    let settings = must("settings", site::settings("edge-1", "north", site::ip(2), store.address));
+    let settings = must(
+        "settings",
+        site::settings("edge-1", "north", site::ip(2), store.address),
+    );
     let gateway = must("gateway", Gateway::start(&files, "edge-1", &settings));
     must("readiness", gateway.wait_ready());
     thread::sleep(Duration::from_millis(500));
@@ -90,7 +116,9 @@
             // `coldRemainingMs`, `sequence` and `born` are missing.
             let entry = json!({"service": SERVICES[0].0, "address": address.to_string(),
                 "zone": "north", "version": "v1", "batchSlots": SLOTS, "phase": "available"});
-            record.say(format!("another writer writes servers/stock-app-0: {entry}"));
+            record.say(format!(
+                "another writer writes servers/stock-app-0: {entry}"
+            ));
             store.put("servers", "stock-app-0", entry);
         });
     }
@@ -109,14 +137,19 @@
             let path = format!("{prefix}1");
             let answer = client::exchange(callers, method, &path, &number.to_string(), DEADLINE_MS);
             let body = String::from_utf8_lossy(&answer.body);
-            record.line(format!("client got {} for {number} ({path}): {body}", answer.status));
+            record.line(format!(
+                "client got {} for {number} ({path}): {body}",
+                answer.status
+            ));
             if answer.status == 200 && !body.starts_with(service) {
                 wrong.fetch_add(1, Ordering::SeqCst);
             }
         }));
     }
     for client in clients {
-        client.join().expect("the case could not run: a client failed");
+        client
+            .join()
+            .expect("the case could not run: a client failed");
     }
     let foreign = foreign.load(Ordering::SeqCst);
     record.say(format!(
--- a/review/standins/src/bin/rollout.rs
+++ b/review/standins/src/bin/rollout.rs
@@ -71,16 +71,27 @@
             if request.path() == "/healthz" {
                 replica::healthy(&own, stream);
             } else if !replica::misdirected(&request, &own, stream) {
-                record.line(format!("v1 {own} runs {}", request.get("x-cactusroad-attempt-id")));
+                record.line(format!(
+                    "v1 {own} runs {}",
+                    request.get("x-cactusroad-attempt-id")
+                ));
                 thread::sleep(WORK);
                 replica::answer(&request, &own, 200, &[b'a'; ANSWER_BYTES], stream);
             }
             Next::Keep
         };
         let address = SocketAddr::from((site::ip(10 + number), 0));
-        let address = must("replica", http::serve_while(address, Arc::clone(&old_up), handle));
+        let address = must(
+            "replica",
+            http::serve_while(address, Arc::clone(&old_up), handle),
+        );
         let zone = ["north", "south", "east"][usize::from(number)];
-        replica::register(&store, &id, replica::entry(SERVICE, address, zone, "v1", SLOTS), &old_up);
+        replica::register(
+            &store,
+            &id,
+            replica::entry(SERVICE, address, zone, "v1", SLOTS),
+            &old_up,
+        );
         old.push((id, address));
     }
     let routes = [
@@ -89,14 +100,21 @@
     ];
     let services = [json!({"name": SERVICE, "healthPath": "/healthz", "maxConnections": 96})];
     site::put_config(&store, 100, &routes, &services);
-    let settings = must("settings", site::settings("edge-1", "north", site::ip(2), store.address));
+    let settings = must(
+        "settings",
+        site::settings("edge-1", "north", site::ip(2), store.address),
+    );
     let gateway = must("gateway", Gateway::start(&files, "edge-1", &settings));
     must("readiness", gateway.wait_ready());
     thread::sleep(Duration::from_millis(500));
 
     {
-        let (record, store, sent, seen) =
-            (Arc::clone(record), store.clone(), Arc::clone(&sent), Arc::clone(&seen));
+        let (record, store, sent, seen) = (
+            Arc::clone(record),
+            store.clone(),
+            Arc::clone(&sent),
+            Arc::clone(&seen),
+        );
         let (old_up, new_up) = (Arc::clone(&old_up), Arc::clone(&new_up));
         let is_bad = has_trouble();
         thread::spawn(move || {
@@ -114,7 +132,8 @@
                         return Next::Keep;
                     }
                     let attempt = request.get("x-cactusroad-attempt-id").to_owned();
-                    let sent_at = sent.lock().expect("not poisoned")[attempt.parse::<usize>().unwrap_or(0)];
+                    let sent_at =
+                        sent.lock().expect("not poisoned")[attempt.parse::<usize>().unwrap_or(0)];
                     let is_bad = {
                         let mut seen = seen.lock().expect("not poisoned");
                         seen.answers += 1;
@@ -147,7 +166,10 @@
                     Next::Close
                 };
                 let address = SocketAddr::from((site::ip(20 + number), 0));
-                let address = must("replica", http::serve_while(address, Arc::clone(&new_up), handle));
+                let address = must(
+                    "replica",
+                    http::serve_while(address, Arc::clone(&new_up), handle),
+                );
                 let zone = ["north", "south", "east"][usize::from(number)];
                 let entry = replica::entry(SERVICE, address, zone, "v2", SLOTS);
                 replica::register(&store, &id, entry, &new_up);
@@ -183,16 +205,25 @@
         let callers = gateway.callers;
         clients.push(thread::spawn(move || {
             sent.lock().expect("not poisoned")[number] = Some(Instant::now());
-            let (method, path) = if is_look { ("GET", "/looks/1") } else { ("POST", "/orders/1") };
+            let (method, path) = if is_look {
+                ("GET", "/looks/1")
+            } else {
+                ("POST", "/orders/1")
+            };
             let answer = client::exchange(callers, method, path, &number.to_string(), DEADLINE_MS);
-            record.line(format!("client got {} for {number} ({path})", answer.status));
+            record.line(format!(
+                "client got {} for {number} ({path})",
+                answer.status
+            ));
             if answer.status != 200 {
                 failed.fetch_add(1, Ordering::SeqCst);
             }
         }));
     }
     for client in clients {
-        client.join().expect("the case could not run: a client failed");
+        client
+            .join()
+            .expect("the case could not run: a client failed");
     }
     let seen = seen.lock().expect("not poisoned");
     record.say(format!(
--- a/review/standins/src/bin/sigterm.rs
+++ b/review/standins/src/bin/sigterm.rs
@@ -55,7 +55,9 @@
                 record.line(format!("replica {own} runs {attempt}"));
                 thread::sleep(WORK);
                 replica::answer(&request, &own, 200, &vec![b'a'; ANSWER_BYTES], stream);
-                record.line(format!("replica {own} has sent the whole answer to {attempt}"));
+                record.line(format!(
+                    "replica {own} has sent the whole answer to {attempt}"
+                ));
             }
             Next::Keep
         };
@@ -64,10 +66,20 @@
         let entry = replica::entry(SERVICE, address, "north", "v1", 6);
         replica::register(&store, &id, entry, &up);
     }
-    let routes = [site::route("exports", "/exports/", "non_idempotent", SERVICE, 30_000, 1)];
+    let routes = [site::route(
+        "exports",
+        "/exports/",
+        "non_idempotent",
+        SERVICE,
+        30_000,
+        1,
+    )];
     let services = [json!({"name": SERVICE, "healthPath": "/healthz", "maxConnections": 96})];
     site::put_config(&store, 100, &routes, &services);
-    let settings = must("settings", site::settings("edge-1", "north", site::ip(2), store.address));
+    let settings = must(
+        "settings",
+        site::settings("edge-1", "north", site::ip(2), store.address),
+    );
     let mut gateway = must("gateway", Gateway::start(&files, "edge-1", &settings));
     must("readiness", gateway.wait_ready());
     thread::sleep(Duration::from_millis(500));
@@ -82,7 +94,7 @@
             let stream = client::connect(callers, Some(RECEIVE_BUFFER_BYTES));
             let mut stream = must("client", stream);
             let path = format!("/exports/{number}");
-            must("send", client::send(&mut stream, "GET", &path, &id, DEADLINE_MS, &[], b""));
+            must("send", client::send(&mut stream, "GET", &path, &id, DEADLINE_MS, b""));
             record.line(format!("client sent {id}"));
             let sent_at = Instant::now();
             let (mut begun_at, mut read) = (None, 0);
@@ -128,9 +140,13 @@
         }
     }
     for client in clients {
-        client.join().expect("the case could not run: a client failed");
+        client
+            .join()
+            .expect("the case could not run: a client failed");
     }
     let lost = CLIENTS - complete.load(Ordering::SeqCst);
-    record.say(format!("requests without a complete answer: {lost} of {CLIENTS}"));
+    record.say(format!(
+        "requests without a complete answer: {lost} of {CLIENTS}"
+    ));
     lost > 0
 }
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -35,16 +35,12 @@
     path: &str,
     id: &str,
     deadline_ms: u64,
-    headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
     let mut text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Cactusroad-Attempt-Id: {id}\r\n\
          X-Cactusroad-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n"
     );
-    for (name, value) in headers {
-        text.push_str(&format!("{name}: {value}\r\n"));
-    }
     if method != "GET" || !body.is_empty() {
         text.push_str(&format!("Content-Length: {}\r\n", body.len()));
     }
@@ -56,11 +52,20 @@
 
 /// Sends a request on a new connection and reads the whole answer. The status is zero if there
 /// was no answer.
-pub fn exchange(address: SocketAddr, method: &str, path: &str, id: &str, deadline_ms: u64) -> Answer {
+pub fn exchange(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+) -> Answer {
     let sent = connect(address, None).and_then(|mut stream| {
         let body: &[u8] = if method == "GET" { b"" } else { b"order" };
-        send(&mut stream, method, path, id, deadline_ms, &[], body)?;
+        send(&mut stream, method, path, id, deadline_ms, body)?;
         Ok(stream)
     });
-    sent.map_or_else(|_| Answer::default(), |stream| http::read_answer(stream, |_| {}))
+    sent.map_or_else(
+        |_| Answer::default(),
+        |stream| http::read_answer(stream, |_| {}),
+    )
 }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -118,7 +118,10 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -150,7 +153,11 @@
 }
 
 /// Like [`serve`], until [`stop`] is called.
-pub fn serve_while<F>(address: SocketAddr, is_up: Arc<AtomicBool>, handle: F) -> io::Result<SocketAddr>
+pub fn serve_while<F>(
+    address: SocketAddr,
+    is_up: Arc<AtomicBool>,
+    handle: F,
+) -> io::Result<SocketAddr>
 where
     F: Fn(Request, &mut TcpStream) -> Next + Send + Sync + 'static,
 {
@@ -219,7 +226,9 @@
         }
         return answer;
     }
-    let length = head.get("content-length").and_then(|text| text.parse().ok());
+    let length = head
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
     let mut part = [0; 16 << 10];
     loop {
         if length.is_some_and(|length: usize| answer.body.len() >= length) {
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -19,7 +19,10 @@
     pub fn create() -> Record {
         let directory = std::env::args().nth(1).unwrap_or_else(|| ".".into());
         match File::create(format!("{directory}/record.txt")) {
-            Ok(file) => Record { started_at: Instant::now(), file: Mutex::new(file) },
+            Ok(file) => Record {
+                started_at: Instant::now(),
+                file: Mutex::new(file),
+            },
             Err(cause) => {
                 eprintln!("cannot write the record: {cause}");
                 process::exit(2);
--- a/review/standins/src/replica.rs
+++ b/review/standins/src/replica.rs
@@ -23,7 +23,9 @@
 
 /// Returns the Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(0)
 }
 
@@ -74,7 +76,10 @@
 pub fn answer(request: &Request, id: &str, status: u16, body: &[u8], stream: &mut TcpStream) {
     let signature = format!("signed.{id}");
     let headers = [
-        ("x-cactusroad-attempt-id", request.get("x-cactusroad-attempt-id")),
+        (
+            "x-cactusroad-attempt-id",
+            request.get("x-cactusroad-attempt-id"),
+        ),
         ("x-cactusroad-replica-signature", &signature),
     ];
     let _ = http::respond(stream, status, &headers, body);
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -95,7 +95,13 @@
         fs::write(&path, settings.to_string())?;
         let log = File::create(files.0.join(format!("{name}.log")))?;
         let child = Command::new("target/release/cactusroad")
-            .args(["gateway", "--metrics", "9464", "--policy", "deploy/policy.json"])
+            .args([
+                "gateway",
+                "--metrics",
+                "9464",
+                "--policy",
+                "deploy/policy.json",
+            ])
             .env_clear()
             .env("CACTUSROAD_CONFIG", &path)
             .stdin(Stdio::null())
@@ -109,7 +115,11 @@
             let text = settings["listenAddrs"][name].as_str().unwrap_or("");
             text.parse().map_err(|_| io::Error::other("no address"))
         };
-        Ok(Gateway { child, callers: address("frontend")?, readiness: address("readiness")? })
+        Ok(Gateway {
+            child,
+            callers: address("frontend")?,
+            readiness: address("readiness")?,
+        })
     }
 
     pub fn pid(&self) -> u32 {
@@ -120,7 +130,10 @@
     pub fn signal(&self, name: &str) -> io::Result<()> {
         let command = format!("kill -{name} {}", self.child.id());
         let status = Command::new("sh").args(["-c", &command]).status()?;
-        status.success().then_some(()).ok_or(io::Error::other("kill failed"))
+        status
+            .success()
+            .then_some(())
+            .ok_or(io::Error::other("kill failed"))
     }
 
     pub fn is_ready(&self) -> bool {
@@ -152,7 +165,14 @@
 }
 
 /// Returns a route.
-pub fn route(name: &str, prefix: &str, kind: &str, service: &str, timeout_ms: u64, attempts: u32) -> Value {
+pub fn route(
+    name: &str,
+    prefix: &str,
+    kind: &str,
+    service: &str,
+    timeout_ms: u64,
+    attempts: u32,
+) -> Value {
     json!({"name": name, "hostname": client::HOST, "pathPrefix": prefix, "routeType": kind,
         "timeoutMs": timeout_ms, "targetLatencyMs": 100, "targetItlMs": 180, "priorityClass": 1,
         "service": service, "attempts": attempts, "anonymous": false})
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -54,7 +54,8 @@
             is_deleted: false,
             view: view.clone(),
         });
-        self.objects.insert((kind.to_owned(), name.to_owned()), object);
+        self.objects
+            .insert((kind.to_owned(), name.to_owned()), object);
         view
     }
 
@@ -101,8 +102,15 @@
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         let mut state = self.shared.state.lock().expect("not poisoned");
         let key = (kind.to_owned(), name.to_owned());
-        let status = state.objects.get(&key).map_or(Value::Null, |object| object.status.clone());
-        let object = Object { revision: 0, spec, status };
+        let status = state
+            .objects
+            .get(&key)
+            .map_or(Value::Null, |object| object.status.clone());
+        let object = Object {
+            revision: 0,
+            spec,
+            status,
+        };
         state.put(kind, name, object);
         self.shared.changed.notify_all();
     }
@@ -115,12 +123,19 @@
 
     /// Returns all statuses that were written, in order.
     pub fn statuses(&self) -> Vec<(String, Value, Option<Instant>)> {
-        self.shared.state.lock().expect("not poisoned").statuses.clone()
+        self.shared
+            .state
+            .lock()
+            .expect("not poisoned")
+            .statuses
+            .clone()
     }
 }
 
 fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
 
 impl Shared {
@@ -131,7 +146,10 @@
     }
 
     fn call(&self, request: &Request) -> (u16, Value) {
-        let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
+        let (path, query) = request
+            .path()
+            .split_once('?')
+            .unwrap_or((request.path(), ""));
         let Some(path) = path.strip_prefix("/v1/objects/") else {
             return (404, Value::Null);
         };
@@ -156,8 +174,13 @@
     fn list(&self, kind: &str) -> (u16, Value) {
         let state = self.state.lock().expect("not poisoned");
         let of_kind = state.objects.iter().filter(|((known, _), _)| known == kind);
-        let entries: Vec<Value> = of_kind.map(|((_, name), object)| view(name, object)).collect();
-        (200, json!({"entries": entries, "hasMore": false, "at": state.revision}))
+        let entries: Vec<Value> = of_kind
+            .map(|((_, name), object)| view(name, object))
+            .collect();
+        (
+            200,
+            json!({"entries": entries, "hasMore": false, "at": state.revision}),
+        )
     }
 
     fn watch(&self, kind: &str, since: u64, wait: Duration) -> (u16, Value) {
@@ -174,7 +197,11 @@
             if !events.is_empty() || left.is_zero() {
                 return (200, json!({"events": events, "at": state.revision}));
             }
-            state = self.changed.wait_timeout(state, left).expect("not poisoned").0;
+            state = self
+                .changed
+                .wait_timeout(state, left)
+                .expect("not poisoned")
+                .0;
         }
     }
 
@@ -198,7 +225,11 @@
             if method != "POST" {
                 return (404, Value::Null);
             }
-            let object = Object { revision: 0, spec: body["spec"].clone(), status: Value::Null };
+            let object = Object {
+                revision: 0,
+                spec: body["spec"].clone(),
+                status: Value::Null,
+            };
             return (201, state.put(kind, name, object));
         };
         if method == "POST" || condition.is_some_and(|at| at != object.revision) {
