--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -36,11 +36,25 @@
     id: &str,
     deadline_ms: u64,
     body: &[u8],
+) -> io::Result<()> {
+    send_with(stream, method, path, id, deadline_ms, "", body)
+}
+
+/// Sends a request with further headers, each with the end of its line.
+pub fn send_with(
+    stream: &mut TcpStream,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    headers: &str,
+    body: &[u8],
 ) -> io::Result<()> {
     let mut text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Cactusroad-Attempt-Id: {id}\r\n\
          X-Cactusroad-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n"
     );
+    text.push_str(headers);
     if method != "GET" || !body.is_empty() {
         text.push_str(&format!("Content-Length: {}\r\n", body.len()));
     }
