--- a/review/standins/src/bin/silent.rs
+++ b/review/standins/src/bin/silent.rs
@@ -45,6 +45,7 @@
     engine: String,
     attempt: String,
     is_resumed: bool,
+    /// When the engine made its first event; a request starts to run with its first token.
     begun_at: Instant,
     /// When the engine made its last event, and the number of events that it made.
     last_at: Instant,
@@ -160,27 +161,37 @@
             if attempt == PREEMPTED && !is_resumed && number == PREEMPTED_AT {
                 self.record.say(format!("engine {id} preempts {attempt}"));
                 thread::sleep(PREEMPTION);
-                self.record.say(format!("engine {id} goes on with {attempt}"));
+                self.record
+                    .say(format!("engine {id} goes on with {attempt}"));
             }
             thread::sleep(EVENT);
             if is_closed(stream) {
-                self.record.line(format!("engine {id} drops {attempt}: its connection closed"));
+                self.record.line(format!(
+                    "engine {id} drops {attempt}: its connection closed"
+                ));
                 return;
             }
             {
                 let mut work = self.work.lock().expect("not poisoned");
-                work[index].last_at = Instant::now();
-                work[index].made += 1;
+                let work = &mut work[index];
+                work.last_at = Instant::now();
+                if work.made == 0 {
+                    work.begun_at = work.last_at;
+                }
+                work.made += 1;
             }
             if !is_lost {
                 let event = format!("id: {number}\ndata: {attempt} {number}\n\n");
                 if stream.write_all(chunk(&event).as_bytes()).is_err() {
-                    self.record.line(format!("engine {id} drops {attempt}: its connection failed"));
+                    self.record.line(format!(
+                        "engine {id} drops {attempt}: its connection failed"
+                    ));
                     return;
                 }
             }
         }
-        self.record.line(format!("engine {id} has made the last event of {attempt}"));
+        self.record
+            .line(format!("engine {id} has made the last event of {attempt}"));
         if !is_lost {
             let _ = stream.write_all(b"0\r\n\r\n");
             return;
@@ -241,7 +252,8 @@
     for number in 0..RUNS {
         let due = begun_at + Duration::from_secs_f64(number as f64 / RUNS_PER_S);
         thread::sleep(due.saturating_duration_since(Instant::now()));
-        let (record, complete, callers) = (Arc::clone(record), Arc::clone(&complete), gateway.callers);
+        let (record, complete, callers) =
+            (Arc::clone(record), Arc::clone(&complete), gateway.callers);
         clients.push(thread::spawn(move || {
             let id = format!("draft-{number}");
             let mut stream = must("client", client::connect(callers, None));
@@ -260,7 +272,11 @@
             );
             must("send", sent);
             let answer = http::read_answer(stream, |_| {});
-            let events = answer.body.windows(2).filter(|pair| pair == b"\n\n").count();
+            let events = answer
+                .body
+                .windows(2)
+                .filter(|pair| pair == b"\n\n")
+                .count();
             record.line(format!(
                 "client got {} and {events} events for {id}, complete: {}",
                 answer.status, answer.is_complete
@@ -271,7 +287,9 @@
         }));
     }
     for client in clients {
-        client.join().expect("the case could not run: a client failed");
+        client
+            .join()
+            .expect("the case could not run: a client failed");
     }
     thread::sleep(Duration::from_millis(500));
     let work = pool.work.lock().expect("not poisoned");
