Stop a run at its engine before it goes on elsewhere

Cause: the gateway took a closed connection for a stopped run. An engine works on while it has preempted the run, while its connection is silent, and if it does not notice that the connection was closed. After a silence the connection was not even closed until the second engine had answered.

Ruled out: that a stream is sent again as a new run.

Change: before a run goes on elsewhere, on every path, its connection is closed and its engine is ordered over a new connection to stop the run and to copy it to the engine that continues it. That copy is used first; the engine itself continues the run if no other takes it. Why it works: an engine that answers has stopped, and one that does not is down or out of reach. The soak checks the overlap, with engines that run on.

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -50,7 +50,7 @@
 pub use budget::{Budget, Repeat};
 pub use choose::{Criteria, Purpose, Refusal};
 pub use config::{Config, Error};
-pub use failover::{Decision, Loss, Run};
+pub use failover::{Decision, Loss, Reason, Run};
 pub use grace::Grace;
 pub use member::{Outcome, Report, View};
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     pub(crate) engine_losses: IntCounterVec,
     pub(crate) resumes: IntCounter,
     pub(crate) migrations: IntCounterVec,
+    pub(crate) run_stops: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) relay_calls: IntCounterVec,
     pub(crate) first_answer: Histogram,
@@ -75,6 +76,11 @@
                 "Moves of runs by outcome.",
                 &["outcome"],
             ),
+            run_stops: counter(
+                "cactusroad_run_stops_total",
+                "Orders to engines to stop a run before it goes on elsewhere, by outcome.",
+                &["outcome"],
+            ),
             store_calls: counter(
                 "cactusroad_store_calls_total",
                 "Calls to the store.",
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -14,7 +14,7 @@
 };
 
 use cactusroad_core::pool::{Criteria, Endpoint, Purpose, Work};
-use cactusroad_platform::replica::{self, Copied};
+use cactusroad_platform::replica::{self, Copied, CopyOrder};
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::{
@@ -89,6 +89,14 @@
         !self.task.is_finished()
     }
 
+    /// Stops the copying, and returns the engine that holds the last complete copy.
+    pub(crate) fn halt(&self) -> Option<Arc<Endpoint>> {
+        self.task.abort();
+        let progress = lock(&self.progress);
+        let (copy, _) = progress.complete.as_ref()?;
+        Some(Arc::clone(&copy.endpoint))
+    }
+
     /// Returns the last complete copy, unless the engine that holds it is out of use.
     pub(crate) fn finish(self, job: &Job) -> Option<ResumePoint> {
         let (copy, handle) = lock(&self.progress).complete.take()?;
@@ -110,16 +118,19 @@
         let Some((_, handle)) = lock(&self.progress).complete.take() else {
             return;
         };
-        let source = self.source;
-        // A copy that cannot be freed expires on its own.
-        tokio::spawn(async move {
-            if let Err(cause) = replica::free_copy(source, &handle, COPY_TIMEOUT).await {
-                log::debug!("cannot free copy {handle} of the run from {source}: {cause}");
-            }
-        });
+        free_copy(self.source, handle);
     }
 }
 
+/// Frees the copy of a run in the background. A copy that cannot be freed expires on its own.
+pub(crate) fn free_copy(source: SocketAddr, handle: Arc<str>) {
+    tokio::spawn(async move {
+        if let Err(cause) = replica::free_copy(source, &handle, COPY_TIMEOUT).await {
+            log::debug!("cannot free copy {handle} of the run from {source}: {cause}");
+        }
+    });
+}
+
 fn lock(progress: &Mutex<Progress>) -> MutexGuard<'_, Progress> {
     progress.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -190,13 +201,13 @@
     /// use.
     async fn copy_to(&self, target: &Endpoint) -> Result<(), replica::Error> {
         loop {
-            let copied = replica::copy_run(
-                self.engine.address,
-                &self.request_id,
-                target.address,
-                COPY_TIMEOUT,
-            );
-            match copied.await? {
+            let order = CopyOrder {
+                source: self.engine.address,
+                attempt: &self.request_id,
+                target: target.address,
+                stops: false,
+            };
+            match replica::copy_run(&order, COPY_TIMEOUT, COPY_TIMEOUT).await? {
                 Copied::Done { handle } => {
                     self.record_complete(handle);
                     self.count_outcome("copied");
@@ -208,7 +219,7 @@
                     self.count_outcome("unknown");
                     sleep(RETRY_INTERVAL).await;
                 }
-                Copied::NoRoom => {
+                Copied::NoRoom { .. } => {
                     self.count_outcome("no_room");
                     return Ok(());
                 }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -140,6 +140,13 @@
         parts: &'a [std::sync::Arc<str>],
         cause: &'a str,
     },
+    /// The engine of a run was told to stop it before it goes on elsewhere.
+    RunStopped {
+        request: &'a str,
+        endpoint: &'a str,
+        outcome: &'a str,
+        after_ms: u64,
+    },
     /// A run was resumed at another engine.
     Resumed {
         request: &'a str,
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -40,6 +40,7 @@
 const MAX_QUEUED_EVENTS: usize = 16;
 
 mod recover;
+mod stop;
 
 /// Why a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
@@ -77,8 +78,8 @@
     max_pause_ms: u64,
     /// Changes whenever an endpoint of the service starts to leave or is gone.
     leaving_changes: watch::Receiver<u64>,
-    /// Whether resuming from the standby copy was already tried without success.
-    has_tried_standby: bool,
+    /// Whether a failover was not possible since the last event.
+    has_no_failover: bool,
     /// The migration that was started because the engine is leaving.
     migration: Option<Migration>,
     /// The engines that were probed for their load; the standby copy is placed on one
@@ -154,7 +155,7 @@
             last_event_at: clock::now(),
             max_pause_ms: 0,
             leaving_changes,
-            has_tried_standby: false,
+            has_no_failover: false,
             migration: None,
             candidates,
             job,
@@ -395,7 +396,7 @@
                 }
                 Ok(None) => return Err(Ending::Complete),
                 Err(Interruption::Deadline) => return Err(Ending::Deadline),
-                Err(Interruption::Silent) => self.try_standby().await,
+                Err(Interruption::Silent) => self.fail_over_if_possible().await?,
                 Err(Interruption::Loss(loss, cause)) => self.recover(loss, &cause).await?,
             }
         }
@@ -430,6 +431,7 @@
             self.job.state.crashes.record_answer(&self.job.parts);
         }
         self.last_event = event.id.or(self.last_event);
+        self.has_no_failover = false;
         if let Some(in_flight) = &mut self.in_flight {
             in_flight.record_answer();
         }
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -1,14 +1,14 @@
 //! Failover and migration of a stream whose engine is leaving, silent or lost.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use cactusroad_core::{
     Time,
-    pool::{Decision, Endpoint, Loss, Outcome, Repeat},
+    pool::{Decision, Endpoint, Loss, Outcome, Reason, Repeat},
 };
 use cactusroad_platform::replica::{Reply, Source};
 
-use super::{Ending, Opened, Relay};
+use super::{Ending, Opened, Relay, stop::Stopped};
 use crate::{
     clock,
     crash::ANSWERED_EVENTS,
@@ -28,16 +28,16 @@
 impl Relay {
     /// Returns when the engine counts as silent if it sends nothing from now on.
     ///
-    /// This is [`Time::MAX`] before the first event, without a standby copy, and after
-    /// an attempt to resume from it has failed: a preempted run pauses for long and then
-    /// continues, so waiting is the best option if there is no usable copy.
+    /// This is [`Time::MAX`] before the first event, without a standby copy, and if a
+    /// failover was not possible since the last event: a preempted run pauses for long and
+    /// then continues, so waiting is the best option if there is no usable copy.
     pub(super) fn silence_deadline(&self) -> Time {
         let has_standby = {
             let pool = self.job.shard.pool();
             let backup = self.run.backup.as_ref();
             backup.is_some_and(|backup| pool.holds_copy(&backup.id, clock::now()))
         };
-        if self.events == 0 || !has_standby || self.has_tried_standby {
+        if self.events == 0 || !has_standby || self.has_no_failover {
             return Time::MAX;
         }
         clock::now() + Duration::from_millis(self.job.route.target_itl_ms) * SILENCE_FACTOR
@@ -63,13 +63,36 @@
 
     /// Resumes the run from a copy after its engine was lost.
     pub(super) async fn recover(&mut self, loss: Loss, cause: &str) -> Result<(), Ending> {
-        let lost_at = clock::now();
+        self.leave_engine(loss, cause);
+        self.go_on(clock::now(), None).await
+    }
+
+    /// Resumes the run elsewhere if its engine is silent and another one holds a standby
+    /// copy. Otherwise the run stays where it is.
+    pub(super) async fn fail_over_if_possible(&mut self) -> Result<(), Ending> {
+        let silent_since = clock::now();
+        let decision = self.job.shard.pool().fail_over(&self.run, silent_since);
+        let is_possible = matches!(decision, Decision::Resume(_));
+        if !is_possible || !self.job.shard.spend_retry(Repeat::Resume) {
+            self.has_no_failover = true;
+            return Ok(());
+        }
+        self.leave_engine(Loss::Silent, "no event arrived in time");
+        self.go_on(silent_since, Some(Repeat::Resume)).await
+    }
+
+    /// Closes the connection to the engine of the run.
+    fn leave_engine(&mut self, loss: Loss, cause: &str) {
         if self.reply.take().is_some() && loss == Loss::Broken {
             self.record_crash();
         }
         self.splitter = Splitter::default();
         if let Some(in_flight) = self.in_flight.take() {
-            in_flight.end(Outcome::Unreachable);
+            in_flight.end(match loss {
+                // The engine may be sound and have preempted the run.
+                Loss::Silent => Outcome::Cancelled,
+                Loss::Broken | Loss::Garbled => Outcome::Unreachable,
+            });
         }
         let loss_label: &str = loss.into();
         self.job
@@ -86,7 +109,16 @@
             parts: &self.job.parts,
             cause,
         });
-        while let Some((endpoint, source)) = self.find_successor().await {
+    }
+
+    /// Continues a run whose engine was given up: stops it there, and resumes it elsewhere.
+    /// `spent` is the purpose of a retry that was already taken from the budget.
+    async fn go_on(&mut self, lost_at: Time, mut spent: Option<Repeat>) -> Result<(), Ending> {
+        let mut stopped = self.stop_run().await;
+        while let Some((endpoint, source)) = self.find_successor(&mut stopped).await {
+            if self.job.deadline.is_past(clock::now()) {
+                return Err(Ending::Deadline);
+            }
             if self.job.state.crashes.blocked(&self.job.parts).is_some() {
                 self.record_move_failed(job::CRASHES_ENGINES);
                 return Err(Ending::Lost);
@@ -95,12 +127,13 @@
                 Some(_) => Repeat::Resume,
                 None => Repeat::Retry,
             };
-            if !self.job.shard.spend_retry(purpose) {
+            if spent.take() != Some(purpose) && !self.job.shard.spend_retry(purpose) {
                 self.record_move_failed("no_repeats_left");
                 return Err(Ending::Lost);
             }
             self.run.moves += 1;
             self.sends += 1;
+            let standby = (self.run.backup.take(), self.standby.take());
             self.run.endpoint = endpoint;
             if source.is_some() {
                 let side = self.job.shard.pool().side_of(&self.run.endpoint.version);
@@ -111,12 +144,22 @@
                 .map_or_else(|| "rerun".to_owned(), |source| source.address.to_string());
             let opened = self.open(source).await;
             if matches!(opened, Opened::Reply) && self.is_resumed() {
+                if let Some(stopped) = &mut stopped {
+                    stopped.forget();
+                }
                 self.record_resumed(&label, lost_at);
                 return Ok(());
             }
             self.reply = None;
-            // Nothing was copied to the engine that was chosen for the failed attempt.
-            self.drop_standby();
+            match opened {
+                // The run may go on there, and be copied from there.
+                Opened::Lost => stopped = self.stop_run().await,
+                // The copies made before are still valid, but for the one that was refused.
+                Opened::NotRun if !is_at(&standby.0, &self.run.endpoint) => {
+                    (self.run.backup, self.standby) = standby;
+                }
+                Opened::NotRun | Opened::Reply => self.drop_standby(),
+            }
         }
         Err(Ending::Lost)
     }
@@ -191,47 +234,6 @@
             .is_some_and(|reply| reply.head.status.is_success())
     }
 
-    /// Resumes from the standby copy of a run whose engine is silent. The connection
-    /// to the silent engine is dropped only once the other engine has responded with
-    /// success; events that it sends during that round trip are not read. Otherwise
-    /// the run stays where it is.
-    pub(super) async fn try_standby(&mut self) {
-        let silent_since = clock::now();
-        self.has_tried_standby = true;
-        let decision = self.job.shard.pool().fail_over(&self.run, silent_since);
-        let Decision::Resume(endpoint) = decision else {
-            return;
-        };
-        if !self.job.shard.spend_retry(Repeat::Resume) {
-            return;
-        }
-        let source = self.source(endpoint.address, Arc::clone(&self.job.request_id));
-        let previous = (
-            std::mem::replace(&mut self.run.endpoint, endpoint),
-            self.run.backup.take(),
-            self.standby.take(),
-            self.reply.take(),
-            self.in_flight.take(),
-        );
-        self.sends += 1;
-        let address = source.address.to_string();
-        let opened = self.open(Some(source)).await;
-        if matches!(opened, Opened::Reply) && self.is_resumed() {
-            self.run.moves += 1;
-            self.splitter = Splitter::default();
-            self.has_tried_standby = false;
-            self.record_resumed(&address, silent_since);
-            return;
-        }
-        (
-            self.run.endpoint,
-            self.run.backup,
-            self.standby,
-            self.reply,
-            self.in_flight,
-        ) = previous;
-    }
-
     fn record_resumed(&self, source: &str, lost_at: Time) {
         self.job.state.metrics.resumes.inc();
         record::write(&Event::Resumed {
@@ -242,10 +244,25 @@
         });
     }
 
-    /// Finds the engine that continues the stream: the one with the copy of a migration,
-    /// otherwise the one with the standby copy, otherwise any that may run the request
-    /// again.
-    async fn find_successor(&mut self) -> Option<(Arc<Endpoint>, Option<Source>)> {
+    /// Finds the engine that continues the stream: the one with the last copy before the run
+    /// was stopped, otherwise the one with the copy of a migration, the one with the standby
+    /// copy, or any that may run the request again. If there is none, the engine that stopped
+    /// the run continues it.
+    async fn find_successor(
+        &mut self,
+        stopped: &mut Option<Stopped>,
+    ) -> Option<(Arc<Endpoint>, Option<Source>)> {
+        if let Some(stopped) = stopped
+            && let Some(target) = stopped.take_target()
+            && let Some((address, handle)) = stopped.name()
+            && self.job.shard.pool().holds_copy(&target.id, clock::now())
+        {
+            // The last copy replaces that of the migration.
+            if let Some(migration) = self.migration.take() {
+                migration.finish(&self.job);
+            }
+            return Some((target, Some(self.source(address, handle))));
+        }
         if let Some(found) = self
             .migration
             .take()
@@ -261,6 +278,9 @@
                 Some((endpoint, Some(source)))
             }
             Decision::Rerun => Some((self.choose_rerun().await?, None)),
+            Decision::End(Reason::NoCopy | Reason::CopyLeaving) if stopped.is_some() => {
+                self.return_to(stopped.take()?)
+            }
             Decision::End(reason) => {
                 self.record_move_failed(reason.into());
                 None
@@ -268,12 +288,22 @@
         }
     }
 
-    /// Returns the copy to resume from, as the endpoint request names it.
-    fn source(&self, address: SocketAddr, name: Arc<str>) -> Source {
-        Source {
-            address,
-            name,
-            last_event: Some(self.last_event.unwrap_or(0)),
+    /// Lets the engine that stopped the run continue it, if it still takes requests.
+    fn return_to(&self, mut stopped: Stopped) -> Option<(Arc<Endpoint>, Option<Source>)> {
+        let engine = Arc::clone(stopped.engine());
+        let (address, handle) = stopped.name()?;
+        if !self.job.shard.pool().holds_copy(&engine.id, clock::now()) {
+            self.record_move_failed(Reason::CopyLeaving.into());
+            return None;
         }
+        stopped.forget();
+        Some((engine, Some(self.source(address, handle))))
     }
 }
+
+/// Returns whether a standby copy is at this engine.
+fn is_at(standby: &Option<Arc<Endpoint>>, engine: &Endpoint) -> bool {
+    standby
+        .as_ref()
+        .is_some_and(|standby| standby.id == engine.id)
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod cut;
 mod drain;
 mod endless;
+mod failover;
 mod log;
 mod plain;
 mod relay;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -44,7 +44,7 @@
     pub(crate) gateway: Gateway,
     /// Gateways of one data centre that know each other, beside [`Site::gateway`].
     group: Vec<Gateway>,
-    copies: Copies,
+    pub(crate) copies: Copies,
     /// The addresses of sidecars and of the gateway's peer port, if engines have
     /// sidecars.
     peers: Option<Peers>,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -31,9 +31,15 @@
 const FIXED_SEED: u64 = 7;
 
 /// The number of events in a stream, and the interval between them.
-const STREAM_EVENTS: u64 = 30;
+const STREAM_EVENTS: u64 = 90;
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 
+/// How long a preempted run pauses.
+const PREEMPTION: Duration = Duration::from_millis(800);
+
+/// How long an engine may still work on a run after another one has gone on with it.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
 /// The duration of a fault.
 const FAULT_MS: std::ops::Range<u64> = 50..900;
 
@@ -135,9 +141,13 @@
         replica::Behaviour::Busy,
         replica::Behaviour::Failing,
         replica::Behaviour::Truncated,
+        replica::Behaviour::Detached,
+        replica::Behaviour::Muted,
+        replica::Behaviour::Garbling,
+        replica::Behaviour::Preempting(PREEMPTION),
     ];
     let behaviour = *behaviours.choose(random).expect("there are behaviours");
-    match random.random_range(0..9) {
+    match random.random_range(0..10) {
         0 | 1 => {
             site.orders[order].set_behaviour(behaviour);
             sleep(span).await;
@@ -175,6 +185,7 @@
             site.gateway.signal(Signal::CONT);
         }
         7 => site.gateway.signal(Signal::HUP),
+        8 => site.copies.lose_answers(1),
         _ => {
             // The number of calls only grows, so the version is newer than all before.
             let version = site.store.calls() + 2;
@@ -196,6 +207,12 @@
             is_idempotent || runs <= 1,
             "seed {seed}: {id} ran {runs} times"
         );
+        let overlap = site.copies.longest_overlap(id);
+        assert!(
+            overlap <= MAX_OVERLAP,
+            "seed {seed}: {id} ran at two engines for {overlap:?}: {:#?}",
+            site.copies.spans(id)
+        );
         let Some(answer) = answer else {
             continue;
         };
