--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod endless;
 mod failover;
+mod list;
 mod log;
 mod plain;
 mod relay;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -370,6 +370,12 @@
     }
 
     /// Waits until the gateway is ready and knows all replicas.
+    /// Kills the gateway, and starts it again at another address.
+    pub(crate) async fn restart(&mut self) {
+        self.gateway = launch_gateway(&self.store, self.peers, |settings| settings);
+        self.wait_ready().await;
+    }
+
     async fn wait_ready(&self) {
         let deadline = Instant::now() + Duration::from_secs(10);
         while Instant::now() < deadline {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -147,13 +147,13 @@
         replica::Behaviour::Preempting(PREEMPTION),
     ];
     let behaviour = *behaviours.choose(random).expect("there are behaviours");
-    match random.random_range(0..10) {
+    match random.random_range(0..11) {
         0 | 1 => {
             site.orders[order].set_behaviour(behaviour);
             sleep(span).await;
             site.orders[order].set_behaviour(replica::Behaviour::Normal);
         }
-        2 => {
+        2 | 9 => {
             site.engines[engine].set_behaviour(behaviour);
             sleep(span).await;
             site.engines[engine].set_behaviour(replica::Behaviour::Normal);
