Exit although nobody reads the log

Cause: the last write of the log waits for the reader.

Change: the last write has 0.1 s, within the margin before the kill. The same holds for the sidecar.

Before: stop::stop_unread_log failed, the process had not exited 3.05 s after SIGTERM. After: it passes. The lines that nobody reads are lost.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -67,7 +67,7 @@
 pub fn run(metrics_port: Option<u16>, policy: Option<&Path>) -> Result<(), Error> {
     record::start();
     let ended = start(metrics_port, policy);
-    record::flush();
+    record::finish();
     Ok(ended?)
 }
 
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -8,7 +8,7 @@
 
 use std::{
     io::{self, Write},
-    sync::{LazyLock, Mutex, MutexGuard, PoisonError},
+    sync::{LazyLock, Mutex, MutexGuard, PoisonError, mpsc},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -20,6 +20,9 @@
 /// The size of the buffer: several seconds of lines at the peak request rate.
 const BUFFER_BYTES: usize = 512 << 10;
 
+/// How long the last write to standard output may take.
+const LAST_FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The time between two writes to standard output.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -317,6 +320,18 @@
     }
 }
 
+/// Writes the buffered lines to standard output before the process exits. A reader that
+/// does not read holds up the exit for at most [`LAST_FLUSH_TIMEOUT`].
+pub(crate) fn finish() {
+    let (sender, receiver) = mpsc::channel();
+    std::thread::spawn(move || {
+        flush();
+        // The receiver is gone if the time is over.
+        let _ = sender.send(());
+    });
+    let _ = receiver.recv_timeout(LAST_FLUSH_TIMEOUT);
+}
+
 /// Writes all buffered lines to standard output.
 pub(crate) fn flush() {
     let (bytes, dropped) = {
--- a/crates/gateway/src/sidecar/daemon.rs
+++ b/crates/gateway/src/sidecar/daemon.rs
@@ -40,7 +40,7 @@
 pub fn run() -> Result<(), Error> {
     record::start();
     let ended = start();
-    record::flush();
+    record::finish();
     Ok(ended?)
 }
 
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -83,13 +83,17 @@
 impl Process {
     /// Starts a process in a role, with its settings.
     fn start(role: &str, settings: &Value) -> Process {
+        Process::start_writing(role, settings, Stdio::null())
+    }
+
+    fn start_writing(role: &str, settings: &Value, output: Stdio) -> Process {
         let mut file = NamedTempFile::new().expect("a file can be made");
         file.write_all(settings.to_string().as_bytes())
             .expect("the file can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_cactusroad"))
             .arg(role)
             .env("CACTUSROAD_CONFIG", file.path())
-            .stdout(Stdio::null())
+            .stdout(output)
             .spawn()
             .expect("the process starts");
         Process {
@@ -376,6 +380,12 @@
         self.wait_ready().await;
     }
 
+    /// Like [`Site::restart`], with a log that nobody reads.
+    pub(crate) async fn restart_unread(&mut self) {
+        self.gateway = launch_writing(&self.store, self.peers, Stdio::piped(), |settings| settings);
+        self.wait_ready().await;
+    }
+
     async fn wait_ready(&self) {
         let deadline = Instant::now() + Duration::from_secs(10);
         while Instant::now() < deadline {
@@ -665,6 +675,16 @@
     store: &Store,
     peers: Option<Peers>,
     change: impl FnOnce(Value) -> Value,
+) -> Gateway {
+    launch_writing(store, peers, Stdio::null(), change)
+}
+
+/// Starts a gateway that writes its log to `output`.
+fn launch_writing(
+    store: &Store,
+    peers: Option<Peers>,
+    output: Stdio,
+    change: impl FnOnce(Value) -> Value,
 ) -> Gateway {
     let (callers, readiness) = (free_port(), free_port());
     let settings = change(operator::settings(
@@ -674,7 +694,7 @@
         peers,
     ));
     Gateway {
-        process: Process::start("gateway", &settings),
+        process: Process::start_writing("gateway", &settings, output),
         callers,
         readiness,
     }
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -9,6 +9,24 @@
 
 use crate::site::{Site, full_stream};
 
+/// How long a stop takes in which nothing is left to do: requests are accepted for 2.65 s.
+const CALM_EXIT: Duration = Duration::from_millis(3_050);
+
+/// Guards against a process that does not exit because nobody reads its log.
+#[tokio::test]
+async fn stop_unread_log() {
+    let mut site = Site::start(0, 1).await;
+    site.restart_unread().await;
+    // More lines than a pipe holds.
+    for number in 0..500 {
+        let answer = site.send("/orders/1", &format!("o{number}")).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    sleep(Duration::from_millis(300)).await;
+    site.gateway.signal(Signal::TERM);
+    assert!(site.gateway.wait_exit(CALM_EXIT).await);
+}
+
 #[tokio::test]
 async fn stop_finishes_streams() {
     let mut site = Site::start_with(2, 0, 100, Duration::from_millis(20)).await;
