Answer open requests before a planned stop ends

Reported by operators of another system: requests that came late in the grace period of a planned stop were taken, passed on, and cut with no answer at its end, among them ones that may not be repeated (LOST).

Looked for here with a gateway process whose replicas never answer, and an order each 0.1 s after SIGTERM (stop::stop_answers_everything). Those sent later than 2.65 s were refused and not run, as they should be. Those sent before got no answer at all.

Cause: the process exited with requests open.

Change: 0.4 s before the kill, a request without a response gets a 504, which does not say whether it has run. The times of a stop are fixed once, in state::Stop, and used by all that acts on it.

Before: the test failed, no answer to any order sent in the first 2.65 s. After: each is answered, 504 if it was run and 503 if it was not.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,7 +18,7 @@
     announce, clock, crash, fleet, listen, observe,
     record::{self, Event},
     rollout,
-    state::State,
+    state::{State, Stop},
     watch,
 };
 
@@ -29,6 +29,18 @@
 /// lines of the log are written.
 const FLUSH_MARGIN: Duration = Duration::from_millis(150);
 
+/// How long before the platform kills the process the requests that are still open get a
+/// response, so that it is written before the process exits.
+const ANSWER_MARGIN: Duration = Duration::from_millis(400);
+
+/// How long the gateway still accepts new requests after it was told to stop: two
+/// health checks of the load balancer, and one to spare.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_650);
+
+/// The maximum share of the grace period in which new requests are accepted. The rest is for
+/// requests in flight to end.
+const MAX_ACCEPT_SHARE: f64 = 0.6;
+
 /// The interval at which the drain checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -186,19 +198,27 @@
 
 /// Drains the requests until all have ended or the grace period is over.
 async fn stop(state: &State) {
-    let grace = state.settings.load().grace.saturating_sub(FLUSH_MARGIN);
-    let stops_at = clock::now() + grace;
-    listen::stop(state, stops_at);
+    let grace = state.settings.load().grace;
+    let asked_at = clock::now();
+    let stop = Stop {
+        accepts_until: asked_at + ACCEPT_AFTER_STOP.min(grace.mul_f64(MAX_ACCEPT_SHARE)),
+        answers_by: asked_at + grace.saturating_sub(ANSWER_MARGIN),
+        ends_at: asked_at + grace.saturating_sub(FLUSH_MARGIN),
+    };
+    listen::stop(state, stop);
     let drained = async {
         // Callers that have not noticed the shutdown yet still send requests.
-        sleep(crate::handle::ACCEPT_AFTER_STOP + DRAIN_POLL_INTERVAL).await;
-        while state.open_requests() > 0 {
+        sleep_until(clock::instant(stop.accepts_until)).await;
+        loop {
             sleep(DRAIN_POLL_INTERVAL).await;
+            if state.open_requests() == 0 {
+                return;
+            }
         }
     };
     tokio::select! {
         () = drained => {}
-        () = sleep_until(clock::instant(stops_at)) => {}
+        () = sleep_until(clock::instant(stop.ends_at)) => {}
     }
     record::write(&Event::Stopped {
         open_requests: state.open_requests(),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,7 +4,6 @@
 
 use bytes::{Bytes, BytesMut};
 use cactusroad_core::{
-    Time,
     pool::Work,
     site::{Kind, Route, Site, Workspace},
 };
@@ -16,7 +15,7 @@
 
 use crate::{
     clock,
-    job::Job,
+    job::{Job, Summary},
     plain,
     record::{self, Event},
     reply::{self, Body},
@@ -24,10 +23,6 @@
     stream,
 };
 
-/// How long the gateway still accepts new requests after it was told to stop: two
-/// health checks of the load balancer, and one to spare.
-pub(crate) const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_800);
-
 /// How long a request waits for a process that has just started to read its
 /// configuration and lists: several calls to the store, and less than the delay
 /// after which a refused caller usually retries.
@@ -134,23 +129,34 @@
     if let Some(refusal) = job.refuse_crashing() {
         return refusal;
     }
-    match job.route.kind {
-        Kind::Stream => stream::serve(job).await,
-        Kind::Idempotent | Kind::Once => plain::serve(&job).await,
+    let ending = job.ending();
+    let serving = async {
+        match job.route.kind {
+            Kind::Stream => stream::serve(job).await,
+            Kind::Idempotent | Kind::Once => plain::serve(&job).await,
+        }
+    };
+    tokio::select! {
+        biased;
+        response = serving => response,
+        // The process exits soon. The caller is told rather than cut off.
+        () = state.wait_answers_due() => {
+            ending.record(StatusCode::GATEWAY_TIMEOUT, "stopping", &Summary::default());
+            reply::local_response(StatusCode::GATEWAY_TIMEOUT, "stopping")
+        }
     }
 }
 
 /// Returns why a process that is stopping refuses the request, if it does.
 fn check_shutdown(state: &State, route: &Route, work: Work) -> Option<&'static str> {
-    let stops_at: Time = (*state.stopping.borrow())?;
+    let stop = (*state.stopping.borrow())?;
     let now = clock::now();
-    let grace = state.settings.load().grace;
-    let remaining = stops_at.since(now);
-    if remaining + ACCEPT_AFTER_STOP < grace {
+    if stop.accepts_until.is_past(now) {
         return Some("stopping");
     }
     let expected_duration = Duration::from_millis(FIRST_TOKEN_MS + work.output * TOKEN_MS);
-    (route.kind == Kind::Stream && expected_duration > remaining).then_some("stops_before_its_end")
+    let ends_late = now + expected_duration > stop.answers_by;
+    (route.kind == Kind::Stream && ends_late).then_some("stops_before_its_end")
 }
 
 /// Rejects requests with ambiguous framing, which another process could parse as two
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -160,7 +160,36 @@
 
     /// Counts and logs the end of the request.
     pub(crate) fn record_end(&self, status: StatusCode, outcome: &str, summary: &Summary<'_>) {
-        self.count_request(if status.is_success() && outcome == ANSWERED {
+        self.ending().record(status, outcome, summary);
+    }
+
+    /// Returns what is needed to record the end of the request when the job is gone.
+    pub(crate) fn ending(&self) -> Ending {
+        Ending {
+            state: Arc::clone(&self.state),
+            route: Arc::clone(&self.route),
+            request_id: Arc::clone(&self.request_id),
+            arrived_at: self.arrived_at,
+        }
+    }
+
+    fn count_request(&self, outcome: &str) {
+        self.ending().count(outcome);
+    }
+}
+
+/// Records the end of a request.
+pub(crate) struct Ending {
+    state: Arc<State>,
+    route: Arc<Route>,
+    request_id: Arc<str>,
+    arrived_at: Time,
+}
+
+impl Ending {
+    /// Counts and logs the end.
+    pub(crate) fn record(&self, status: StatusCode, outcome: &str, summary: &Summary<'_>) {
+        self.count(if status.is_success() && outcome == ANSWERED {
             "served"
         } else {
             "failed"
@@ -179,7 +208,7 @@
         });
     }
 
-    fn count_request(&self, outcome: &str) {
+    fn count(&self, outcome: &str) {
         let labels = [self.route.kind.into(), outcome];
         self.state.metrics.requests.with_label_values(&labels).inc();
     }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -2,21 +2,20 @@
 
 use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
-use cactusroad_core::Time;
 use cactusroad_platform::{READY_PATH, dial};
 use http::{Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    time::sleep,
+    time::{sleep, sleep_until},
 };
 
 use crate::{
     clock, handle,
     record::{self, Event},
     reply::{self, Body},
-    state::State,
+    state::{State, Stop},
 };
 
 /// The length of the queue of connections that wait to be accepted. Connections that
@@ -75,7 +74,7 @@
         Duration::from_millis(limits.idle_timeout_ms)
     });
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.header_bytes);
-    let mut stopping = state.stopping.subscribe();
+    let stopping = Arc::clone(&state);
     let service = service_fn(move |request: Request<Incoming>| {
         let state = Arc::clone(&state);
         async move { Ok::<_, Infallible>(handle::serve(state, request).await) }
@@ -87,11 +86,11 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let stopped = async {
-        // The sender lives as long as the state.
-        let _ = stopping.wait_for(Option::is_some).await;
-        sleep(handle::ACCEPT_AFTER_STOP).await;
+        let stop = stopping.wait_stop().await;
+        sleep_until(clock::instant(stop.accepts_until)).await;
     };
     tokio::select! {
+        biased;
         ended = connection.as_mut() => {
             log_end(ended);
             return;
@@ -162,10 +161,9 @@
 }
 
 /// Marks the process as stopping.
-pub(crate) fn stop(state: &State, stops_at: Time) {
+pub(crate) fn stop(state: &State, stop: Stop) {
     record::write(&Event::Stopping {
         open_requests: state.open_requests(),
     });
-    state.stopping.send_replace(Some(stops_at));
-    debug_assert!(stops_at >= clock::now());
+    state.stopping.send_replace(Some(stop));
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,7 +21,10 @@
     site::Site,
 };
 use cactusroad_platform::{replica::Reply, settings::Settings};
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep_until, timeout},
+};
 
 use crate::{
     announce::Announcements,
@@ -48,6 +51,17 @@
 /// of the largest.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
+/// The course of a shutdown.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stop {
+    /// Until when requests are accepted.
+    pub(crate) accepts_until: Time,
+    /// When requests that have no response yet get one, whether or not they have run.
+    pub(crate) answers_by: Time,
+    /// When the process exits at the latest.
+    pub(crate) ends_at: Time,
+}
+
 /// The state that all tasks of a gateway share.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -79,9 +93,9 @@
     pub(crate) recoveries: watch::Sender<u64>,
     /// Counts the calls to the store that failed.
     pub(crate) watch_failures: watch::Sender<u64>,
-    /// The deadline of the shutdown, set once when the process is asked to stop.
-    pub(crate) stopping: watch::Sender<Option<Time>>,
-    /// The number of requests that have not been answered completely.
+    /// Set once when the process is asked to stop.
+    pub(crate) stopping: watch::Sender<Option<Stop>>,
+    /// The number of requests to which the response is not complete yet.
     open_requests: AtomicUsize,
     /// The number of live gateways, including this one.
     gateways: AtomicUsize,
@@ -303,6 +317,26 @@
         self.open_requests.load(Ordering::Relaxed)
     }
 
+    /// Waits until the process is asked to stop.
+    pub(crate) async fn wait_stop(&self) -> Stop {
+        let mut stopping = self.stopping.subscribe();
+        loop {
+            if let Some(stop) = *stopping.borrow_and_update() {
+                return stop;
+            }
+            if stopping.changed().await.is_err() {
+                // The sender lives as long as the state.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Waits until the process is about to exit and requests must be answered.
+    pub(crate) async fn wait_answers_due(&self) {
+        let stop = self.wait_stop().await;
+        sleep_until(clock::instant(stop.answers_by)).await;
+    }
+
     /// Reserves memory for a part of a body. Returns whether it was available.
     fn reserve_memory(&self, bytes: usize) -> bool {
         let limit = self.settings.load().memory_bytes / BODY_MEMORY_DIVISOR;
--- a/tests/gateway/failover.rs
+++ b/tests/gateway/failover.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cactusroad::platform::standin::{
-    operator::{with_drafts_timeout, with_stream_resume},
+    operator::{with_stream_resume, with_timeout},
     replica::Behaviour,
 };
 use tokio::time::sleep;
@@ -29,7 +29,7 @@
     for engine in &site.engines {
         engine.set_behaviour(behaviour);
     }
-    let config = with_drafts_timeout(config(2), TIMEOUT_MS);
+    let config = with_timeout(config(2), TIMEOUT_MS);
     site.store.put("config", "main", config);
     sleep(IN_FORCE).await;
     site
@@ -104,7 +104,7 @@
 #[tokio::test]
 async fn detached_rerun() {
     let site = start(2, Behaviour::Detached).await;
-    let config = with_drafts_timeout(with_stream_resume(config(3)), TIMEOUT_MS);
+    let config = with_timeout(with_stream_resume(config(3)), TIMEOUT_MS);
     site.store.put("config", "main", config);
     sleep(IN_FORCE).await;
     assert_whole(&site, "s1").await;
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -2,16 +2,64 @@
 
 use std::time::Duration;
 
-use cactusroad::platform::standin::caller::{LENGTH_HINT, TOKENS};
+use cactusroad::platform::standin::{
+    caller::{LENGTH_HINT, TOKENS},
+    operator::with_timeout,
+    replica::Behaviour,
+};
 use http::StatusCode;
 use rustix::process::Signal;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use crate::site::{Site, full_stream};
+use crate::site::{IN_FORCE, Site, config, full_stream};
 
 /// How long a stop takes in which nothing is left to do: requests are accepted for 2.65 s.
 const CALM_EXIT: Duration = Duration::from_millis(3_050);
 
+/// Makes the routes' timeouts longer than the grace period.
+async fn set_long_timeouts(site: &Site) {
+    let config = with_timeout(config(2), 30_000);
+    site.store.put("config", "main", config);
+    sleep(IN_FORCE).await;
+}
+
+/// Guards against requests that are cut off with no answer at the end of the grace period,
+/// those that came late in it as well.
+#[tokio::test]
+async fn stop_answers_everything() {
+    let mut site = Site::start(0, 2).await;
+    set_long_timeouts(&site).await;
+    for replica in &site.orders {
+        replica.set_behaviour(Behaviour::Silent);
+    }
+    site.gateway.signal(Signal::TERM);
+    let mut requests = Vec::new();
+    let asked_at = Instant::now();
+    while asked_at.elapsed() < Duration::from_millis(4_300) {
+        let sender = site.sender();
+        let (id, after) = (format!("o{}", requests.len()), asked_at.elapsed());
+        requests.push(tokio::spawn(async move {
+            (sender.send("/orders/1", &id).await, id, after)
+        }));
+        sleep(Duration::from_millis(100)).await;
+    }
+    for request in requests {
+        let (answer, id, after) = request.await.expect("the caller does not panic");
+        let answer = answer.unwrap_or_else(|| panic!("no answer to {id}, sent after {after:?}"));
+        assert!(answer.is_complete, "{id}");
+        // A refusal says that the request was not run.
+        let has_run = site.runs_of(&id) > 0;
+        let expected = if has_run {
+            StatusCode::GATEWAY_TIMEOUT
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        assert_eq!(answer.status, expected, "{id}, sent after {after:?}");
+        assert!(!has_run || after < Duration::from_millis(2_700), "{id}");
+    }
+    assert!(site.gateway.wait_exit(Duration::from_secs(1)).await);
+}
+
 /// Guards against a process that does not exit because nobody reads its log.
 #[tokio::test]
 async fn stop_unread_log() {
