Exit only when the connections of callers are closed

Cause: a request counted as open until its answer was handed to the HTTP library. What that had not yet written was lost at the exit.

Change: a stop also waits for the connections of callers, within the grace period. Idle ones are closed when no more requests are accepted. One opened later is closed after its first request, or half a second.

Before: stop::stop_large_answers failed (6.9 of 7.6 MB arrived). A calm stop with idle connections takes less than 3.05 s (stop_idle_connections, 2.86 s before).

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -211,7 +211,7 @@
         sleep_until(clock::instant(stop.accepts_until)).await;
         loop {
             sleep(DRAIN_POLL_INTERVAL).await;
-            if state.open_requests() == 0 {
+            if state.open_requests() == 0 && state.connections() == 0 {
                 return;
             }
         }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -29,6 +29,10 @@
 /// that keeps to the timeout never sends into a closing connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
+/// The idle timeout of connections that are accepted when the process accepts no more
+/// requests, so that they do not hold up its exit.
+const LATE_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The idle timeout of connections that are accepted before there is a configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -74,6 +78,9 @@
         Duration::from_millis(limits.idle_timeout_ms)
     });
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.header_bytes);
+    let _open = state.open_connection();
+    let is_late = is_past_stop(&state);
+    let idle = if is_late { LATE_IDLE_TIMEOUT } else { idle };
     let stopping = Arc::clone(&state);
     let service = service_fn(move |request: Request<Incoming>| {
         let state = Arc::clone(&state);
@@ -82,6 +89,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle + IDLE_MARGIN)
+        .keep_alive(!is_late)
         .max_buf_size(head_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
@@ -95,11 +103,18 @@
             log_end(ended);
             return;
         }
-        () = stopped => connection.as_mut().graceful_shutdown(),
+        // A late connection is closed after its first request, which gets a refusal.
+        () = stopped, if !is_late => connection.as_mut().graceful_shutdown(),
     }
     log_end(connection.await);
 }
 
+/// Returns whether the process is stopping and accepts no more requests.
+fn is_past_stop(state: &State) -> bool {
+    let stop = *state.stopping.borrow();
+    stop.is_some_and(|stop| stop.accepts_until.is_past(clock::now()))
+}
+
 /// The smallest buffer that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -97,6 +97,8 @@
     pub(crate) stopping: watch::Sender<Option<Stop>>,
     /// The number of requests to which the response is not complete yet.
     open_requests: AtomicUsize,
+    /// The number of callers' connections.
+    connections: AtomicUsize,
     /// The number of live gateways, including this one.
     gateways: AtomicUsize,
     /// The engines that sidecars announced to this gateway.
@@ -149,6 +151,7 @@
             watch_failures: watch::Sender::new(0),
             stopping: watch::Sender::new(None),
             open_requests: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             gateways: AtomicUsize::new(ASSUMED_GATEWAYS),
             announcements: Announcements::default(),
             crashes: Crashes::default(),
@@ -317,6 +320,18 @@
         self.open_requests.load(Ordering::Relaxed)
     }
 
+    /// Counts a caller's connection until the guard is dropped.
+    pub(crate) fn open_connection(self: &Arc<State>) -> OpenConnection {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(Arc::clone(self))
+    }
+
+    /// Returns the number of callers' connections. A connection is counted until the last
+    /// byte of its last response was handed to the operating system.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
     /// Waits until the process is asked to stop.
     pub(crate) async fn wait_stop(&self) -> Stop {
         let mut stopping = self.stopping.subscribe();
@@ -398,6 +413,16 @@
     }
 }
 
+/// Counts one connection; dropping it ends the count.
+#[derive(Debug)]
+pub(crate) struct OpenConnection(Arc<State>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts one open request; dropping it ends the count.
 #[derive(Debug)]
 pub(crate) struct OpenRequest(Arc<State>);
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -3,19 +3,31 @@
 use std::time::Duration;
 
 use cactusroad::platform::standin::{
-    caller::{LENGTH_HINT, TOKENS},
+    caller::{self, LENGTH_HINT, TOKENS},
     operator::with_timeout,
     replica::Behaviour,
 };
 use http::StatusCode;
 use rustix::process::Signal;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
+    time::{Instant, sleep},
+};
 
-use crate::site::{IN_FORCE, Site, config, full_stream};
+use crate::site::{IN_FORCE, KEY, Site, config, full_stream};
 
 /// How long a stop takes in which nothing is left to do: requests are accepted for 2.65 s.
 const CALM_EXIT: Duration = Duration::from_millis(3_050);
 
+/// The size of an answer that does not fit into the buffers of a connection, and the steady
+/// rate at which callers read it, in bytes a second.
+const LARGE: usize = 7_600_000;
+const READ_RATE: usize = 2_700_000;
+
+/// The size of a caller's receive buffer.
+const RECEIVE_BYTES: u32 = 64 << 10;
+
 /// Makes the routes' timeouts longer than the grace period.
 async fn set_long_timeouts(site: &Site) {
     let config = with_timeout(config(2), 30_000);
@@ -23,6 +35,67 @@
     sleep(IN_FORCE).await;
 }
 
+async fn connect_slow(site: &Site) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket can be made");
+    socket
+        .set_recv_buffer_size(RECEIVE_BYTES)
+        .expect("the option is supported");
+    let connecting = socket.connect(site.gateway.callers);
+    connecting.await.expect("the gateway accepts")
+}
+
+/// Sends an order, and returns how many bytes of the answer arrive at a steady rate.
+async fn read_steadily(mut stream: TcpStream, id: String) -> usize {
+    let order = format!(
+        "POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n\
+         {}: {id}\r\ncontent-length: 2\r\n\r\nhi",
+        caller::ATTEMPT
+    );
+    let sent = stream.write_all(order.as_bytes()).await;
+    sent.expect("the gateway reads");
+    let mut bytes = vec![0; READ_RATE / 50];
+    let mut received = 0;
+    let mut next_at = None;
+    loop {
+        match stream.read(&mut bytes).await {
+            Ok(0) | Err(_) => return received,
+            Ok(count) => {
+                received += count;
+                if received >= LARGE {
+                    return received;
+                }
+                let at = next_at.unwrap_or_else(Instant::now);
+                let at = at + Duration::from_secs_f64(count as f64 / READ_RATE as f64);
+                tokio::time::sleep_until(at).await;
+                next_at = Some(at);
+            }
+        }
+    }
+}
+
+/// Guards against answers that are cut off because the process exits once they were handed to
+/// the HTTP library, although callers still read them.
+#[tokio::test]
+async fn stop_large_answers() {
+    let mut site = Site::start(0, 3).await;
+    set_long_timeouts(&site).await;
+    for replica in &site.orders {
+        replica.set_behaviour(Behaviour::LateAndLarge(LARGE));
+    }
+    let mut callers = Vec::new();
+    for number in 0..3 {
+        let stream = connect_slow(&site).await;
+        callers.push(tokio::spawn(read_steadily(stream, format!("o{number}"))));
+    }
+    sleep(Duration::from_millis(200)).await;
+    site.gateway.signal(Signal::TERM);
+    for caller in callers {
+        let received = caller.await.expect("the caller does not panic");
+        assert!(received >= LARGE, "{received} of {LARGE} bytes");
+    }
+    assert!(site.gateway.wait_exit(Duration::from_secs(1)).await);
+}
+
 /// Guards against requests that are cut off with no answer at the end of the grace period,
 /// those that came late in it as well.
 #[tokio::test]
@@ -60,6 +133,18 @@
     assert!(site.gateway.wait_exit(Duration::from_secs(1)).await);
 }
 
+/// Guards against a stop that idle connections hold up.
+#[tokio::test]
+async fn stop_idle_connections() {
+    let mut site = Site::start(0, 1).await;
+    let mut idle = Vec::new();
+    for _ in 0..5 {
+        idle.push(connect_slow(&site).await);
+    }
+    site.gateway.signal(Signal::TERM);
+    assert!(site.gateway.wait_exit(CALM_EXIT).await);
+}
+
 /// Guards against a process that does not exit because nobody reads its log.
 #[tokio::test]
 async fn stop_unread_log() {
