Let an entry name an endpoint of one service, or nothing

An endpoint belongs to the service of its last entry. Entries of lists and of changes are treated alike.

On the way, by the same class: `draining` written by another writer retired a sound replica for good, and now lasts until its next own entry; a pause that a replica asked for outlives a lapse of its entry.

--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -96,6 +96,8 @@
     pub(super) expires_at: Option<Time>,
     /// When the endpoint was first seen to be leaving.
     pub(super) leaving_since: Option<Time>,
+    /// Whether only the list has said so. Its next entry can take that back.
+    is_leaving_by_list: bool,
     /// When the endpoint leaves, if it announced a time.
     pub(super) leaves_at: Option<Time>,
     pub(super) running: u32,
@@ -128,6 +130,7 @@
         Member {
             // An endpoint that is draining when it joins has been leaving for an unknown time.
             leaving_since: endpoint.draining.then_some(Time::ZERO),
+            is_leaving_by_list: endpoint.draining,
             endpoint,
             expires_at: None,
             leaves_at: None,
@@ -166,8 +169,17 @@
         }
         let is_leaving = endpoint.draining;
         self.endpoint = endpoint;
-        let change = is_leaving.then(|| self.record_leaving(now)).flatten();
-        change.or(was_unlisted.then_some(Change::Joined))
+        if is_leaving {
+            let is_new = self.leaving_since.is_none();
+            self.is_leaving_by_list |= is_new;
+            self.leaving_since.get_or_insert(now);
+            return is_new.then_some(Change::Leaving);
+        }
+        let is_back = std::mem::take(&mut self.is_leaving_by_list);
+        if is_back {
+            self.leaving_since = None;
+        }
+        (was_unlisted || is_back).then_some(Change::Joined)
     }
 
     /// Records that this incarnation has ended. It stays out of use until the list names
@@ -194,13 +206,20 @@
         change
     }
 
-    /// Records that the endpoint is leaving, and returns the change if that is new.
+    /// Records that the endpoint itself said that it is leaving, and returns the change if
+    /// that is new. The list cannot take this back, because its entries are late.
     pub(super) fn record_leaving(&mut self, now: Time) -> Option<Change> {
+        self.is_leaving_by_list = false;
         let is_new = self.leaving_since.is_none();
         self.leaving_since.get_or_insert(now);
         is_new.then_some(Change::Leaving)
     }
 
+    /// Returns whether the endpoint itself said that it is leaving.
+    pub(super) fn has_said_leaving(&self) -> bool {
+        self.leaving_since.is_some() && !self.is_leaving_by_list
+    }
+
     pub(super) fn record_start(&mut self, work: Work, now: Time) {
         self.running += 1;
         self.prompt_tokens += work.prompt;
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -140,8 +140,10 @@
 struct Removed {
     id: Arc<str>,
     born_ms: u64,
-    /// Whether it had said that it is leaving.
+    /// Whether it had said itself that it is leaving.
     was_leaving: bool,
+    /// Until when it wants no requests.
+    paused_until: Time,
     /// When this record is dropped.
     until: Time,
 }
@@ -182,9 +184,11 @@
         match self.index(&endpoint.id) {
             Err(index) => {
                 let mut member = Member::new(endpoint);
-                let is_leaving = self.is_known_to_leave(&member.endpoint);
+                let last = self.last_removal(&member.endpoint);
+                let is_leaving = last.is_some_and(|removed| removed.was_leaving);
+                member.paused_until = last.map_or(Time::ZERO, |removed| removed.paused_until);
                 if is_leaving {
-                    member.leaving_since = Some(Time::ZERO);
+                    member.record_leaving(Time::ZERO);
                 }
                 self.members.insert(index, member);
                 Some(if is_leaving {
@@ -265,8 +269,9 @@
         let removed = expired.map(|member| Removed {
             id: Arc::clone(&member.endpoint.id),
             born_ms: member.endpoint.born_ms,
-            was_leaving: member.leaving_since.is_some(),
-            until: kept_until,
+            was_leaving: member.has_said_leaving(),
+            paused_until: member.paused_until,
+            until: kept_until.max(member.paused_until),
         });
         self.removed.extend(removed);
         self.removed.retain(|removed| !removed.until.is_past(now));
@@ -279,15 +284,14 @@
         self.removed.iter().any(|removed| *removed.id == *id)
     }
 
-    /// Returns whether this incarnation of an endpoint said that it is leaving before it
-    /// was removed. Its entry may be listed again, because an outage had removed it.
-    fn is_known_to_leave(&self, endpoint: &Endpoint) -> bool {
+    /// Returns the last removal of this incarnation of an endpoint. Its entry may be listed
+    /// again, because an outage had removed it; what it said of itself still holds then.
+    fn last_removal(&self, endpoint: &Endpoint) -> Option<&Removed> {
         let is_same = |removed: &&Removed| {
             removed.id == endpoint.id
                 && !member::is_other_incarnation(removed.born_ms, endpoint.born_ms)
         };
-        let last = self.removed.iter().rev().find(is_same);
-        last.is_some_and(|removed| removed.was_leaving)
+        self.removed.iter().rev().find(is_same)
     }
 
     /// Records an engine's load report.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -526,9 +526,24 @@
         for id in ended {
             shard.record_change(&id, Some(Change::Gone), "successor");
         }
+        // An endpoint belongs to the service that its last entry names.
+        for other in state.shards().iter() {
+            if other.service != shard.service {
+                let change = other.pool().mark_unlisted(name, now);
+                other.record_change(name, change, "list");
+            }
+        }
         Some(())
     }
 
+    /// Applies an entry. One that is not valid names no endpoint, so an endpoint of its name
+    /// counts as missing until it renews its own.
+    fn apply_entry(&self, state: &State, object: &Object) {
+        if Endpoints::upsert(state, object).is_none() {
+            self.mark_unlisted(state, &object.meta.name);
+        }
+    }
+
     /// Marks an endpoint as missing from the list, in all services.
     fn mark_unlisted(&self, state: &State, name: &str) {
         let until = self.grace.until(clock::now());
@@ -607,7 +622,7 @@
             }
         }
         for object in objects {
-            Endpoints::upsert(state, object);
+            self.apply_entry(state, object);
         }
         Endpoints::remove_expired(state);
         state.are_endpoints_listed.store(true, Ordering::Relaxed);
@@ -615,10 +630,10 @@
 
     fn apply(&mut self, state: &State, change: &store::Event) {
         self.record_answer(state);
-        let name = &change.object.meta.name;
-        let is_readable = !change.deleted && Endpoints::upsert(state, &change.object).is_some();
-        if !is_readable {
-            self.mark_unlisted(state, name);
+        if change.deleted {
+            self.mark_unlisted(state, &change.object.meta.name);
+        } else {
+            self.apply_entry(state, &change.object);
         }
         Endpoints::remove_expired(state);
     }
