Count each answer that breaks off as a failure of its version

Cause: all broken answers of one endpoint counted as the loss of that endpoint, once for the life of the process, while each added to the number of requests it was compared by.

Change: requests belong to one loss if they were sent before it and ended within 3 s of it; others count by themselves. An endpoint that cannot be reached is lost once. The rule is in core::rollout and serves both faces; the other one counted a crash twice at the edge of its time grid.

Before: rollout::rollout_broken_answers failed (still in progress 3 s before its deadline), recorder_counts_broken_answers did not compile against the old type.

--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -62,8 +62,10 @@
     Refused,
     /// Another endpoint at the same address refused the request and did not run it.
     Misdirected,
-    /// The endpoint could not be reached, or the connection broke.
+    /// The endpoint could not be reached.
     Unreachable,
+    /// The connection broke after the request was sent, or the answer could not be decoded.
+    Broken,
     /// This process cancelled the request, which says nothing about the endpoint.
     Cancelled,
 }
@@ -255,7 +257,7 @@
                 self.requests += 1.0;
                 self.failures += 1.0;
             }
-            Outcome::Unreachable => {
+            Outcome::Unreachable | Outcome::Broken => {
                 self.requests += 1.0;
                 self.failures += 1.0;
                 self.avoid(config, now);
--- a/crates/core/src/rollout/evidence.rs
+++ b/crates/core/src/rollout/evidence.rs
@@ -15,7 +15,7 @@
 //! * the baseline since the start, for comparison when it has little or no traffic
 //!   left.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
@@ -40,8 +40,11 @@
 const GROUP_LEN: usize = COUNTERS_LEN / GROUPS;
 /// The number of histogram buckets per doubling of a latency.
 const BUCKETS_PER_OCTAVE: f64 = 2.0;
-/// The number of endpoint deaths that a recorder remembers in order to count each once.
-const MAX_DEATHS: usize = 32;
+/// The number of lost endpoints that a recorder remembers in order to count each loss once.
+const MAX_LOSSES: usize = 32;
+/// The time within which all requests to an endpoint end that is lost: some connections only
+/// show it by a timeout.
+const LOSS_SPAN: Duration = Duration::from_secs(3);
 
 /// The result of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,8 +68,30 @@
     Complete,
     /// The request failed because of the version.
     Failed,
-    /// The endpoint died; all requests that end by the same death count as one failure.
-    EndpointDied(Incarnation),
+    /// The endpoint was lost; all requests that end by the same loss count as one failure.
+    EndpointLost(Loss),
+}
+
+/// The loss of an endpoint, as seen by one of its requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loss {
+    /// The endpoint.
+    pub endpoint: Incarnation,
+    /// When the request was sent to it, or none if it could not be reached at all.
+    pub began_at: Option<Time>,
+    /// When the request ended.
+    pub ended_at: Time,
+}
+
+impl Loss {
+    /// Returns whether this is the loss that ended another request of the endpoint at `at`.
+    ///
+    /// A request that was sent later, or ended much later, was lost by itself: the endpoint was
+    /// alive. An endpoint that is still out of reach is not lost again.
+    fn is_known(&self, at: Time) -> bool {
+        self.began_at
+            .is_none_or(|began_at| began_at <= at && self.ended_at.since(at) < LOSS_SPAN)
+    }
 }
 
 /// The counts of one version at one load level.
@@ -259,8 +284,8 @@
 #[derive(Clone, Debug)]
 pub struct Recorder {
     report: Report,
-    /// The incarnations of endpoints whose death was counted, oldest first.
-    deaths: Vec<Incarnation>,
+    /// The endpoints whose loss was counted, and the time of the last one.
+    losses: Vec<(Incarnation, Time)>,
 }
 
 impl Recorder {
@@ -277,7 +302,7 @@
         };
         Recorder {
             report,
-            deaths: Vec::new(),
+            losses: Vec::new(),
         }
     }
 
@@ -309,20 +334,28 @@
         &self.report
     }
 
-    /// Returns whether a request counts as a failure, and remembers the endpoint death behind it.
+    /// Returns whether a request counts as a failure, and remembers the loss behind it.
     fn counts_as_failure(&mut self, end: Ending) -> bool {
-        match end {
-            Ending::Complete => false,
-            Ending::Failed => true,
-            Ending::EndpointDied(endpoint) if self.deaths.contains(&endpoint) => false,
-            Ending::EndpointDied(endpoint) => {
-                if self.deaths.len() == MAX_DEATHS {
-                    self.deaths.remove(0);
-                }
-                self.deaths.push(endpoint);
-                true
+        let loss = match end {
+            Ending::Complete => return false,
+            Ending::Failed => return true,
+            Ending::EndpointLost(loss) => loss,
+        };
+        let known = self
+            .losses
+            .iter()
+            .position(|(endpoint, _)| *endpoint == loss.endpoint);
+        if let Some(index) = known {
+            if loss.is_known(self.losses[index].1) {
+                return false;
             }
+            self.losses.remove(index);
+        }
+        if self.losses.len() == MAX_LOSSES {
+            self.losses.remove(0);
         }
+        self.losses.push((loss.endpoint, loss.ended_at));
+        true
     }
 }
 
--- a/crates/core/tests/rollout/rules.rs
+++ b/crates/core/tests/rollout/rules.rs
@@ -3,7 +3,7 @@
     id::Incarnation,
     rollout::{
         Action, End, Outcome, Progress, Reason, Rollback, Rollout, Side,
-        evidence::{Ending, Recorder, Report, Tally},
+        evidence::{Ending, Loss, Recorder, Report, Tally},
         part::{self, Part, Span},
         share, side,
     },
@@ -113,12 +113,46 @@
     assert_eq!(entry.share(after(2)), 0);
 }
 
+fn loss(began_at: Option<Time>, ended_at: Time) -> Loss {
+    Loss {
+        endpoint: Incarnation(7),
+        began_at,
+        ended_at,
+    }
+}
+
+/// Guards against a bad version whose answers break off, one after the other, and that counts
+/// as one lost endpoint for good. Answers that were sent before a loss and end with it count
+/// once, and so does an endpoint that is out of reach.
+#[test]
+fn recorder_counts_broken_answers() {
+    let mut recorder = Recorder::new("entry-1".into(), Incarnation(1));
+    let mut record = |loss| {
+        recorder.record(
+            &sample(Side::Candidate, Ending::EndpointLost(loss)),
+            0,
+            after(1),
+        );
+        let cell = recorder.report().in_step.cell(Side::Candidate, 1);
+        cell.failed
+    };
+    assert_eq!(record(loss(Some(after(10)), after(11))), 1);
+    // Lost with the first one.
+    assert_eq!(record(loss(Some(after(9)), after(12))), 1);
+    // Sent later.
+    assert_eq!(record(loss(Some(after(12)), after(13))), 2);
+    // Still out of reach.
+    assert_eq!(record(loss(None, after(40))), 2);
+    // Sent before, and broken off by itself: the endpoint was alive.
+    assert_eq!(record(loss(Some(after(12)), after(50))), 3);
+}
+
 /// An endpoint that dies with many requests open counts as one failure.
 #[test]
 fn recorder_counts_endpoint_death_once() {
     let mut recorder = Recorder::new("entry-1".into(), Incarnation(1));
     for _ in 0..20 {
-        let end = Ending::EndpointDied(Incarnation(7));
+        let end = Ending::EndpointLost(loss(Some(after(0)), after(1)));
         recorder.record(&sample(Side::Candidate, end), 0, after(1));
     }
     let cell = recorder.report().in_step.cell(Side::Candidate, 1);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -250,7 +250,7 @@
             if cause.is_lost() && !job.shard.pool().is_leaving(&endpoint.id) {
                 job.state.crashes.record_crash(&endpoint, &job.parts);
             }
-            (Outcome::Unreachable, Attempt::Unknown, cause.to_string())
+            (Outcome::Broken, Attempt::Unknown, cause.to_string())
         }
     };
     if matches!(outcome, Outcome::Answered { .. }) {
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -17,7 +17,7 @@
     rollout::{
         Side,
         canary::{Canary, Order},
-        evidence::{Ending, Recorder, Report, Sample, Sum, Tally},
+        evidence::{Ending, Loss, Recorder, Report, Sample, Sum, Tally},
         judge::{self, Verdict},
     },
 };
@@ -554,8 +554,12 @@
     });
 }
 
-/// Returns the ending of a request whose endpoint was lost. All requests that end by the
-/// same loss count as one failure.
-pub(crate) fn endpoint_lost(id: &str) -> Ending {
-    Ending::EndpointDied(Incarnation(xxhash_rust::xxh3::xxh3_64(id.as_bytes())))
+/// Returns the ending of a request whose endpoint was lost at `ended_at`; `began_at` is none if
+/// it could not be reached.
+pub(crate) fn endpoint_lost(id: &str, began_at: Option<Time>, ended_at: Time) -> Ending {
+    Ending::EndpointLost(Loss {
+        endpoint: Incarnation(xxhash_rust::xxh3::xxh3_64(id.as_bytes())),
+        began_at,
+        ended_at,
+    })
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -661,14 +661,16 @@
             let slot = &self.shard.rollout;
             match outcome {
                 Outcome::Failed => witness.record_failure(slot, Ending::Failed),
-                Outcome::Unreachable if !self.shard.pool().is_leaving(id) => {
-                    witness.record_failure(slot, rollout::endpoint_lost(id));
+                Outcome::Unreachable | Outcome::Broken if !self.shard.pool().is_leaving(id) => {
+                    let began_at = (outcome == Outcome::Broken).then_some(self.started_at);
+                    witness.record_failure(slot, rollout::endpoint_lost(id, began_at, now));
                 }
                 Outcome::Cancelled => witness.record_given_up(slot, now),
                 Outcome::Answered { .. }
                 | Outcome::Refused
                 | Outcome::Misdirected
-                | Outcome::Unreachable => {}
+                | Outcome::Unreachable
+                | Outcome::Broken => {}
             }
         }
         let change = {
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -217,7 +217,7 @@
                 if cause.is_lost() {
                     self.record_crash();
                 }
-                (Outcome::Unreachable, Opened::Lost, cause.to_string())
+                (Outcome::Broken, Opened::Lost, cause.to_string())
             }
             Err(_) if is_bounded => (Outcome::Unreachable, Opened::Lost, "silent".to_owned()),
             Err(_) => (Outcome::Cancelled, Opened::Lost, "deadline".to_owned()),
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -91,7 +91,7 @@
             in_flight.end(match loss {
                 // The engine may be sound and have preempted the run.
                 Loss::Silent => Outcome::Cancelled,
-                Loss::Broken | Loss::Garbled => Outcome::Unreachable,
+                Loss::Broken | Loss::Garbled => Outcome::Broken,
             });
         }
         let loss_label: &str = loss.into();
--- a/crates/node/src/entry/rollout.rs
+++ b/crates/node/src/entry/rollout.rs
@@ -24,13 +24,13 @@
     refusal::{Effect, Kind, Refusal},
     rollout::{
         Action, Outcome, Rollout, Side,
-        evidence::{Ending, Sample},
+        evidence::{Ending, Loss, Sample},
         judge, outcome_key,
     },
     spread::Item,
 };
 use tokio::time;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Shared, gossip::Gossip};
 use crate::clock;
@@ -39,8 +39,6 @@
 const EVALUATION_INTERVAL_MS: u64 = 500;
 /// Time that a new plan waits for gossip before it counts as synced, in milliseconds.
 const SYNC_TIMEOUT_MS: u64 = 3_000;
-/// Window within which failed attempts at an endpoint count as one crash, in milliseconds.
-const CRASH_WINDOW_MS: u64 = 5_000;
 
 /// The rollout plans in force at an entry, sorted by name.
 pub(super) struct Rollouts {
@@ -237,6 +235,8 @@
     /// The longest time between two tokens of the attempt.
     longest_gap_ms: AtomicU32,
     failure: Mutex<Option<Ending>>,
+    /// When the attempt started.
+    began_at: Mutex<Time>,
 }
 
 impl Recorder {
@@ -247,6 +247,7 @@
             load: AtomicU16::new(0),
             longest_gap_ms: AtomicU32::new(0),
             failure: Mutex::new(None),
+            began_at: Mutex::new(Time::ZERO),
         }
     }
 
@@ -255,6 +256,7 @@
         self.load.store(load, Ordering::Relaxed);
         self.longest_gap_ms.store(0, Ordering::Relaxed);
         *lock(&self.failure) = None;
+        *lock(&self.began_at) = clock::now();
     }
 
     /// Records the time between two tokens.
@@ -265,7 +267,8 @@
 
     /// Records the refusal that ended the attempt at an endpoint.
     pub(super) fn record_refusal(&self, refusal: &Refusal, endpoint_died: bool, endpoint: &str) {
-        *lock(&self.failure) = failure(refusal, endpoint_died, endpoint, clock::now());
+        let began_at = *lock(&self.began_at);
+        *lock(&self.failure) = failure(refusal, endpoint_died, endpoint, began_at, clock::now());
     }
 
     /// Adds the attempt to the evidence, unless its outcome is neutral.
@@ -293,13 +296,19 @@
 ///
 /// Unlike outlier ejection, this counts exceeded deadlines: a version that hangs
 /// causes them, but they are no evidence against a single endpoint.
-fn failure(refusal: &Refusal, endpoint_died: bool, endpoint: &str, now: Time) -> Option<Ending> {
+fn failure(
+    refusal: &Refusal,
+    endpoint_died: bool,
+    endpoint: &str,
+    began_at: Time,
+    now: Time,
+) -> Option<Ending> {
     if endpoint_died || refusal.kind == Kind::EndpointDied {
-        // The refusal does not name the incarnation that died, so a hash of the endpoint and the
-        // time window takes its place.
-        let window = now.as_millis() / CRASH_WINDOW_MS;
-        let crash = xxh3_64_with_seed(endpoint.as_bytes(), window);
-        return Some(Ending::EndpointDied(Incarnation(crash)));
+        return Some(Ending::EndpointLost(Loss {
+            endpoint: Incarnation(xxh3_64(endpoint.as_bytes())),
+            began_at: Some(began_at),
+            ended_at: now,
+        }));
     }
     let has_run = refusal.effect != Effect::NotRun;
     let is_fault = matches!(
--- a/tests/gateway/rollout.rs
+++ b/tests/gateway/rollout.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cactusroad::platform::standin::{operator, replica::Replica};
+use cactusroad::platform::standin::{
+    operator,
+    replica::{Behaviour, Replica},
+};
 use serde_json::Value;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -93,3 +96,19 @@
     sleep_until(deadline + Duration::from_millis(4_500)).await;
     assert_eq!(phase(&site).as_deref(), Some("complete"));
 }
+
+/// Guards against a version of whose answers many break off, which counted as one lost endpoint
+/// and stayed on trial until its deadline.
+#[tokio::test]
+async fn rollout_broken_answers() {
+    const EXTRA: u32 = 80;
+    let (site, new, deadline) = start(EVENT_INTERVAL, EXTRA).await;
+    for replica in &new {
+        replica.set_behaviour(Behaviour::Disconnect);
+    }
+    send_until(&site, "a", deadline - Duration::from_secs(3)).await;
+    assert_eq!(phase(&site).as_deref(), Some("reverted"));
+    let before = received(&new);
+    send_until(&site, "b", Instant::now() + Duration::from_secs(1)).await;
+    assert_eq!(received(&new), before);
+}
