Keep to the limit of cold endpoints

Cause: the limit and the end of the cold start were decoded and read by no code.

Change: core::pool::cold decides. The limit is summed over all gateways, which do not ask each other, so each takes an equal part, spaces its requests evenly and begins at a random point of the first interval. Other endpoints get the rest; if all are cold, what they do not bear is refused. The load pattern is a cold endpoint that all gateways choose because nothing runs there.

Before: cold::cold_limit_shared failed with three gateways, 45 requests in a second where 35 are allowed.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -39,6 +39,8 @@
     Exhausted,
     /// The prompt exceeds an engine's memory.
     TooLarge,
+    /// Every eligible endpoint is cold and gets as many requests as it bears.
+    Cold,
 }
 
 /// Returns whether a member is among the candidates; an empty list allows every member.
@@ -99,6 +101,12 @@
                 scored.push((self.score(member, criteria, now), member));
             }
         }
+        if !scored.is_empty() {
+            scored.retain(|(_, member)| member.pace.permits(member.endpoint.cold_until, now));
+            if scored.is_empty() {
+                return Err(Refusal::Cold);
+            }
+        }
         // If all candidates have left since they were sampled, the other members are used.
         if scored.iter().any(|(_, member)| is_candidate(member)) {
             scored.retain(|(_, member)| is_candidate(member));
@@ -195,6 +203,7 @@
             self.is_eligible(member, now)
                 && self.is_on(side, member)
                 && member.avoided_until.is_past(now)
+                && member.pace.permits(member.endpoint.cold_until, now)
                 && !tried.contains(&member.endpoint.id)
         };
         let is_remote =
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use super::{Change, Config, Endpoint, Work};
+use super::{Change, Config, Endpoint, Work, cold::Pace};
 use crate::Time;
 
 /// The maximum number of sent requests kept with their times; reports are taken to
@@ -125,6 +125,8 @@
     pub(super) avoided_until: Time,
     /// Until when the endpoint wants no requests.
     pub(super) paused_until: Time,
+    /// The requests to the endpoint while it is cold.
+    pub(super) pace: Pace,
 }
 
 impl Member {
@@ -149,6 +151,7 @@
             backoff_exponent: 0,
             avoided_until: Time::ZERO,
             paused_until: Time::ZERO,
+            pace: Pace::default(),
         }
     }
 
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -42,6 +42,7 @@
 
 mod budget;
 mod choose;
+mod cold;
 mod config;
 mod failover;
 mod grace;
@@ -133,6 +134,10 @@
     candidate: Option<Arc<str>>,
     /// Endpoints that were removed a short time ago.
     removed: Vec<Removed>,
+    /// The limit on requests to cold endpoints.
+    cold: cold::Limit,
+    /// Random, so that gateways do not begin at the same time.
+    seed: u64,
 }
 
 /// An endpoint that was removed.
@@ -160,9 +165,23 @@
             mean_prompt: 0.0,
             candidate: None,
             removed: Vec::new(),
+            cold: cold::Limit::default(),
+            seed: 0,
         }
     }
 
+    /// Sets the requests per second that a cold endpoint bears; zero for no limit.
+    pub fn set_cold_limit(&mut self, per_s: f64) {
+        self.cold.per_s = per_s;
+    }
+
+    /// Sets the number of gateways that share the limit of cold endpoints, and a random number
+    /// that differs between them.
+    pub fn set_gateways(&mut self, count: usize, seed: u64) {
+        self.cold.gateways = count;
+        self.seed = seed;
+    }
+
     /// Marks the members as engines; `memory_tokens` is the memory of an engine that reports none.
     pub fn set_engine(&mut self, memory_tokens: u64) {
         self.is_engine = true;
@@ -181,6 +200,22 @@
 
     /// Adds or updates a listed endpoint, and returns what changed.
     pub fn upsert(&mut self, endpoint: Arc<Endpoint>, now: Time) -> Option<Change> {
+        let (id, cold_until) = (Arc::clone(&endpoint.id), endpoint.cold_until);
+        let change = self.apply_entry(endpoint, now);
+        let (limit, phase) = (self.cold, self.phase(&id));
+        if let Some(member) = self.member(&id) {
+            member.pace.update(cold_until, &limit, phase, now);
+        }
+        change
+    }
+
+    /// Returns a number from 0 to 1 that differs between endpoints and between gateways.
+    fn phase(&self, id: &str) -> f64 {
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), self.seed);
+        hash as f64 / u64::MAX as f64
+    }
+
+    fn apply_entry(&mut self, endpoint: Arc<Endpoint>, now: Time) -> Option<Change> {
         match self.index(&endpoint.id) {
             Err(index) => {
                 let mut member = Member::new(endpoint);
@@ -368,8 +403,10 @@
             1.0
         };
         self.mean_prompt += (work.prompt as f64 - self.mean_prompt) * weight;
+        let limit = self.cold;
         if let Some(member) = self.member(id) {
             member.record_start(work, now);
+            member.pace.record(&limit, now);
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -256,6 +256,7 @@
             if let Some(engine) = &service.engine {
                 shard.pool().set_engine(engine.memory_tokens);
             }
+            shard.pool().set_cold_limit(service.cold_per_s);
             shards.push(shard);
         }
         // Endpoints of a service that was removed may still serve its last requests.
@@ -307,6 +308,7 @@
         let floor = retry_floor(&self.settings.load(), count);
         for shard in self.shards.load().iter() {
             shard.budget().set_gateways(count, floor);
+            shard.pool().set_gateways(count, rand::random());
         }
     }
 
@@ -445,9 +447,11 @@
         let share = settings.retry_ratio * RETRY_SHARE;
         let mut budget = Budget::new(share, floor, settings.retry_window);
         budget.set_gateways(gateways, floor);
+        let mut pool = Pool::new(policy.clone());
+        pool.set_gateways(gateways, rand::random());
         Shard {
             service: Arc::clone(service),
-            pool: Mutex::new(Pool::new(policy.clone())),
+            pool: Mutex::new(pool),
             budget: Mutex::new(budget),
             leaving: watch::Sender::new(0),
             rollout: rollout::Slot::default(),
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -505,6 +505,13 @@
         }
     }
 
+    /// As above, for a gateway of the group.
+    pub(crate) fn sender_through(&self, number: usize) -> Sender {
+        Sender {
+            callers: self.group[number].callers,
+        }
+    }
+
     /// Stops an engine and starts a new incarnation under its list entry.
     pub(crate) async fn restart_engine(
         &mut self,
