Log which attempts send the same request

The gateways' logs could not show that it was one request: each attempt of a caller has a new id, and neither the path nor the body is logged.

attempt_failed and engine_lost now have a digest of the route, the workspace, the method, the path and the body. No decision uses it yet.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cactusroad_core::{
+    digest::Digest,
     pool::Work,
     site::{Kind, Route, Site, Workspace},
 };
@@ -103,6 +104,8 @@
         .timeout
         .map_or(route_timeout, |timeout| timeout.min(route_timeout));
     let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let workspace = workspace.map(|workspace| Arc::clone(&workspace.name));
+    let digest = digest(&route, workspace.as_deref(), &head, &buffered.bytes);
     let job = Job {
         shard,
         request_id: caller.attempt.clone().unwrap_or_else(|| "".into()),
@@ -111,9 +114,10 @@
         uri: head.uri,
         body: buffered.bytes.clone(),
         priority: priority.unwrap_or(route.priority).min(9),
-        workspace: workspace.map(|workspace| Arc::clone(&workspace.name)),
+        workspace,
         work: caller.work(),
         side,
+        digest,
         parts: caller.parts,
         vm: Arc::clone(&settings.vm),
         data_centre: Arc::clone(&settings.data_centre),
@@ -147,6 +151,18 @@
     }
 }
 
+/// Returns the digest that each attempt of a caller to send the same request has.
+fn digest(route: &Route, workspace: Option<&str>, head: &Parts, body: &Bytes) -> Digest {
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    Digest::of(&[
+        route.name.as_bytes(),
+        workspace.unwrap_or("").as_bytes(),
+        head.method.as_str().as_bytes(),
+        path.as_bytes(),
+        body,
+    ])
+}
+
 /// Returns why a process that is stopping refuses the request, if it does.
 fn check_shutdown(state: &State, route: &Route, work: Work) -> Option<&'static str> {
     let stop = (*state.stopping.borrow())?;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cactusroad_core::{
     Time,
+    digest::Digest,
     pool::{Criteria, Endpoint, Outcome, Work},
     rollout::Side,
     site::Route,
@@ -43,6 +44,8 @@
     pub(crate) work: Work,
     /// The version for the request, while its service is moved to another one.
     pub(crate) side: Side,
+    /// Identifies the request over all attempts of its caller to send it.
+    pub(crate) digest: Digest,
     /// The parts of the prompt that other prompts may share.
     pub(crate) parts: Vec<Arc<str>>,
     /// The VM of this gateway.
@@ -141,6 +144,7 @@
         record::write(&Event::AttemptFailed {
             request: &self.request_id,
             endpoint: &in_flight.endpoint.id,
+            digest: self.digest,
             cause,
             fate: fate.into(),
             after_ms: clock::millis_since(in_flight.started_at),
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -12,7 +12,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use cactusroad_core::pool::View;
+use cactusroad_core::{digest::Digest, pool::View};
 use serde::Serialize;
 
 use crate::clock;
@@ -129,6 +129,8 @@
     AttemptFailed {
         request: &'a str,
         endpoint: &'a str,
+        /// The same for each attempt of a caller to send the same request.
+        digest: Digest,
         cause: &'a str,
         fate: &'a str,
         after_ms: u64,
@@ -139,6 +141,8 @@
         endpoint: &'a str,
         loss: &'a str,
         last_event: u64,
+        /// The same for each attempt of a caller to send the same request.
+        digest: Digest,
         /// The parts of the prompt that other prompts may share.
         parts: &'a [std::sync::Arc<str>],
         cause: &'a str,
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -106,6 +106,7 @@
             endpoint: &self.run.endpoint.id,
             loss: loss_label,
             last_event: self.last_event.unwrap_or(0),
+            digest: self.job.digest,
             parts: &self.job.parts,
             cause,
         });
