Show a request that crashes one endpoint after the other

The tests send one request under new ids beside sound ones, plain (idempotent or not) and streamed with sound parts, at one gateway and at three.

--- a/tests/gateway/crash.rs
+++ b/tests/gateway/crash.rs
@@ -1,5 +1,5 @@
-//! A part of prompts that crashes engines is recognized by all gateways, and prompts without
-//! it are served.
+//! A part of prompts that crashes engines, and a request that crashes each endpoint that
+//! runs it, are recognized by all gateways; other requests are served.
 
 use std::time::Duration;
 
@@ -101,3 +101,91 @@
     assert!(reached(&site) - before <= MAX_LATER_REQUESTS);
     assert_eq!(served, 20);
 }
+
+const DEADLY_TEXT: &str = "deadly request";
+
+/// Sends the deadly request and a sound one, each as a new attempt. The sound one has the
+/// same parts. Returns the status of both.
+async fn repeat(
+    site: &Site,
+    path: &str,
+    number: usize,
+    gateway: Option<usize>,
+) -> [Option<StatusCode>; 2] {
+    let headers = [(PARTS, "a1:50,s1:30")];
+    let sent = [
+        (format!("x{number}"), DEADLY_TEXT.to_owned()),
+        (format!("s{number}"), format!("sound request {number}")),
+    ];
+    let mut statuses = [None; 2];
+    for ((id, body), status) in sent.iter().zip(&mut statuses) {
+        let answer = site.send_body(gateway, path, id, body, &headers).await;
+        *status = answer.map(|answer| answer.status);
+    }
+    statuses
+}
+
+/// Returns how often endpoints received the deadly request, and how often they crashed.
+fn count_deadly(site: &Site) -> (usize, u64) {
+    let endpoints = || site.engines.iter().chain(&site.orders);
+    let seen = endpoints().flat_map(|endpoint| endpoint.seen());
+    let reached = seen.filter(|seen| seen.body == DEADLY_TEXT).count();
+    (reached, endpoints().map(Replica::crashes).sum())
+}
+
+async fn start_deadly() -> Site {
+    let site = Site::start_with(6, 6, 6, Duration::from_millis(10)).await;
+    for endpoint in site.engines.iter().chain(&site.orders) {
+        endpoint.set_deadly_text(DEADLY_TEXT);
+    }
+    site
+}
+
+/// Sends the deadly request to the gateways in turn until three endpoints have crashed, and
+/// checks what happens to it once the gateways have had the time to agree.
+async fn check_refused(site: &Site, path: &str, gateways: &[Option<usize>]) {
+    let (_, crashes_before) = count_deadly(site);
+    for (number, gateway) in gateways.iter().cycle().take(24).enumerate() {
+        repeat(site, path, number, *gateway).await;
+        if count_deadly(site).1 - crashes_before >= 3 {
+            break;
+        }
+    }
+    assert!(count_deadly(site).1 - crashes_before >= 3, "{path}");
+    sleep(CONTACT).await;
+    let (before, _) = count_deadly(site);
+    let mut served = 0;
+    for (number, gateway) in (100..).zip(gateways.iter().cycle().take(20)) {
+        let [deadly, sound] = repeat(site, path, number, *gateway).await;
+        assert_ne!(deadly, Some(StatusCode::OK), "{path}");
+        served += usize::from(sound == Some(StatusCode::OK));
+    }
+    let later = count_deadly(site).0 - before;
+    assert!(later <= MAX_LATER_REQUESTS, "{path}: {later} later");
+    assert_eq!(served, 20, "{path}");
+}
+
+/// Guards against a request that crashes endpoint after endpoint because only the shared
+/// parts of prompts are searched for the cause, and plain requests have none.
+#[tokio::test]
+async fn plain_request_refused_after_crashes() {
+    for path in ["/looks/1", "/orders/1"] {
+        check_refused(&start_deadly().await, path, &[None]).await;
+    }
+}
+
+/// Guards against the same for a stream whose parts are all sound.
+#[tokio::test]
+async fn stream_refused_after_crashes() {
+    check_refused(&start_deadly().await, "/drafts/1", &[None]).await;
+}
+
+/// Guards against gateways that each learn of the request from crashes of their own.
+#[tokio::test]
+async fn request_known_to_other_gateways() {
+    for path in ["/looks/1", "/drafts/1"] {
+        let mut site = start_deadly().await;
+        site.start_gateways(3).await;
+        check_refused(&site, path, &[Some(0), Some(1), Some(2)]).await;
+    }
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -475,6 +475,22 @@
         exchange(gateway.callers, request("/drafts/1", id, &headers)).await
     }
 
+    /// Sends a request with this body through a gateway of the group, or through the first
+    /// gateway.
+    pub(crate) async fn send_body(
+        &self,
+        gateway: Option<usize>,
+        path: &str,
+        id: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<Answer> {
+        let gateway = gateway.map_or(&self.gateway, |number| &self.group[number]);
+        let mut request = request(path, id, headers);
+        *request.body_mut() = Full::from(body.to_owned());
+        exchange(gateway.callers, request).await
+    }
+
     /// Sends a signal to a gateway of the group.
     pub(crate) fn signal_gateway(&self, number: usize, signal: Signal) {
         self.group[number].signal(signal);
