Refuse a request that crashes the endpoints that run it

Cause: the search for what crashes endpoints knew only the parts of prompts that other prompts share. A plain request has none, so its crashes were dropped; a deadly stream whose parts are sound was cleared by every other stream with them. The same holds for retries, hedges and reruns, which asked the same search.

Change: core::crash takes suspects, a part of prompts or a request as a whole (digest of route, workspace, method, path and body), and the gateways record, publish and ask for both. A new request is refused after three crashes, also by a gateway that has answered nothing since it learned of them. Answered requests are remembered apart from parts, and a cleared suspect is taken out of its crashes, so that many cleared requests do not bring a request in use back under suspicion. The stored form is the old one with one more kind of name. The log says suspect_refused and crashes_endpoints where it said part_refused and prompt_crashes_engines.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -1,15 +1,17 @@
-//! Finds the parts of prompts that crash the engines that answer them.
+//! Finds what crashes the endpoints that begin to answer it: a part of prompts, or a request.
 //!
 //! Prompts consist of parts that other prompts share. If a part crashes each engine that
 //! begins to answer it, no two requests need be alike, so the search for crashing requests
-//! in [`blame`](crate::blame) does not find it. When an engine crashes, every part of the
-//! runs there that had not been answered yet is suspect. A prompt is refused once several
-//! engines have crashed under one of its parts, while other prompts were answered and none
-//! with that part was.
+//! in [`blame`](crate::blame) does not find it. A request to a plain service has no parts,
+//! and a prompt may be deadly although each of its parts is sound; such a request comes
+//! again when its caller repeats it. When an endpoint crashes, each request there that had
+//! not been answered yet is therefore suspect as a whole, and so is each of its parts. A
+//! request is refused once several endpoints have crashed under one of its suspects, while
+//! other requests were answered and none with that suspect was.
 //!
 //! # Sharing
 //!
-//! Requests with the part come to all gateways, so each of them sees few crashes. Gateways
+//! Requests with the suspect come to all gateways, so each of them sees few crashes. Gateways
 //! publish the crashes that they saw, and each applies the same rule to all of them. Two
 //! gateways that saw the same crash publish it both; [`Tracker::merge`] recognizes it by
 //! the incarnation of the engine. Times are published as ages, because the clocks of VMs
@@ -17,28 +19,31 @@
 //!
 //! # Trade-offs
 //!
-//! A part that accompanied the deadly one in some crashes looks guilty as well. A crash
-//! therefore does not count against a prompt if a part that the prompt lacks explains it as
-//! well, by as many crashes. Such a prompt is served: it either clears its parts or is the
-//! crash that tells them apart.
+//! A suspect that accompanied the deadly one in some crashes looks guilty as well. A crash
+//! therefore does not count against a request if a suspect that the request lacks explains
+//! it as well, by as many crashes. Such a request is served: it either clears its suspects or
+//! is the crash that tells them apart.
 //!
-//! A part that is answered is not the cause, so an answer clears the crashes before it.
+//! A suspect that is answered is not the cause, so an answer clears the crashes before it.
 //! Parts that most prompts share are cleared within milliseconds, by any gateway. A gateway
-//! publishes at once that it cleared a part if the part was about to be refused somewhere,
-//! and later that it is no longer suspect, for gateways that start meanwhile. For a part that
-//! was in use before, crashes of several engines at the same moment, as when a data centre
-//! loses power, count once. Where nothing is answered at all, nothing is refused.
+//! publishes at once that it cleared a suspect if that was about to be refused somewhere,
+//! and later that it is no longer suspect, for gateways that start meanwhile. For a suspect
+//! that was answered before, crashes of several endpoints at the same moment, as when a data
+//! centre loses power, count once. Where nothing is answered at all, nothing is refused but
+//! new requests that crashed several endpoints themselves.
 //!
-//! Answers the load pattern in which a small share of new requests crashes one engine after
-//! the other, at all gateways alike.
+//! Answers the load patterns in which a small share of new requests, or one request that its
+//! caller repeats, crashes one endpoint after the other, at all gateways alike.
 //!
 //! # Examples
 //!
 //! ```
 //! use std::{sync::Arc, time::Duration};
-//! use cactusroad_core::{Time, crash::Tracker};
+//! use cactusroad_core::{Time, crash::{Suspect, Tracker}};
 //!
-//! let parts = |names: &[&str]| names.iter().map(|name| Arc::from(*name)).collect::<Vec<_>>();
+//! let parts = |names: &[&str]| -> Vec<Suspect> {
+//!     names.iter().map(|name| Suspect::Part(Arc::from(*name))).collect()
+//! };
 //! let mut tracker = Tracker::default();
 //! let mut now = Time::from_millis(1_000);
 //! for engine in ["e-1", "e-2", "e-3"] {
@@ -50,65 +55,106 @@
 //! assert!(tracker.blocked(&parts(&["system", "good"]), now).is_none());
 //! ```
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use crate::Time;
+use crate::{Time, digest::Digest};
 
-/// The number of crashes after which a part is refused that was never answered.
+/// The number of crashes after which a suspect is refused that was never answered.
 const MAX_CRASHES: usize = 3;
 
-/// The number of crashes after which a part is refused that was answered before them, so
-/// that a series of accidents does not stop a part in use.
+/// The number of crashes after which a suspect is refused that was answered before them, so
+/// that a series of accidents does not stop a part or a request in use.
 const MAX_CRASHES_IF_ANSWERED: usize = 5;
 
-/// The maximum number of answered parts that are remembered. Beyond it, the half that was
-/// answered the longest ago is forgotten.
+/// The maximum number of answered parts, and of answered requests, that are remembered.
+/// Beyond it, the half that was answered the longest ago is forgotten.
 const MAX_ANSWERED: usize = 2_048;
 
-/// The crashes of a part from which on a gateway publishes that it was answered.
+/// The crashes of a suspect from which on a gateway publishes that it was answered.
 const PUBLISHED_CRASHES: usize = 2;
 
-/// The answers to other prompts since the first crash without which no part is refused.
+/// The answers to other requests since the first crash without which no part, and no request
+/// that was answered before, is refused.
 const MIN_OTHER_ANSWERS: u64 = 2;
 
-/// Crashes within this time count once for a part that was answered before.
+/// Crashes within this time count once for a suspect that was answered before.
 const SAME_MOMENT: Duration = Duration::from_millis(250);
 
 /// Crashes of an engine whose start time is unknown are the same if they are less than this
 /// apart: a restart takes longer.
 const MIN_RESTART_TIME: Duration = Duration::from_secs(2);
 
-/// How long a crash counts, and how long a part is refused after its last crash.
+/// How long a crash counts, and how long a suspect is refused after its last crash.
 const CRASH_TTL: Duration = Duration::from_secs(600);
 
-/// The maximum number of crashes, and of cleared parts, that are kept. The oldest are
+/// The maximum number of crashes, and of cleared suspects, that are kept. The oldest are
 /// dropped first.
 const MAX_KEPT: usize = 64;
 
-/// The maximum number of parts that are kept of one crash.
-const MAX_PARTS: usize = 64;
+/// The maximum number of suspects that are kept of one crash: several for each request in a
+/// full batch.
+const MAX_SUSPECTS: usize = 128;
+
+/// The beginning of the stored form of [`Suspect::Request`]. The id of a part has no colon.
+const REQUEST_PREFIX: &str = "request:";
+
+/// What may have caused a crash.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "Arc<str>", into = "String")]
+pub enum Suspect {
+    /// A part of prompts, by its id.
+    Part(Arc<str>),
+    /// A request, by a digest that each attempt of its caller to send it has.
+    Request(Digest),
+}
+
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Suspect::Part(id) => f.write_str(id),
+            Suspect::Request(digest) => write!(f, "{REQUEST_PREFIX}{digest}"),
+        }
+    }
+}
 
-/// The crash of an engine.
+impl From<Suspect> for String {
+    fn from(suspect: Suspect) -> String {
+        suspect.to_string()
+    }
+}
+
+impl From<Arc<str>> for Suspect {
+    fn from(text: Arc<str>) -> Suspect {
+        let digest = text.strip_prefix(REQUEST_PREFIX);
+        match digest.and_then(|digest| digest.parse().ok()) {
+            Some(digest) => Suspect::Request(digest),
+            None => Suspect::Part(text),
+        }
+    }
+}
+
+/// The crash of an endpoint.
 #[derive(Clone, Debug)]
 struct Crash {
     endpoint: Arc<str>,
     /// Zero if unknown.
     born_ms: u64,
     at: Time,
-    /// The parts of the runs that had not been answered, sorted.
-    parts: Vec<Arc<str>>,
+    /// The suspects of the runs that had not been answered, but for those that were answered
+    /// since; sorted.
+    suspects: Vec<Suspect>,
     /// The value of [`Tracker::answers`] when the crash became known.
     answers_before: u64,
     /// Whether this gateway saw it.
     is_own: bool,
 }
 
-/// A part that was answered.
+/// A suspect that was answered.
 #[derive(Clone, Debug)]
 struct Cleared {
-    part: Arc<str>,
+    suspect: Suspect,
     at: Time,
     /// Whether this gateway answered it and publishes so.
     is_own: bool,
@@ -125,14 +171,14 @@
     Now,
 }
 
-/// Why a prompt is refused.
+/// Why a request is refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Block {
-    /// The part that crashes engines.
-    pub part: Arc<str>,
+    /// What crashes endpoints.
+    pub suspect: Suspect,
     /// The number of crashes that count.
     pub crashes: usize,
-    /// Since when prompts with the part are refused.
+    /// Since when requests with the suspect are refused.
     pub since: Time,
     /// Until when they are refused, unless one is answered before.
     pub until: Time,
@@ -144,7 +190,7 @@
     /// The crashes that it saw.
     #[serde(default)]
     pub crashes: Vec<Report>,
-    /// The parts that it answered after they had been suspect.
+    /// The suspects that it answered.
     #[serde(default)]
     pub cleared: Vec<Answered>,
 }
@@ -159,15 +205,17 @@
     pub born_ms: u64,
     /// The time from the crash to the publication, in milliseconds.
     pub age_ms: u64,
-    /// The parts that are still suspect.
-    pub parts: Vec<Arc<str>>,
+    /// What is still suspect.
+    #[serde(rename = "parts")]
+    pub suspects: Vec<Suspect>,
 }
 
 /// A published answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answered {
-    /// The part.
-    pub part: Arc<str>,
+    /// What was answered.
+    #[serde(rename = "part")]
+    pub suspect: Suspect,
     /// The time from the answer to the publication, in milliseconds.
     pub age_ms: u64,
 }
@@ -177,34 +225,65 @@
 pub struct Tracker {
     /// Sorted by time.
     crashes: Vec<Crash>,
-    /// Sorted by part.
+    /// Sorted by suspect.
     cleared: Vec<Cleared>,
-    /// The parts for which a prompt was refused, sorted, each with the time of the first
+    /// The suspects for which a request was refused, sorted, each with the time of the first
     /// refusal.
-    refused: Vec<(Arc<str>, Time)>,
+    refused: Vec<(Suspect, Time)>,
     /// The number of runs that were answered.
     answers: u64,
-    /// The parts that were answered, sorted, each with the value of `answers` at that time.
-    answered: Vec<(Arc<str>, u64)>,
+    /// The parts that were answered.
+    answered_parts: Memory,
+    /// The requests that were answered, apart from the parts: most requests are new.
+    answered_requests: Memory,
+}
+
+/// What was answered most recently.
+#[derive(Debug, Default)]
+struct Memory {
+    /// Sorted by suspect, each with the value of [`Tracker::answers`] at its last answer.
+    entries: Vec<(Suspect, u64)>,
+}
+
+impl Memory {
+    fn contains(&self, suspect: &Suspect) -> bool {
+        let found = self
+            .entries
+            .binary_search_by(|(known, _)| known.cmp(suspect));
+        found.is_ok()
+    }
+
+    fn insert(&mut self, suspect: &Suspect, answers: u64) {
+        let place = self
+            .entries
+            .binary_search_by(|(known, _)| known.cmp(suspect));
+        match place {
+            Ok(index) => self.entries[index].1 = answers,
+            Err(index) => self.entries.insert(index, (suspect.clone(), answers)),
+        }
+        if self.entries.len() > MAX_ANSWERED {
+            let mut times: Vec<u64> = self.entries.iter().map(|(_, at)| *at).collect();
+            times.sort_unstable();
+            let oldest_kept = times[times.len() / 2];
+            self.entries.retain(|(_, at)| *at > oldest_kept);
+        }
+    }
 }
 
 impl Tracker {
-    /// Records that an engine crashed with a run that had not been answered.
+    /// Records that an endpoint crashed with a run that had not been answered.
     pub fn record_crash(
         &mut self,
         endpoint: &str,
         born_ms: u64,
-        parts: &[Arc<str>],
+        suspects: &[Suspect],
         now: Time,
     ) -> News {
-        if parts.is_empty() {
-            return News::Never;
-        }
         let is_new = self.add(Crash {
             endpoint: endpoint.into(),
             born_ms,
             at: now,
-            parts: parts.to_vec(),
+            suspects: suspects.to_vec(),
             answers_before: self.answers,
             is_own: true,
         });
@@ -212,15 +291,18 @@
     }
 
     /// Records that a run was answered.
-    pub fn record_answer(&mut self, parts: &[Arc<str>], now: Time) -> News {
+    pub fn record_answer(&mut self, suspects: &[Suspect], now: Time) -> News {
         self.answers += 1;
-        self.remember_answered(parts);
+        for suspect in suspects {
+            let answers = self.answers;
+            self.answered_mut(suspect).insert(suspect, answers);
+        }
         let mut news = News::Never;
         if self.crashes.is_empty() {
             return news;
         }
-        for part in parts {
-            let counted = self.counted(part, now);
+        for suspect in suspects {
+            let counted = self.counted(suspect, now);
             if counted.is_empty() {
                 continue;
             }
@@ -232,92 +314,90 @@
             } else {
                 News::Never
             });
-            self.clear(part, now, is_published);
+            self.clear(suspect, now, is_published);
         }
         news
     }
 
-    /// Returns why a prompt with these parts is refused, if it is.
-    pub fn blocked(&mut self, parts: &[Arc<str>], now: Time) -> Option<Block> {
+    /// Returns why a request with these suspects is refused, if it is.
+    pub fn blocked(&mut self, suspects: &[Suspect], now: Time) -> Option<Block> {
         if self.crashes.is_empty() {
             return None;
         }
-        let blocks = parts
+        let blocks = suspects
             .iter()
-            .filter_map(|part| self.blocked_by(part, parts, now));
+            .filter_map(|suspect| self.blocked_by(suspect, suspects, now));
         let mut block = blocks.max_by_key(|block| block.crashes)?;
-        match self.refused_index(&block.part) {
+        match self.refused_index(&block.suspect) {
             Ok(index) => block.since = self.refused[index].1,
-            Err(place) => self.refused.insert(place, (Arc::clone(&block.part), now)),
+            Err(place) => self.refused.insert(place, (block.suspect.clone(), now)),
         }
         Some(block)
     }
 
-    fn refused_index(&self, part: &Arc<str>) -> Result<usize, usize> {
-        self.refused.binary_search_by(|(known, _)| known.cmp(part))
+    fn refused_index(&self, suspect: &Suspect) -> Result<usize, usize> {
+        self.refused
+            .binary_search_by(|(known, _)| known.cmp(suspect))
     }
 
-    fn blocked_by(&self, part: &Arc<str>, prompt: &[Arc<str>], now: Time) -> Option<Block> {
-        let counted = self.counted(part, now);
-        let needed = if self.was_answered(part) {
+    /// Returns why a request, with all of its suspects, is refused for one of them.
+    fn blocked_by(&self, suspect: &Suspect, request: &[Suspect], now: Time) -> Option<Block> {
+        let counted = self.counted(suspect, now);
+        let was_answered = self.was_answered(suspect);
+        let needed = if was_answered {
             MAX_CRASHES_IF_ANSWERED
         } else {
             MAX_CRASHES
         };
         let other_answers = self.answers - counted.first()?.answers_before;
-        if counted.len() < needed || other_answers < MIN_OTHER_ANSWERS {
+        // A new request is refused for itself only, so a gateway that gets few requests need
+        // not see that others are answered.
+        let is_new_request = matches!(suspect, Suspect::Request(_)) && !was_answered;
+        let is_confirmed = is_new_request || other_answers >= MIN_OTHER_ANSWERS;
+        if counted.len() < needed || !is_confirmed {
             return None;
         }
-        let is_as_guilty = |other: &Arc<str>| {
-            !prompt.contains(other) && self.counted(other, now).len() >= counted.len()
+        let is_as_guilty = |other: &Suspect| {
+            !request.contains(other) && self.counted(other, now).len() >= counted.len()
         };
-        let is_unexplained = |crash: &&&Crash| !crash.parts.iter().any(is_as_guilty);
+        let is_unexplained = |crash: &&&Crash| !crash.suspects.iter().any(is_as_guilty);
         let crashes: Vec<&&Crash> = counted.iter().filter(is_unexplained).collect();
         let oldest_needed = crashes.len().checked_sub(needed)?;
         Some(Block {
-            part: Arc::clone(part),
+            suspect: suspect.clone(),
             crashes: crashes.len(),
             since: now,
             until: crashes[oldest_needed].at + CRASH_TTL,
         })
     }
 
-    fn was_answered(&self, part: &Arc<str>) -> bool {
-        let found = self.answered.binary_search_by(|(known, _)| known.cmp(part));
-        found.is_ok()
+    fn was_answered(&self, suspect: &Suspect) -> bool {
+        match suspect {
+            Suspect::Part(_) => self.answered_parts.contains(suspect),
+            Suspect::Request(_) => self.answered_requests.contains(suspect),
+        }
     }
 
-    fn remember_answered(&mut self, parts: &[Arc<str>]) {
-        for part in parts {
-            let place = self.answered.binary_search_by(|(known, _)| known.cmp(part));
-            match place {
-                Ok(index) => self.answered[index].1 = self.answers,
-                Err(index) => self
-                    .answered
-                    .insert(index, (Arc::clone(part), self.answers)),
-            }
-        }
-        if self.answered.len() > MAX_ANSWERED {
-            let mut times: Vec<u64> = self.answered.iter().map(|(_, at)| *at).collect();
-            times.sort_unstable();
-            let oldest_kept = times[times.len() / 2];
-            self.answered.retain(|(_, at)| *at > oldest_kept);
+    fn answered_mut(&mut self, suspect: &Suspect) -> &mut Memory {
+        match suspect {
+            Suspect::Part(_) => &mut self.answered_parts,
+            Suspect::Request(_) => &mut self.answered_requests,
         }
     }
 
-    /// Returns the crashes with a part since it was last answered, of those that count once
-    /// the first.
-    fn counted(&self, part: &Arc<str>, now: Time) -> Vec<&Crash> {
-        let min_distance = if self.was_answered(part) {
+    /// Returns the crashes with a suspect since it was last answered, of those that count
+    /// once the first.
+    fn counted(&self, suspect: &Suspect, now: Time) -> Vec<&Crash> {
+        let min_distance = if self.was_answered(suspect) {
             SAME_MOMENT
         } else {
             Duration::ZERO
         };
-        let cleared_at = self.cleared_at(part);
+        let cleared_at = self.cleared_at(suspect);
         let mut counted: Vec<&Crash> = Vec::new();
         for crash in &self.crashes {
             let is_valid = crash.at > cleared_at && !(crash.at + CRASH_TTL).is_past(now);
-            let is_suspect = || crash.parts.binary_search(part).is_ok();
+            let is_suspect = || crash.suspects.binary_search(suspect).is_ok();
             let is_separate = counted
                 .last()
                 .is_none_or(|last| crash.at.since(last.at) >= min_distance);
@@ -328,20 +408,27 @@
         counted
     }
 
-    fn cleared_at(&self, part: &Arc<str>) -> Time {
-        let found = self
-            .cleared
-            .binary_search_by(|cleared| cleared.part.cmp(part));
+    fn cleared_index(&self, suspect: &Suspect) -> Result<usize, usize> {
+        self.cleared
+            .binary_search_by(|cleared| cleared.suspect.cmp(suspect))
+    }
+
+    fn cleared_at(&self, suspect: &Suspect) -> Time {
+        let found = self.cleared_index(suspect);
         found.map_or(Time::ZERO, |index| self.cleared[index].at)
     }
 
-    fn clear(&mut self, part: &Arc<str>, at: Time, is_own: bool) {
-        if let Ok(index) = self.refused_index(part) {
+    fn clear(&mut self, suspect: &Suspect, at: Time, is_own: bool) {
+        if let Ok(index) = self.refused_index(suspect) {
             self.refused.remove(index);
         }
-        let place = self
-            .cleared
-            .binary_search_by(|cleared| cleared.part.cmp(part));
+        // The crashes do not count again when the entry is dropped from `cleared`.
+        for crash in self.crashes.iter_mut().filter(|crash| crash.at <= at) {
+            if let Ok(index) = crash.suspects.binary_search(suspect) {
+                crash.suspects.remove(index);
+            }
+        }
+        let place = self.cleared_index(suspect);
         match place {
             Ok(index) => {
                 let cleared = &mut self.cleared[index];
@@ -351,7 +438,7 @@
             Err(index) => self.cleared.insert(
                 index,
                 Cleared {
-                    part: Arc::clone(part),
+                    suspect: suspect.clone(),
                     at,
                     is_own,
                 },
@@ -363,20 +450,20 @@
         }
     }
 
-    /// Adds a crash, or its parts to the same crash. Returns whether anything is new.
+    /// Adds a crash, or its suspects to the same crash. Returns whether anything is new.
     fn add(&mut self, mut crash: Crash) -> bool {
-        crash.parts.sort_unstable();
-        crash.parts.dedup();
-        crash.parts.truncate(MAX_PARTS);
+        crash.suspects.sort_unstable();
+        crash.suspects.dedup();
+        crash.suspects.truncate(MAX_SUSPECTS);
         if let Some(known) = self.crashes.iter_mut().find(|known| known.is_same(&crash)) {
             let is_first_own = crash.is_own && !known.is_own;
             known.is_own |= crash.is_own;
-            let parts = known.parts.len();
-            known.parts.append(&mut crash.parts);
-            known.parts.sort_unstable();
-            known.parts.dedup();
-            known.parts.truncate(MAX_PARTS);
-            return is_first_own || known.parts.len() > parts;
+            let suspects = known.suspects.len();
+            known.suspects.append(&mut crash.suspects);
+            known.suspects.sort_unstable();
+            known.suspects.dedup();
+            known.suspects.truncate(MAX_SUSPECTS);
+            return is_first_own || known.suspects.len() > suspects;
         }
         let place = self.crashes.partition_point(|known| known.at <= crash.at);
         self.crashes.insert(place, crash);
@@ -394,15 +481,15 @@
                 endpoint: Arc::clone(&report.endpoint),
                 born_ms: report.born_ms,
                 at: before(now, report.age_ms),
-                parts: report.parts.clone(),
+                suspects: report.suspects.clone(),
                 answers_before: self.answers,
                 is_own,
             });
         }
         for answered in &evidence.cleared {
             let at = before(now, answered.age_ms);
-            if at > self.cleared_at(&answered.part) {
-                self.clear(&answered.part, at, is_own);
+            if at > self.cleared_at(&answered.suspect) {
+                self.clear(&answered.suspect, at, is_own);
             }
         }
     }
@@ -415,9 +502,9 @@
         let crashes = crashes.filter(|crash| crash.is_own && is_current(crash.at));
         let cleared = self.cleared.iter();
         let cleared = cleared.filter(|cleared| cleared.is_own && is_current(cleared.at));
-        let suspects = |crash: &Crash| -> Vec<Arc<str>> {
-            let is_suspect = |part: &&Arc<str>| self.cleared_at(part) < crash.at;
-            crash.parts.iter().filter(is_suspect).cloned().collect()
+        let suspects = |crash: &Crash| -> Vec<Suspect> {
+            let is_suspect = |suspect: &&Suspect| self.cleared_at(suspect) < crash.at;
+            crash.suspects.iter().filter(is_suspect).cloned().collect()
         };
         Evidence {
             crashes: crashes
@@ -425,13 +512,13 @@
                     endpoint: Arc::clone(&crash.endpoint),
                     born_ms: crash.born_ms,
                     age_ms: age_ms(crash.at),
-                    parts: suspects(crash),
+                    suspects: suspects(crash),
                 })
-                .filter(|report| !report.parts.is_empty())
+                .filter(|report| !report.suspects.is_empty())
                 .collect(),
             cleared: cleared
                 .map(|cleared| Answered {
-                    part: Arc::clone(&cleared.part),
+                    suspect: cleared.suspect.clone(),
                     age_ms: age_ms(cleared.at),
                 })
                 .collect(),
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -1,10 +1,11 @@
-//! Tests of the search for parts of prompts that crash engines.
+//! Tests of the search for parts of prompts, and for requests, that crash endpoints.
 
 use std::{sync::Arc, time::Duration};
 
 use cactusroad_core::{
     Time,
-    crash::{News, Tracker},
+    crash::{Evidence, News, Suspect, Tracker},
+    digest::Digest,
 };
 use proptest::prelude::*;
 
@@ -14,8 +15,9 @@
     START + Duration::from_millis(millis)
 }
 
-fn parts(names: &[&str]) -> Vec<Arc<str>> {
-    names.iter().map(|name| Arc::from(*name)).collect()
+fn parts(names: &[&str]) -> Vec<Suspect> {
+    let part = |name: &&str| Suspect::Part(Arc::from(*name));
+    names.iter().map(part).collect()
 }
 
 fn is_blocked(tracker: &mut Tracker, names: &[&str], at: Time) -> bool {
@@ -41,7 +43,8 @@
     let mut tracker = tracker(3);
     let block = tracker.blocked(&parts(&["a", "bad"]), after(3_000));
     let block = block.expect("the part is refused");
-    assert_eq!((&*block.part, block.crashes), ("bad", 3));
+    assert_eq!(block.suspect, Suspect::Part("bad".into()));
+    assert_eq!(block.crashes, 3);
     assert_eq!(block.since, after(3_000));
     let again = tracker.blocked(&parts(&["x", "bad"]), after(4_000));
     assert_eq!(
@@ -231,3 +234,97 @@
         prop_assert!(refused_sound * 2 <= sound, "{refused_sound} of {sound}");
     }
 }
+
+/// Returns a request as a whole, beside the parts of its prompt.
+fn request(number: u128, names: &[&str]) -> Vec<Suspect> {
+    let mut suspects = parts(names);
+    suspects.push(Suspect::Request(Digest(number)));
+    suspects
+}
+
+#[test]
+fn blocked_request_without_parts() {
+    let mut tracker = Tracker::default();
+    let deadly = request(1, &[]);
+    for number in 0..3 {
+        assert!(tracker.blocked(&deadly, after(number * 1_000)).is_none());
+        let at = after(number * 1_000);
+        tracker.record_crash(&format!("o-{number}"), 1, &deadly, at);
+        // A request that was at the same endpoint, and was repeated.
+        let other = request(10 + u128::from(number), &[]);
+        tracker.record_crash(&format!("o-{number}"), 1, &other, at);
+        tracker.record_answer(&other, at + Duration::from_millis(100));
+    }
+    let block = tracker.blocked(&deadly, after(3_000)).expect("a refusal");
+    assert_eq!(block.suspect, Suspect::Request(Digest(1)));
+    assert!(tracker.blocked(&request(11, &[]), after(3_000)).is_none());
+    assert!(tracker.blocked(&request(20, &[]), after(3_000)).is_none());
+}
+
+/// Guards against a deadly prompt whose parts are cleared by the other prompts of its session.
+#[test]
+fn blocked_request_with_sound_parts() {
+    let mut tracker = Tracker::default();
+    let deadly = request(1, &["system", "session"]);
+    for number in 0..3 {
+        let at = after(number * 1_000);
+        tracker.record_crash(&format!("e-{number}"), 1, &deadly, at);
+        let sound = request(10 + u128::from(number), &["system", "session"]);
+        tracker.record_answer(&sound, at + Duration::from_millis(100));
+    }
+    assert!(tracker.blocked(&deadly, after(3_000)).is_some());
+    let sound = request(20, &["system", "session"]);
+    assert!(tracker.blocked(&sound, after(3_000)).is_none());
+}
+
+/// Guards against refusing a request that callers repeat all the time, because the endpoints
+/// that ran it lost power, after many other requests were cleared.
+#[test]
+fn blocked_not_request_in_use() {
+    let mut tracker = Tracker::default();
+    let polled = request(1, &[]);
+    tracker.record_answer(&polled, START);
+    for round in 0..100u64 {
+        let at = after(round * 1_000);
+        for number in 0..3 {
+            let endpoint = format!("o-{round}-{number}");
+            tracker.record_crash(&endpoint, 1, &polled, at);
+            let other = request(u128::from(1_000 + round * 3 + number), &[]);
+            tracker.record_crash(&endpoint, 1, &other, at);
+            tracker.record_answer(&other, at + Duration::from_millis(50));
+        }
+        let at = at + Duration::from_millis(100);
+        assert!(tracker.blocked(&polled, at).is_none(), "round {round}");
+        tracker.record_answer(&polled, at);
+    }
+}
+
+/// Guards against a gateway that lets a deadly request pass because it has answered nothing
+/// since it learned of the crashes from others.
+#[test]
+fn merge_request_without_answers() {
+    let deadly = request(1, &["a"]);
+    let mut idle = Tracker::default();
+    for number in 0..3 {
+        let mut seen = Tracker::default();
+        let at = after(number * 1_000);
+        seen.record_crash(&format!("e-{number}"), 1, &deadly, at);
+        idle.merge(&seen.evidence(at), false, at);
+    }
+    assert!(idle.blocked(&deadly, after(3_000)).is_some());
+    assert!(idle.blocked(&request(2, &["a"]), after(3_000)).is_none());
+}
+
+#[test]
+fn evidence_stored_form() {
+    let mut tracker = Tracker::default();
+    tracker.record_crash("e-1", 7, &request(0xab, &["bad"]), START);
+    let stored = serde_json::to_value(tracker.evidence(START)).expect("it is valid");
+    let digest = format!("request:{:032x}", 0xab);
+    assert_eq!(
+        stored["crashes"][0]["parts"],
+        serde_json::json!(["bad", digest])
+    );
+    let read: Evidence = serde_json::from_value(stored).expect("it can be read");
+    assert_eq!(read, tracker.evidence(START));
+}
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -1,8 +1,8 @@
-//! Shares what gateways see of crashing engines, and refuses prompts that would crash more.
+//! Shares what gateways see of crashing endpoints, and refuses requests that would crash more.
 //!
-//! [`cactusroad_core::crash`] decides which prompts are refused. Each gateway publishes the
+//! [`cactusroad_core::crash`] decides which requests are refused. Each gateway publishes the
 //! crashes that it saw in one object of the store and follows those of the others, so that
-//! it can refuse a part that it has never sent itself.
+//! it can refuse what it has never sent itself.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -11,7 +11,7 @@
 
 use cactusroad_core::{
     Time,
-    crash::{Block, Evidence, News, Tracker},
+    crash::{Block, Evidence, News, Suspect, Tracker},
     pool::Endpoint,
     relay::Limits,
 };
@@ -62,18 +62,18 @@
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that an engine crashed with a run that had not been answered.
-    pub(crate) fn record_crash(&self, endpoint: &Endpoint, parts: &[Arc<str>]) {
+    /// Records that an endpoint crashed with a run that had not been answered.
+    pub(crate) fn record_crash(&self, endpoint: &Endpoint, suspects: &[Suspect]) {
         let (id, born_ms) = (&endpoint.id, endpoint.born_ms);
         let news = self
             .tracker()
-            .record_crash(id, born_ms, parts, clock::now());
+            .record_crash(id, born_ms, suspects, clock::now());
         self.schedule(news);
     }
 
     /// Records that a run was answered.
-    pub(crate) fn record_answer(&self, parts: &[Arc<str>]) {
-        let news = self.tracker().record_answer(parts, clock::now());
+    pub(crate) fn record_answer(&self, suspects: &[Suspect]) {
+        let news = self.tracker().record_answer(suspects, clock::now());
         self.schedule(news);
     }
 
@@ -89,13 +89,13 @@
             .send_modify(|at| *at = Some(at.map_or(due, |at| at.min(due))));
     }
 
-    /// Returns why a prompt with these parts is refused, if it is.
-    pub(crate) fn blocked(&self, parts: &[Arc<str>]) -> Option<Block> {
+    /// Returns why a request with these suspects is refused, if it is.
+    pub(crate) fn blocked(&self, suspects: &[Suspect]) -> Option<Block> {
         let now = clock::now();
-        let block = self.tracker().blocked(parts, now)?;
+        let block = self.tracker().blocked(suspects, now)?;
         if block.since == now {
-            record::write(&Event::PartRefused {
-                part: &block.part,
+            record::write(&Event::SuspectRefused {
+                suspect: &block.suspect,
                 crashes: block.crashes,
                 refused_ms: u64::try_from(block.until.since(now).as_millis()).unwrap_or(u64::MAX),
             });
@@ -115,7 +115,7 @@
         }
         state.crashes.publish_at.send_replace(None);
         while let Err(cause) = put(&state).await {
-            log::info!("publishing the crashes of engines failed: {cause}");
+            log::info!("publishing the crashes of endpoints failed: {cause}");
             sleep(RETRY_DELAY.mul_f64(rand::random_range(0.5..1.0))).await;
         }
     }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cactusroad_core::{
+    crash::Suspect,
     digest::Digest,
     pool::Work,
     site::{Kind, Route, Site, Workspace},
@@ -117,8 +118,8 @@
         workspace,
         work: caller.work(),
         side,
+        suspects: suspects(digest, caller.parts),
         digest,
-        parts: caller.parts,
         vm: Arc::clone(&settings.vm),
         data_centre: Arc::clone(&settings.data_centre),
         arrived_at,
@@ -163,6 +164,12 @@
     ])
 }
 
+/// Returns what a request may crash endpoints by.
+fn suspects(digest: Digest, parts: Vec<Arc<str>>) -> Vec<Suspect> {
+    let parts = parts.into_iter().map(Suspect::Part);
+    parts.chain([Suspect::Request(digest)]).collect()
+}
+
 /// Returns why a process that is stopping refuses the request, if it does.
 fn check_shutdown(state: &State, route: &Route, work: Work) -> Option<&'static str> {
     let stop = (*state.stopping.borrow())?;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cactusroad_core::{
     Time,
+    crash::Suspect,
     digest::Digest,
     pool::{Criteria, Endpoint, Outcome, Work},
     rollout::Side,
@@ -46,8 +47,9 @@
     pub(crate) side: Side,
     /// Identifies the request over all attempts of its caller to send it.
     pub(crate) digest: Digest,
-    /// The parts of the prompt that other prompts may share.
-    pub(crate) parts: Vec<Arc<str>>,
+    /// What the request may crash endpoints by: itself, and the parts of its prompt that
+    /// other prompts may share.
+    pub(crate) suspects: Vec<Suspect>,
     /// The VM of this gateway.
     pub(crate) vm: Arc<str>,
     /// The data centre of this gateway.
@@ -120,14 +122,19 @@
         reply::refusal(cause, retry_after)
     }
 
-    /// Refuses the request if its prompt would crash an engine. The caller is told to wait as
-    /// long again as such prompts have been refused: a part that is not the cause is cleared
+    /// Returns whether the request would crash an endpoint.
+    pub(crate) fn is_crashing(&self) -> bool {
+        self.state.crashes.blocked(&self.suspects).is_some()
+    }
+
+    /// Refuses the request if it would crash an endpoint. The caller is told to wait as long
+    /// again as such requests have been refused: a suspect that is not the cause is cleared
     /// soon.
     pub(crate) fn refuse_crashing(&self) -> Option<Response<Body>> {
-        let block = self.state.crashes.blocked(&self.parts)?;
+        let block = self.state.crashes.blocked(&self.suspects)?;
         let now = clock::now();
         let until = (now + now.since(block.since)).min(block.until);
-        Some(self.refuse_until(CRASHES_ENGINES, until))
+        Some(self.refuse_until(CRASHES_ENDPOINTS, until))
     }
 
     /// Counts and logs an attempt that gave no response for the caller.
@@ -218,8 +225,8 @@
     }
 }
 
-/// The cause of refusals of prompts that crash engines.
-pub(crate) const CRASHES_ENGINES: &str = "prompt_crashes_engines";
+/// The cause of refusals of requests that crash endpoints.
+pub(crate) const CRASHES_ENDPOINTS: &str = "crashes_endpoints";
 
 /// The outcome of a request whose response was forwarded completely.
 pub(crate) const ANSWERED: &str = "answered";
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -121,10 +121,9 @@
         Kind::Once | Kind::Stream => executions == 0,
     };
     let is_late = job.deadline.is_past(clock::now() + MIN_ATTEMPT_TIME);
-    let is_crashing = || job.state.crashes.blocked(&job.parts).is_some();
     if !may_retry
         || is_late
-        || is_crashing()
+        || job.is_crashing()
         || progress.sends >= MAX_SENDS
         || !job.shard.spend_retry(Repeat::Retry)
     {
@@ -235,7 +234,7 @@
     let (outcome, result, cause) = match collected {
         Ok((head, Some(body))) => {
             in_flight.record_answer();
-            job.state.crashes.record_answer(&job.parts);
+            job.state.crashes.record_answer(&job.suspects);
             classify(head, body, started_at)
         }
         Ok((head, None)) => (
@@ -248,7 +247,7 @@
         }
         Err(cause) => {
             if cause.is_lost() && !job.shard.pool().is_leaving(&endpoint.id) {
-                job.state.crashes.record_crash(&endpoint, &job.parts);
+                job.state.crashes.record_crash(&endpoint, &job.suspects);
             }
             (Outcome::Broken, Attempt::Unknown, cause.to_string())
         }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -12,7 +12,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use cactusroad_core::{digest::Digest, pool::View};
+use cactusroad_core::{crash::Suspect, digest::Digest, pool::View};
 use serde::Serialize;
 
 use crate::clock;
@@ -109,9 +109,9 @@
         change: &'a str,
         reason: &'a str,
     },
-    /// Prompts with a part are refused, because engines crash on it.
-    PartRefused {
-        part: &'a str,
+    /// Requests with a suspect are refused, because endpoints crash on it.
+    SuspectRefused {
+        suspect: &'a Suspect,
         crashes: usize,
         refused_ms: u64,
     },
@@ -141,10 +141,8 @@
         endpoint: &'a str,
         loss: &'a str,
         last_event: u64,
-        /// The same for each attempt of a caller to send the same request.
-        digest: Digest,
-        /// The parts of the prompt that other prompts may share.
-        parts: &'a [std::sync::Arc<str>],
+        /// What would have caused it if the engine has crashed.
+        suspects: &'a [Suspect],
         cause: &'a str,
     },
     /// The engine of a run was told to stop it before it goes on elsewhere.
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -440,7 +440,8 @@
         self.last_event_at = now;
         self.events += 1;
         if self.events == ANSWERED_EVENTS {
-            self.job.state.crashes.record_answer(&self.job.parts);
+            let crashes = &self.job.state.crashes;
+            crashes.record_answer(&self.job.suspects);
         }
         self.last_event = event.id.or(self.last_event);
         self.has_no_failover = false;
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -106,8 +106,7 @@
             endpoint: &self.run.endpoint.id,
             loss: loss_label,
             last_event: self.last_event.unwrap_or(0),
-            digest: self.job.digest,
-            parts: &self.job.parts,
+            suspects: &self.job.suspects,
             cause,
         });
     }
@@ -120,8 +119,8 @@
             if self.job.deadline.is_past(clock::now()) {
                 return Err(Ending::Deadline);
             }
-            if self.job.state.crashes.blocked(&self.job.parts).is_some() {
-                self.record_move_failed(job::CRASHES_ENGINES);
+            if self.job.is_crashing() {
+                self.record_move_failed(job::CRASHES_ENDPOINTS);
                 return Err(Ending::Lost);
             }
             let purpose = match source {
@@ -172,7 +171,8 @@
         let is_crash = !self.job.shard.pool().is_leaving(&engine.id);
         if is_crash && self.events < ANSWERED_EVENTS {
             self.run.crashes += 1;
-            self.job.state.crashes.record_crash(engine, &self.job.parts);
+            let crashes = &self.job.state.crashes;
+            crashes.record_crash(engine, &self.job.suspects);
         }
     }
 
