Bound the memory of incomplete responses over all streams

What callers would see: endpoints that send bytes that are no answer, without end and slowly enough, make a gateway run out of memory, and all of its callers lose their requests.

Cause: an incomplete event of a stream (up to 1 MiB), the body of an engine's error response (up to 1 MiB) and a response head (up to 400 KB in the HTTP library's buffer) were limited each, but not together; only plain responses counted against a common limit, and that one they shared with the requests of callers.

Change: an incomplete event counts against the memory for responses but for its first 16 KiB, and so does the body of an error response. Requests and responses have a limit each, a quarter of the memory.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -53,6 +53,11 @@
         Some(Event { bytes, id })
     }
 
+    /// Returns the memory that the buffer takes, in bytes.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Removes and returns the bytes of an incomplete event.
     pub(crate) fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,7 +21,7 @@
     plain,
     record::{self, Event},
     reply::{self, Body},
-    state::{Reservation, State},
+    state::{Reservation, State, Use},
     stream,
 };
 
@@ -261,7 +261,7 @@
     mut body: Incoming,
 ) -> Result<BufferedBody, (StatusCode, &'static str)> {
     let limits = site.limits();
-    let mut reservation = Reservation::new(state);
+    let mut reservation = Reservation::new(state, Use::Requests);
     let declared_bytes = hyper::body::Body::size_hint(&body).lower();
     if declared_bytes > limits.body_bytes as u64 {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -24,7 +24,7 @@
     job::{self, ANSWERED, CONNECT_TIMEOUT, Job, Summary},
     record::{self, Event},
     reply::{self, Body},
-    state::{Reservation, State, time_left},
+    state::{Reservation, State, Use, time_left},
 };
 
 /// The maximum size of a response that is buffered.
@@ -225,9 +225,11 @@
         in_flight.record_head(reply);
     }
     let collected = match sent {
-        Ok(mut reply) if !reply.is_not_run => read_response(&job.state, &mut reply.body)
-            .await
-            .map(|body| (reply.head, Some(body))),
+        Ok(mut reply) if !reply.is_not_run => {
+            read_response(&job.state, &mut reply.body, MAX_RESPONSE_BYTES)
+                .await
+                .map(|body| (reply.head, Some(body)))
+        }
         Ok(reply) => Ok((reply.head, None)),
         Err(cause) => Err(cause),
     };
@@ -266,15 +268,16 @@
     (endpoint, result)
 }
 
-/// Reads a complete response. While it is read, it counts against the memory for bodies,
+/// Reads a complete response of at most `max_bytes`. While it is read, it counts against the memory for bodies,
 /// so that endpoints that send without end do not take all of it.
-async fn read_response(
+pub(crate) async fn read_response(
     state: &Arc<State>,
     body: &mut replica::Body,
+    max_bytes: usize,
 ) -> Result<Bytes, replica::Error> {
-    let mut reservation = Reservation::new(state);
+    let mut reservation = Reservation::new(state, Use::Responses);
     let has_room = |bytes| reservation.extend(bytes);
-    body.collect(MAX_RESPONSE_BYTES, has_room).await
+    body.collect(max_bytes, has_room).await
 }
 
 /// Classifies a complete response. A status that tells callers that the request was not
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -46,11 +46,21 @@
 /// a small site has, so that retries stay bounded without a count.
 const ASSUMED_GATEWAYS: usize = 16;
 
-/// The bodies of open requests, and of responses that are being read, take at most the
-/// process's memory divided by this. Usual bodies are a few kilobytes; this holds several
-/// of the largest.
+/// The bodies of open requests take at most the process's memory divided by this, and so do
+/// the responses that are being read. Usual bodies are a few kilobytes; this holds several of
+/// the largest.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
+/// What memory is reserved for. Each use has its own limit, so that endpoints that send
+/// without end do not take the memory for the requests of callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Use {
+    /// The bodies of requests.
+    Requests,
+    /// Responses that are being read.
+    Responses,
+}
+
 /// The course of a shutdown.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stop {
@@ -74,8 +84,10 @@
     shards: ArcSwap<Vec<Arc<Shard>>>,
     /// The evacuated data centres, sorted.
     pub(crate) data_centres_out: ArcSwap<Vec<Arc<str>>>,
-    /// Bytes of bodies that are held in memory.
-    held_bytes: AtomicUsize,
+    /// The bytes of request bodies that are held in memory.
+    request_bytes: AtomicUsize,
+    /// The bytes of responses that are held while they are being read.
+    response_bytes: AtomicUsize,
     pub(crate) metrics: Metrics,
     /// Whether the list of endpoints has been read at least once.
     pub(crate) are_endpoints_listed: AtomicBool,
@@ -139,7 +151,8 @@
             policy,
             shards: ArcSwap::default(),
             data_centres_out: ArcSwap::default(),
-            held_bytes: AtomicUsize::new(0),
+            request_bytes: AtomicUsize::new(0),
+            response_bytes: AtomicUsize::new(0),
             metrics: Metrics::new(),
             are_endpoints_listed: AtomicBool::new(false),
             are_evacuations_listed: AtomicBool::new(false),
@@ -354,20 +367,27 @@
         sleep_until(clock::instant(stop.answers_by)).await;
     }
 
+    fn held_bytes(&self, usage: Use) -> &AtomicUsize {
+        match usage {
+            Use::Requests => &self.request_bytes,
+            Use::Responses => &self.response_bytes,
+        }
+    }
+
     /// Reserves memory for a part of a body. Returns whether it was available.
-    fn reserve_memory(&self, bytes: usize) -> bool {
+    fn reserve_memory(&self, usage: Use, bytes: usize) -> bool {
         let limit = self.settings.load().memory_bytes / BODY_MEMORY_DIVISOR;
-        let held = self.held_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let held = self.held_bytes(usage).fetch_add(bytes, Ordering::Relaxed) + bytes;
         let fits = u64::try_from(held).is_ok_and(|held| held <= limit);
         if !fits {
-            self.release_memory(bytes);
+            self.release_memory(usage, bytes);
         }
         fits
     }
 
     /// Returns memory that was reserved with [`State::reserve_memory`].
-    fn release_memory(&self, bytes: usize) {
-        self.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
+    fn release_memory(&self, usage: Use, bytes: usize) {
+        self.held_bytes(usage).fetch_sub(bytes, Ordering::Relaxed);
     }
 
     /// Counts a request as open until the guard is dropped.
@@ -387,31 +407,43 @@
 #[derive(Debug)]
 pub(crate) struct Reservation {
     state: Arc<State>,
+    usage: Use,
     bytes: usize,
 }
 
 impl Reservation {
     /// Returns an empty reservation.
-    pub(crate) fn new(state: &Arc<State>) -> Reservation {
+    pub(crate) fn new(state: &Arc<State>, usage: Use) -> Reservation {
         Reservation {
             state: Arc::clone(state),
+            usage,
             bytes: 0,
         }
     }
 
     /// Reserves memory for another part of the body. Returns whether it was available.
     pub(crate) fn extend(&mut self, bytes: usize) -> bool {
-        let is_reserved = self.state.reserve_memory(bytes);
+        let is_reserved = self.state.reserve_memory(self.usage, bytes);
         if is_reserved {
             self.bytes += bytes;
         }
         is_reserved
     }
+
+    /// Changes the reserved memory to `bytes`. Returns whether that much was available.
+    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
+        if let Some(more) = bytes.checked_sub(self.bytes) {
+            return more == 0 || self.extend(more);
+        }
+        self.state.release_memory(self.usage, self.bytes - bytes);
+        self.bytes = bytes;
+        true
+    }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.state.release_memory(self.bytes);
+        self.state.release_memory(self.usage, self.bytes);
     }
 }
 
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -26,10 +26,10 @@
     events::{Event as StreamEvent, Splitter},
     job::{self, ANSWERED, CONNECT_TIMEOUT, Job, Summary},
     migration::Migration,
-    observe,
+    observe, plain,
     record::{self, Event},
     reply::{self, Body, Truncated},
-    state::{CopyGuard, InFlight, time_left},
+    state::{CopyGuard, InFlight, Reservation, Use, time_left},
 };
 
 /// The maximum number of times that a request is sent while no engine runs it.
@@ -43,6 +43,10 @@
 /// own buffer.
 const MAX_QUEUED_EVENTS: usize = 16;
 
+/// The memory for an incomplete event that each stream may use whatever the others take.
+/// Usual events have a few hundred bytes.
+const UNRESERVED_BYTES: usize = 16 << 10;
+
 mod recover;
 mod stop;
 
@@ -69,6 +73,8 @@
     /// The reservation at the engine that keeps the standby copy.
     standby: Option<CopyGuard>,
     splitter: Splitter,
+    /// The memory that the splitter takes beyond [`UNRESERVED_BYTES`].
+    reservation: Reservation,
     /// The id of the last forwarded event.
     last_event: Option<u64>,
     /// The number of forwarded events.
@@ -152,6 +158,7 @@
             in_flight: None,
             standby: None,
             splitter: Splitter::default(),
+            reservation: Reservation::new(&job.state, Use::Responses),
             last_event: None,
             events: 0,
             first_ms: 0,
@@ -331,7 +338,7 @@
         }
         let body = timeout(
             time_left(self.job.deadline),
-            reply.body.collect(MAX_FAILURE_BYTES, |_| true),
+            plain::read_response(&self.job.state, &mut reply.body, MAX_FAILURE_BYTES),
         )
         .await;
         match body {
@@ -395,8 +402,8 @@
             }
             match self.read().await {
                 Ok(Some(bytes)) => {
-                    if self.splitter.push(&bytes).is_err() {
-                        self.recover(Loss::Garbled, "an event does not end").await?;
+                    if let Err(cause) = self.buffer(&bytes) {
+                        self.recover(Loss::Garbled, cause).await?;
                     }
                 }
                 Ok(None) if !self.splitter.take_rest().is_empty() => {
@@ -414,6 +421,20 @@
         }
     }
 
+    /// Keeps bytes until their event is complete. While an event is incomplete, all but a
+    /// small part counts against the memory for responses.
+    fn buffer(&mut self, bytes: &[u8]) -> Result<(), &'static str> {
+        self.splitter
+            .push(bytes)
+            .map_err(|_| "an event does not end")?;
+        let reserved = self.splitter.held_bytes().saturating_sub(UNRESERVED_BYTES);
+        if self.reservation.resize(reserved) {
+            Ok(())
+        } else {
+            Err("the responses being read take all memory")
+        }
+    }
+
     /// Returns whether an answer that ended between two events may have been cut: it has no
     /// event, and only the end of the connection marks its end.
     fn may_be_cut(&self) -> bool {
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -87,6 +87,7 @@
             self.record_crash();
         }
         self.splitter = Splitter::default();
+        self.reservation.resize(0);
         if let Some(in_flight) = self.in_flight.take() {
             in_flight.end(match loss {
                 // The engine may be sound and have preempted the run.
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -34,6 +34,11 @@
 
 impl Endless {
     async fn start(prefix: &'static str, chunk: &'static str) -> Endless {
+        Endless::start_paced(prefix, chunk, usize::MAX).await
+    }
+
+    /// Starts an endpoint that sends `fast_bytes` at once and then a chunk ten times a second.
+    async fn start_paced(prefix: &'static str, chunk: &'static str, fast_bytes: usize) -> Endless {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a port is free");
@@ -46,7 +51,7 @@
                 tokio::spawn(async move {
                     count.fetch_add(1, Ordering::Relaxed);
                     // An error means that the gateway has closed the connection.
-                    let _ = send_endless(stream, prefix, chunk).await;
+                    let _ = send_endless(stream, prefix, chunk, fast_bytes).await;
                     count.fetch_sub(1, Ordering::Relaxed);
                 });
             }
@@ -56,10 +61,14 @@
 
     /// Adds the endpoint to the list of a service.
     fn list(&self, site: &Site, service: &str) {
+        self.list_as("x-endless", site, service);
+    }
+
+    fn list_as(&self, id: &str, site: &Site, service: &str) {
         let entry = json!({"service": service, "address": self.address.to_string(),
             "zone": "north", "version": "v1", "batchSlots": 8, "phase": "available",
             "coldRemainingMs": 0, "sequence": 1, "born": 1000});
-        site.store.put("servers", "x-endless", entry);
+        site.store.put("servers", id, entry);
     }
 
     /// Waits until the gateway has closed all connections.
@@ -73,15 +82,26 @@
     }
 }
 
-async fn send_endless(mut stream: TcpStream, prefix: &str, chunk: &str) -> std::io::Result<()> {
+async fn send_endless(
+    mut stream: TcpStream,
+    prefix: &str,
+    chunk: &str,
+    fast_bytes: usize,
+) -> std::io::Result<()> {
     let mut request = [0; 4_096];
     if stream.read(&mut request).await? == 0 {
         return Ok(());
     }
     stream.write_all(prefix.as_bytes()).await?;
     let many = chunk.repeat(4_096 / chunk.len() + 1);
-    loop {
+    let mut sent = 0;
+    while sent < fast_bytes {
         stream.write_all(many.as_bytes()).await?;
+        sent = sent.saturating_add(many.len());
+    }
+    loop {
+        stream.write_all(chunk.as_bytes()).await?;
+        sleep(Duration::from_millis(100)).await;
     }
 }
 
@@ -185,3 +205,66 @@
         assert!(stuck.await.is_ok());
     }
 }
+
+/// What an endpoint sends that stays below the limits of a single answer for as long as the
+/// request may take: a name, a prefix, what is repeated, and how much of it comes at once.
+const SLOW_CASES: [(&str, &str, &str, usize); 3] = [
+    (
+        "event",
+        "HTTP/1.1 200 OK\r\nx-cactusroad-replica-signature: signed\r\n\r\ndata: ",
+        "a",
+        900_000,
+    ),
+    (
+        "failure",
+        "HTTP/1.1 500 Internal Server Error\r\nx-cactusroad-replica-signature: signed\r\n\r\n",
+        "a",
+        900_000,
+    ),
+    ("header", "HTTP/1.1 200 OK\r\nx-a: ", "a", 380_000),
+];
+
+/// The streams that are open at the same time.
+const SLOW_STREAMS: usize = 300;
+
+/// Guards against running out of memory by many answers that are not complete, each of which
+/// is small enough to be kept.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_slow_streams() {
+    for (name, prefix, chunk, fast_bytes) in SLOW_CASES {
+        let site = Site::start(0, 1).await;
+        let mut endpoints = Vec::new();
+        for number in 0..6 {
+            let endless = Endless::start_paced(prefix, chunk, fast_bytes).await;
+            endless.list_as(&format!("x-endless-{number}"), &site, ENGINES);
+            endpoints.push(endless);
+        }
+        sleep(Duration::from_millis(600)).await;
+        let sends = (0..SLOW_STREAMS).map(|number| {
+            let sender = site.sender();
+            tokio::spawn(async move { sender.send("/drafts/1", &format!("s{number}")).await })
+        });
+        let sends: Vec<_> = sends.collect();
+        let (mut most_open, mut resident) = (0, 0);
+        for number in 0..20 {
+            sleep(Duration::from_millis(100)).await;
+            let open = endpoints.iter().map(|one| one.open.load(Ordering::Relaxed));
+            most_open = most_open.max(open.sum());
+            resident = resident.max(site.gateway.resident_bytes());
+            let answer = site.send("/orders/1", &format!("o{number}")).await;
+            let status = answer.expect("the gateway answers").status;
+            assert_eq!(status, StatusCode::OK, "{name}");
+        }
+        println!("{name}: {most_open} open, {} MB", resident >> 20);
+        assert!(most_open > SLOW_STREAMS / 2, "{name}: {most_open}");
+        assert!(resident < MEMORY_BYTES, "{name}: {resident} bytes");
+        for send in sends {
+            let answer = send.await.expect("the caller is not cancelled");
+            let answer = answer.expect("the gateway answers");
+            assert!(
+                !(answer.status.is_success() && answer.is_complete),
+                "{name}"
+            );
+        }
+    }
+}
