Give up an engine whose stream is an event without end

What callers would see: an engine that sends bytes without end instead of events keeps its agent busy until the deadline of the request, two minutes by default, while the agent's memory grows; the other generations of that agent wait and may end with it.

Cause: the agent's engine client had no limit on the size of an event, and the agent asked for a failed stream again without an end, at once each time.

Change: a stream fails if 64 KiB complete no event. After three streams of a generation in a row that failed without a token, the agent cancels it at the engine and reports the endpoint as lost, so that the entry may try another. Response heads are limited to the 32 KiB of the read buffer, where they were 400 KB.

--- a/crates/adapter/src/engine/http.rs
+++ b/crates/adapter/src/engine/http.rs
@@ -5,12 +5,16 @@
 use std::{
     fmt,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
 
 use bytes::Bytes;
-use eventsource_stream::{EventStream, Eventsource};
+use eventsource_stream::{EventStream, EventStreamError, Eventsource};
 use futures_util::Stream;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyDataStream, BodyExt};
@@ -31,6 +35,10 @@
 /// The maximum size of a response body that is not a stream.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// The number of bytes after which a stream must have completed an event. An event holds the
+/// text of one token.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+
 /// An HTTP client of a model engine.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -53,8 +61,14 @@
     async fn open_stream(&self, request: Request<Bytes>) -> Result<Tokens, Error> {
         let answer = self.unpooled.send(request).await.map_err(from_failure)?;
         check_status(answer.status())?;
+        let unparsed = Arc::new(AtomicUsize::new(0));
+        let bytes = Bounded {
+            body: answer.into_body().into_data_stream(),
+            unparsed: Arc::clone(&unparsed),
+        };
         Ok(Tokens {
-            events: answer.into_body().into_data_stream().eventsource(),
+            events: bytes.eventsource(),
+            unparsed,
             state: State::Open,
         })
     }
@@ -72,11 +86,44 @@
     }
 }
 
+/// Why a body cannot be read on.
+#[derive(Debug, thiserror::Error)]
+enum ReadError {
+    #[error(transparent)]
+    Lost(#[from] hyper::Error),
+    #[error("an event is larger than {MAX_EVENT_BYTES} bytes; the engine must split it")]
+    Endless,
+}
+
+/// A body that fails if too many bytes complete no event.
+struct Bounded {
+    body: BodyDataStream<Incoming>,
+    /// The number of bytes since the last event.
+    unparsed: Arc<AtomicUsize>,
+}
+
+impl Stream for Bounded {
+    type Item = Result<Bytes, ReadError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.unparsed.load(Ordering::Relaxed) > MAX_EVENT_BYTES {
+            return Poll::Ready(Some(Err(ReadError::Endless)));
+        }
+        let data = ready!(Pin::new(&mut self.body).poll_next(cx));
+        if let Some(Ok(data)) = &data {
+            self.unparsed.fetch_add(data.len(), Ordering::Relaxed);
+        }
+        Poll::Ready(data.map(|data| data.map_err(ReadError::from)))
+    }
+}
+
 /// The event stream of one generation, decoded from server-sent events.
 ///
 /// The stream ends after [`Event::End`] or after its first error.
 pub struct Tokens {
-    events: EventStream<BodyDataStream<Incoming>>,
+    events: EventStream<Bounded>,
+    /// The number of bytes since the last event.
+    unparsed: Arc<AtomicUsize>,
     state: State,
 }
 
@@ -101,8 +148,11 @@
             return Poll::Ready(None);
         }
         let item = match ready!(Pin::new(&mut self.events).poll_next(cx)) {
-            Some(Ok(event)) => serde_json::from_str(&event.data).map_err(|_| Error::Malformed),
-            Some(Err(eventsource_stream::EventStreamError::Transport(_))) | None => {
+            Some(Ok(event)) => {
+                self.unparsed.store(0, Ordering::Relaxed);
+                serde_json::from_str(&event.data).map_err(|_| Error::Malformed)
+            }
+            Some(Err(EventStreamError::Transport(ReadError::Lost(_)))) | None => {
                 Err(Error::Interrupted)
             }
             Some(Err(_)) => Err(Error::Malformed),
--- a/crates/adapter/src/transport.rs
+++ b/crates/adapter/src/transport.rs
@@ -32,6 +32,9 @@
 /// The maximum number of idle connections in the pool of one client.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
+/// The memory for what was read and not yet parsed. It bounds the response head.
+const MAX_READ_BUFFER_BYTES: usize = 32 * 1024;
+
 /// The reason that a request got no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -72,6 +75,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(max_idle)
+            .http1_max_buf_size(MAX_READ_BUFFER_BYTES)
             .build(connector);
         Transport {
             address: address.clone(),
--- a/crates/node/src/agent/run.rs
+++ b/crates/node/src/agent/run.rs
@@ -30,6 +30,8 @@
 /// How long an engine may send nothing before the stream is resumed over a new connection, in
 /// milliseconds.
 const ENGINE_SILENCE_TIMEOUT_MS: u64 = 3_000;
+/// The largest number of streams of a generation that fail one after the other without a token.
+const MAX_FAILED_STREAMS: u32 = 3;
 /// How long to wait for the engine's load report after a generation failed, in milliseconds.
 const LOAD_TIMEOUT_MS: u64 = 500;
 /// The header of the W3C Trace Context.
@@ -264,6 +266,24 @@
     permit: Permit,
 }
 
+/// Counts the streams of a generation that fail one after the other without a token.
+#[derive(Debug, Default)]
+struct Failures {
+    count: u32,
+    /// The index of the next token at the last failure.
+    next_index: u64,
+}
+
+impl Failures {
+    /// Records a failure. Returns whether there were too many.
+    fn record(&mut self, next_index: u64) -> bool {
+        let has_progressed = next_index != self.next_index;
+        self.count = if has_progressed { 1 } else { self.count + 1 };
+        self.next_index = next_index;
+        self.count > MAX_FAILED_STREAMS
+    }
+}
+
 /// What ended the wait for the next event of a generation.
 enum Wakeup {
     Event(Result<Event, engine::Error>),
@@ -283,6 +303,7 @@
             Ok(Err(_)) => return self.record_endpoint_death(),
             Err(_) => return self.cancel_generation(engine, deadline_exceeded()).await,
         };
+        let mut failures = Failures::default();
         loop {
             match self.next_wakeup(&mut tokens).await {
                 Wakeup::Event(Ok(event)) => {
@@ -290,6 +311,10 @@
                         return outcome;
                     }
                 }
+                Wakeup::Event(Err(_)) if failures.record(self.slot.next_index()) => {
+                    self.stop_generation(engine).await;
+                    return self.record_endpoint_death();
+                }
                 Wakeup::Event(Err(_)) | Wakeup::Silent => {
                     let next = self.slot.next_index();
                     match engine.resume(self.slot.attempt, next).await {
@@ -375,10 +400,14 @@
         }
     }
 
-    async fn cancel_generation(&self, engine: &E, refusal: Refusal) -> Outcome {
+    async fn stop_generation(&self, engine: &E) {
         if let Err(cause) = engine.cancel(self.slot.attempt).await {
             log::warn!("failed to cancel a generation at the engine: {cause}");
         }
+    }
+
+    async fn cancel_generation(&self, engine: &E, refusal: Refusal) -> Outcome {
+        self.stop_generation(engine).await;
         self.shared.metrics.cancelled.inc();
         refused(refusal)
     }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -23,13 +23,14 @@
 
 use axum::{
     Json, Router,
+    body::{Body, Bytes},
     extract::{Extension, Path, Query, State},
-    http::StatusCode,
+    http::{StatusCode, header::CONTENT_TYPE},
     middleware,
     response::{IntoResponse, Response, Sse, sse},
     routing::{get, post, put},
 };
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt, stream};
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpListener, sync::Notify, time::Instant};
 
@@ -117,6 +118,8 @@
     pub load_lag_ms: Option<u64>,
     /// How long every generation stalls from now on, in milliseconds.
     pub stall_ms: Option<u64>,
+    /// Whether each stream that is opened is an event without end.
+    pub endless: Option<bool>,
     /// Whether to crash now.
     pub crash: bool,
     /// The faults; dropped requests and answers apply to starts and orders only.
@@ -167,6 +170,9 @@
         if let Some(lag) = command.load_lag_ms {
             state.set_load_lag(Duration::from_millis(lag));
         }
+        if let Some(endless) = command.endless {
+            state.is_endless = endless;
+        }
         if let Some(millis) = command.stall_ms {
             state.stall_until(Instant::now() + Duration::from_millis(millis));
         }
@@ -241,8 +247,12 @@
     match started {
         Ok(run) => {
             handle.wakeup.notify_waiters();
+            let is_endless = lock(&handle.state).is_endless;
             tokio::spawn(generation::run(handle, run.clone()));
-            tokens(run, 0, connection).into_response()
+            match is_endless {
+                true => endless(),
+                false => tokens(run, 0, connection).into_response(),
+            }
         }
         Err(Rejection::Duplicate) => StatusCode::CONFLICT.into_response(),
         Err(Rejection::UnknownVersion) => StatusCode::NOT_FOUND.into_response(),
@@ -262,8 +272,12 @@
     Path(generation): Path<Attempt>,
     Query(query): Query<ResumeQuery>,
 ) -> Response {
-    let found = lock(&handle.state).find(generation);
+    let (found, is_endless) = {
+        let mut state = lock(&handle.state);
+        (state.find(generation), state.is_endless)
+    };
     match found {
+        Some(_) if is_endless => endless(),
         Some(run) => tokens(run, query.from, connection).into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
     }
@@ -277,6 +291,22 @@
     Sse::new(generation::read(run, from, connection))
 }
 
+/// The bytes of an event without end, so that a test with an unlimited reader ends as well.
+const ENDLESS_BYTES: usize = 256 << 20;
+
+/// The size of a piece of an event without end, in bytes.
+const ENDLESS_PIECE_BYTES: usize = 16 << 10;
+
+/// Returns a stream that consists of one event without end.
+fn endless() -> Response {
+    let piece = Bytes::from(vec![b'a'; ENDLESS_PIECE_BYTES]);
+    let pieces = stream::repeat(piece).take(ENDLESS_BYTES / ENDLESS_PIECE_BYTES);
+    let start = stream::iter([Bytes::from_static(b"data: ")]);
+    let bytes = start.chain(pieces).chain(stream::pending());
+    let headers = [(CONTENT_TYPE, "text/event-stream")];
+    (headers, Body::from_stream(bytes.map(Ok::<_, Infallible>))).into_response()
+}
+
 async fn cancel(State(handle): State<Handle>, Path(generation): Path<Attempt>) -> StatusCode {
     let found = lock(&handle.state).cancel(generation);
     match found {
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -84,6 +84,8 @@
     crashed: CancellationToken,
     versions: Vec<Arc<str>>,
     role: Arc<str>,
+    /// Whether each stream that is opened is an event without end.
+    pub(super) is_endless: bool,
     cold: bool,
     ignore_fencing: bool,
     /// The highest fencing token accepted so far.
@@ -113,6 +115,7 @@
             crashed: CancellationToken::new(),
             versions: config.versions.clone(),
             role: "".into(),
+            is_endless: false,
             cold: config.cold,
             ignore_fencing: false,
             max_fencing_token: 0,
--- a/tests/integration/endpoint.rs
+++ b/tests/integration/endpoint.rs
@@ -2,9 +2,10 @@
 //!
 //! A silent connection stays open, but the proxy discards all its data.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cactusroad_standin::{engine, proxy::Direction};
+use tokio::time::sleep;
 
 use crate::{
     caller::{self, Received, StreamEnd, code_and_effect},
@@ -67,6 +68,57 @@
     .await;
 }
 
+/// Guards against an agent that keeps an event without end until it runs out of memory, and
+/// that asks for the stream again and again.
+#[tokio::test]
+async fn engine_endless_event() {
+    /// The memory for control on a node.
+    const MEMORY_BYTES: u64 = 64 << 20;
+    /// The time after which a caller must know, much less than the deadline of the request.
+    const LIMIT: Duration = Duration::from_secs(20);
+
+    let site = Site::start(Config::default()).await;
+    let entry = site.entries[0].address;
+    let set_endless = |endless| {
+        for agent in &site.engines {
+            agent.endpoint.control(&engine::Command {
+                endless: Some(endless),
+                ..engine::Command::default()
+            });
+        }
+    };
+    set_endless(true);
+    let sends = (0..8).map(|number| {
+        let client = site.client.clone();
+        let prompt = format!("without end {number} [len=20]");
+        tokio::spawn(async move { caller::generate(&client, entry, &prompt).await })
+    });
+    let sends: Vec<_> = sends.collect();
+    let resident = || {
+        let agents = site.engines.iter();
+        agents.map(|agent| agent.process.resident_bytes()).max()
+    };
+    let started_at = Instant::now();
+    let mut most_resident = 0;
+    while !sends.iter().all(|send| send.is_finished()) && started_at.elapsed() < LIMIT {
+        most_resident = most_resident.max(resident().unwrap_or(0));
+        sleep(Duration::from_millis(20)).await;
+    }
+    println!("{} MB, {:?}", most_resident >> 20, started_at.elapsed());
+    assert!(most_resident < MEMORY_BYTES, "{most_resident} bytes");
+    for send in sends {
+        assert!(send.is_finished(), "not answered after {LIMIT:?}");
+        if let Ok((_, ending)) = send.await.unwrap() {
+            assert_ne!(ending, StreamEnd::Done);
+        }
+    }
+    set_endless(false);
+    let prompt = "after the event without end [len=5]";
+    let (received, ending) = caller::generate(&site.client, entry, prompt).await.unwrap();
+    assert_eq!(ending, StreamEnd::Done);
+    received.assert_complete(prompt);
+}
+
 #[tokio::test]
 async fn engine_idle_connections_silent() {
     let site = Site::start(Config::default()).await;
--- a/tests/integration/site.rs
+++ b/tests/integration/site.rs
@@ -127,6 +127,13 @@
         self.child.wait().unwrap();
     }
 
+    /// Returns the memory of the process, in bytes.
+    pub(crate) fn resident_bytes(&self) -> u64 {
+        let id = self.child.id().try_into().unwrap();
+        let pages = procfs::process::Process::new(id).unwrap().statm().unwrap();
+        pages.resident * procfs::page_size()
+    }
+
     /// Sends SIGTERM to the process.
     pub(crate) fn terminate(&self) {
         let id = self.child.id().to_string();
