Refuse prompts with a beginning that crashes engines at the agents

What callers would see: prompts that share a deadly beginning crash one engine after the other, three for each prompt, and the streams of all others there break.

Agents search for whole requests only (core::blame); prompts that share a beginning are each new, so each of them is a first crash to them. Calls to plain services are found already; a test now shows it.

Change: agents also ask core::crash, with the hashes of a prompt's leading blocks as suspects, and share crashes and answers by gossip: an item for each crash of an agent, rewritten when its blocks are cleared, and an item for a block that was answered after two crashes.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -16,6 +16,7 @@
 //! attempts that can no longer reach the endpoint.
 
 mod blame;
+mod crash;
 mod gate;
 mod ledger;
 mod run;
@@ -46,7 +47,7 @@
 use cactusroad_wire::message::Status;
 use tokio::{sync::watch, time};
 
-use self::{blame::Blame, gate::Gate, ledger::Ledger, table::Table};
+use self::{blame::Blame, crash::Crashes, gate::Gate, ledger::Ledger, table::Table};
 use crate::{
     clock, fleet,
     metrics::AgentMetrics,
@@ -84,6 +85,7 @@
     table: Table,
     ledger: Ledger,
     blame: Blame,
+    crashes: Crashes,
     /// The engine's last load report, if the last read succeeded.
     load: watch::Sender<Option<Load>>,
     /// Whether the agent is draining.
@@ -128,6 +130,7 @@
             table: Table::new(),
             ledger: Ledger::start(store.clone(), LedgerConfig::default()),
             blame: Blame::start(store),
+            crashes: Crashes::new(settings.common.name.clone()),
             load: watch::Sender::new(None),
             leaving: AtomicBool::new(false),
             fleet: OnceLock::new(),
@@ -169,7 +172,8 @@
     /// Later calls have no effect.
     pub fn join(&self, fleet: fleet::Handle) {
         if self.shared.fleet.set(fleet.clone()).is_ok() {
-            self.shared.blame.join(fleet);
+            self.shared.blame.join(fleet.clone());
+            self.shared.crashes.join(fleet);
             tokio::spawn(announce(Arc::downgrade(&self.shared)));
         }
     }
--- a/crates/node/src/agent/run.rs
+++ b/crates/node/src/agent/run.rs
@@ -9,6 +9,7 @@
 };
 use cactusroad_core::{
     Time,
+    crash::Suspect,
     digest::Digest,
     id::Attempt,
     ledger::{self as core_ledger, Claim},
@@ -20,7 +21,7 @@
 use tokio::time;
 
 use super::{
-    Backend, Shared,
+    Backend, Shared, crash,
     gate::{Job, Permit},
     ledger::{self, Grant, Verdict},
     slot::{Answer, Outcome, Slot},
@@ -89,6 +90,11 @@
     grant: Option<&mut Grant>,
 ) -> Result<Outcome, Refusal> {
     let job = job(slot.attempt, &open);
+    let suspects = match &open.work {
+        Some(open::Work::Generate(work)) => crash::suspects(&work.prefixes),
+        _ => Vec::new(),
+    };
+    shared.crashes.check(&suspects)?;
     let digest = Digest::from_bytes(&open.digest).unwrap_or_else(|| Digest::of(&[&open.digest]));
     let admitted = shared.blame.admit(digest, open.suspect, job.deadline);
     let mut guard = admitted.await?;
@@ -99,6 +105,7 @@
         wait_for_permit(shared, slot, &job).await?
     };
     guard.start()?;
+    shared.crashes.check(&suspects)?;
     if !slot.dispatch() {
         return Err(cancelled(Effect::NotRun));
     }
@@ -114,6 +121,7 @@
         slot,
         deadline: job.deadline,
         permit,
+        suspects: &suspects,
     };
     let outcome = match (&shared.backend, open.work) {
         (Backend::Model(engine), Some(open::Work::Generate(work))) => {
@@ -135,7 +143,12 @@
         Outcome::Refused {
             endpoint_died: true,
             ..
-        } if has_crashed(shared, incarnation_before).await => guard.record_crash().await,
+        } if has_crashed(shared, incarnation_before).await => {
+            if slot.next_index() < crash::ANSWERED_TOKENS {
+                shared.crashes.record_crash(&suspects, incarnation_before);
+            }
+            guard.record_crash().await;
+        }
         // The request did not run to its end, so whether it crashes the endpoint is unknown.
         Outcome::Refused { .. } => drop(guard),
     }
@@ -264,6 +277,8 @@
     slot: &'a Slot,
     deadline: Time,
     permit: Permit,
+    /// What the prompt may crash the engine by.
+    suspects: &'a [Suspect],
 }
 
 /// Counts the streams of a generation that fail one after the other without a token.
@@ -382,6 +397,9 @@
                 self.permit.record_token();
                 self.shared.metrics.tokens.inc();
                 self.slot.push(text);
+                if index + 1 == crash::ANSWERED_TOKENS {
+                    self.shared.crashes.record_answer(self.suspects);
+                }
                 None
             }
             Event::End {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -273,7 +273,7 @@
     Query(query): Query<ResumeQuery>,
 ) -> Response {
     let (found, is_endless) = {
-        let mut state = lock(&handle.state);
+        let state = lock(&handle.state);
         (state.find(generation), state.is_endless)
     };
     match found {
--- a/tests/integration/blame.rs
+++ b/tests/integration/blame.rs
@@ -4,11 +4,12 @@
 
 use cactusroad::demo::client::Error;
 use cactusroad_standin::engine;
+use serde_json::json;
 use tokio::time;
 
 use crate::{
     caller::{self, StreamEnd, code_and_effect},
-    site::{Config, Site, WAIT_TIMEOUT},
+    site::{Config, ORDERS, Site, WAIT_TIMEOUT},
 };
 
 /// Number of endpoint crashes after which a request is refused.
@@ -116,3 +117,75 @@
     tokio::join!(futures_util::future::join_all(others), refused);
     assert_eq!(crash_count(&site), MAX_CRASHES);
 }
+
+/// Sends a call to a plain service, and returns the error code if it fails.
+async fn call(site: &Site, entry: usize, name: &str) -> Option<String> {
+    let address = site.entries[entry].address;
+    let path = format!("{ORDERS}/{name}");
+    let body = json!({"name": name});
+    let sent = site.client.call(address, &path, None, &body);
+    match sent.await {
+        Ok(_) => None,
+        Err(Error::Refused(_, body)) => Some(code_and_effect(&body).0.to_owned()),
+        Err(other) => panic!("{other}"),
+    }
+}
+
+/// A call that crashes each plain service that runs it is refused through any entry, and
+/// other calls are served.
+#[tokio::test]
+async fn crashing_call_is_refused() {
+    let site = Site::start(Config {
+        engines: 0,
+        services: 3,
+        direct: true,
+        ..Config::default()
+    })
+    .await;
+    let crashes = || -> u64 {
+        let seen = site.services.iter().map(|agent| agent.endpoint.seen());
+        seen.map(|seen| seen.crashes).sum()
+    };
+    let refused = async {
+        for entry in (0..2).cycle() {
+            let code = call(&site, entry, "[crash]").await;
+            if code.as_deref() == Some("crashes_endpoints") && crashes() >= MAX_CRASHES {
+                return;
+            }
+            time::sleep(REPEAT_INTERVAL).await;
+        }
+    };
+    let refused = time::timeout(WAIT_TIMEOUT, refused).await;
+    refused.expect("the crashing call was not refused in time");
+    for entry in [0, 1, 0, 1] {
+        let again = call(&site, entry, "[crash]").await;
+        assert_eq!(again.as_deref(), Some("crashes_endpoints"));
+    }
+    assert_eq!(crashes(), MAX_CRASHES);
+    let served = async {
+        while call(&site, 0, "sound").await.is_some() {
+            time::sleep(REPEAT_INTERVAL).await;
+        }
+    };
+    let served = time::timeout(WAIT_TIMEOUT, served).await;
+    served.expect("a sound call was not served in time");
+}
+
+/// Prompts that share a deadly beginning, each of them new, must not crash engine after engine.
+#[tokio::test]
+async fn crashing_prefix_is_refused() {
+    let site = Site::start(config()).await;
+    let shared = crashing_prompt().repeat(40);
+    for number in 0..20 {
+        let prompt = format!("{shared} and question {number}");
+        send(&site, number % 2, &prompt).await;
+        // Nothing is refused where nothing is answered.
+        for sound in 0..8 {
+            let prompt = format!("sound question {number} {sound} [len=5]");
+            repeat_until_served(&site, sound % 2, &prompt).await;
+        }
+    }
+    let crashes = crash_count(&site);
+    println!("{crashes} crashes");
+    assert!(crashes <= MAX_CRASHES + 3, "{crashes} crashes");
+}
