Count each broken answer of an endpoint that has answered since

What callers would see: of a new version of one endpoint, all streams break off, and it keeps getting requests more than 5 s after its 50th bad answer.

Cause: requests that an endpoint breaks off within 3 s of each other count as one loss of it unless they were sent after the first. Streams of seconds overlap all the time, so a version that breaks each of them looks like one that loses its endpoint now and then, while the first events of the same streams count as good answers.

Change: an endpoint that sends an event or an answer 0.2 s or more after it seemed lost was not lost, so its next broken answer counts.

--- a/crates/core/src/rollout/evidence.rs
+++ b/crates/core/src/rollout/evidence.rs
@@ -46,6 +46,9 @@
 /// show it by a timeout.
 const LOSS_SPAN: Duration = Duration::from_secs(3);
 
+/// How long after the loss of an endpoint answers may still arrive that it sent before.
+const DELAYED_ANSWERS: Duration = Duration::from_millis(200);
+
 /// The result of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sample {
@@ -329,6 +332,13 @@
         }
     }
 
+    /// Records that an endpoint has sent an event or an answer at `at`. If it seemed lost
+    /// before, it was not, and the next request that it breaks off counts.
+    pub fn record_answer(&mut self, endpoint: Incarnation, at: Time) {
+        self.losses
+            .retain(|(lost, lost_at)| *lost != endpoint || at.since(*lost_at) < DELAYED_ANSWERS);
+    }
+
     /// Returns the counts so far.
     pub fn report(&self) -> &Report {
         &self.report
--- a/crates/core/tests/rollout/main.rs
+++ b/crates/core/tests/rollout/main.rs
@@ -3,6 +3,7 @@
 mod canary;
 mod interleaving;
 mod rules;
+mod table;
 mod trials;
 
 use std::{sync::Arc, time::Duration};
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    fn record(&mut self, vm: &Arc<str>, route: &Arc<str>, sample: &Sample) {
+    fn recorder(&mut self, vm: &Arc<str>, route: &Arc<str>) -> &mut Recorder {
         let place = self
             .recorders
             .binary_search_by(|(known, _)| known.cmp(route));
@@ -114,8 +114,7 @@
             self.recorders.insert(index, (Arc::clone(route), recorder));
             index
         });
-        self.recorders[index].1.record(sample, 0, clock::wall());
-        self.has_news = true;
+        &mut self.recorders[index].1
     }
 
     fn merge(&mut self, route: &Arc<str>, report: &Report) {
@@ -197,6 +196,7 @@
 pub(crate) struct Witness {
     vm: Arc<str>,
     route: Arc<str>,
+    endpoint: Incarnation,
     side: Side,
     started_at: Time,
     last_event_at: Time,
@@ -205,10 +205,17 @@
 }
 
 impl Witness {
-    pub(crate) fn new(vm: &Arc<str>, route: &Arc<str>, side: Side, now: Time) -> Witness {
+    pub(crate) fn new(
+        vm: &Arc<str>,
+        route: &Arc<str>,
+        endpoint: &str,
+        side: Side,
+        now: Time,
+    ) -> Witness {
         Witness {
             vm: Arc::clone(vm),
             route: Arc::clone(route),
+            endpoint: incarnation_of(endpoint),
             side,
             started_at: now,
             last_event_at: now,
@@ -224,11 +231,20 @@
         self.events += 1;
         if self.events == 1 {
             self.record(slot, Ending::Complete, Some(gap), None);
+            self.record_answer(slot, now);
             return;
         }
         self.longest_gap = self.longest_gap.max(gap);
         if self.events == COUNTED_EVENTS {
             self.record(slot, Ending::Complete, None, Some(self.longest_gap));
+            self.record_answer(slot, now);
+        }
+    }
+
+    fn record_answer(&self, slot: &Slot, now: Time) {
+        if let Some(trial) = &mut *slot.lock() {
+            let recorder = trial.recorder(&self.vm, &self.route);
+            recorder.record_answer(self.endpoint, now);
         }
     }
 
@@ -261,7 +277,9 @@
             token_gap_ms: gap.map(millis),
         };
         if let Some(trial) = &mut *slot.lock() {
-            trial.record(&self.vm, &self.route, &sample);
+            let recorder = trial.recorder(&self.vm, &self.route);
+            recorder.record(&sample, 0, clock::wall());
+            trial.has_news = true;
         }
     }
 }
@@ -558,8 +576,13 @@
 /// it could not be reached.
 pub(crate) fn endpoint_lost(id: &str, began_at: Option<Time>, ended_at: Time) -> Ending {
     Ending::EndpointLost(Loss {
-        endpoint: Incarnation(xxhash_rust::xxh3::xxh3_64(id.as_bytes())),
+        endpoint: incarnation_of(id),
         began_at,
         ended_at,
     })
 }
+
+/// Returns what stands for an endpoint in the evidence. Each incarnation has its own id.
+fn incarnation_of(id: &str) -> Incarnation {
+    Incarnation(xxhash_rust::xxh3::xxh3_64(id.as_bytes()))
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -617,7 +617,7 @@
         let now = clock::now();
         let side = self.pool().side_of(&endpoint.version);
         let is_counted = self.rollout.record_sent(side);
-        let witness = is_counted.then(|| Witness::new(vm, route, side, now));
+        let witness = is_counted.then(|| Witness::new(vm, route, &endpoint.id, side, now));
         self.pool().record_start(&endpoint.id, work, now);
         InFlight {
             shard: Arc::clone(self),
