Reject bodies with a transfer coding beside chunks

Cause: the gateway removes the hop-by-hop header and undoes only the chunks. Change: 501 with the cause unknown_transfer_coding before the body is read; the request reaches no endpoint.

wild::request_malformed got the case and failed before (200), and passes after.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -55,8 +55,10 @@
     let Some(site) = state.site.load_full() else {
         return refuse(&head, StatusCode::SERVICE_UNAVAILABLE, "no_configuration");
     };
-    if let Err(cause) = check_framing(&head) {
-        return bad_request(&head, cause);
+    if let Err((status, cause)) = check_framing(&head) {
+        let mut response = refuse(&head, status, cause);
+        reply::close_connection(&mut response);
+        return response;
     }
     let buffered = match read_body(state, &site, body).await {
         Ok(buffered) => buffered,
@@ -183,25 +185,24 @@
 }
 
 /// Rejects requests with ambiguous framing, which another process could parse as two
-/// requests (request smuggling).
-fn check_framing(head: &Parts) -> Result<(), &'static str> {
+/// requests (request smuggling), and those whose body has a transfer coding beside chunks:
+/// the endpoint would get the coded bytes without the name of the coding.
+fn check_framing(head: &Parts) -> Result<(), (StatusCode, &'static str)> {
     let headers = &head.headers;
     let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
     if lengths > 1 || (lengths == 1 && headers.contains_key(header::TRANSFER_ENCODING)) {
-        return Err("two_lengths");
+        return Err((StatusCode::BAD_REQUEST, "two_lengths"));
     }
     if headers.get_all(header::HOST).iter().count() > 1 {
-        return Err("two_hosts");
+        return Err((StatusCode::BAD_REQUEST, "two_hosts"));
+    }
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    if codings.any(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+        return Err((StatusCode::NOT_IMPLEMENTED, "unknown_transfer_coding"));
     }
     Ok(())
 }
 
-fn bad_request(head: &Parts, cause: &'static str) -> Response<Body> {
-    let mut response = refuse(head, StatusCode::BAD_REQUEST, cause);
-    reply::close_connection(&mut response);
-    response
-}
-
 fn find_route<'a>(site: &'a Site, head: &Parts) -> Option<&'a Arc<Route>> {
     let host_header = head
         .headers
--- a/tests/gateway/wild.rs
+++ b/tests/gateway/wild.rs
@@ -33,6 +33,11 @@
         ("no request", "nonsense\r\n\r\n".to_owned(), "400"),
         ("two lengths", format!("{order}content-length: 3\r\ncontent-length: 5\r\n\r\nabcde"), "400"),
         ("bad chunk", format!("{order}transfer-encoding: chunked\r\n\r\nzz\r\n"), "400"),
+        (
+            "unknown transfer coding",
+            format!("{order}transfer-encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"),
+            "501",
+        ),
         ("large head", format!("{order}x-big: {big}\r\n\r\n"), "431"),
         ("large body", format!("{order}content-length: 200000\r\n\r\n"), "413"),
         (
