Reject bodies with a transfer coding beside chunks at the entry

It now gets 400 bad_request, not_run, before the body is read.

input::request_invalid got the case and failed before (200), and passes after.

--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -6,7 +6,7 @@
     Router,
     body::Body,
     extract::{DefaultBodyLimit, Request, State},
-    http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri},
+    http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, header::TRANSFER_ENCODING},
     response::{IntoResponse, Response},
     routing::{any, get, post},
 };
@@ -366,6 +366,7 @@
 /// Reads a request whose body must stay within the limits of size and time.
 async fn read_request(shared: &Shared, request: Request) -> Result<(HeaderMap, Bytes), Refusal> {
     let (parts, body) = request.into_parts();
+    check_transfer_codings(&parts.headers)?;
     let reading = collect(&shared.partial_bytes, body);
     let body = tokio::time::timeout(Duration::from_secs(BODY_TIMEOUT_SECONDS), reading)
         .await
@@ -373,6 +374,17 @@
     Ok((parts.headers, body))
 }
 
+/// Rejects a body with a transfer coding beside chunks, which nothing here undoes.
+fn check_transfer_codings(headers: &HeaderMap) -> Result<(), Refusal> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match codings.find(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+        Some(coding) => Err(bad_request(format!(
+            "The transfer coding {coding:?} is not supported; send the body as it is, in chunks."
+        ))),
+        None => Ok(()),
+    }
+}
+
 /// Collects a body. Until it is complete, its bytes count against the permits of `memory`.
 async fn collect(memory: &Semaphore, mut body: Body) -> Result<Bytes, Refusal> {
     let declared = usize::try_from(hyper::body::Body::size_hint(&body).lower());
--- a/tests/integration/input.rs
+++ b/tests/integration/input.rs
@@ -64,11 +64,15 @@
 
 fn body_cases() -> Vec<Case> {
     let long = "x".repeat(3 * 1024 * 1024);
-    let chunked = |data: &str| {
-        let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nx-workspace: workshop\r\n\
-             transfer-encoding: chunked\r\nconnection: close\r\n\r\n";
+    let coded = |coding: &str, data: &str| {
+        let head = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\nx-workspace: workshop\r\n\
+             transfer-encoding: {coding}\r\nconnection: close\r\n\r\n"
+        );
         format!("{head}{:x}\r\n{data}\r\n0\r\n\r\n", data.len()).into_bytes()
     };
+    let chunked = |data: &str| coded("chunked", data);
+    let sound = r#"{"model": "catalogue", "prompt": "a"}"#;
     let two_prompts = r#"{"model": "catalogue", "prompt": ["a", "b"]}"#;
     let unknown_route = r#"{"model": "nowhere", "prompt": "a"}"#;
     let no_prompt = r#"{"model": "catalogue"}"#;
@@ -112,6 +116,11 @@
             chunked("").replace_last(b"0", b"z"),
             bad,
         ),
+        case(
+            "an unknown transfer coding",
+            coded("gzip, chunked", sound),
+            bad,
+        ),
         case(
             "an unknown route",
             completions(&[WORKSPACE_HEADER], unknown_route),
