--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 //! `state` holds the configuration and the endpoints of each service, each under
 //! its own lock. `watch` follows the store, `observe` probes sidecars and engines
 //! for their load, and `announce` learns of engines that start while the store is
-//! unreachable. `crash` shares which prompts crash engines, and `rollout` moves services
+//! unreachable. `crash` shares which requests crash endpoints, and `rollout` moves services
 //! to other versions. `fleet` finds the other gateways, and `relay` passes changes of the
 //! store on to them. Every change of this state and every decision about a request is
 //! written to the log; see docs/LOGS.md.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -115,7 +115,7 @@
     gateways: AtomicUsize,
     /// The engines that sidecars announced to this gateway.
     pub(crate) announcements: Announcements,
-    /// The prompts that crash engines.
+    /// What crashes endpoints.
     pub(crate) crashes: Crashes,
     /// The changes of the store, for other gateways.
     pub(crate) feeds: Feeds,
