Let each stream keep twice what is read at once

What callers could see: while endpoints without end hold the memory for responses, a stream whose caller reads slowly is given up, because its complete events arrive together and take more than the 16 KiB that are not reserved.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -268,8 +268,8 @@
     (endpoint, result)
 }
 
-/// Reads a complete response of at most `max_bytes`. While it is read, it counts against the memory for bodies,
-/// so that endpoints that send without end do not take all of it.
+/// Reads a complete response of at most `max_bytes`. While it is read, it counts against the
+/// memory for responses, so that endpoints that send without end do not take all of it.
 pub(crate) async fn read_response(
     state: &Arc<State>,
     body: &mut replica::Body,
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -43,9 +43,9 @@
 /// own buffer.
 const MAX_QUEUED_EVENTS: usize = 16;
 
-/// The memory for an incomplete event that each stream may use whatever the others take.
-/// Usual events have a few hundred bytes.
-const UNRESERVED_BYTES: usize = 16 << 10;
+/// The memory that each stream may use whatever the others take: twice what is read at once,
+/// because events that a slow caller delays arrive together.
+const UNRESERVED_BYTES: usize = 64 << 10;
 
 mod recover;
 mod stop;
