Reserve what a buffer takes, not what it holds

What callers would see: many endpoints that send long bodies, or many callers that do, make a gateway run out of memory, and all of its callers lose their requests.

Cause: a body that arrives in parts was counted by its length, but the vector that holds it doubles, so it takes up to twice that: at a limit of 27.5 MB up to 55 MB. The bodies of callers had the same fault, on both faces. The buffer of an event was counted by its capacity, but only after it had grown, so each of 300 streams grew by a megabyte for a moment and scattered the heap.

Change: core::buffer says to which capacity a buffer grows. That is reserved before it grows, in all four places: answers, events, and requests at the gateway and at the entry. A body never takes more than the longest allowed one.

No bound was changed.

Not covered: a test for the entry's bodies on real processes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,8 +18,8 @@
 //!
 //! # Modules
 //!
-//! * Request path: [`stream`] validates frames, [`refusal`] is the error type
-//!   for callers, [`ledger`] runs non-idempotent requests at most once, [`blame`]
+//! * Request path: [`stream`] validates frames, [`buffer`] says what reading one takes,
+//!   [`refusal`] is the error type for callers, [`ledger`] runs non-idempotent requests at most once, [`blame`]
 //!   finds requests that crash endpoints.
 //! * Load: [`survival`] estimates output lengths, [`admission`] bounds the load of an
 //!   endpoint, [`ramp`] bounds it during a cold start, [`placement`] chooses an
@@ -43,6 +43,7 @@
 
 pub mod admission;
 pub mod blame;
+pub mod buffer;
 pub mod census;
 pub mod config;
 pub mod crash;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,6 +4,7 @@
 //! to callers, so that another engine can resume the run with the next event.
 
 use bytes::{Buf, Bytes, BytesMut};
+use cactusroad_core::buffer;
 
 /// The maximum size of one event. Typical events have a few hundred bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -40,6 +41,8 @@
         if self.buffer.len() + bytes.len() > MAX_EVENT_BYTES {
             return Err(TooLarge);
         }
+        let grown = self.held_bytes_with(bytes.len());
+        self.buffer.reserve(grown - self.buffer.len());
         self.buffer.extend_from_slice(bytes);
         Ok(())
     }
@@ -53,9 +56,10 @@
         Some(Event { bytes, id })
     }
 
-    /// Returns the memory that the buffer takes, in bytes.
-    pub(crate) fn held_bytes(&self) -> usize {
-        self.buffer.capacity()
+    /// Returns the memory that the buffer takes once `more` bytes are added.
+    pub(crate) fn held_bytes_with(&self, more: usize) -> usize {
+        let (held, capacity) = (self.buffer.len(), self.buffer.capacity());
+        buffer::capacity(held, more, capacity, MAX_EVENT_BYTES)
     }
 
     /// Removes and returns the bytes of an incomplete event.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -2,8 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cactusroad_core::{
+    buffer,
     crash::Suspect,
     digest::Digest,
     pool::Work,
@@ -267,7 +268,7 @@
     if declared_bytes > limits.body_bytes as u64 {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
     }
-    let mut buffer = BytesMut::new();
+    let mut whole = Vec::new();
     // The idle timeout of connections also limits the time between two frames.
     let idle = Duration::from_millis(limits.idle_timeout_ms);
     loop {
@@ -281,16 +282,18 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if buffer.len() + data.len() > limits.body_bytes {
+        if whole.len() + data.len() > limits.body_bytes {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
         }
-        if !reservation.extend(data.len()) {
+        let grown = buffer::capacity(whole.len(), data.len(), whole.capacity(), limits.body_bytes);
+        if !reservation.resize(grown) {
             return Err((StatusCode::SERVICE_UNAVAILABLE, "bodies_take_all_memory"));
         }
-        buffer.extend_from_slice(&data);
+        whole.reserve_exact(grown - whole.len());
+        whole.extend_from_slice(&data);
     }
     Ok(BufferedBody {
-        bytes: buffer.freeze(),
+        bytes: whole.into(),
         _reservation: reservation,
     })
 }
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -424,15 +424,18 @@
     /// Keeps bytes until their event is complete. While an event is incomplete, all but a
     /// small part counts against the memory for responses.
     fn buffer(&mut self, bytes: &[u8]) -> Result<(), &'static str> {
+        // Reserved before it is taken: many streams that take too much for a moment only
+        // would scatter what is freed over the heap, which then stays as large.
+        let held = self.splitter.held_bytes_with(bytes.len());
+        if !self
+            .reservation
+            .resize(held.saturating_sub(UNRESERVED_BYTES))
+        {
+            return Err("the responses being read take all memory");
+        }
         self.splitter
             .push(bytes)
-            .map_err(|_| "an event does not end")?;
-        let reserved = self.splitter.held_bytes().saturating_sub(UNRESERVED_BYTES);
-        if self.reservation.resize(reserved) {
-            Ok(())
-        } else {
-            Err("the responses being read take all memory")
-        }
+            .map_err(|_| "an event does not end")
     }
 
     /// Returns whether an answer that ended between two events may have been cut: it has no
--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -10,8 +10,9 @@
     response::{IntoResponse, Response},
     routing::{any, get, post},
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cactusroad_core::{
+    buffer,
     config::{Kind as RouteKind, Route},
     refusal::{Effect, Kind, Refusal},
     stream::EventId,
@@ -385,13 +386,14 @@
     }
 }
 
-/// Collects a body. Until it is complete, its bytes count against the permits of `memory`.
+/// Collects a body. Until it is complete, the memory that it takes counts against the permits
+/// of `memory`.
 async fn collect(memory: &Semaphore, mut body: Body) -> Result<Bytes, Refusal> {
     let declared = usize::try_from(hyper::body::Body::size_hint(&body).lower());
     if declared.is_ok_and(|bytes| bytes > MAX_BODY_BYTES) {
         return Err(too_large());
     }
-    let mut collected = BytesMut::new();
+    let mut collected = Vec::new();
     let mut permits: Option<SemaphorePermit<'_>> = None;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| bad_request("The request body ended early."))?;
@@ -401,17 +403,20 @@
         if collected.len() + data.len() > MAX_BODY_BYTES {
             return Err(too_large());
         }
-        let size = u32::try_from(data.len()).map_err(|_| too_large())?;
+        let (held, capacity) = (collected.len(), collected.capacity());
+        let grown = buffer::capacity(held, data.len(), capacity, MAX_BODY_BYTES);
+        let more = u32::try_from(grown - capacity).map_err(|_| too_large())?;
         let permit = memory
-            .try_acquire_many(size)
+            .try_acquire_many(more)
             .map_err(|_| body_memory_exhausted())?;
         match permits.as_mut() {
             Some(permits) => permits.merge(permit),
             None => permits = Some(permit),
         }
+        collected.reserve_exact(grown - held);
         collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
+    Ok(collected.into())
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -17,7 +17,7 @@
     time::{sleep, timeout},
 };
 
-use crate::site::{ENGINES, ORDERS, Site};
+use crate::site::{ENGINES, KEY, ORDERS, Site};
 
 /// The timeout of all routes, and a margin.
 const LIMIT: Duration = Duration::from_millis(3_700);
@@ -268,3 +268,44 @@
         }
     }
 }
+
+/// The bytes that each slow caller sends of the longest body that the site allows, a little
+/// more than a power of two.
+const UPLOADED_BYTES: usize = 66_000;
+
+/// The callers that send a body slowly; their bodies together exceed a quarter of the memory.
+const SLOW_CALLERS: usize = 450;
+
+/// Requests have a quarter of the memory of 110 MB, and the process with its connections
+/// another quarter.
+const UPLOAD_MEMORY_BYTES: u64 = 55 << 20;
+
+/// Guards against running out of memory by callers that do not finish their requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_uploads() {
+    let site = Site::start(0, 1).await;
+    let head = format!(
+        "POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\ncontent-length: 99000\r\n\r\n"
+    );
+    let mut callers = Vec::new();
+    for _ in 0..SLOW_CALLERS {
+        let stream = TcpStream::connect(site.gateway.callers).await;
+        let mut stream = stream.expect("the gateway accepts");
+        // An error means that the gateway has refused the request.
+        let _ = stream.write_all(head.as_bytes()).await;
+        for part in vec![b'a'; UPLOADED_BYTES].chunks(8_000) {
+            let _ = stream.write_all(part).await;
+        }
+        callers.push(stream);
+    }
+    let mut resident = 0;
+    for number in 0..5 {
+        sleep(Duration::from_millis(100)).await;
+        resident = resident.max(site.gateway.resident_bytes());
+        // A short request has no room either, but the answer says so at once.
+        let answer = site.send("/looks/1", &format!("l{number}")).await;
+        assert!(answer.is_some());
+    }
+    println!("{} MB", resident >> 20);
+    assert!(resident < UPLOAD_MEMORY_BYTES, "{resident} bytes");
+}
