Replace what agents tell of crashes once it is cleared

What callers would see: an agent that starts within ten minutes of three crashes refuses prompts whose beginning is sound, because others had answered it before the agent came.

Cause, found by reading and shown now: agents spread one item for a crash and one for an answered block. (1) The item of a crash stayed as it was once all of its blocks were cleared; (2) a block that was cleared again was not told again; and, found by the new tests, (3) the second item of a crash stayed when its blocks came to fit into one; (4) crashes of engines whose start time is unknown overwrote each other's item.

Change: what to tell is decided in core::crash::share, free of I/O. An item that no longer holds is replaced by an empty one; the times of crashes and answers are compared, but for the millisecond by which an age is rounded; crashes with the same start time are numbered.

Tests: core/tests/crash_share.rs.

Not covered: what a process shared before it restarted.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash/mod.rs
@@ -55,6 +55,8 @@
 //! assert!(tracker.blocked(&parts(&["system", "good"]), now).is_none());
 //! ```
 
+pub mod share;
+
 use std::{fmt, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
--- a/crates/node/src/agent/crash.rs
+++ b/crates/node/src/agent/crash.rs
@@ -2,10 +2,8 @@
 //!
 //! [`blame`](super::blame) finds a request that crashes each endpoint that runs it. Prompts
 //! that share a deadly beginning are each new, so it does not find those;
-//! [`cactusroad_core::crash`] does. Agents share what they see by gossip: one item for some
-//! leading blocks of the prompts that a crash ended, and one for a block that was answered
-//! after it had been suspect. The items change only with crashes, and their TTL bounds how
-//! long they count.
+//! [`cactusroad_core::crash`] does. Agents share what they see by gossip;
+//! [`cactusroad_core::crash::share`] decides as which items.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
@@ -13,8 +11,10 @@
 };
 
 use cactusroad_core::{
-    Time,
-    crash::{Answered, Evidence, News, Report, Suspect, Tracker},
+    crash::{
+        News, Suspect, Tracker,
+        share::{self, Publisher},
+    },
     refusal::{Effect, Kind, Refusal},
     spread::Item,
 };
@@ -26,17 +26,8 @@
 /// it begins to answer may have sent one.
 pub(super) const ANSWERED_TOKENS: u64 = 2;
 
-/// The largest number of suspects in one item, so that its size stays below the limit.
-const MAX_ITEM_SUSPECTS: usize = 32;
-/// The TTL of items, in seconds: as long as a crash counts.
-const ITEM_TTL_SECONDS: u64 = 600;
 /// How long news is collected before it is shared, in milliseconds.
 const SHARE_DELAY_MS: u64 = 30;
-/// The beginning of the keys of items about crashes.
-const CRASH_PREFIX: &str = "crash/";
-/// The beginning of the keys of items about answers.
-const ANSWER_PREFIX: &str = "crash-answered/";
-
 /// What this agent knows of crashes.
 pub(super) struct Crashes {
     /// The name of the agent.
@@ -133,83 +124,23 @@
 
 /// Shares what this agent saw whenever it has changed.
 async fn share(name: Arc<str>, mut news: watch::Receiver<u64>, inner: std::sync::Weak<Inner>) {
-    // The items shared last, sorted by key.
-    let mut shared: Vec<Item> = Vec::new();
+    let mut publisher = Publisher::new(name);
     while news.changed().await.is_ok() {
         time::sleep(Duration::from_millis(SHARE_DELAY_MS)).await;
         news.borrow_and_update();
+        let now = clock::now();
         let Some((fleet, evidence)) = inner.upgrade().and_then(|inner| {
-            let evidence = inner.tracker().evidence(clock::now());
+            let evidence = inner.tracker().evidence(now);
             Some((inner.fleet.get()?.clone(), evidence))
         }) else {
             return;
         };
-        for item in items(&name, &evidence, clock::now()) {
-            let place = shared.binary_search_by(|known| known.key.cmp(&item.key));
-            match place {
-                Ok(at) if is_same(&shared[at], &item) => continue,
-                Ok(at) => shared[at] = item.clone(),
-                Err(at) => shared.insert(at, item.clone()),
-            }
+        for item in publisher.publish(&evidence, now) {
             fleet.put(item).await;
         }
-        let now = clock::now();
-        shared.retain(|item| !item.until.is_past(now));
     }
 }
 
-/// Returns whether two items tell the same. The age of what they tell grows with their version.
-fn is_same(one: &Item, other: &Item) -> bool {
-    let tells = |item: &Item| -> Option<Vec<Suspect>> {
-        let evidence: Evidence = serde_json::from_str(&item.body).ok()?;
-        let crashes = evidence.crashes.into_iter();
-        Some(crashes.flat_map(|report| report.suspects).collect())
-    };
-    tells(one) == tells(other)
-}
-
-/// Returns the items that tell the evidence of an agent.
-fn items(name: &str, evidence: &Evidence, now: Time) -> Vec<Item> {
-    let item = |key: String, body: &Evidence| {
-        Some(Item {
-            key: key.into(),
-            version: now.as_micros(),
-            body: serde_json::to_string(body).ok()?.into(),
-            until: now + Duration::from_secs(ITEM_TTL_SECONDS),
-            urgent: true,
-        })
-    };
-    let crashes = evidence.crashes.iter().flat_map(|report| {
-        let chunks = report.suspects.chunks(MAX_ITEM_SUSPECTS).enumerate();
-        chunks.filter_map(|(number, suspects)| {
-            let report = Report {
-                suspects: suspects.to_vec(),
-                ..report.clone()
-            };
-            let Report { born_ms, .. } = report;
-            let key = format!("{CRASH_PREFIX}{name}/{born_ms}/{number}");
-            item(
-                key,
-                &Evidence {
-                    crashes: vec![report],
-                    cleared: Vec::new(),
-                },
-            )
-        })
-    });
-    let answers = evidence.cleared.iter().filter_map(|answered: &Answered| {
-        let key = format!("{ANSWER_PREFIX}{}", answered.suspect);
-        item(
-            key,
-            &Evidence {
-                crashes: Vec::new(),
-                cleared: vec![answered.clone()],
-            },
-        )
-    });
-    crashes.chain(answers).collect()
-}
-
 /// Merges what the other agents share.
 async fn merge(mut items: watch::Receiver<Arc<Vec<Item>>>, inner: std::sync::Weak<Inner>) {
     // The versions that were merged, sorted by key.
@@ -221,18 +152,15 @@
         let Some(inner) = inner.upgrade() else {
             return;
         };
-        let shared = current.iter().filter(|item| {
-            item.key.starts_with(CRASH_PREFIX) || item.key.starts_with(ANSWER_PREFIX)
-        });
-        for item in shared {
+        for item in current.iter().filter(|item| share::is_shared(item)) {
             versions.push((Arc::clone(&item.key), item.version));
             let known = merged.binary_search_by(|(key, _)| key.cmp(&item.key));
             if known.is_ok_and(|at| merged[at].1 == item.version) {
                 continue;
             }
-            match aged(item, now) {
+            match share::read(item, now) {
                 Ok(evidence) => inner.tracker().merge(&evidence, false, now),
-                Err(cause) => log::warn!("cannot parse the crash in item {}: {cause}", item.key),
+                Err(cause) => log::warn!("{cause}"),
             }
         }
         // Items are sorted by key.
@@ -243,17 +171,3 @@
         }
     }
 }
-
-/// Decodes an item, and adds the time since it was shared to the ages in it.
-fn aged(item: &Item, now: Time) -> Result<Evidence, serde_json::Error> {
-    let mut evidence: Evidence = serde_json::from_str(&item.body)?;
-    let elapsed = now.since(Time::from_micros(item.version)).as_millis();
-    let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
-    for report in &mut evidence.crashes {
-        report.age_ms = report.age_ms.saturating_add(elapsed_ms);
-    }
-    for answered in &mut evidence.cleared {
-        answered.age_ms = answered.age_ms.saturating_add(elapsed_ms);
-    }
-    Ok(evidence)
-}
