Measure very slow requests of a version apart from slow ones

Cause: a request is slow if it takes longer than nine in ten of the baseline's, so one in ten of the baseline is slow as well. The proof of the version allows twice the baseline's rate plus 0.15, that is 0.35, and 0.2 of such a version's requests are slow, however late they are.

Change: a request is very slow if it takes four times as long as a slow one. Hardly any of the baseline's is, so this rate is tested like failures, over all load levels: bad above 1.5 times plus 0.01, proven below 2 times plus 0.05.

Tests: the table got two manners more, a reset before an answer and silence until the caller gives up, counted as the gateway counts them.

--- a/crates/core/src/rollout/judge.rs
+++ b/crates/core/src/rollout/judge.rs
@@ -1,8 +1,11 @@
 //! Comparison of the candidate with the baseline.
 //!
-//! Each measure is a rate of bad requests: failures, slow first tokens, and slow
-//! gaps between tokens. The threshold for slow is the baseline's 90th percentile,
-//! rounded up to a bucket boundary. The candidate is *bad* if its rate is above a
+//! Each measure is a rate of bad requests: failures, slow and very slow first tokens, and
+//! slow and very slow gaps between tokens. The threshold for slow is the baseline's 90th
+//! percentile, rounded up to a bucket boundary; very slow is four times that. One request in
+//! ten is slow for the baseline, so a candidate that leaves one in ten waiting looks nearly
+//! the same by this measure; hardly any is very slow, so the other measure shows it. The
+//! candidate is *bad* if its rate is above a
 //! multiple of the baseline's rate plus an offset, and *proven* if its rate is shown
 //! to be below a wider multiple and offset.
 //!
@@ -28,6 +31,10 @@
     pub offset: f64,
 }
 
+/// By how many buckets a request is above what is slow for the baseline if it is very slow.
+/// This is four times as long, beyond what cold caches and the share of load explain.
+const VERY_SLOW_BUCKETS: usize = 4;
+
 /// The thresholds of the tests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
@@ -43,6 +50,11 @@
     pub proven_failures: Margin,
     /// The rate of slow requests must be shown to be below this; 2 times plus 0.15 by default.
     pub proven_slow: Margin,
+    /// A rate of very slow requests above this is bad; 1.5 times plus 0.01 by default.
+    pub bad_very_slow: Margin,
+    /// The rate of very slow requests must be shown to be below this; 2 times plus 0.05 by
+    /// default.
+    pub proven_very_slow: Margin,
     /// The failure rate at each relevant load level must be shown to be below this; 2 times plus
     /// 0.10 by default.
     pub proven_level_failures: Margin,
@@ -66,6 +78,8 @@
             bad_slow: margin(1.5, 0.05),
             proven_failures: margin(2.0, 0.05),
             proven_slow: margin(2.0, 0.15),
+            bad_very_slow: margin(1.5, 0.01),
+            proven_very_slow: margin(2.0, 0.05),
             proven_level_failures: margin(2.0, 0.10),
             min_baseline_requests: 30,
             max_history_requests: 60.0,
@@ -116,10 +130,6 @@
     if Ratio::failures(candidate).exceeds(baseline, config.bad_failures) > config.bad_nats {
         return Some(Reason::Failures);
     }
-    let measures = [
-        (Reason::FirstToken, FIRST_TOKEN),
-        (Reason::TokenGap, TOKEN_GAP),
-    ];
     let is_slow = |measure: Measure| {
         let threshold = slow_threshold(measure(history));
         let history = Ratio::slow(measure(history), threshold);
@@ -128,11 +138,12 @@
         let candidate = Ratio::slow(measure(candidate), threshold);
         candidate.exceeds(baseline, config.bad_slow) > config.bad_nats
     };
-    let found = measures.into_iter().find(|(_, measure)| is_slow(*measure));
+    let found = MEASURES.into_iter().find(|(_, measure)| is_slow(*measure));
     found.map(|(reason, _)| reason)
 }
 
-/// Tests the failure rate over all load levels together, which detects rare failures sooner.
+/// Tests the rates of failed and of very slow requests over all load levels together, which
+/// detects rare faults sooner.
 fn overall_fault(config: &Config, sum: &Sum, counters: &Counters) -> Option<Reason> {
     let history = failures(&sum.baseline, Side::Baseline);
     if history.total < f64::from(config.min_baseline_requests) {
@@ -142,7 +153,19 @@
         failures(counters, Side::Baseline).supplemented_by(history, config.max_history_requests);
     let candidate = failures(counters, Side::Candidate);
     let is_bad = candidate.exceeds(baseline, config.bad_failures) > config.bad_nats;
-    is_bad.then_some(Reason::Failures)
+    if is_bad {
+        return Some(Reason::Failures);
+    }
+    let is_bad = |measure: &(Reason, Measure)| {
+        let count = |counters, side| very_slow(counters, side, &sum.baseline, measure.1);
+        let history = count(&sum.baseline, Side::Baseline);
+        let concurrent = count(counters, Side::Baseline);
+        let baseline = concurrent.supplemented_by(history, config.max_history_requests);
+        let candidate = count(counters, Side::Candidate);
+        history.total >= f64::from(config.min_baseline_requests)
+            && candidate.exceeds(baseline, config.bad_very_slow) > config.bad_nats
+    };
+    MEASURES.into_iter().find(is_bad).map(|(reason, _)| reason)
 }
 
 /// Returns whether the candidate is shown to be good overall and at each relevant load level.
@@ -157,7 +180,15 @@
         total >= f64::from(config.min_baseline_requests)
             && total >= config.min_level_fraction * baseline.total
     };
+    let is_proven_to_be_fast = |(_, measure): (Reason, Measure)| {
+        let count = |counters, side| very_slow(counters, side, &sum.baseline, measure);
+        let baseline = count(&sum.baseline, Side::Baseline);
+        let candidate = count(&sum.in_step, Side::Candidate);
+        baseline.total == 0.0
+            || candidate.falls_below(baseline, config.proven_very_slow) >= config.proven_nats
+    };
     candidate.falls_below(baseline, config.proven_failures) >= config.proven_nats
+        && MEASURES.into_iter().all(is_proven_to_be_fast)
         && (0..LOAD_LEVELS)
             .filter(is_relevant)
             .all(|level| is_proven_at_level(config, sum, level))
@@ -186,12 +217,31 @@
     cells.fold(Ratio::default(), Ratio::plus)
 }
 
+/// Returns the requests of one version that took a multiple of what is slow for the baseline at
+/// their load level.
+fn very_slow(counters: &Counters, side: Side, baseline: &Counters, measure: Measure) -> Ratio {
+    let at_level = |level| {
+        let buckets = measure(baseline.cell(Side::Baseline, level));
+        let total: u32 = buckets.iter().sum();
+        let threshold = slow_threshold(buckets) + VERY_SLOW_BUCKETS;
+        (total > 0).then(|| Ratio::slow(measure(counters.cell(side, level)), threshold))
+    };
+    let levels = (0..LOAD_LEVELS).filter_map(at_level);
+    levels.fold(Ratio::default(), Ratio::plus)
+}
+
 /// Selects the histogram of one latency from a cell.
 type Measure = fn(Cell<'_>) -> &[u32];
 
 const FIRST_TOKEN: Measure = |cell| cell.first_token;
 const TOKEN_GAP: Measure = |cell| cell.token_gap;
 
+/// The latencies, each with the reason to roll back for it.
+const MEASURES: [(Reason, Measure); 2] = [
+    (Reason::FirstToken, FIRST_TOKEN),
+    (Reason::TokenGap, TOKEN_GAP),
+];
+
 /// Returns the first bucket that at most one in ten requests reaches.
 fn slow_threshold(buckets: &[u32]) -> usize {
     let total: u64 = buckets.iter().copied().map(u64::from).sum();
--- a/crates/core/tests/rollout/table.rs
+++ b/crates/core/tests/rollout/table.rs
@@ -35,6 +35,8 @@
 const ROLLBACK_MS: u64 = 5_000;
 /// The interval of judgements and of reports of each gateway, in milliseconds.
 const JUDGE_INTERVAL_MS: u64 = 500;
+/// The time after which a request without an answer is given up, in milliseconds.
+const GIVEN_UP_MS: u64 = 3_000;
 /// The part of its requests that the network breaks in a disturbed trial.
 const DISTURBED_SHARE: f64 = 0.03;
 
@@ -43,6 +45,10 @@
 enum Manner {
     Status,
     BreaksOff,
+    /// The connection is reset before an answer.
+    Reset,
+    /// Nothing is answered until the request is given up.
+    Silent,
     Slow,
 }
 
@@ -149,6 +155,11 @@
         } else {
             1.0
         };
+        let run_ms = match self.case.manner {
+            Manner::Reset if is_bad => 20,
+            Manner::Silent if is_bad => GIVEN_UP_MS,
+            _ => (self.case.run_ms as f64 * part) as u64,
+        };
         let endpoint = self.random.random_range(0..self.case.endpoints);
         self.runs.push(Run {
             gateway,
@@ -156,12 +167,12 @@
             endpoint: endpoint + if is_candidate { 1_000 } else { 0 },
             began_at: now,
             is_bad: is_bad || is_broken,
-            ends_ms: now_ms + (self.case.run_ms as f64 * part) as u64,
+            ends_ms: now_ms + run_ms,
         });
         if is_bad {
             self.bad_answers += 1;
             if self.bad_answers == BAD_ANSWERS {
-                self.bad_since_ms = Some(now_ms + self.case.run_ms);
+                self.bad_since_ms = Some(now_ms + run_ms.max(self.case.run_ms));
             }
         }
     }
@@ -175,15 +186,23 @@
             let is_slow = run.is_bad && self.case.manner == Manner::Slow;
             let first_ms = 40 + self.random.random_range(0..20) * if is_slow { 40 } else { 1 };
             let first_ms = if is_slow { first_ms + 320 } else { first_ms };
+            // A caller's wait for what never comes counts as a late answer.
+            let is_silent = run.is_bad && self.case.manner == Manner::Silent;
+            let first_ms = if is_silent {
+                GIVEN_UP_MS as u32
+            } else {
+                first_ms
+            };
             let breaks_off =
                 run.is_bad && (self.case.manner == Manner::BreaksOff || self.case.is_disturbed);
+            let is_reset = run.is_bad && self.case.manner == Manner::Reset;
             let end = match run.is_bad {
-                true if breaks_off => Ending::EndpointLost(Loss {
+                true if breaks_off || is_reset => Ending::EndpointLost(Loss {
                     endpoint: Incarnation(run.endpoint),
                     began_at: Some(run.began_at),
                     ended_at: now,
                 }),
-                true if !is_slow => Ending::Failed,
+                true if !is_slow && !is_silent => Ending::Failed,
                 _ => Ending::Complete,
             };
             let sample = |end, first_token_ms| Sample {
@@ -199,7 +218,7 @@
                 // Its first event was answered.
                 recorder.record(&sample(Ending::Complete, Some(first_ms)), 0, now);
             }
-            if is_stream || !breaks_off {
+            if !is_reset && !is_silent && (is_stream || !breaks_off) {
                 recorder.record_answer(Incarnation(run.endpoint), now);
             }
             let first_ms = (end == Ending::Complete).then_some(first_ms);
@@ -312,6 +331,17 @@
     check_bad(&[Manner::BreaksOff]);
 }
 
+#[test]
+fn bad_version_resetting() {
+    check_bad(&[Manner::Reset]);
+}
+
+/// Guards against requests that count for nothing because their callers give up.
+#[test]
+fn bad_version_silent() {
+    check_bad(&[Manner::Silent]);
+}
+
 #[test]
 fn bad_version_slow() {
     check_bad(&[Manner::Slow]);
