Ask for crashes before each rerun after an error

What callers would see: a stream that its first engine answers with an error is run again, and if it crashes its engines, it goes on to crash more than the three that are allowed (BUDGET).

Cause: of all ways to send a request again only Relay::rerun_after_failure did not ask whether the request crashes endpoints. Each rerun that ends in a crash restores the first error, and the next rerun begins.

Change: it asks before each rerun. The caller gets the engine's error.

Test: crash::rerun_refused_after_crashes, four engines that fail and four that crash, a route with eight attempts.

--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -190,6 +190,11 @@
     pub(super) async fn rerun_after_failure(&mut self) {
         let has_failed = |reply: &Reply| reply.head.status.is_server_error();
         while self.reply.as_ref().is_some_and(has_failed) && self.run.reruns > 0 {
+            // The engine of an earlier rerun may have crashed.
+            if self.job.is_crashing() {
+                self.record_move_failed(job::CRASHES_ENDPOINTS);
+                return;
+            }
             let Some(endpoint) = self.choose_rerun().await else {
                 return;
             };
--- a/tests/gateway/crash.rs
+++ b/tests/gateway/crash.rs
@@ -3,11 +3,15 @@
 
 use std::time::Duration;
 
-use cactusroad::platform::standin::{caller::PARTS, replica::Replica};
+use cactusroad::platform::standin::{
+    caller::PARTS,
+    operator::{config, with_stream_resume},
+    replica::{Behaviour, Replica},
+};
 use http::StatusCode;
 use tokio::time::sleep;
 
-use crate::site::Site;
+use crate::site::{ENGINES, KEY, ORDERS, Site};
 
 const DEADLY_PART: &str = "dead01";
 /// The crashes after which no more than [`MAX_LATER_REQUESTS`] with the part may reach an
@@ -189,3 +193,29 @@
         check_refused(&site, path, &[Some(0), Some(1), Some(2)]).await;
     }
 }
+
+/// Guards against a request that is run again after an error of its engine, and goes on to
+/// crash the others.
+#[tokio::test]
+async fn rerun_refused_after_crashes() {
+    let site = Site::start_with(8, 0, 6, Duration::from_millis(10)).await;
+    let mut config = with_stream_resume(config(2, ENGINES, ORDERS, KEY));
+    config["routes"][0]["attempts"] = 8.into();
+    site.store.put("config", "main", config);
+    sleep(CONTACT).await;
+    let (failing, crashing) = site.engines.split_at(4);
+    for engine in failing {
+        engine.set_behaviour(Behaviour::Failing);
+    }
+    for engine in crashing {
+        engine.set_behaviour(Behaviour::Disconnect);
+    }
+    for number in 0..8 {
+        let body = format!("request {number}");
+        let id = format!("r{number}");
+        site.send_body(None, "/drafts/1", &id, &body, &[]).await;
+        let seen = crashing.iter().flat_map(|engine| engine.seen());
+        let crashes = seen.filter(|seen| seen.body == body).count();
+        assert!(crashes <= 3, "request {number}: {crashes} crashes");
+    }
+}
