Show that a stop waits for slow readers of streams

Plain ones were shown (stop::stop_large_answers); the events of the stand-in were too small to fill a connection.

No fault was found, so nothing else changed.

Not covered: slow readers of streams at the entry of the other face.

--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -44,11 +44,15 @@
     connecting.await.expect("the gateway accepts")
 }
 
-/// Sends an order, and returns how many bytes of the answer arrive at a steady rate.
-async fn read_steadily(mut stream: TcpStream, id: String) -> usize {
+/// Sends a request, and returns how many bytes of the answer arrive at a steady rate.
+async fn read_steadily(mut stream: TcpStream, path: &'static str, id: String) -> usize {
+    let tokens = match path {
+        "/drafts/1" => format!("{TOKENS}: 100\r\n{LENGTH_HINT}: 100\r\n"),
+        _ => String::new(),
+    };
     let order = format!(
-        "POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n\
-         {}: {id}\r\ncontent-length: 2\r\n\r\nhi",
+        "POST {path} HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n\
+         {}: {id}\r\n{tokens}content-length: 2\r\n\r\nhi",
         caller::ATTEMPT
     );
     let sent = stream.write_all(order.as_bytes()).await;
@@ -85,7 +89,32 @@
     let mut callers = Vec::new();
     for number in 0..3 {
         let stream = connect_slow(&site).await;
-        callers.push(tokio::spawn(read_steadily(stream, format!("o{number}"))));
+        let id = format!("o{number}");
+        callers.push(tokio::spawn(read_steadily(stream, "/orders/1", id)));
+    }
+    sleep(Duration::from_millis(200)).await;
+    site.gateway.signal(Signal::TERM);
+    for caller in callers {
+        let received = caller.await.expect("the caller does not panic");
+        assert!(received >= LARGE, "{received} of {LARGE} bytes");
+    }
+    assert!(site.gateway.wait_exit(Duration::from_secs(1)).await);
+}
+
+/// Guards against the same for streams, most of which waits in the engine's connection.
+#[tokio::test]
+async fn stop_large_streams() {
+    let events = 100;
+    let mut site = Site::start_with(3, 0, events, Duration::from_millis(2)).await;
+    set_long_timeouts(&site).await;
+    for engine in &site.engines {
+        engine.set_behaviour(Behaviour::Wide(LARGE / 100));
+    }
+    let mut callers = Vec::new();
+    for number in 0..3 {
+        let stream = connect_slow(&site).await;
+        let id = format!("s{number}");
+        callers.push(tokio::spawn(read_steadily(stream, "/drafts/1", id)));
     }
     sleep(Duration::from_millis(200)).await;
     site.gateway.signal(Signal::TERM);
