Show that an entry's stop waits for slow readers of streams

Change: stop::entry_stopped_with_slow_reader: a stream of 100,000 tokens, ready at once and read at 8 MB/s through a small receive buffer; the entry is stopped as it begins. No fault was found.

Not covered: the agent.

--- a/tests/integration/stop.rs
+++ b/tests/integration/stop.rs
@@ -9,11 +9,22 @@
     time::Duration,
 };
 
-use cactusroad::demo::client::{Client, Error};
-use tokio::task::JoinSet;
+use cactusroad::demo::{
+    client::{Client, Error, WORKSPACE},
+    site::MODEL_ROUTE,
+};
+use cactusroad_standin::engine;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
 
 use crate::{
     caller::{self, Received, StreamEnd},
+    raw,
     site::{Config, Site, WAIT_TIMEOUT, wait_until},
 };
 
@@ -117,6 +128,73 @@
     assert!(site.generations("caller").iter().all(|seen| seen.ended));
 }
 
+/// The tokens of an answer that is ready at once and does not fit into the buffers on the way
+/// to a caller.
+const LONG_TOKENS: usize = 100_000;
+/// The prompt of that answer.
+const LONG_PROMPT: &str = "read steadily [len=100000]";
+/// The steady rate at which the caller reads, in bytes a second.
+const READ_RATE: f64 = 8e6;
+/// The size of the caller's receive buffer, in bytes.
+const RECEIVE_BYTES: u32 = 64 << 10;
+
+/// Starts a site whose engines answer at once, and sends a request for the long answer.
+async fn start_slow_reader() -> (Site, TcpStream) {
+    let engine = engine::Config {
+        token_interval_ms: 0,
+        ..engine::Config::default()
+    };
+    let config = Config {
+        engine,
+        ..Config::default()
+    };
+    let site = Site::start(config).await;
+    let body = json!({
+        "model": MODEL_ROUTE, "prompt": LONG_PROMPT, "stream": true, "max_tokens": LONG_TOKENS,
+    });
+    let headers = [("x-workspace", WORKSPACE)];
+    let request = raw::request("POST /v1/completions", &headers, &body.to_string());
+    let socket = TcpSocket::new_v4().expect("a socket can be made");
+    let sized = socket.set_recv_buffer_size(RECEIVE_BYTES);
+    sized.expect("the option is supported");
+    let connecting = socket.connect(site.entries[0].address);
+    let mut stream = connecting.await.expect("the entry accepts");
+    let sent = stream.write_all(&request).await;
+    sent.expect("the entry reads");
+    stream.readable().await.expect("the entry answers");
+    (site, stream)
+}
+
+/// Reads the answer at a steady rate, and checks that it is complete.
+async fn read_steadily(mut stream: TcpStream) {
+    let mut text = Vec::new();
+    let mut buffer = vec![0; 64 << 10];
+    let mut next_at = Instant::now();
+    while !text.ends_with(b"\r\n0\r\n\r\n") {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(count) => {
+                text.extend_from_slice(&buffer[..count]);
+                next_at += Duration::from_secs_f64(count as f64 / READ_RATE);
+                sleep_until(next_at).await;
+            }
+        }
+    }
+    let text = String::from_utf8_lossy(&text);
+    assert_eq!(text.matches("\nid: ").count(), LONG_TOKENS);
+    assert!(text.contains("[DONE]"), "the stream is incomplete");
+}
+
+/// Guards against an entry that exits while a caller still reads what it was sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_stopped_with_slow_reader() {
+    let (mut site, stream) = start_slow_reader().await;
+    site.entries[0].process.terminate();
+    read_steadily(stream).await;
+    let status = site.entries[0].process.wait_for_exit().await;
+    assert_eq!(status.code(), Some(0));
+}
+
 #[tokio::test]
 async fn leaving_endpoint_gets_no_new_work() {
     /// Requests in a row that the other engine must get before the test passes.
