Compute which requests of a service may wait, and their rank

Routes state by priority and target latency which requests can wait. Site::deferral gives this for a service, once per configuration, and the rank of a workspace's and a route's class at the engine. Without such routes it is none.

--- a/crates/core/src/site/build.rs
+++ b/crates/core/src/site/build.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Limits, Route, Service, Site, Workspace};
+use super::{Deferral, Limits, Route, Service, Site, Workspace};
 
 /// Collects the parts of a [`Site`] and sorts them.
 #[derive(Debug)]
@@ -21,6 +21,7 @@
                 limits: Limits::default(),
                 keys: Vec::new(),
                 accepts_anonymous: true,
+                deferrals: Vec::new(),
             },
         }
     }
@@ -58,12 +59,19 @@
         self
     }
 
-    /// Sorts the collections and returns the configuration.
+    /// Sorts the collections, computes what follows from them and returns the
+    /// configuration.
     pub fn build(mut self) -> Site {
         let routes = &mut self.site.routes;
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         self.site.services.sort_by(|a, b| a.name.cmp(&b.name));
         self.site.keys.sort_by(|a, b| a.0.cmp(&b.0));
+        let services = self.site.services.iter();
+        let deferrals = services.filter_map(|service| {
+            let deferral = Deferral::of(service, &self.site)?;
+            Some((Arc::clone(&service.name), deferral))
+        });
+        self.site.deferrals = deferrals.collect();
         self.site
     }
 }
--- a/crates/core/src/site/mod.rs
+++ b/crates/core/src/site/mod.rs
@@ -19,8 +19,10 @@
 use std::sync::Arc;
 
 mod build;
+mod deferral;
 
 pub use build::Builder;
+pub use deferral::Deferral;
 
 /// Whether the requests of a route may be repeated, and the form of the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
@@ -186,6 +188,8 @@
     limits: Limits,
     keys: Vec<(Arc<str>, Arc<Workspace>)>,
     accepts_anonymous: bool,
+    /// The services of which some requests may wait, sorted by name.
+    deferrals: Vec<(Arc<str>, Deferral)>,
 }
 
 impl Site {
@@ -236,6 +240,15 @@
         found.ok().map(|index| &self.services[index])
     }
 
+    /// Returns the urgency of the requests for a service, if some of them may wait for
+    /// capacity.
+    pub fn deferral(&self, service: &str) -> Option<&Deferral> {
+        let found = self
+            .deferrals
+            .binary_search_by(|(name, _)| (**name).cmp(service));
+        found.ok().map(|index| &self.deferrals[index].1)
+    }
+
     /// Returns the workspace of an API key.
     pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
         let found = self
