Decide whether an engine has capacity for a request that may wait

Queues formed in engines when more long requests arrived than their memory holds, and urgent ones waited behind them. Pool::admit limits requests that may wait to a share of an engine's memory, which depends on age, lateness and fair share; the pool also gives the expected wait and the delay of a retry.

--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -61,6 +61,29 @@
     pub report_lag_ms: u64,
     /// The age above which a report is ignored, in milliseconds; 4,000 by default.
     pub report_life_ms: u64,
+    /// The share of an engine's memory up to which it receives requests that may wait; 0.75
+    /// by default. The rest is left to urgent requests and to the runs of leaving engines:
+    /// with a sixth of the engines leaving at a time, shares above 0.8 left them no room.
+    pub deferrable_share: f64,
+    /// How much that share grows until a request reaches its target latency; 0.1 by default,
+    /// so that the request that has waited longest goes first.
+    pub age_share: f64,
+    /// The same share for requests that are already late; 0.6 by default, so that they do not
+    /// displace those that can be in time.
+    pub late_share: f64,
+    /// How much the share shrinks without a fresh report; 0.1 by default.
+    pub stale_share: f64,
+    /// How much the share shrinks for a workspace that recently took more than twice its fair
+    /// share while others wait; 0.1 by default.
+    pub unfair_share: f64,
+    /// How long a request that is already late on arrival may wait, in milliseconds; 8,000 by
+    /// default.
+    pub late_wait_ms: u64,
+    /// The shortest delay after which a request that found no capacity may be sent again, in
+    /// milliseconds, before it is spread; 2,000 by default.
+    pub retry_min_ms: u64,
+    /// The longest such delay, in milliseconds; 12,000 by default.
+    pub retry_max_ms: u64,
 }
 
 impl Default for Config {
@@ -83,6 +106,14 @@
             avoid_max_ms: 2_400,
             report_lag_ms: 500,
             report_life_ms: 4_000,
+            deferrable_share: 0.75,
+            age_share: 0.1,
+            late_share: 0.6,
+            stale_share: 0.1,
+            unfair_share: 0.1,
+            late_wait_ms: 8_000,
+            retry_min_ms: 2_000,
+            retry_max_ms: 12_000,
         }
     }
 }
@@ -97,7 +128,8 @@
 }
 
 impl Config {
-    /// Checks the ranges of the shares, of the weights and costs, and of `memory_ms`.
+    /// Checks the ranges of the shares, of the weights and costs, of `memory_ms` and of
+    /// `retry_min_ms`.
     ///
     /// # Errors
     ///
@@ -110,6 +142,11 @@
             ("rescue_spread", self.rescue_spread),
             ("far_copy_share", self.far_copy_share),
             ("tie_share", self.tie_share),
+            ("deferrable_share", self.deferrable_share),
+            ("age_share", self.age_share),
+            ("late_share", self.late_share),
+            ("stale_share", self.stale_share),
+            ("unfair_share", self.unfair_share),
         ];
         for (field, value) in shares {
             if !(0.0..=1.0).contains(&value) {
@@ -143,6 +180,13 @@
                 wanted: "above zero",
             });
         }
+        if self.retry_min_ms == 0 || self.retry_min_ms > self.retry_max_ms {
+            return Err(Error {
+                field: "retry_min_ms",
+                value: self.retry_min_ms as f64,
+                wanted: "above zero and at most retry_max_ms",
+            });
+        }
         Ok(())
     }
 }
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -21,7 +21,7 @@
 const FRESH_REPORT_LAG: Duration = Duration::from_millis(6);
 
 /// The mean share of a prompt that is left to compute during its prefill.
-const PREFILL_REMAINDER: f64 = 0.5;
+pub(super) const PREFILL_REMAINDER: f64 = 0.5;
 
 /// The load that an engine reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -112,7 +112,7 @@
     /// The last sent requests, oldest first, each with the time at which it was sent.
     sent: VecDeque<(Time, Work)>,
     /// The last report and the time of its arrival.
-    report: Option<(Report, Time)>,
+    pub(super) report: Option<(Report, Time)>,
     /// The moving average of the answer latency, in milliseconds.
     latency_ms: f64,
     /// Failed requests, decayed until `decayed_at`.
@@ -297,7 +297,11 @@
 
     /// Returns the report, unless it is too old, and the number, prompt tokens and total
     /// tokens of the requests sent since it was made.
-    fn current_report(&self, config: &Config, now: Time) -> Option<(Report, u32, u64, u64)> {
+    pub(super) fn current_report(
+        &self,
+        config: &Config,
+        now: Time,
+    ) -> Option<(Report, u32, u64, u64)> {
         let (report, at) = self.report?;
         if now.since(at) > Duration::from_millis(config.report_life_ms) {
             return None;
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -40,6 +40,7 @@
 
 use crate::Time;
 
+mod admit;
 mod budget;
 mod choose;
 mod cold;
@@ -48,6 +49,7 @@
 mod grace;
 mod member;
 
+pub use admit::{Claim, Verdict};
 pub use budget::{Budget, Repeat};
 pub use choose::{Criteria, Purpose, Refusal};
 pub use config::{Config, Error};
@@ -138,6 +140,8 @@
     cold: cold::Limit,
     /// Random, so that gateways do not begin at the same time.
     seed: u64,
+    /// The requests that wait for capacity, and those that were admitted.
+    queue: admit::Queue,
 }
 
 /// An endpoint that was removed.
@@ -167,6 +171,7 @@
             removed: Vec::new(),
             cold: cold::Limit::default(),
             seed: 0,
+            queue: admit::Queue::default(),
         }
     }
 
