Let requests wait at the gateway until an engine has capacity

The priority at the engine of such a service is the rank of the workspace's and the route's class. Log lines deferred and admitted, a gauge and a histogram are added and documented.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -7,7 +7,7 @@
     buffer,
     crash::Suspect,
     digest::Digest,
-    pool::Work,
+    pool::{Claim, Work},
     site::{Kind, Route, Site, Workspace},
 };
 use cactusroad_platform::{replica, request::Caller};
@@ -107,9 +107,24 @@
     let request_timeout = caller
         .timeout
         .map_or(route_timeout, |timeout| timeout.min(route_timeout));
-    let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let deadline = arrived_at + request_timeout;
+    let class = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let deferral = site.deferral(&shard.service);
+    let priority = deferral.map_or_else(
+        || class.unwrap_or(route.priority).min(9),
+        |deferral| deferral.rank(class, route.priority),
+    );
+    // A stream that is resumed has begun already, and its caller waits for the next event.
+    let is_deferrable = caller.last_event.is_none()
+        && deferral.is_some_and(|deferral| deferral.is_deferrable(&route));
     let workspace = workspace.map(|workspace| Arc::clone(&workspace.name));
     let digest = digest(&route, workspace.as_deref(), &head, &buffered.bytes);
+    let work = caller.work();
+    let claim = is_deferrable.then(|| {
+        let workspace = workspace.clone().unwrap_or_else(|| "".into());
+        let target = Duration::from_millis(route.target_latency_ms);
+        Claim::new(work, workspace, arrived_at, deadline, route_timeout, target)
+    });
     let job = Job {
         shard,
         request_id: caller.attempt.clone().unwrap_or_else(|| "".into()),
@@ -117,16 +132,17 @@
         method: head.method,
         uri: head.uri,
         body: buffered.bytes.clone(),
-        priority: priority.unwrap_or(route.priority).min(9),
+        priority,
+        work,
+        claim,
         workspace,
-        work: caller.work(),
         side,
         suspects: suspects(digest, caller.parts),
         digest,
         vm: Arc::clone(&settings.vm),
         data_centre: Arc::clone(&settings.data_centre),
         arrived_at,
-        deadline: arrived_at + request_timeout,
+        deadline,
         route,
         state: Arc::clone(state),
         _guard: open,
@@ -174,7 +190,7 @@
 }
 
 /// Returns why a process that is stopping refuses the request, if it does.
-fn check_shutdown(state: &State, route: &Route, work: Work) -> Option<&'static str> {
+pub(crate) fn check_shutdown(state: &State, route: &Route, work: Work) -> Option<&'static str> {
     let stop = (*state.stopping.borrow())?;
     let now = clock::now();
     if stop.accepts_until.is_past(now) {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -7,7 +7,7 @@
     Time,
     crash::Suspect,
     digest::Digest,
-    pool::{Criteria, Endpoint, Outcome, Work},
+    pool::{Claim, Criteria, Endpoint, Outcome, Work},
     rollout::Side,
     site::Route,
 };
@@ -43,6 +43,8 @@
     pub(crate) priority: u8,
     /// The tokens of the prompt and the expected tokens of the response.
     pub(crate) work: Work,
+    /// What decides when the request is sent, if it may wait for capacity.
+    pub(crate) claim: Option<Claim>,
     /// The version for the request, while its service is moved to another one.
     pub(crate) side: Side,
     /// Identifies the request over all attempts of its caller to send it.
@@ -109,7 +111,11 @@
 
     /// Refuses the request until shortly after `until`.
     fn refuse_until(&self, cause: &str, until: Time) -> Response<Body> {
-        let retry_after = until.since(clock::now()) + reply::retry_after();
+        self.refuse_for(cause, until.since(clock::now()) + reply::retry_after())
+    }
+
+    /// Refuses the request; the caller is told to send it again after `retry_after`.
+    pub(crate) fn refuse_for(&self, cause: &str, retry_after: Duration) -> Response<Body> {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         record::write(&Event::Refused {
             request: &self.request_id,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,8 @@
 //! The metrics of a gateway, in the text format of Prometheus.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, core::Collector,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder, core::Collector,
 };
 
 /// Upper bounds of the latency buckets, in seconds, around the target latencies of
@@ -28,6 +28,8 @@
     pub(crate) config_version: IntGauge,
     pub(crate) endpoints: IntGauge,
     pub(crate) open_requests: IntGauge,
+    pub(crate) waiting_requests: IntGauge,
+    pub(crate) waits: HistogramVec,
 }
 
 impl Metrics {
@@ -54,6 +56,11 @@
             "cactusroad_resumes_total",
             "Runs that went on at another engine.",
         );
+        let waits = HistogramOpts::new(
+            "cactusroad_wait_seconds",
+            "Time for which requests waited for capacity, by outcome.",
+        );
+        let waits = HistogramVec::new(waits.buckets(LATENCY_BUCKETS_S.to_vec()), &["outcome"]);
         Metrics {
             requests: counter(
                 "cactusroad_requests_total",
@@ -102,6 +109,11 @@
             config_version: gauge("cactusroad_config_version", "The configuration in force."),
             endpoints: gauge("cactusroad_endpoints", "Endpoints that are listed."),
             open_requests: gauge("cactusroad_open_requests", "Requests without an answer."),
+            waiting_requests: gauge(
+                "cactusroad_waiting_requests",
+                "Requests that wait for capacity.",
+            ),
+            waits: register(&registry, waits.expect("the name of a metric is valid")),
             registry,
         }
     }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -115,6 +115,33 @@
         crashes: usize,
         refused_ms: u64,
     },
+    /// A request waits for capacity of an engine.
+    Deferred {
+        request: &'a str,
+        route: &'a str,
+        /// The time since about the first attempt of the caller, in milliseconds.
+        age_ms: u64,
+        /// The engine that was the best choice and had no capacity.
+        endpoint: &'a str,
+        /// The share of the engine's memory up to which the request is admitted.
+        limit: f64,
+        /// The share of the engine's memory that would be in use with the request.
+        memory_use: f64,
+        /// Requests that wait at the engine.
+        waiting: u32,
+        /// The age of the engine's report, in milliseconds.
+        report_ms: Option<u64>,
+        /// The other requests of this process that wait.
+        queue: usize,
+    },
+    /// A request that had to wait is sent to an engine.
+    Admitted {
+        request: &'a str,
+        endpoint: &'a str,
+        waited_ms: u64,
+        limit: f64,
+        memory_use: f64,
+    },
     /// An endpoint was chosen for a request.
     Placed {
         request: &'a str,
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -49,6 +49,9 @@
 
 mod recover;
 mod stop;
+mod wait;
+
+use wait::Place;
 
 /// Why a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
@@ -101,10 +104,12 @@
 pub(crate) async fn serve(mut job: Job) -> Response<Body> {
     let mut tried = Vec::new();
     loop {
-        let candidates = observe::candidates(&job.shard, &tried, None, job.side).await;
-        let endpoint = match job.shard.choose(&job.criteria(&tried, &candidates)) {
-            Ok(endpoint) => endpoint,
-            Err(refusal) => return job.refuse(refusal.into()),
+        let Place {
+            endpoint,
+            candidates,
+        } = match wait::place(&job, &tried).await {
+            Ok(place) => place,
+            Err(refusal) => return refusal,
         };
         tried.push(Arc::clone(&endpoint.id));
         let sends = u32::try_from(tried.len()).unwrap_or(u32::MAX);
