--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -33,15 +33,11 @@
 /// How many times its fair share a workspace may take before it yields to others.
 const FAIR_FACTOR: u64 = 2;
 
-/// The output of a request beyond this share of an engine's memory is not counted: it is
-/// generated over a time in which other runs end. A request with a long output would find no
-/// capacity at a busy site otherwise.
-const MAX_WORK_SHARE: f64 = 0.5;
-
-/// Requests whose prompt exceeds this share of an engine's memory are admitted up to
-/// [`Config::memory_share`](super::Config::memory_share): with the usual limit, they would
-/// need an engine that is almost empty, and a busy site has none.
-const LARGE_PROMPT_SHARE: f64 = 0.5;
+/// The work of a request beyond this share of an engine's memory is not counted. A larger
+/// request would find no capacity at a busy site otherwise. It may have to wait at the engine
+/// for a moment; meanwhile the engine gets no other request that may wait, so its memory is
+/// freed for this one.
+const MAX_WORK_SHARE: f64 = 0.3;
 
 /// The range of the random factor on the delay of a retry, so that requests that were refused
 /// together do not return together.
@@ -249,13 +245,12 @@
         let in_prefill = f64::from(report.computing) * mean_prompt * PREFILL_REMAINDER;
         let in_queue = f64::from(report.waiting) * mean_prompt;
         let others = (report.used_tokens + sent_tokens) as f64 + in_prefill + in_queue;
-        let prompt = claim.work.prompt as f64;
-        let work = (claim.work.tokens() as f64).min(prompt.max(memory * MAX_WORK_SHARE));
+        let work = (claim.work.tokens() as f64).min(memory * MAX_WORK_SHARE);
         let memory_use = (others + work) / memory;
         let age = now.since(reported_at);
         let is_fresh = report.is_fresh && age <= FRESH_REPORT_AGE;
-        let limit = self.limit(claim, prompt / memory, is_fresh, now);
-        // A request that exceeds its limit by itself is sent to an engine without work.
+        let limit = self.limit(claim, is_fresh, now);
+        // Whatever the limit is, an engine without work has capacity.
         let has_room = memory_use <= limit || others <= 0.0;
         Verdict {
             is_admitted: report.waiting == 0 && has_room,
@@ -267,18 +262,13 @@
     }
 
     /// Returns the share of an engine's memory up to which a request is admitted.
-    fn limit(&self, claim: &Claim, prompt_share: f64, is_fresh: bool, now: Time) -> f64 {
+    fn limit(&self, claim: &Claim, is_fresh: bool, now: Time) -> f64 {
         let config = &self.config;
         let share = if claim.late_at.is_past(now) {
             config.late_share
         } else {
             config.deferrable_share + config.age_share * claim.age_share(now)
         };
-        let share = if prompt_share > LARGE_PROMPT_SHARE {
-            share.max(config.memory_share)
-        } else {
-            share
-        };
         let is_unfair = self.queue.is_over_share(&claim.workspace, now);
         let stale = f64::from(u8::from(!is_fresh)) * config.stale_share;
         let unfair = f64::from(u8::from(is_unfair)) * config.unfair_share;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod revocation;
 mod rollout;
+mod short;
 mod sidecar;
 #[expect(dead_code, reason = "the soak test uses the rest")]
 mod site;
