Poll the chosen engine if it was not among those that were polled

If all polled engines had left, or a rollout allowed the other version only, the chosen engine had no fresh report, and a request that may wait would have waited until it was late. Only streams that callers may resume and that have events count as resumed; any caller could have avoided the wait by the header otherwise.

--- a/crates/core/tests/admit.rs
+++ b/crates/core/tests/admit.rs
@@ -412,7 +412,7 @@
                 let answered = Outcome::Answered { latency_ms: 1_000 };
                 pools[run.sent_by].record_end(&id, run.work, true, answered, now);
             }
-            if now_ms % 1_000 == 0 {
+            if now_ms.is_multiple_of(1_000) {
                 played.waiting[now_ms as usize / 1_000] += engine.waiting.len();
             }
         }
@@ -492,6 +492,35 @@
     assert!(served >= 0.5, "large: {served}");
 }
 
+/// Guards against parameters under which nothing or everything is admitted, or callers are told
+/// to return at once.
+#[test]
+fn parameters_checked() {
+    let default = Config::default;
+    assert!(default().check().is_ok());
+    let wrong = [
+        Config {
+            deferrable_share: 1.1,
+            ..default()
+        },
+        Config {
+            late_share: -0.1,
+            ..default()
+        },
+        Config {
+            retry_min_ms: 0,
+            ..default()
+        },
+        Config {
+            retry_min_ms: 12_001,
+            ..default()
+        },
+    ];
+    for config in wrong {
+        assert!(config.check().is_err(), "{config:?}");
+    }
+}
+
 /// Guards against choices that depend on this part where nothing may wait.
 #[test]
 fn choice_unchanged() {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -115,8 +115,9 @@
         |deferral| deferral.rank(class, route.priority),
     );
     // A stream that is resumed has begun already, and its caller waits for the next event.
-    let is_deferrable = caller.last_event.is_none()
-        && deferral.is_some_and(|deferral| deferral.is_deferrable(&route));
+    let is_resumed = route.resume && caller.last_event.is_some_and(|last| last > 0);
+    let is_deferrable =
+        !is_resumed && deferral.is_some_and(|deferral| deferral.is_deferrable(&route));
     let workspace = workspace.map(|workspace| Arc::clone(&workspace.name));
     let digest = digest(&route, workspace.as_deref(), &head, &buffered.bytes);
     let work = caller.work();
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -77,6 +77,11 @@
     sampled
 }
 
+/// Polls one engine for a choice.
+pub(crate) async fn refresh(shard: &Arc<Shard>, endpoint: &Arc<Endpoint>) {
+    poll(shard, endpoint, CHOICE_TIMEOUT).await;
+}
+
 /// Polls the engines that hold runs while the store is unreachable, and logs the load.
 pub(crate) async fn run(state: Arc<State>) {
     let mut ticks = interval(OUTAGE_POLL_INTERVAL);
--- a/crates/gateway/src/stream/wait.rs
+++ b/crates/gateway/src/stream/wait.rs
@@ -58,6 +58,10 @@
                 candidates,
             });
         };
+        if candidates.iter().all(|polled| polled.id != endpoint.id) {
+            // All that were polled have left, or those of the other version are used.
+            observe::refresh(&job.shard, &endpoint).await;
+        }
         if waiting.is_some() {
             // What was learned while the request waited.
             if let Some(cause) = handle::check_shutdown(&job.state, &job.route, job.work) {
