Test refusals on arrival, and tidy the wait

A gateway test holds a queue without admissions for 1.1 s and expects the next request to be refused at once with the expected wait.

--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -70,12 +70,7 @@
         timeout: Duration,
         target: Duration,
     ) -> Claim {
-        let first_at = Time::from_micros(
-            deadline
-                .as_micros()
-                .saturating_sub((Time::ZERO + timeout).as_micros()),
-        );
-        let first_at = first_at.min(arrived_at);
+        let first_at = before(deadline, timeout).min(arrived_at);
         Claim {
             work,
             workspace,
--- a/crates/gateway/src/stream/wait.rs
+++ b/crates/gateway/src/stream/wait.rs
@@ -62,14 +62,10 @@
             // All that were polled have left, or those of the other version are used.
             observe::refresh(&job.shard, &endpoint).await;
         }
-        if waiting.is_some() {
-            // What was learned while the request waited.
-            if let Some(cause) = handle::check_shutdown(&job.state, &job.route, job.work) {
-                return Err(job.refuse(cause));
-            }
-            if let Some(refusal) = job.refuse_crashing() {
-                return Err(refusal);
-            }
+        if waiting.is_some()
+            && let Some(refusal) = refuse_after_wait(job)
+        {
+            return Err(refusal);
         }
         let now = clock::now();
         let verdict = job.shard.pool().admit(&endpoint.id, claim, now);
@@ -123,6 +119,15 @@
     }
 }
 
+/// Refuses a request for a reason that was not known when it began to wait: the process stops
+/// accepting requests, or the request was found to crash engines.
+fn refuse_after_wait(job: &Job) -> Option<Response<Body>> {
+    match handle::check_shutdown(&job.state, &job.route, job.work) {
+        Some(cause) => Some(job.refuse(cause)),
+        None => job.refuse_crashing(),
+    }
+}
+
 fn random() -> f64 {
     rand::rng().random_range(0.0..1.0)
 }
--- a/tests/gateway/short.rs
+++ b/tests/gateway/short.rs
@@ -9,7 +9,10 @@
 };
 use http::{StatusCode, header::RETRY_AFTER};
 use rustix::process::Signal;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
 
 use crate::site::{Answer, IN_FORCE, Site, config, full_stream};
 
@@ -36,6 +39,12 @@
     site.send(path, id).await.expect("the gateway answers")
 }
 
+/// Returns the time after which a refused caller may retry, in seconds.
+fn retry_after(answer: &Answer) -> f64 {
+    let text = answer.headers[RETRY_AFTER].to_str().expect("it is text");
+    text.parse().expect("it is a number")
+}
+
 fn set_load(engines: &[Replica], used_tokens: u64, queued: u32) {
     for engine in engines {
         engine.set_load(used_tokens, queued);
@@ -106,12 +115,40 @@
         waited >= TARGET && waited < TARGET + Duration::from_millis(200),
         "{waited:?}"
     );
-    let retry_after = answer.headers[RETRY_AFTER].to_str().expect("it is text");
-    let retry_after: f64 = retry_after.parse().expect("it is a number");
+    let retry_after = retry_after(&answer);
     assert!((1.6..=16.8).contains(&retry_after), "{retry_after}");
     assert!(site.engines.iter().all(|engine| engine.seen().is_empty()));
 }
 
+/// Guards against requests that wait although far more wait than are admitted: the refusal comes
+/// at once, and states the expected wait.
+#[tokio::test]
+async fn refused_on_arrival() {
+    let site = start(1).await;
+    set_load(&site.engines, FULL, 0);
+    let mut waiting = JoinSet::new();
+    for number in 0..24 {
+        let sender = site.sender();
+        waiting.spawn(async move {
+            // The first half is refused while the second half waits.
+            sleep(Duration::from_millis(600) * (number / 12)).await;
+            sender.send("/drafts/1", &format!("s{number}")).await
+        });
+    }
+    sleep(Duration::from_millis(1_150)).await;
+    let sent_at = Instant::now();
+    let answer = send(&site, "/drafts/1", "last").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(sent_at.elapsed() < TARGET / 2);
+    assert!(retry_after(&answer) >= 9.6, "{}", retry_after(&answer));
+    while let Some(answer) = waiting.join_next().await {
+        let answer = answer.expect("it does not panic");
+        let status = answer.expect("the gateway answers").status;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert!(site.engines[0].seen().is_empty());
+}
+
 /// Guards against a retry that is treated as a new request: its shorter deadline says that it
 /// is late, so it has the lower limit, and waits beyond the target latency of a new one.
 #[tokio::test]
