Count at most a fifth of an engine's memory of a large request

Over 24 seeds of the same model, requests of half an engine are served 51 in 100 with 0.3 (44 of 86), 48 without the cap (38 of 79), 69 with 0.2 and 80 with 0.15, where long requests in time fall from 0.867 to 0.842. 0.2 is chosen; the test takes 24 seeds and wants 0.6.

--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -36,8 +36,10 @@
 /// The work of a request beyond this share of an engine's memory is not counted. A larger
 /// request would find no capacity at a busy site otherwise. It may have to wait at the engine
 /// for a moment; meanwhile the engine gets no other request that may wait, so its memory is
-/// freed for this one.
-const MAX_WORK_SHARE: f64 = 0.3;
+/// freed for this one. In the model of tests/admit.rs, 51 in 100 requests of half an engine
+/// were served with 0.3 and 69 with 0.2; with 0.15, which is close to a usual request, long
+/// requests came late more often.
+const MAX_WORK_SHARE: f64 = 0.2;
 
 /// The range of the random factor on the delay of a retry, so that requests that were refused
 /// together do not return together.
--- a/crates/core/tests/admit.rs
+++ b/crates/core/tests/admit.rs
@@ -474,7 +474,8 @@
 /// Guards against starvation: in the burst, no workspace and no size of request goes without.
 #[test]
 fn burst_starves_none() {
-    let played: Vec<Played> = (0..4).map(|seed| play(seed, true, None)).collect();
+    // Large requests are few, so this takes more seeds.
+    let played: Vec<Played> = (0..24).map(|seed| play(seed, true, None)).collect();
     let share = |is_counted: &dyn Fn(&Request) -> bool| {
         let requests = || played.iter().flat_map(|played| &played.requests);
         let counted =
@@ -489,7 +490,7 @@
         assert!(served >= 0.7, "{workspace}: {served}");
     }
     let served = share(&|request| request.work == LARGE);
-    assert!(served >= 0.5, "large: {served}");
+    assert!(served >= 0.6, "large: {served}");
 }
 
 /// Guards against parameters under which nothing or everything is admitted, or callers are told
