Refuse on arrival only when the rate of admissions is known

Cause: the expected wait came from one or two admissions of a gateway, and refused requests that would have been in time. Change: no estimate below four admissions while the queue is younger than the time for which they are remembered; the shortest Retry-After is 5 s, because callers returned into the same burst after 2 s.

--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -26,6 +26,11 @@
 /// The shortest time over which the rate of admissions is measured.
 const MIN_RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// The admissions from which their rate is known, unless the queue has been busy for the whole
+/// time for which they are remembered. A gateway admits about one request a second: an estimate
+/// from two or three admissions refused requests that would have been in time.
+const MIN_RATE_ADMISSIONS: usize = 4;
+
 /// A report that was made on request counts as fresh up to this age: several rounds of
 /// polling.
 const FRESH_REPORT_AGE: Duration = Duration::from_millis(100);
@@ -202,8 +207,12 @@
         if window < MIN_RATE_WINDOW {
             return None;
         }
+        let admitted = self.admitted_since(since).count();
+        if admitted < MIN_RATE_ADMISSIONS && window < ADMISSION_RETENTION {
+            return None;
+        }
         // Without any admission, the next one is expected after as long again.
-        let admitted = self.admitted_since(since).count().max(1);
+        let admitted = admitted.max(1);
         Some(window.mul_f64(self.len() as f64 / admitted as f64))
     }
 }
--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -80,7 +80,8 @@
     /// default.
     pub late_wait_ms: u64,
     /// The shortest delay after which a request that found no capacity may be sent again, in
-    /// milliseconds, before it is spread; 2,000 by default.
+    /// milliseconds, before it is spread; 5,000 by default: callers retry once or twice only, and
+    /// after 2,000 they returned into the same burst.
     pub retry_min_ms: u64,
     /// The longest such delay, in milliseconds; 12,000 by default.
     pub retry_max_ms: u64,
@@ -112,7 +113,7 @@
             stale_share: 0.1,
             unfair_share: 0.1,
             late_wait_ms: 8_000,
-            retry_min_ms: 2_000,
+            retry_min_ms: 5_000,
             retry_max_ms: 12_000,
         }
     }
