Measure the time per event of engines at their sidecars

The report of an engine lists its runs in decode with the events that they made. The sidecar compares consecutive reports and keeps the median time per event over the last seconds, per incarnation. Its load report carries it as event_us; a pool keeps the last known value of an incarnation for 30 s.

--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -61,6 +61,26 @@
     pub report_lag_ms: u64,
     /// The age above which a report is ignored, in milliseconds; 4,000 by default.
     pub report_life_ms: u64,
+    /// The time per event above which an engine is slow, as a multiple of the reference of its
+    /// service; 1.4 by default. A batch of many runs is slower than one of few by up to a
+    /// third at equal engines.
+    pub slow_ratio: f64,
+    /// The share of a route's target pause above which an event is taken to be late at times;
+    /// 0.25 by default: a prefill doubles the time of a step, and a transient slowdown makes it
+    /// two and a half times as long.
+    pub pause_share: f64,
+    /// The time that an engine takes for one token of a prompt, in microseconds; 100 by
+    /// default. It converts the expected loss by pauses to prompt tokens.
+    pub prompt_token_us: f64,
+    /// The penalty on a copy of a long run at a slow engine, as a share of memory; 0.5 by
+    /// default, as for a copy to another data centre.
+    pub slow_copy_share: f64,
+    /// The number of expected events from which a run is long for the choice of a copy; 100 by
+    /// default, some seconds.
+    pub long_run_events: u64,
+    /// How long the last known speed of an engine holds without a new one, in milliseconds;
+    /// 30,000 by default.
+    pub speed_life_ms: u64,
 }
 
 impl Default for Config {
@@ -83,6 +103,12 @@
             avoid_max_ms: 2_400,
             report_lag_ms: 500,
             report_life_ms: 4_000,
+            slow_ratio: 1.4,
+            pause_share: 0.25,
+            prompt_token_us: 100.0,
+            slow_copy_share: 0.5,
+            long_run_events: 100,
+            speed_life_ms: 30_000,
         }
     }
 }
@@ -110,6 +136,8 @@
             ("rescue_spread", self.rescue_spread),
             ("far_copy_share", self.far_copy_share),
             ("tie_share", self.tie_share),
+            ("pause_share", self.pause_share),
+            ("slow_copy_share", self.slow_copy_share),
         ];
         for (field, value) in shares {
             if !(0.0..=1.0).contains(&value) {
@@ -136,6 +164,19 @@
                 });
             }
         }
+        let positive = [
+            ("prompt_token_us", self.prompt_token_us, 0.0, "above zero"),
+            ("slow_ratio", self.slow_ratio, 1.0, "above one"),
+        ];
+        for (field, value, above, wanted) in positive {
+            if !(value.is_finite() && value > above) {
+                return Err(Error {
+                    field,
+                    value,
+                    wanted,
+                });
+            }
+        }
         if self.memory_ms == 0 {
             return Err(Error {
                 field: "memory_ms",
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -45,6 +45,9 @@
     pub is_fresh: bool,
     /// When the engine started, in milliseconds by its own clock; zero if unknown.
     pub born_ms: u64,
+    /// The lasting time per event of a run, in microseconds (see [`pace`](super::pace)); zero if
+    /// unknown.
+    pub event_us: u32,
 }
 
 /// How a request ended at an endpoint, as evidence of the endpoint's health.
@@ -83,6 +86,8 @@
     pub is_avoided: bool,
     /// The share of recent requests that failed, as of the last outcome.
     pub failure_share: f64,
+    /// The last known time per event of this incarnation, in microseconds.
+    pub event_us: Option<u32>,
 }
 
 /// Returns whether two start times, zero if unknown, are of different incarnations.
@@ -113,6 +118,8 @@
     sent: VecDeque<(Time, Work)>,
     /// The last report and the time of its arrival.
     report: Option<(Report, Time)>,
+    /// The last known time per event of a run, in microseconds, and when it was reported.
+    event_us: Option<(u32, Time)>,
     /// The moving average of the answer latency, in milliseconds.
     latency_ms: f64,
     /// Failed requests, decayed until `decayed_at`.
@@ -144,6 +151,7 @@
             copy_tokens: 0,
             sent: VecDeque::new(),
             report: None,
+            event_us: None,
             latency_ms: 0.0,
             failures: 0.0,
             requests: 0.0,
@@ -207,6 +215,13 @@
         if report.leaves_at.is_some() {
             self.leaves_at = report.leaves_at;
         }
+        let last_born_ms = self.report.map_or(0, |(last, _)| last.born_ms);
+        if is_other_incarnation(last_born_ms, report.born_ms) {
+            self.event_us = None;
+        }
+        if report.event_us > 0 {
+            self.event_us = Some((report.event_us, now));
+        }
         self.report = Some((report, now));
         change
     }
@@ -353,6 +368,12 @@
         }
     }
 
+    /// Returns the last known time per event of a run, in microseconds.
+    pub(super) fn event_us(&self, config: &Config, now: Time) -> Option<u32> {
+        let (event_us, at) = self.event_us?;
+        (now.since(at) <= Duration::from_millis(config.speed_life_ms)).then_some(event_us)
+    }
+
     /// Returns the moving average of the answer latency, in milliseconds.
     pub(super) fn latency_ms(&self) -> f64 {
         self.latency_ms
@@ -370,7 +391,7 @@
             && self.expires_at.is_none_or(|at| !at.is_past(now))
     }
 
-    pub(super) fn view(&self, now: Time) -> View {
+    pub(super) fn view(&self, config: &Config, now: Time) -> View {
         View {
             endpoint: Arc::clone(&self.endpoint),
             running: self.running,
@@ -380,6 +401,7 @@
             }),
             is_avoided: !self.avoided_until.is_past(now),
             failure_share: self.failures / (self.requests + FAILURE_PRIOR_REQUESTS),
+            event_us: self.event_us(config, now),
         }
     }
 }
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -19,6 +19,8 @@
 //! memory overflows preempts runs, which stalls streams, so an overflow costs more
 //! than any queue.
 //!
+//! Engines that make events slowly get fewer long runs; see [`pace`].
+//!
 //! # Copies
 //!
 //! Engines are removed at short notice. A stream that loses its engine resumes
@@ -47,6 +49,7 @@
 mod failover;
 mod grace;
 mod member;
+pub mod pace;
 
 pub use budget::{Budget, Repeat};
 pub use choose::{Criteria, Purpose, Refusal};
@@ -449,13 +452,36 @@
 
     /// Returns a snapshot of each member.
     pub fn views(&self, now: Time) -> impl Iterator<Item = View> + '_ {
-        self.members.iter().map(move |member| member.view(now))
+        self.members
+            .iter()
+            .map(move |member| member.view(&self.config, now))
     }
 
     /// Returns a snapshot of one member.
     pub fn view(&self, id: &str, now: Time) -> Option<View> {
         let index = self.index(id).ok()?;
-        Some(self.members[index].view(now))
+        Some(self.members[index].view(&self.config, now))
+    }
+
+    /// Returns how the engines compare in speed.
+    pub fn speed(&self, now: Time) -> pace::Summary {
+        let (scale, known, slow) = self.scale(now);
+        pace::Summary {
+            reference_us: scale.reference_us,
+            known,
+            slow,
+        }
+    }
+
+    /// Compares the known speeds of the engines. Also returns the number of known ones and of
+    /// slow ones.
+    fn scale(&self, now: Time) -> (pace::Scale, usize, usize) {
+        let known = |member: &Member| member.event_us(&self.config, now);
+        let mut times_us: Vec<u32> = self.members.iter().filter_map(known).collect();
+        let scale = pace::Scale::new(&mut times_us, self.config.slow_ratio);
+        let slow = times_us.iter().filter(|time| scale.is_slow(Some(**time)));
+        let slow = slow.count();
+        (scale, times_us.len(), slow)
     }
 
     /// Returns a member's endpoint.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -83,6 +83,8 @@
         computing: u32,
         used_tokens: u64,
         memory_tokens: u64,
+        /// The lasting time per event in microseconds; zero if unknown.
+        event_us: u32,
     },
     /// The load of the engines of a service, written once a second.
     Load {
--- a/crates/gateway/src/sidecar/client.rs
+++ b/crates/gateway/src/sidecar/client.rs
@@ -88,5 +88,6 @@
             .map(|left| now + Duration::from_millis(left)),
         is_fresh: true,
         born_ms: load.born_ms,
+        event_us: load.event_us,
     })
 }
--- a/crates/gateway/src/sidecar/daemon.rs
+++ b/crates/gateway/src/sidecar/daemon.rs
@@ -147,6 +147,7 @@
         memory_tokens: report.memory_tokens,
         is_leaving: report.is_leaving,
         born_ms: report.born_ms,
+        event_us: report.event_us,
         leaves_in_ms: leaves_in.map(|left| u64::try_from(left).unwrap_or(u64::MAX)),
     })
 }
--- a/crates/gateway/src/sidecar/engine.rs
+++ b/crates/gateway/src/sidecar/engine.rs
@@ -2,7 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use cactusroad_core::{Time, pool::Report};
+use cactusroad_core::{
+    Time,
+    pool::{
+        Report,
+        pace::{Meter, Reading, Run},
+    },
+};
 use cactusroad_platform::replica::{Error, Observer};
 use tokio::{
     sync::{Mutex, watch},
@@ -40,6 +46,10 @@
 struct Source {
     observer: Observer,
     last: Option<(Report, Time)>,
+    /// The runs in decode in the last report.
+    runs: Vec<Run>,
+    /// The engine's lasting speed.
+    meter: Meter,
     is_lost: bool,
 }
 
@@ -50,6 +60,8 @@
             source: Mutex::new(Source {
                 observer,
                 last: None,
+                runs: Vec::new(),
+                meter: Meter::default(),
                 is_lost: false,
             }),
             notice: watch::Sender::new(None),
@@ -65,13 +77,17 @@
         {
             return Ok(report);
         }
-        let answer = source.observer.report(REPORT_TIMEOUT, now).await;
+        let answer = source.observer.report_with_runs(REPORT_TIMEOUT, now).await;
         source.record_outcome(answer.as_ref().err());
+        let (answer, runs) = answer?;
+        let at = clock::now();
         let report = Report {
             is_fresh: true,
-            ..answer?
+            event_us: source.meter.event_us(at).unwrap_or(0),
+            ..answer
         };
-        source.last = Some((report, clock::now()));
+        source.runs = runs;
+        source.last = Some((report, at));
         self.record_notice(report);
         Ok(report)
     }
@@ -92,18 +108,40 @@
             ticks.tick().await;
             count = (count + 1) % POLLS_PER_LOG_LINE;
             // Failures are logged in `Source::record_outcome`.
-            if let (Ok(report), 0) = (self.report().await, count) {
+            let Ok(report) = self.report().await else {
+                continue;
+            };
+            let event_us = self.measure().await;
+            if count == 0 {
                 record::write(&Event::EngineLoad {
                     running: report.running,
                     waiting: report.waiting,
                     computing: report.computing,
                     used_tokens: report.used_tokens,
                     memory_tokens: report.memory_tokens,
+                    event_us,
                 });
             }
         }
     }
 
+    /// Adds the last report to the measurement of the engine's speed, and returns the time per
+    /// event in microseconds; zero if unknown.
+    async fn measure(&self) -> u32 {
+        let mut source = self.source.lock().await;
+        let Some((report, at)) = source.last else {
+            return 0;
+        };
+        let runs = std::mem::take(&mut source.runs);
+        source.meter.record(Reading {
+            at,
+            born_ms: report.born_ms,
+            computing: report.computing,
+            runs,
+        });
+        source.meter.event_us(at).unwrap_or(0)
+    }
+
     fn record_notice(&self, report: Report) {
         let was_leaving = self.notice.borrow().is_some();
         if was_leaving == report.is_leaving {
--- a/crates/wire/src/sidecar.rs
+++ b/crates/wire/src/sidecar.rs
@@ -26,6 +26,10 @@
     /// When the engine started, in milliseconds by its own clock; zero if unknown.
     #[prost(uint64, tag = "8")]
     pub born_ms: u64,
+    /// The time that the engine takes for one event of a run, in microseconds: the median over the
+    /// last seconds. Zero if unknown.
+    #[prost(uint32, tag = "9")]
+    pub event_us: u32,
 }
 /// An engine that has started, as announced by its sidecar.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
