Keep long streams off slow engines while others have room

Choices counted prompts and runs as if all engines were equally fast, and long streams at slow engines were late. Without a slow engine nothing changes (choose_none_slow).

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -1,8 +1,8 @@
 //! Selection of an endpoint for a request, and of one for the copy of its run.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use super::{Endpoint, Member, Pool, Work};
+use super::{Endpoint, Member, Pool, Work, pace::Scale};
 use crate::{Time, rollout::Side};
 
 /// The requirements of a request.
@@ -18,6 +18,8 @@
     pub candidates: &'a [Arc<Endpoint>],
     /// The version to choose, while the service is moved to another one.
     pub side: Side,
+    /// The pause between two events above which a stream is late; zero if it has no target.
+    pub target_pause: Duration,
 }
 
 /// Why a copy of a run is made.
@@ -89,6 +91,7 @@
         if self.is_engine && self.memory_tokens > 0 && criteria.work.prompt > self.memory_tokens {
             return Err(Refusal::TooLarge);
         }
+        let scale = self.uneven(now);
         let mut eligible = 0;
         let is_candidate = |member: &Member| allows(criteria.candidates, member);
         let mut scored: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
@@ -98,7 +101,7 @@
             }
             eligible += 1;
             if !criteria.tried.contains(&member.endpoint.id) {
-                scored.push((self.score(member, criteria, now), member));
+                scored.push((self.score(member, criteria, scale.as_ref(), now), member));
             }
         }
         if !scored.is_empty() {
@@ -140,6 +143,9 @@
     /// Answers the load pattern in which many engines leave at once while a few empty
     /// ones join: copies that all go to the emptiest wait for its link until their own
     /// engine is gone.
+    ///
+    /// Slow engines count as fuller for a long run, and are taken for the run of a leaving
+    /// engine only if none is better.
     pub fn backup(
         &self,
         primary: &str,
@@ -157,6 +163,11 @@
         let source_data_centre = source.as_ref().map(|source| &source.data_centre);
         // A run continues only at an engine with the weights that it began with.
         let side = source.as_ref().map(|source| self.side_of(&source.version));
+        let is_long = criteria.work.output >= self.config.long_run_events;
+        let scale = self.uneven(now).filter(|_| is_long);
+        let is_slow = |member: &Member| {
+            scale.is_some_and(|scale| scale.is_slow(member.event_us(&self.config, now)))
+        };
         let mut scored: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
         for member in &self.members {
             let is_other =
@@ -169,7 +180,9 @@
                 let is_remote = source_data_centre
                     .is_some_and(|data_centre| *data_centre != member.endpoint.data_centre);
                 scored.push((
-                    memory_use + f64::from(u8::from(is_remote)) * self.config.far_copy_share,
+                    memory_use
+                        + f64::from(u8::from(is_remote)) * self.config.far_copy_share
+                        + f64::from(u8::from(is_slow(member))) * self.config.slow_copy_share,
                     member,
                 ));
             }
@@ -181,7 +194,10 @@
             Purpose::Standby => 0.0,
             Purpose::Migration => self.config.rescue_spread,
         };
-        scored.retain(|(score, _)| *score <= best + spread);
+        scored.retain(|(score, member)| {
+            let spread = if is_slow(member) { 0.0 } else { spread };
+            *score <= best + spread
+        });
         let chosen = scored.get(rng.below(scored.len()));
         chosen.map(|(_, member)| Arc::clone(&member.endpoint))
     }
@@ -250,7 +266,17 @@
 
     /// Returns the cost of sending the request to a member: milliseconds for plain
     /// services, prompt tokens for engines. The lowest score is the best.
-    fn score(&self, member: &Member, criteria: &Criteria<'_>, now: Time) -> f64 {
+    ///
+    /// `scale` compares the speeds of the engines, unless none is slow. The loss by pauses is
+    /// at most one memory of tokens: it costs less than an overflow that preempts runs, and a
+    /// wrong speed takes no engine out of use.
+    fn score(
+        &self,
+        member: &Member,
+        criteria: &Criteria<'_>,
+        scale: Option<&Scale>,
+        now: Time,
+    ) -> f64 {
         let config = &self.config;
         let is_remote = *member.endpoint.data_centre != *criteria.data_centre;
         let failures = member.failure_share(config, now);
@@ -265,13 +291,42 @@
         let (running, prompts) = member.load(config, self.mean_prompt, now);
         let overflow = (self.memory_use(member, criteria.work, now) - config.memory_share).max(0.0);
         let memory = self.memory_tokens.max(1) as f64;
-        prompts
+        let (slowdown, pauses) = scale.map_or((1.0, 0.0), |scale| {
+            let known = member.event_us(config, now);
+            let slowdown = f64::from(scale.event_us(known)) / f64::from(scale.reference_us.max(1));
+            (slowdown, self.pause_tokens(criteria, scale, known))
+        });
+        prompts * slowdown
+            + pauses.min(memory)
             + running * config.running_tokens
             + overflow * memory * config.overflow_weight
             + failures * memory
             + f64::from(u8::from(is_remote)) * config.distance_tokens
     }
 
+    /// Returns the expected loss by pauses at an engine, in prompt tokens: the time by which its
+    /// events exceed what leaves room for a prefill and a transient slowdown within the target
+    /// pause. Only slow engines have a loss: differences between the others are mostly noise.
+    fn pause_tokens(&self, criteria: &Criteria<'_>, scale: &Scale, known: Option<u32>) -> f64 {
+        if criteria.target_pause.is_zero() || !scale.is_slow(known) {
+            return 0.0;
+        }
+        let free_us = criteria.target_pause.as_secs_f64() * 1e6 * self.config.pause_share;
+        // What the reference loses is lost at every engine.
+        let free_us = free_us.max(f64::from(scale.reference_us));
+        let excess_us = (f64::from(scale.event_us(known)) - free_us).max(0.0);
+        criteria.work.output as f64 * excess_us / self.config.prompt_token_us
+    }
+
+    /// Returns the comparison of the engines' speeds if any of them is slow.
+    fn uneven(&self, now: Time) -> Option<Scale> {
+        if !self.is_engine {
+            return None;
+        }
+        let (scale, _, slow) = self.scale(now);
+        (slow > 0).then_some(scale)
+    }
+
     /// Returns the share of an engine's memory that is in use once it also holds `work`.
     fn memory_use(&self, member: &Member, work: Work, now: Time) -> f64 {
         let memory = member.memory_capacity(self.memory_tokens).max(1);
--- a/crates/core/tests/cold.rs
+++ b/crates/core/tests/cold.rs
@@ -63,6 +63,7 @@
         tried: &[],
         candidates: &[],
         side: Side::Baseline,
+        target_pause: Duration::ZERO,
     };
     let cold_until = START + COLD;
     let (mut arrivals, mut refused) = (Vec::new(), 0);
@@ -139,6 +140,7 @@
         tried: &[],
         candidates: &[],
         side: Side::Baseline,
+        target_pause: Duration::ZERO,
     };
     let sent = |pool: &mut Pool, from: Time| {
         let times = (0..250).map(|number| from + INTERVAL * number);
--- a/crates/core/tests/departure.rs
+++ b/crates/core/tests/departure.rs
@@ -71,6 +71,7 @@
         tried: &[],
         candidates: &[],
         side: Side::Baseline,
+        target_pause: Duration::ZERO,
     };
     pool.choose(&criteria, 1, now).is_ok()
 }
--- a/crates/core/tests/listing.rs
+++ b/crates/core/tests/listing.rs
@@ -32,6 +32,7 @@
         tried: &[],
         candidates: &[],
         side: Side::Baseline,
+        target_pause: Duration::ZERO,
     };
     pool.choose(&criteria, 1, now).is_ok()
 }
--- /dev/null
+++ b/crates/core/tests/pace.rs
@@ -0,0 +1,303 @@
+//! Tests of the measurement of engine speeds, and of choices among engines of different speed.
+
+use std::{sync::Arc, time::Duration};
+
+use cactusroad_core::{
+    Time,
+    pool::{
+        Config, Criteria, Endpoint, Pool, Purpose, Report, Work,
+        pace::{Meter, Reading, Run},
+    },
+    rollout::Side,
+};
+
+const START: Time = Time::from_millis(1_000_000);
+const MEMORY_TOKENS: u64 = 27_000;
+
+/// The time per event at nominal speed, in microseconds.
+const NOMINAL_US: u64 = 36_000;
+
+const LONG: Work = Work {
+    prompt: 3_000,
+    output: 750,
+};
+
+const SHORT: Work = Work {
+    prompt: 300,
+    output: 2,
+};
+
+fn after(millis: u64) -> Time {
+    START + Duration::from_millis(millis)
+}
+
+/// Returns the reading at a time of an engine that needs `event_us` for an event, and 2.5 times
+/// as long for 600 ms of every 4 s.
+fn reading(event_us: u64, millis: u64) -> Reading {
+    let slow_ms = millis / 4_000 * 600 + (millis % 4_000).min(600);
+    let effective_us = millis * 1_000 - slow_ms * 600;
+    let run = |id: &str, offset| Run {
+        id: id.into(),
+        events: (effective_us / event_us).saturating_sub(offset),
+    };
+    Reading {
+        at: after(millis),
+        born_ms: 1,
+        computing: 0,
+        runs: vec![run("r-2", 0), run("r-1", 5)],
+    }
+}
+
+/// Returns the meter of such an engine after `millis` of polls.
+fn measured(event_us: u64, millis: u64) -> Meter {
+    let mut meter = Meter::default();
+    for millis in (0..=millis).step_by(100) {
+        meter.record(reading(event_us, millis));
+    }
+    meter
+}
+
+fn endpoint(number: u16) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        id: format!("e-{number:03}").into(),
+        address: ([10, 0, 0, 1], 1_000 + number).into(),
+        service: "engines".into(),
+        data_centre: "dc-0".into(),
+        version: "v1".into(),
+        slots: 24,
+        born_ms: 0,
+        draining: false,
+        cold_until: Time::ZERO,
+    })
+}
+
+fn report(event_us: u32) -> Report {
+    Report {
+        memory_tokens: MEMORY_TOKENS,
+        is_fresh: true,
+        born_ms: 1,
+        event_us,
+        ..Report::default()
+    }
+}
+
+/// Returns a pool of engines that have reported these times per event; zero if unknown.
+fn pool(times_us: &[u32]) -> Pool {
+    let mut pool = Pool::new(Config::default());
+    pool.set_engine(MEMORY_TOKENS);
+    for (number, event_us) in (0..).zip(times_us) {
+        let endpoint = endpoint(number);
+        pool.upsert(Arc::clone(&endpoint), START);
+        pool.report(&endpoint.id, report(*event_us), START);
+    }
+    pool
+}
+
+fn criteria(work: Work) -> Criteria<'static> {
+    Criteria {
+        work,
+        data_centre: "dc-0",
+        tried: &[],
+        candidates: &[],
+        side: Side::Baseline,
+        target_pause: Duration::from_millis(180),
+    }
+}
+
+/// Chooses engines for `count` runs that all go on, and returns the chosen ones by number.
+fn place(pool: &mut Pool, work: Work, count: u64) -> Vec<usize> {
+    let choose = |seed| {
+        let now = after(seed);
+        let chosen = pool.choose(&criteria(work), seed * 7_919, now).unwrap();
+        pool.record_start(&chosen.id, work, now);
+        pool.record_answer(&chosen.id, work);
+        chosen.id[2..].parse().unwrap()
+    };
+    (0..count).map(choose).collect()
+}
+
+/// Guards against a lasting speed that follows transient slowdowns or the rounding of events
+/// between two polls.
+#[test]
+fn event_us_of_uneven_engines() {
+    for speed_percent in [50, 55, 80, 100, 120, 200] {
+        let event_us = NOMINAL_US * 100 / speed_percent;
+        let meter = measured(event_us, 10_000);
+        let found = f64::from(meter.event_us(after(10_000)).unwrap()) / event_us as f64;
+        assert!((0.9..1.1).contains(&found), "{speed_percent}%: {found}");
+    }
+}
+
+/// Guards against a value from too few samples, and against one that lapses while the engine
+/// is idle for a moment.
+#[test]
+fn event_us_few_samples() {
+    assert_eq!(measured(NOMINAL_US, 600).event_us(after(600)), None);
+    let mut meter = measured(NOMINAL_US, 5_000);
+    let known = meter.event_us(after(5_000));
+    assert!(known.is_some());
+    meter.record(Reading {
+        runs: Vec::new(),
+        ..reading(NOMINAL_US, 60_000)
+    });
+    assert_eq!(meter.event_us(after(60_000)), known);
+    assert_eq!(meter.event_us(after(400_000)), None);
+}
+
+/// Guards against counting the steps that a prefill lengthens: those of a report with a run in
+/// prefill, and those before a run that is new in decode.
+#[test]
+fn event_us_during_prefill() {
+    let mut computing = Meter::default();
+    let mut joining = Meter::default();
+    for millis in (0..=10_000).step_by(100) {
+        computing.record(Reading {
+            computing: u32::from(millis % 200 == 0),
+            ..reading(NOMINAL_US, millis)
+        });
+        let mut joined = reading(NOMINAL_US, millis);
+        joined.runs[0].id = format!("r-{millis}").into();
+        joining.record(joined);
+    }
+    assert_eq!(computing.event_us(after(10_000)), None);
+    assert_eq!(joining.event_us(after(10_000)), None);
+}
+
+/// Guards against the speed of an engine that was replaced at its address.
+#[test]
+fn event_us_new_incarnation() {
+    let mut meter = measured(NOMINAL_US, 5_000);
+    meter.record(Reading {
+        born_ms: 2,
+        ..reading(NOMINAL_US, 5_100)
+    });
+    assert_eq!(meter.event_us(after(5_100)), None);
+    let mut pool = pool(&[30_000, 30_000, 70_000]);
+    assert_eq!(pool.speed(START).slow, 1);
+    let successor = Report {
+        born_ms: 2,
+        ..report(0)
+    };
+    pool.report("e-002", successor, START);
+    assert_eq!(pool.speed(START).slow, 0);
+}
+
+/// Guards against forgetting the speed of an engine that is idle, and against relying on it
+/// for ever when its sidecar is lost.
+#[test]
+fn speed_without_value() {
+    let mut pool = pool(&[30_000, 30_000, 70_000]);
+    pool.report("e-002", report(0), after(100));
+    assert_eq!(pool.speed(after(30_000)).slow, 1);
+    assert_eq!(pool.speed(after(30_001)).slow, 0);
+}
+
+/// Guards against any other choice than without speeds where no engine is slow, whatever the
+/// other values are: close together, partly unknown, or one absurdly fast.
+#[test]
+fn choose_none_slow() {
+    let pools = [
+        pool(&[0; 12]),
+        pool(&[
+            30_000, 38_000, 41_000, 0, 30_000, 35_000, 30_000, 36_000, 0, 30_000, 33_000, 40_000,
+        ]),
+        pool(&[
+            30_000, 30_000, 1, 30_000, 30_000, 30_000, 30_000, 30_000, 0, 30_000, 30_000, 30_000,
+        ]),
+        pool(&[1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0]),
+    ];
+    let mut placed = pools.map(|mut pool| {
+        let long = place(&mut pool, LONG, 40);
+        let copies: Vec<_> = (0..40)
+            .map(|seed| pool.backup("e-000", Purpose::Migration, &criteria(LONG), seed, START))
+            .map(|copy| copy.map(|copy| Arc::clone(&copy.id)))
+            .collect();
+        (long, place(&mut pool, SHORT, 40), copies)
+    });
+    let first = placed[0].clone();
+    assert!(placed.iter_mut().all(|other| *other == first));
+}
+
+/// Compares the choice by measured speeds with the one without and with one that knows the
+/// speeds: of 24 engines of half to twice the nominal speed, a quarter is slow.
+#[test]
+fn choose_measured() {
+    let speeds = [50, 110, 55, 120, 115, 100, 120, 105];
+    let times_us: Vec<u64> = (0..24)
+        .map(|number| NOMINAL_US * 100 / speeds[number % 8])
+        .collect();
+    let exact: Vec<u32> = times_us.iter().map(|time| *time as u32).collect();
+    let found: Vec<u32> = times_us
+        .iter()
+        .map(|time| measured(*time, 8_000).event_us(after(8_000)).unwrap())
+        .collect();
+    let at_slow = |times: &[u32], work, count| {
+        let placed = place(&mut pool(times), work, count);
+        placed
+            .iter()
+            .filter(|number| speeds[**number % 8] < 60)
+            .count()
+    };
+    let (unknown, known, measured) = (
+        at_slow(&[0; 24], LONG, 60),
+        at_slow(&exact, LONG, 60),
+        at_slow(&found, LONG, 60),
+    );
+    println!(
+        "60 long runs, at slow engines: {unknown} unknown, {known} known, {measured} measured"
+    );
+    assert!(unknown >= 10 && known <= 2 && measured <= known + 1);
+    // Short runs use slow engines too.
+    assert!(at_slow(&found, SHORT, 60) >= 10);
+    // Without room at the others, long runs go to slow engines rather than nowhere.
+    assert!(at_slow(&found, LONG, 180) >= 20);
+}
+
+/// Guards against a wrong speed that floods an engine or takes it out of use.
+#[test]
+fn choose_wrong_speed() {
+    let share = |event_us, others: u32| {
+        let mut times_us = [others; 12];
+        times_us[5] = event_us;
+        times_us[6] = 70_000;
+        let placed = place(&mut pool(&times_us), LONG, 72);
+        placed.iter().filter(|number| **number == 5).count()
+    };
+    let fair = share(30_000, 30_000);
+    for wrong_us in [0, 1, 14_000, 16_000, 20_000] {
+        assert!(share(wrong_us, 30_000).abs_diff(fair) <= 3, "{wrong_us}");
+    }
+    // One that is taken for slow still gets what the others have no room for.
+    assert!((1..fair).contains(&share(u32::MAX, 30_000)));
+}
+
+/// Guards against copies and migrations of long runs to slow engines while others have room,
+/// and against losing a run because only a slow one has room.
+#[test]
+fn backup_slow() {
+    let mut times_us = [30_000; 8];
+    times_us[1] = 70_000;
+    times_us[2] = 65_000;
+    let count_slow = |work, purpose| {
+        let pool = pool(&times_us);
+        let targets =
+            (0..100).filter_map(|seed| pool.backup("e-000", purpose, &criteria(work), seed, START));
+        targets
+            .filter(|target| ["e-001", "e-002"].contains(&&*target.id))
+            .count()
+    };
+    for purpose in [Purpose::Standby, Purpose::Migration] {
+        assert_eq!(count_slow(LONG, purpose), 0);
+        assert!(count_slow(SHORT, purpose) > 0);
+    }
+    let mut full = pool(&times_us);
+    for number in (0..8).filter(|number| ![1, 2].contains(number)) {
+        let full_report = Report {
+            used_tokens: MEMORY_TOKENS,
+            ..report(30_000)
+        };
+        full.report(&endpoint(number).id, full_report, START);
+    }
+    let target = full.backup("e-000", Purpose::Migration, &criteria(LONG), 1, START);
+    assert!(target.is_some());
+}
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -67,6 +67,7 @@
         tried: &[],
         candidates: &[],
         side: Side::Baseline,
+        target_pause: Duration::from_millis(180),
     }
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -9,7 +9,7 @@
     digest::Digest,
     pool::{Criteria, Endpoint, Outcome, Work},
     rollout::Side,
-    site::Route,
+    site::{Kind, Route},
 };
 use cactusroad_platform::replica::{Call, Fate, Source};
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
@@ -74,6 +74,16 @@
             tried,
             candidates,
             side: self.side,
+            target_pause: self.target_pause(),
+        }
+    }
+
+    /// Returns the pause between two events above which the response is late; zero unless it
+    /// is a stream.
+    pub(crate) fn target_pause(&self) -> Duration {
+        match self.route.kind {
+            Kind::Stream => Duration::from_millis(self.route.target_itl_ms),
+            Kind::Once | Kind::Idempotent => Duration::ZERO,
         }
     }
 
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -74,6 +74,7 @@
             request_id: Arc::clone(&job.request_id),
             data_centre: Arc::clone(&job.data_centre),
             work: job.work,
+            target_pause: job.target_pause(),
             engine: Arc::clone(engine),
             progress: Arc::clone(&progress),
         };
@@ -142,6 +143,7 @@
     request_id: Arc<str>,
     data_centre: Arc<str>,
     work: Work,
+    target_pause: Duration,
     engine: Arc<Endpoint>,
     progress: Arc<Mutex<Progress>>,
 }
@@ -160,6 +162,7 @@
             tried: &[],
             candidates: &candidates,
             side,
+            target_pause: self.target_pause,
         };
         let seed = rand::random();
         let target = self.shard.pool().backup(
