--- a/tests/gateway/sidecar.rs
+++ b/tests/gateway/sidecar.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use cactusroad::{
-    platform::standin::store::Behaviour,
+    platform::standin::{operator::with_timeout, store::Behaviour},
     wire::{self, sidecar::Load},
 };
+use futures_util::future::join_all;
 use http::StatusCode;
 use tokio::time::{Instant, sleep};
 
-use crate::site::{Answer, Site, full_stream};
+use crate::site::{Answer, Site, config, full_stream};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -87,6 +88,38 @@
     }
 }
 
+/// Guards against long streams at an engine whose sidecar has measured that it is slow.
+#[tokio::test]
+async fn sidecar_reports_slow_engine() {
+    const EVENTS: u64 = 80;
+    let mut site = Site::start_with_sidecars(2, EVENTS, EVENT_INTERVAL).await;
+    site.store
+        .put("config", "main", with_timeout(config(2), 30_000));
+    let slow = site
+        .add_engine("e-9", EVENTS, Duration::from_millis(60))
+        .await;
+    site.engines.push(slow);
+    sleep(Duration::from_millis(600)).await;
+    // Each engine gets one stream, from which its sidecar measures it.
+    let sender = site.sender();
+    let ids = ["s0", "s1", "s2"];
+    let streams = ids.map(|id| sender.send("/drafts/1", id));
+    join_all(streams).await;
+    assert_eq!(
+        ids.iter().filter(|id| site.engine_running(id) == 2).count(),
+        1
+    );
+    let answer = site.get(site.sidecar(2), "/load").await;
+    let event_us = load(&answer.expect("the sidecar answers")).event_us;
+    assert!((55_000..75_000).contains(&event_us), "{event_us}");
+    let ids = ["s3", "s4", "s5", "s6"];
+    let streams = ids.map(|id| sender.send("/drafts/1", id));
+    join_all(streams).await;
+    for id in ids {
+        assert!(site.engine_running(id) < 2, "{id}");
+    }
+}
+
 #[tokio::test]
 async fn sidecar_announces_during_store_outage() {
     let mut site = Site::start_with_sidecars(1, 20, EVENT_INTERVAL).await;
