Log and count slow engines

The load line of a service and the placed line of a request show the speeds that choices are made from; cactusroad_slow_engines counts the slow engines.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,7 @@
     pub(crate) config_version: IntGauge,
     pub(crate) endpoints: IntGauge,
     pub(crate) open_requests: IntGauge,
+    pub(crate) slow_engines: IntGauge,
 }
 
 impl Metrics {
@@ -102,6 +103,10 @@
             config_version: gauge("cactusroad_config_version", "The configuration in force."),
             endpoints: gauge("cactusroad_endpoints", "Endpoints that are listed."),
             open_requests: gauge("cactusroad_open_requests", "Requests without an answer."),
+            slow_engines: gauge(
+                "cactusroad_slow_engines",
+                "Engines that are slow compared with others of their service.",
+            ),
             registry,
         }
     }
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -92,6 +92,7 @@
         let Some(site) = state.site.load_full() else {
             continue;
         };
+        let mut slow_engines = 0;
         for service in site
             .services()
             .iter()
@@ -101,7 +102,7 @@
                 continue;
             };
             if count == 0 {
-                log_load(&shard);
+                slow_engines += log_load(&shard);
             }
             if is_store_unreachable {
                 let in_use = shard.pool().engines_in_use();
@@ -113,6 +114,10 @@
                 .await;
             }
         }
+        if count == 0 {
+            let slow_engines = i64::try_from(slow_engines).unwrap_or(i64::MAX);
+            state.metrics.slow_engines.set(slow_engines);
+        }
     }
 }
 
@@ -235,8 +240,9 @@
     });
 }
 
-/// Logs the last reports of the engines of a service, summed up.
-fn log_load(shard: &Shard) {
+/// Logs the last reports of the engines of a service, summed up. Returns the number of slow
+/// engines.
+fn log_load(shard: &Shard) -> usize {
     let mut sum = Report::default();
     let (mut engines, mut oldest_report_ms, mut fullest) = (0, 0, 0.0f64);
     for (report, age) in shard
@@ -252,6 +258,7 @@
         fullest = fullest.max(report.used_tokens as f64 / report.memory_tokens.max(1) as f64);
         oldest_report_ms = oldest_report_ms.max(age);
     }
+    let speed = shard.pool().speed(clock::now());
     record::write(&Event::Load {
         service: &shard.service,
         engines,
@@ -261,5 +268,9 @@
         memory_tokens: sum.memory_tokens,
         fullest: (fullest * 1e3).round() / 1e3,
         oldest_report_ms,
+        reference_us: speed.reference_us,
+        known_speeds: speed.known,
+        slow_engines: speed.slow,
     });
+    speed.slow
 }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -97,6 +97,12 @@
         /// The largest share of KV cache memory in use at any engine.
         fullest: f64,
         oldest_report_ms: u64,
+        /// The time per event that engines are compared with, in microseconds; zero if no
+        /// engine's is known.
+        reference_us: u32,
+        /// The number of engines whose time per event is known.
+        known_speeds: usize,
+        slow_engines: usize,
     },
     /// An entry of the endpoint list is not a valid endpoint.
     EntryUnreadable { name: &'a str, cause: &'a str },
@@ -210,6 +216,8 @@
     running: u32,
     waiting: u32,
     used_tokens: u64,
+    /// The last known time per event in microseconds; zero if unknown.
+    event_us: u32,
 }
 
 impl Snapshot {
@@ -223,6 +231,7 @@
             running: report.running,
             waiting: report.waiting,
             used_tokens: report.used_tokens,
+            event_us: view.event_us.unwrap_or(0),
         }
     }
 }
