--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -2,6 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use rand::{
+    SeedableRng,
+    seq::{IndexedRandom, SliceRandom},
+};
+use rand_chacha::ChaCha8Rng;
+
 use super::{Endpoint, Member, Pool, Work, pace::Scale};
 use crate::{Time, rollout::Side};
 
@@ -53,28 +59,6 @@
             .any(|endpoint| endpoint.id == member.endpoint.id)
 }
 
-/// A pseudo-random number generator (SplitMix64).
-struct Rng(u64);
-
-impl Rng {
-    /// Returns a number below `bound`, or zero if `bound` is zero.
-    fn below(&mut self, bound: usize) -> usize {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^= mixed >> 31;
-        ((u128::from(mixed) * bound as u128) >> 64) as usize
-    }
-
-    fn shuffle<T>(&mut self, items: &mut [T]) {
-        for index in 0..items.len() {
-            let partner = index + self.below(items.len() - index);
-            items.swap(index, partner);
-        }
-    }
-}
-
 impl Pool {
     /// Chooses an endpoint; `seed` must be random.
     ///
@@ -87,7 +71,7 @@
         seed: u64,
         now: Time,
     ) -> Result<Arc<Endpoint>, Refusal> {
-        let mut rng = Rng(seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
         if self.is_engine && self.memory_tokens > 0 && criteria.work.prompt > self.memory_tokens {
             return Err(Refusal::TooLarge);
         }
@@ -128,7 +112,7 @@
             .fold(f64::INFINITY, f64::min);
         let limit = best + best.abs() * self.config.tie_share + f64::EPSILON;
         scored.retain(|(score, _)| *score <= limit);
-        match scored.get(rng.below(scored.len())) {
+        match scored.choose(&mut rng) {
             Some((_, member)) => Ok(Arc::clone(&member.endpoint)),
             None if eligible > 0 => Err(Refusal::Exhausted),
             None => Err(Refusal::Empty),
@@ -154,7 +138,7 @@
         seed: u64,
         now: Time,
     ) -> Option<Arc<Endpoint>> {
-        let mut rng = Rng(seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let limit = match purpose {
             Purpose::Standby => self.config.copy_share,
             Purpose::Migration => self.config.rescue_share,
@@ -198,7 +182,7 @@
             let spread = if is_slow(member) { 0.0 } else { spread };
             *score <= best + spread
         });
-        let chosen = scored.get(rng.below(scored.len()));
+        let chosen = scored.choose(&mut rng);
         chosen.map(|(_, member)| Arc::clone(&member.endpoint))
     }
 
@@ -214,7 +198,7 @@
         seed: u64,
         now: Time,
     ) -> Vec<Arc<Endpoint>> {
-        let mut rng = Rng(seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let is_available = |member: &&Member| {
             self.is_eligible(member, now)
                 && self.is_on(side, member)
@@ -227,8 +211,8 @@
         let available = self.members.iter().filter(is_available);
         let (mut remote, mut sampled): (Vec<&Member>, Vec<&Member>) =
             available.partition(is_remote);
-        rng.shuffle(&mut sampled);
-        rng.shuffle(&mut remote);
+        sampled.shuffle(&mut rng);
+        remote.shuffle(&mut rng);
         sampled.append(&mut remote);
         sampled.truncate(self.config.choices.max(1));
         sampled
@@ -239,11 +223,11 @@
 
     /// Reduces engine candidates to a small random sample, so that gateways with the
     /// same reports do not all choose the same engine. Plain services are not reduced.
-    fn retain_sample(&self, candidates: &mut Vec<(f64, &Member)>, rng: &mut Rng) {
+    fn retain_sample(&self, candidates: &mut Vec<(f64, &Member)>, rng: &mut ChaCha8Rng) {
         if !self.is_engine {
             return;
         }
-        rng.shuffle(candidates);
+        candidates.shuffle(rng);
         candidates.truncate(self.config.choices.max(1));
     }
 
