Merge the speeds of engines in the choice of an engine

Cause: long streams were late by a pause at slow engines, because all engines counted as equally fast.

--- a/crates/core/tests/admit.rs
+++ b/crates/core/tests/admit.rs
@@ -352,6 +352,7 @@
                 pool.report(&candidate.id, report, now);
             }
             let criteria = Criteria {
+                target_pause: Duration::ZERO,
                 work: request.work,
                 data_centre: "dc",
                 tried: &[],
@@ -547,6 +548,7 @@
         );
     }
     let criteria = Criteria {
+        target_pause: Duration::ZERO,
         work: LONG,
         data_centre: "dc",
         tried: &[],
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     pub(crate) open_requests: IntGauge,
     pub(crate) waiting_requests: IntGauge,
     pub(crate) waits: HistogramVec,
+    pub(crate) slow_engines: IntGauge,
 }
 
 impl Metrics {
@@ -114,6 +115,10 @@
                 "Requests that wait for capacity.",
             ),
             waits: register(&registry, waits.expect("the name of a metric is valid")),
+            slow_engines: gauge(
+                "cactusroad_slow_engines",
+                "Engines that are slow compared with others of their service.",
+            ),
             registry,
         }
     }
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -21,8 +21,8 @@
     rollout::Side,
 };
 use cactusroad_platform::replica::{self, Observer};
-use futures_util::future::join_all;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
+use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until};
 
 use crate::{
     clock, peer,
@@ -35,6 +35,10 @@
 /// hundredth of the time within which the first event of a stream is due.
 const CHOICE_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// How long a run that goes on elsewhere waits for further reports once there is one: a few
+/// round trips between data centres. The caller's stream pauses meanwhile.
+const RESUME_POLL_TIMEOUT: Duration = Duration::from_millis(10);
+
 /// How long a choice waits for a sidecar before it asks the engine itself: a few round
 /// trips between data centres.
 const SIDECAR_TIMEOUT: Duration = Duration::from_millis(12);
@@ -82,6 +86,46 @@
     poll(shard, endpoint, CHOICE_TIMEOUT).await;
 }
 
+/// Samples engines of a version and polls them like [`candidates`], but waits for slow ones for a
+/// shorter time and returns only those that have answered. All sampled engines are returned if
+/// none has; they are then avoided.
+pub(crate) async fn answering_candidates(
+    shard: &Arc<Shard>,
+    tried: &[Arc<str>],
+    side: Side,
+) -> Vec<Arc<Endpoint>> {
+    let sampled = shard
+        .pool()
+        .sample(tried, None, side, rand::random(), clock::now());
+    // Tasks, so that polls that are not waited for still record their outcome.
+    let mut polls: FuturesUnordered<_> = sampled
+        .iter()
+        .map(|endpoint| {
+            let (shard, endpoint) = (Arc::clone(shard), Arc::clone(endpoint));
+            tokio::spawn(async move {
+                let has_answered = poll(&shard, &endpoint, CHOICE_TIMEOUT).await;
+                has_answered.then_some(endpoint)
+            })
+        })
+        .collect();
+    let mut answered = Vec::new();
+    let limit = clock::now() + RESUME_POLL_TIMEOUT;
+    loop {
+        tokio::select! {
+            biased;
+            polled = polls.next() => match polled {
+                Some(found) => answered.extend(found.ok().flatten()),
+                None => break,
+            },
+            () = sleep_until(clock::instant(limit)), if !answered.is_empty() => break,
+        }
+    }
+    if answered.is_empty() {
+        return sampled;
+    }
+    answered
+}
+
 /// Polls the engines that hold runs while the store is unreachable, and logs the load.
 pub(crate) async fn run(state: Arc<State>) {
     let mut ticks = interval(OUTAGE_POLL_INTERVAL);
@@ -97,6 +141,7 @@
         let Some(site) = state.site.load_full() else {
             continue;
         };
+        let mut slow_engines = 0;
         for service in site
             .services()
             .iter()
@@ -106,7 +151,7 @@
                 continue;
             };
             if count == 0 {
-                log_load(&shard);
+                slow_engines += log_load(&shard);
             }
             if is_store_unreachable {
                 let in_use = shard.pool().engines_in_use();
@@ -118,11 +163,15 @@
                 .await;
             }
         }
+        if count == 0 {
+            let slow_engines = i64::try_from(slow_engines).unwrap_or(i64::MAX);
+            state.metrics.slow_engines.set(slow_engines);
+        }
     }
 }
 
-/// Polls one engine and records the report in the pool.
-async fn poll(shard: &Arc<Shard>, endpoint: &Arc<Endpoint>, timeout: Duration) {
+/// Polls one engine and records the report in the pool. Returns whether the engine answered.
+async fn poll(shard: &Arc<Shard>, endpoint: &Arc<Endpoint>, timeout: Duration) -> bool {
     let mut probe = shard
         .take_idle_probe(&endpoint.id)
         .filter(|probe| probe.address == endpoint.address)
@@ -132,10 +181,12 @@
             let change = shard.pool().report(&endpoint.id, report, clock::now());
             shard.record_change(&endpoint.id, change, "report");
             shard.put_idle_probe(&endpoint.id, probe);
+            true
         }
         Err(cause) => {
             log::debug!("no load report from endpoint {}: {cause}", endpoint.id);
             shard.pool().record_unreachable(&endpoint.id, clock::now());
+            false
         }
     }
 }
@@ -240,8 +291,9 @@
     });
 }
 
-/// Logs the last reports of the engines of a service, summed up.
-fn log_load(shard: &Shard) {
+/// Logs the last reports of the engines of a service, summed up. Returns the number of slow
+/// engines.
+fn log_load(shard: &Shard) -> usize {
     let mut sum = Report::default();
     let (mut engines, mut oldest_report_ms, mut fullest) = (0, 0, 0.0f64);
     for (report, age) in shard
@@ -257,6 +309,7 @@
         fullest = fullest.max(report.used_tokens as f64 / report.memory_tokens.max(1) as f64);
         oldest_report_ms = oldest_report_ms.max(age);
     }
+    let speed = shard.pool().speed(clock::now());
     record::write(&Event::Load {
         service: &shard.service,
         engines,
@@ -266,5 +319,9 @@
         memory_tokens: sum.memory_tokens,
         fullest: (fullest * 1e3).round() / 1e3,
         oldest_report_ms,
+        reference_us: speed.reference_us,
+        known_speeds: speed.known,
+        slow_engines: speed.slow,
     });
+    speed.slow
 }
