Measure engines within their first second, and keep prefills off exposed runs

Cause, from event times of the deployment with uneven engines: a quarter needs 15 ms for an event and the others 33 ms; a prefill (2.2) in a slow spell (2.5) makes an event of the others just longer than 180 ms. The threshold of 45 ms lay above both, most engines were replaced before they were measured, and a random sample often had no fast engine. Change: the low samples of a meter count, two are enough; a long run samples fast engines first; an unknown engine gets two runs; prompts cost more where runs at slow engines are exposed to them. Requests that may wait are refused on arrival only if one in ten would be in time.

--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -35,6 +35,10 @@
 /// polling.
 const FRESH_REPORT_AGE: Duration = Duration::from_millis(100);
 
+/// A request is refused on arrival if its expected wait exceeds the time that it may wait by
+/// this factor.
+const HOPELESS_FACTOR: u32 = 10;
+
 /// How many times its fair share a workspace may take before it yields to others.
 const FAIR_FACTOR: u64 = 2;
 
@@ -292,12 +296,14 @@
     }
 
     /// Returns whether the expected wait of a request that found no capacity is so long that it
-    /// is refused at once: more than twice the time that it may wait.
+    /// is refused at once: many times the time that it may wait. Waiting requests are admitted
+    /// in random order, so that four in ten are in time when the expected wait is twice the
+    /// time that is left, and one in ten when it is ten times.
     pub fn is_hopeless(&self, claim: &Claim, now: Time) -> bool {
         let left = self.waits_until(claim).since(now);
         self.queue
             .expected_wait(now)
-            .is_some_and(|wait| wait > left.saturating_mul(2))
+            .is_some_and(|wait| wait > left.saturating_mul(HOPELESS_FACTOR))
     }
 
     /// Returns when a request that found no capacity should be sent again: after the expected
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -51,6 +51,13 @@
     Cold,
 }
 
+/// The runs at an engine of unknown speed from which it counts as slow, if some engines are: an
+/// engine that has just joined is empty, and would get many long runs before it is measured.
+const UNTESTED_RUNS: f64 = 2.0;
+
+/// The factor by which slowness lengthens the expected wait of prompts at most.
+const MAX_SLOWDOWN: f64 = 2.5;
+
 /// Returns whether a member is among the candidates; an empty list allows every member.
 fn allows(candidates: &[Arc<Endpoint>], member: &Member) -> bool {
     candidates.is_empty()
@@ -147,8 +154,7 @@
         let source_data_centre = source.as_ref().map(|source| &source.data_centre);
         // A run continues only at an engine with the weights that it began with.
         let side = source.as_ref().map(|source| self.side_of(&source.version));
-        let is_long = criteria.work.output >= self.config.long_run_events;
-        let scale = self.uneven(now).filter(|_| is_long);
+        let scale = self.uneven(now).filter(|_| self.is_long(criteria.work));
         let is_slow = |member: &Member| {
             scale.is_some_and(|scale| scale.is_slow(member.event_us(&self.config, now)))
         };
@@ -197,6 +203,23 @@
         side: Side,
         seed: u64,
         now: Time,
+    ) -> Vec<Arc<Endpoint>> {
+        self.sample_for(Work::default(), tried, near, side, seed, now)
+    }
+
+    /// Samples endpoints like [`Pool::sample`] for a request with this work.
+    ///
+    /// If some engines are slow and the run is long, more than half of the sample are engines
+    /// that are known not to be slow, as far as there are any. Answers the load pattern in which
+    /// most engines are slow: a sample often has none of the others, although they have room.
+    pub fn sample_for(
+        &self,
+        work: Work,
+        tried: &[Arc<str>],
+        near: Option<&str>,
+        side: Side,
+        seed: u64,
+        now: Time,
     ) -> Vec<Arc<Endpoint>> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let is_available = |member: &&Member| {
@@ -214,7 +237,20 @@
         sampled.shuffle(&mut rng);
         remote.shuffle(&mut rng);
         sampled.append(&mut remote);
-        sampled.truncate(self.config.choices.max(1));
+        let count = self.config.choices.max(1);
+        if let Some(scale) = self.uneven(now).filter(|_| self.is_long(work)) {
+            let is_fast = |member: &&Member| {
+                let known = member.event_us(&self.config, now);
+                known.is_some() && !scale.is_slow(known)
+            };
+            let (mut first, others): (Vec<&Member>, Vec<&Member>) =
+                sampled.into_iter().partition(is_fast);
+            let spare = first.split_off(first.len().min(count / 2 + 1));
+            first.extend(others);
+            first.extend(spare);
+            sampled = first;
+        }
+        sampled.truncate(count);
         sampled
             .into_iter()
             .map(|member| Arc::clone(&member.endpoint))
@@ -276,9 +312,17 @@
         let overflow = (self.memory_use(member, criteria.work, now) - config.memory_share).max(0.0);
         let memory = self.memory_tokens.max(1) as f64;
         let (slowdown, pauses) = scale.map_or((1.0, 0.0), |scale| {
-            let known = member.event_us(config, now);
+            let is_untested = member.event_us(config, now).is_none() && running >= UNTESTED_RUNS;
+            let known = if is_untested {
+                Some(u32::MAX)
+            } else {
+                member.event_us(config, now)
+            };
             let slowdown = f64::from(scale.event_us(known)) / f64::from(scale.reference_us.max(1));
-            (slowdown, self.pause_tokens(criteria, scale, known))
+            let exposed_runs = if scale.is_slow(known) { running } else { 0.0 };
+            let pauses = self.pause_tokens(criteria, scale, known)
+                + exposed_runs * config.exposed_run_tokens;
+            (slowdown.min(MAX_SLOWDOWN), pauses)
         });
         prompts * slowdown
             + pauses.min(memory)
@@ -302,6 +346,10 @@
         criteria.work.output as f64 * excess_us / self.config.prompt_token_us
     }
 
+    fn is_long(&self, work: Work) -> bool {
+        work.output >= self.config.long_run_events
+    }
+
     /// Returns the comparison of the engines' speeds if any of them is slow.
     fn uneven(&self, now: Time) -> Option<Scale> {
         if !self.is_engine {
--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -90,12 +90,15 @@
     /// third at equal engines.
     pub slow_ratio: f64,
     /// The share of a route's target pause above which an event is taken to be late at times;
-    /// 0.25 by default: a prefill doubles the time of a step, and a transient slowdown makes it
-    /// two and a half times as long.
+    /// 0.16 by default: a prefill lengthens a step by a factor of 2.2 and a transient slowdown
+    /// by 2.5, and a batch of many runs takes the rest.
     pub pause_share: f64,
     /// The time that an engine takes for one token of a prompt, in microseconds; 100 by
     /// default. It converts the expected loss by pauses to prompt tokens.
     pub prompt_token_us: f64,
+    /// The cost of a prefill for each run that it may delay beyond its target pause at a slow
+    /// engine, in prompt tokens; 3,000 by default, about a prompt.
+    pub exposed_run_tokens: f64,
     /// The penalty on a copy of a long run at a slow engine, as a share of memory; 0.5 by
     /// default, as for a copy to another data centre.
     pub slow_copy_share: f64,
@@ -136,9 +139,10 @@
             retry_min_ms: 5_000,
             retry_max_ms: 12_000,
             slow_ratio: 1.4,
-            pause_share: 0.25,
+            pause_share: 0.16,
             prompt_token_us: 100.0,
             slow_copy_share: 0.5,
+            exposed_run_tokens: 3_000.0,
             long_run_events: 100,
             speed_life_ms: 30_000,
         }
@@ -188,6 +192,7 @@
         }
         let weights = [
             ("running_tokens", self.running_tokens),
+            ("exposed_run_tokens", self.exposed_run_tokens),
             ("overflow_weight", self.overflow_weight),
             ("distance_tokens", self.distance_tokens),
             ("distance_ms", self.distance_ms),
--- a/crates/core/src/pool/pace.rs
+++ b/crates/core/src/pool/pace.rs
@@ -2,28 +2,34 @@
 //!
 //! Engines differ in speed for as long as they live (hardware, neighbours on the host), and are
 //! slow for moments. Only the lasting part may decide where a long run goes: a moment is over
-//! before a run that was placed because of it has ended. [`Meter`] therefore keeps the median
-//! of samples over several seconds, and takes a sample only while nothing is in prefill, which
-//! lengthens the steps of all runs without saying anything about the engine.
+//! before a run that was placed because of it has ended. [`Meter`] therefore keeps the lower
+//! eighth of samples over several seconds: moments, and prefills that are not seen, only make a
+//! sample longer. It takes a sample only while nothing is in prefill, which lengthens the steps
+//! of all runs without saying anything about the engine.
 //!
-//! Answers the load pattern in which a quarter of the engines is lastingly half as fast, while
-//! others are slow for a part of a second at a time. The trade-off: an engine that turns slow
-//! for good is noticed after several seconds, and one without long runs is not measured.
+//! Answers the load pattern in which some engines are lastingly half as fast as others, all are
+//! slow for a part of a second at a time, and engines are replaced every twenty seconds, so that
+//! an engine must be known after its first second of work. The trade-off: an engine that turns
+//! slow for good is noticed after several seconds, and one without long runs is not measured.
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use crate::Time;
 
-/// The maximum number of samples of which the median is taken.
+/// The maximum number of samples that are kept.
 const MAX_SAMPLES: usize = 32;
 
-/// The number of samples below which there is no median.
-const MIN_SAMPLES: usize = 4;
+/// The number of samples below which there is no value.
+const MIN_SAMPLES: usize = 2;
+
+/// The value is the sample below which one in this many samples lies. The lowest sample could
+/// be an error of measurement.
+const LOW_SAMPLES: usize = 8;
 
 /// The age at which a sample no longer counts.
 const SAMPLE_LIFE: Duration = Duration::from_secs(10);
 
-/// How long a median holds without a new one, while the engine is idle or runs only requests
+/// How long a value holds without a new one, while the engine is idle or runs only requests
 /// too short to measure. A slow engine gets only such requests, so a shorter time would send it
 /// a long run whenever its value lapsed.
 const VALUE_LIFE: Duration = Duration::from_secs(300);
@@ -74,7 +80,7 @@
     events: u64,
     /// Microseconds per event and when that was measured, oldest first.
     samples: VecDeque<(Time, u32)>,
-    /// The last median and when it was computed.
+    /// The last value and when it was computed.
     value: Option<(u32, Time)>,
 }
 
@@ -103,7 +109,7 @@
         self.last = Some(reading);
     }
 
-    /// Returns the median time per event in microseconds, if there were enough samples.
+    /// Returns the lasting time per event in microseconds, if there were enough samples.
     pub fn event_us(&self, now: Time) -> Option<u32> {
         let (value, at) = self.value?;
         (now.since(at) <= VALUE_LIFE).then_some(value)
@@ -121,7 +127,7 @@
         if self.samples.len() >= MIN_SAMPLES {
             let mut sorted: Vec<u32> = self.samples.iter().map(|(_, micros)| *micros).collect();
             sorted.sort_unstable();
-            self.value = Some((sorted[sorted.len() / 2], now));
+            self.value = Some((sorted[sorted.len() / LOW_SAMPLES], now));
         }
     }
 }
@@ -136,11 +142,9 @@
     }
     let mut made = Vec::with_capacity(next.runs.len());
     for run in &next.runs {
-        // A run that is new has had its prefill in between.
-        let index = last
-            .runs
-            .binary_search_by(|known| known.id.cmp(&run.id))
-            .ok()?;
+        let Ok(index) = last.runs.binary_search_by(|known| known.id.cmp(&run.id)) else {
+            continue;
+        };
         made.push(run.events.checked_sub(last.runs[index].events)?);
     }
     made.sort_unstable();
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -155,7 +155,8 @@
         let data_centre = is_first.then_some(&*self.engine.data_centre);
         let side = self.shard.pool().side_of(&self.engine.version);
         let tried = slice::from_ref(&self.engine.id);
-        let candidates = observe::candidates(&self.shard, tried, data_centre, side).await;
+        let candidates =
+            observe::candidates(&self.shard, self.work, tried, data_centre, side).await;
         let criteria = Criteria {
             work: self.work,
             data_centre: &self.data_centre,
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -17,7 +17,7 @@
 
 use cactusroad_core::{
     Time,
-    pool::{Endpoint, Report},
+    pool::{Endpoint, Report, Work},
     rollout::Side,
 };
 use cactusroad_platform::replica::{self, Observer};
@@ -65,13 +65,15 @@
 /// them.
 pub(crate) async fn candidates(
     shard: &Arc<Shard>,
+    work: Work,
     tried: &[Arc<str>],
     near: Option<&str>,
     side: Side,
 ) -> Vec<Arc<Endpoint>> {
+    let now = clock::now();
     let sampled = shard
         .pool()
-        .sample(tried, near, side, rand::random(), clock::now());
+        .sample_for(work, tried, near, side, rand::random(), now);
     join_all(
         sampled
             .iter()
@@ -91,12 +93,14 @@
 /// none has; they are then avoided.
 pub(crate) async fn answering_candidates(
     shard: &Arc<Shard>,
+    work: Work,
     tried: &[Arc<str>],
     side: Side,
 ) -> Vec<Arc<Endpoint>> {
+    let now = clock::now();
     let sampled = shard
         .pool()
-        .sample(tried, None, side, rand::random(), clock::now());
+        .sample_for(work, tried, None, side, rand::random(), now);
     // Tasks, so that polls that are not waited for still record their outcome.
     let mut polls: FuturesUnordered<_> = sampled
         .iter()
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -168,7 +168,7 @@
         let engine = Arc::clone(&self.run.endpoint);
         let side = shard.pool().side_of(&engine.version);
         let tried = slice::from_ref(&engine.id);
-        let polled = observe::answering_candidates(&shard, tried, side);
+        let polled = observe::answering_candidates(&shard, self.job.work, tried, side);
         let (stopped, candidates) = tokio::join!(self.stop_run(), polled);
         self.candidates = candidates;
         stopped
@@ -233,7 +233,8 @@
         }
         self.run.reruns = self.run.reruns.saturating_sub(1);
         let tried = [Arc::clone(&self.run.endpoint.id)];
-        self.candidates = observe::candidates(&self.job.shard, &tried, None, self.job.side).await;
+        self.candidates =
+            observe::candidates(&self.job.shard, self.job.work, &tried, None, self.job.side).await;
         let criteria = self.job.criteria(&tried, &self.candidates);
         match self.job.shard.choose(&criteria) {
             Ok(endpoint) => Some(endpoint),
--- a/crates/gateway/src/stream/wait.rs
+++ b/crates/gateway/src/stream/wait.rs
@@ -47,7 +47,7 @@
 pub(super) async fn place(job: &Job, tried: &[Arc<str>]) -> Result<Place, Response<Body>> {
     let mut waiting: Option<Waiting> = None;
     loop {
-        let candidates = observe::candidates(&job.shard, tried, None, job.side).await;
+        let candidates = observe::candidates(&job.shard, job.work, tried, None, job.side).await;
         let endpoint = match job.shard.choose(&job.criteria(tried, &candidates)) {
             Ok(endpoint) => endpoint,
             Err(refusal) => return Err(job.refuse(refusal.into())),
