Judge the endpoints of small plain services by their unanswered calls

An endpoint that hangs half of its calls kept receiving requests until their deadlines passed, because a cancelled call says nothing about an endpoint. core::pool::plain judges calls in flight, limits calls by latency and refusals, returns silent endpoints by trials and expects the drain after a refusal. The score of plain endpoints moves there unchanged. Not yet used by the gateway.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -111,6 +111,7 @@
         if scored.iter().any(|(_, member)| is_candidate(member)) {
             scored.retain(|(_, member)| is_candidate(member));
         }
+        self.retain_answering(&mut scored);
         // Endpoints that are avoided for now are used only if there is no other.
         if scored
             .iter()
@@ -118,6 +119,7 @@
         {
             scored.retain(|(_, member)| member.avoided_until.is_past(now));
         }
+        self.retain_unlimited(&mut scored);
         self.retain_sample(&mut scored, &mut rng);
         let best = scored
             .iter()
@@ -240,7 +242,7 @@
         }
     }
 
-    fn is_on(&self, side: Side, member: &Member) -> bool {
+    pub(super) fn is_on(&self, side: Side, member: &Member) -> bool {
         self.candidate.is_none() || self.side_of(&member.endpoint.version) == side
     }
 
@@ -251,17 +253,12 @@
     /// Returns the cost of sending the request to a member: milliseconds for plain
     /// services, prompt tokens for engines. The lowest score is the best.
     fn score(&self, member: &Member, criteria: &Criteria<'_>, now: Time) -> f64 {
-        let config = &self.config;
-        let is_remote = *member.endpoint.data_centre != *criteria.data_centre;
-        let failures = member.failure_share(config, now);
         if !self.is_engine {
-            let slots = f64::from(member.endpoint.slots.max(1));
-            let utilization = (f64::from(member.running) / slots).max(0.0);
-            let wait = (1.0 + utilization) * member.latency_ms().max(1.0);
-            return wait
-                + failures * config.failure_ms
-                + f64::from(u8::from(is_remote)) * config.distance_ms;
+            return self.plain_score(member, criteria, now);
         }
+        let config = &self.config;
+        let is_remote = *member.endpoint.data_centre != *criteria.data_centre;
+        let failures = member.failure_share(0.0, config, now);
         let (running, prompts) = member.load(config, self.mean_prompt, now);
         let overflow = (self.memory_use(member, criteria.work, now) - config.memory_share).max(0.0);
         let memory = self.memory_tokens.max(1) as f64;
--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -61,6 +61,23 @@
     pub report_lag_ms: u64,
     /// The age above which a report is ignored, in milliseconds; 4,000 by default.
     pub report_life_ms: u64,
+    /// The number of endpoints up to which a plain service counts as small; 8 by default.
+    /// Endpoints of small services are judged by the calls that they leave unanswered.
+    pub small_service: usize,
+    /// The ratio to the mean latency of a plain service above which a call in flight is late;
+    /// 8 by default, well above a transient slowdown by a factor of 2.5.
+    pub late_ratio: f64,
+    /// The share of late calls, of those since the oldest of them, above which an endpoint
+    /// is silent; 0.25 by default.
+    pub silent_share: f64,
+    /// The trial calls that a silent endpoint must answer in a row; 3 by default, so that an
+    /// endpoint that hangs half of its calls returns in one of eight cases.
+    pub trials: u32,
+    /// The ratio of an endpoint's mean latency to its lowest above which its in-flight limit
+    /// is reduced; 2 by default.
+    pub slow_answers: f64,
+    /// The factor by which an in-flight limit is reduced; 0.7 by default.
+    pub limit_factor: f64,
 }
 
 impl Default for Config {
@@ -83,6 +100,12 @@
             avoid_max_ms: 2_400,
             report_lag_ms: 500,
             report_life_ms: 4_000,
+            small_service: 8,
+            late_ratio: 8.0,
+            silent_share: 0.25,
+            trials: 3,
+            slow_answers: 2.0,
+            limit_factor: 0.7,
         }
     }
 }
@@ -110,6 +133,8 @@
             ("rescue_spread", self.rescue_spread),
             ("far_copy_share", self.far_copy_share),
             ("tie_share", self.tie_share),
+            ("silent_share", self.silent_share),
+            ("limit_factor", self.limit_factor),
         ];
         for (field, value) in shares {
             if !(0.0..=1.0).contains(&value) {
@@ -126,6 +151,8 @@
             ("distance_tokens", self.distance_tokens),
             ("distance_ms", self.distance_ms),
             ("failure_ms", self.failure_ms),
+            ("late_ratio", self.late_ratio),
+            ("slow_answers", self.slow_answers),
         ];
         for (field, value) in weights {
             if !(value.is_finite() && value >= 0.0) {
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use super::{Change, Config, Endpoint, Work, cold::Pace};
+use super::{Change, Config, Endpoint, Work, cold::Pace, plain::Health};
 use crate::Time;
 
 /// The maximum number of sent requests kept with their times; reports are taken to
@@ -127,6 +127,8 @@
     pub(super) paused_until: Time,
     /// The requests to the endpoint while it is cold.
     pub(super) pace: Pace,
+    /// The calls to an endpoint of a plain service.
+    pub(super) health: Health,
 }
 
 impl Member {
@@ -152,6 +154,7 @@
             avoided_until: Time::ZERO,
             paused_until: Time::ZERO,
             pace: Pace::default(),
+            health: Health::default(),
         }
     }
 
@@ -289,10 +292,11 @@
         0.5f64.powf(half_lives)
     }
 
-    /// Returns the share of recent requests that failed.
-    pub(super) fn failure_share(&self, config: &Config, now: Time) -> f64 {
+    /// Returns the share of recent requests that failed. `late` requests that are in flight
+    /// count as failed.
+    pub(super) fn failure_share(&self, late: f64, config: &Config, now: Time) -> f64 {
         let factor = self.decay_factor(config, now);
-        self.failures * factor / (self.requests * factor + FAILURE_PRIOR_REQUESTS)
+        (self.failures * factor + late) / (self.requests * factor + late + FAILURE_PRIOR_REQUESTS)
     }
 
     /// Returns the report, unless it is too old, and the number, prompt tokens and total
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -30,7 +30,8 @@
 //!
 //! The score is the expected latency of an answer, plus the cost of a failure
 //! times the share of recent failures. The share decays, so that an endpoint that
-//! failed is tried again, with few requests first.
+//! failed is tried again, with few requests first. Endpoints of small services are also
+//! judged by the calls that they leave unanswered; see [`Pool::judge`].
 //!
 //! # Costs
 //!
@@ -47,6 +48,7 @@
 mod failover;
 mod grace;
 mod member;
+mod plain;
 
 pub use budget::{Budget, Repeat};
 pub use choose::{Criteria, Purpose, Refusal};
@@ -54,6 +56,7 @@
 pub use failover::{Decision, Loss, Reason, Run};
 pub use grace::Grace;
 pub use member::{Outcome, Report, View};
+pub use plain::{Judgement, Notice};
 
 use member::Member;
 
@@ -136,6 +139,8 @@
     removed: Vec<Removed>,
     /// The limit on requests to cold endpoints.
     cold: cold::Limit,
+    /// The answers and refusals of a plain service.
+    flow: plain::Flow,
     /// Random, so that gateways do not begin at the same time.
     seed: u64,
 }
@@ -166,6 +171,7 @@
             candidate: None,
             removed: Vec::new(),
             cold: cold::Limit::default(),
+            flow: plain::Flow::default(),
             seed: 0,
         }
     }
