Use the judgement of endpoints in the gateway for plain services

Calls to plain services are recorded with their target latency. The choice avoids silent endpoints, trial calls are taken from requests that may be repeated, a hedge that the retry budget denied is asked for again while the endpoint is silent, and refusals state the expected drain.

--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -357,6 +357,11 @@
         }
     }
 
+    /// Starts the moving average of the answer latency again from this answer.
+    pub(super) fn restart_latency(&mut self, latency_ms: u64) {
+        self.latency_ms = latency_ms as f64;
+    }
+
     /// Returns the moving average of the answer latency, in milliseconds.
     pub(super) fn latency_ms(&self) -> f64 {
         self.latency_ms
--- a/crates/core/src/pool/plain.rs
+++ b/crates/core/src/pool/plain.rs
@@ -24,15 +24,17 @@
 /// The maximum number of calls remembered that were given up while they were late.
 const MAX_GIVEN_UP: usize = 16;
 
-/// How long a call that was given up counts as evidence.
-const GIVEN_UP_RETENTION: Duration = Duration::from_secs(2);
+/// How long a call that was given up counts as evidence, from when it was sent: several
+/// deadlines, because an endpoint with a call in flight for long gets few others.
+const GIVEN_UP_RETENTION: Duration = Duration::from_secs(6);
 
-/// The weight of a call that was given up, against one that is late in flight: it was
-/// observed for a shorter time.
+/// The weight of a call that was given up before it was late: it was observed for a shorter
+/// time.
 const GIVEN_UP_WEIGHT: f64 = 0.5;
 
-/// The ratio to the usual latency above which a call that is given up counts as evidence.
-const GIVEN_UP_RATIO: f64 = 2.0;
+/// The ratio to the usual latency above which a call in flight raises the expected latency
+/// of its endpoint, and counts as evidence when it is given up.
+const OVERDUE_RATIO: f64 = 2.0;
 
 /// The late calls that are needed before an endpoint counts as silent.
 const MIN_LATE_CALLS: f64 = 2.0;
@@ -49,6 +51,13 @@
 /// How long a lowest latency holds at least; it holds for at most twice as long.
 const LOWEST_WINDOW: Duration = Duration::from_secs(5);
 
+/// How long an endpoint that was slow is judged by its last answers: a transient slowdown
+/// takes less than a second.
+const SLOW_RETENTION: Duration = Duration::from_secs(1);
+
+/// The ratio to its lowest mean latency below which an endpoint is not slow any more.
+const RECOVERED_RATIO: f64 = 1.3;
+
 /// The minimum time between two log lines about the limit of one endpoint.
 const LIMIT_NOTICE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -146,8 +155,8 @@
     calls: Vec<Call>,
     /// When the last answers arrived, oldest first.
     answers: VecDeque<Time>,
-    /// When calls were sent that were given up while they were late, oldest first.
-    given_up: VecDeque<Time>,
+    /// When calls were sent that were given up, oldest first, and their weight as evidence.
+    given_up: VecDeque<(Time, f64)>,
     /// Calls sent before this time are no evidence, because they were judged already.
     judged_until: Time,
     silence: Option<Silence>,
@@ -156,6 +165,9 @@
     /// The lowest mean latency of the last complete window and of the current one.
     lowest_ms: (f64, f64),
     window_ends_at: Time,
+    /// Whether the mean latency has exceeded its lowest by [`Config::slow_answers`], and has
+    /// not come down since.
+    is_slow: bool,
     limit: Option<f64>,
     reduced_at: Time,
     /// The limit in the last log line and the time of that line.
@@ -172,6 +184,22 @@
             .is_some_and(|limit| self.calls.len() as f64 >= limit.floor())
     }
 
+    /// Returns whether the endpoint was slow when it last answered, and that is so long ago
+    /// that one call should find out whether it still is. Its score would otherwise keep
+    /// calls away, and the mean would never change.
+    fn is_outdated(&self, now: Time) -> bool {
+        let is_old = |at: &Time| now.since(*at) >= SLOW_RETENTION;
+        self.is_slow && self.answers.back().is_none_or(is_old)
+    }
+
+    /// Returns the age of the oldest call in flight that takes much longer than usual, in
+    /// milliseconds: the least that the next call may take as well.
+    fn overdue_ms(&self, usual_ms: f64, now: Time) -> Option<f64> {
+        let mut calls = self.calls.iter();
+        let overdue = calls.find(|call| call.exceeds(OVERDUE_RATIO, usual_ms, now))?;
+        Some(now.since(overdue.sent_at).as_secs_f64() * 1e3)
+    }
+
     /// Returns whether a trial call may be sent. Calls that must not be repeated are used only
     /// if no other came for as long again as the pause.
     fn is_trial_due(&self, may_repeat: bool, now: Time) -> bool {
@@ -213,8 +241,8 @@
         let in_flight = self.calls.len();
         let found = self.calls.iter().position(|call| call.sent_at == sent_at);
         let call = found.map(|index| self.calls.remove(index));
-        let was_late = call.is_some_and(|call| {
-            usual_ms.is_some_and(|usual_ms| call.exceeds(GIVEN_UP_RATIO, usual_ms, now))
+        let was_overdue = call.is_some_and(|call| {
+            usual_ms.is_some_and(|usual_ms| call.exceeds(OVERDUE_RATIO, usual_ms, now))
         });
         match outcome {
             Outcome::Answered { latency_ms } => {
@@ -226,25 +254,29 @@
                 let spacing = Duration::from_secs_f64(self.latency_ms / 1e3);
                 self.reduce(in_flight, spacing, config, slots, now);
             }
-            Outcome::Cancelled if was_late => {
+            Outcome::Cancelled if was_overdue => {
+                let is_late =
+                    |call: Call| call.exceeds(config.late_ratio, usual_ms.unwrap_or(f64::MAX), now);
+                let weight = if call.is_some_and(is_late) {
+                    1.0
+                } else {
+                    GIVEN_UP_WEIGHT
+                };
                 if self.given_up.len() == MAX_GIVEN_UP {
                     self.given_up.pop_front();
                 }
-                self.given_up.push_back(sent_at);
+                self.given_up.push_back((sent_at, weight));
             }
-            Outcome::Cancelled
-            | Outcome::Misdirected
-            | Outcome::Unreachable
-            | Outcome::Broken => {}
+            Outcome::Cancelled | Outcome::Misdirected | Outcome::Unreachable | Outcome::Broken => {}
         }
-        self.end_trial(sent_at, outcome, was_late, config, now);
+        self.end_trial(sent_at, outcome, was_overdue, config, now);
     }
 
     fn end_trial(
         &mut self,
         sent_at: Time,
         outcome: Outcome,
-        was_late: bool,
+        was_overdue: bool,
         config: &Config,
         now: Time,
     ) {
@@ -257,7 +289,7 @@
         silence.trial = None;
         match outcome {
             Outcome::Answered { .. } | Outcome::Failed => silence.passed += 1,
-            Outcome::Cancelled if !was_late => {}
+            Outcome::Cancelled if !was_overdue => {}
             _ => silence.extend(config, now),
         }
     }
@@ -298,7 +330,10 @@
             self.window_ends_at = now + LOWEST_WINDOW;
         }
         self.lowest_ms.1 = self.lowest_ms.1.min(self.latency_ms);
-        if self.latency_ms > self.lowest_ms().max(1.0) * config.slow_answers {
+        let lowest_ms = self.lowest_ms().max(1.0);
+        self.is_slow &= self.latency_ms > lowest_ms * RECOVERED_RATIO;
+        if self.latency_ms > lowest_ms * config.slow_answers {
+            self.is_slow = true;
             let spacing = Duration::from_secs_f64(self.latency_ms / 1e3);
             self.reduce(in_flight, spacing, config, slots, now);
         } else if let Some(limit) = &mut self.limit {
@@ -341,12 +376,12 @@
         let given_up = self
             .given_up
             .iter()
-            .filter(|sent_at| now.since(**sent_at) < GIVEN_UP_RETENTION)
-            .map(|sent_at| (*sent_at, GIVEN_UP_WEIGHT));
+            .copied()
+            .filter(|(sent_at, _)| now.since(*sent_at) < GIVEN_UP_RETENTION);
         let (mut weight, mut oldest) = (0.0, now);
-        for (sent_at, share) in late.chain(given_up) {
+        for (sent_at, call_weight) in late.chain(given_up) {
             if sent_at >= self.judged_until {
-                weight += share;
+                weight += call_weight;
                 oldest = oldest.min(sent_at);
             }
         }
@@ -490,6 +525,12 @@
             return;
         };
         let member = &mut self.members[index];
+        if let Outcome::Answered { latency_ms } = outcome
+            && member.health.is_outdated(now)
+        {
+            member.restart_latency(latency_ms);
+            member.health.latency_ms = latency_ms as f64;
+        }
         let slots = member.endpoint.slots;
         let usual_ms = self.flow.usual_ms;
         member
@@ -588,14 +629,22 @@
     pub(super) fn plain_score(&self, member: &Member, criteria: &Criteria<'_>, now: Time) -> f64 {
         let config = &self.config;
         let is_remote = *member.endpoint.data_centre != *criteria.data_centre;
-        let late = match self.flow.usual_ms {
-            Some(usual_ms) if self.is_judged() => member.health.evidence(usual_ms, config, now).0,
-            _ => 0.0,
-        };
+        let mut latency_ms = member.latency_ms();
+        let mut late = 0.0;
+        if self.is_judged() {
+            let health = &member.health;
+            if health.is_outdated(now) && health.calls.is_empty() {
+                latency_ms = latency_ms.min(health.lowest_ms());
+            }
+            if let Some(usual_ms) = self.flow.usual_ms {
+                late = health.evidence(usual_ms, config, now).0;
+                latency_ms = latency_ms.max(health.overdue_ms(usual_ms, now).unwrap_or(0.0));
+            }
+        }
         let failures = member.failure_share(late, config, now);
         let slots = f64::from(member.endpoint.slots.max(1));
         let utilization = (f64::from(member.running) / slots).max(0.0);
-        let wait = (1.0 + utilization) * member.latency_ms().max(1.0);
+        let wait = (1.0 + utilization) * latency_ms.max(1.0);
         wait + failures * config.failure_ms + f64::from(u8::from(is_remote)) * config.distance_ms
     }
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -109,7 +109,11 @@
 
     /// Refuses the request until shortly after `until`.
     fn refuse_until(&self, cause: &str, until: Time) -> Response<Body> {
-        let retry_after = until.since(clock::now()) + reply::retry_after();
+        self.refuse_after(cause, until.since(clock::now()) + reply::retry_after())
+    }
+
+    /// Refuses the request; the caller may retry after `retry_after`.
+    pub(crate) fn refuse_after(&self, cause: &str, retry_after: Duration) -> Response<Body> {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         record::write(&Event::Refused {
             request: &self.request_id,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,8 @@
     pub(crate) resumes: IntCounter,
     pub(crate) migrations: IntCounterVec,
     pub(crate) run_stops: IntCounterVec,
+    pub(crate) judgements: IntCounterVec,
+    pub(crate) trials: IntCounter,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) relay_calls: IntCounterVec,
     pub(crate) first_answer: Histogram,
@@ -54,6 +56,10 @@
             "cactusroad_resumes_total",
             "Runs that went on at another engine.",
         );
+        let trials = IntCounter::new(
+            "cactusroad_trials_total",
+            "Requests sent to a silent endpoint as a trial.",
+        );
         Metrics {
             requests: counter(
                 "cactusroad_requests_total",
@@ -81,6 +87,12 @@
                 "Orders to engines to stop a run before it goes on elsewhere, by outcome.",
                 &["outcome"],
             ),
+            judgements: counter(
+                "cactusroad_endpoint_judgements_total",
+                "Changes in the judgement of endpoints of small plain services.",
+                &["change"],
+            ),
+            trials: register(&registry, trials.expect("the name of a metric is valid")),
             store_calls: counter(
                 "cactusroad_store_calls_total",
                 "Calls to the store.",
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -5,13 +5,16 @@
 //! one has not responded within a share of the target latency. The first complete
 //! response that is not a server error wins, and dropping the connection cancels the
 //! other attempt.
+//!
+//! Endpoints of small services are judged by the calls that they leave unanswered; see
+//! [`Pool::judge`](cactusroad_core::pool::Pool::judge).
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cactusroad_core::{
     Time,
-    pool::{Endpoint, Outcome, Refusal, Repeat},
+    pool::{Endpoint, Judgement, Notice, Outcome, Refusal, Repeat},
     site::Kind,
 };
 use cactusroad_platform::replica::{self, Fate};
@@ -24,7 +27,7 @@
     job::{self, ANSWERED, CONNECT_TIMEOUT, Job, Summary},
     record::{self, Event},
     reply::{self, Body},
-    state::{Reservation, State, Use, time_left},
+    state::{Reservation, Shard, State, Use, time_left},
 };
 
 /// The maximum size of a response that is buffered.
@@ -38,6 +41,9 @@
 /// The share of the target latency after which a request is hedged.
 const HEDGE_DELAY_SHARE: f64 = 0.5;
 
+/// The largest random factor on the time until capacity is expected.
+const RETRY_AFTER_SPREAD: f64 = 1.5;
+
 /// The minimum time left until the deadline for another attempt.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
@@ -72,10 +78,10 @@
     let mut in_flight = FuturesUnordered::new();
     match choose_next(job, &mut progress) {
         Ok(endpoint) => in_flight.push(attempt(job, endpoint, progress.sends)),
-        Err(refusal) => return job.refuse(refusal.into()),
+        Err(refusal) => return refuse(job, refusal.into()),
     }
     let target_latency = Duration::from_millis(job.route.target_latency_ms);
-    let hedge_at = job.arrived_at + target_latency.mul_f64(HEDGE_DELAY_SHARE);
+    let mut hedge_at = job.arrived_at + target_latency.mul_f64(HEDGE_DELAY_SHARE);
     let mut may_hedge = job.route.kind == Kind::Idempotent;
     loop {
         tokio::select! {
@@ -91,9 +97,15 @@
                 }
             }
             () = sleep_until(clock::instant(hedge_at)), if may_hedge => {
-                may_hedge = false;
                 if let Some(endpoint) = choose_retry(job, &mut progress, in_flight.len()) {
+                    may_hedge = false;
                     in_flight.push(attempt(job, endpoint, progress.sends));
+                } else {
+                    // The retry budget may allow a hedge later. It matters only if the
+                    // endpoint is not expected to answer.
+                    may_hedge = is_last_silent(job, &progress);
+                    let delay = target_latency.mul_f64(HEDGE_DELAY_SHARE);
+                    hedge_at = clock::now() + delay.max(MIN_ATTEMPT_TIME);
                 }
             }
             () = sleep_until(clock::instant(job.deadline)) => {
@@ -106,12 +118,126 @@
 
 /// Chooses an endpoint that was not tried yet.
 fn choose_next(job: &Job, progress: &mut Progress) -> Result<Arc<Endpoint>, Refusal> {
-    let endpoint = job.shard.choose(&job.criteria(&progress.tried, &[]))?;
+    let criteria = job.criteria(&progress.tried, &[]);
+    judge(job);
+    let trial = job
+        .shard
+        .pool()
+        .trial(&criteria, may_repeat(job), clock::now());
+    let endpoint = match trial {
+        Some(endpoint) => {
+            job.state.metrics.trials.inc();
+            endpoint
+        }
+        None => job.shard.choose(&criteria)?,
+    };
     progress.tried.push(Arc::clone(&endpoint.id));
     progress.sends += 1;
     Ok(endpoint)
 }
 
+/// Returns whether the request may be sent again when it may have run.
+fn may_repeat(job: &Job) -> bool {
+    job.route.kind == Kind::Idempotent && job.route.attempts > 1
+}
+
+/// Returns whether the endpoint that was chosen last leaves calls unanswered.
+fn is_last_silent(job: &Job, progress: &Progress) -> bool {
+    judge(job);
+    let last = progress.tried.last();
+    last.is_some_and(|id| job.shard.pool().is_silent(id))
+}
+
+/// Judges the endpoints of the service by their calls; logs and counts what changes.
+fn judge(job: &Job) {
+    let service = &job.shard.service;
+    let notices = job.shard.pool().judge(clock::now());
+    for Notice { endpoint, change } in &notices {
+        let label: &str = change.into();
+        let judgements = &job.state.metrics.judgements;
+        judgements.with_label_values(&[label]).inc();
+        record::write(&match *change {
+            Judgement::Silent {
+                late,
+                answered,
+                oldest_ms,
+                usual_ms,
+                pause_ms,
+            } => Event::EndpointSilent {
+                endpoint,
+                service,
+                late,
+                answered,
+                oldest_ms,
+                usual_ms,
+                pause_ms,
+            },
+            Judgement::Restored => Event::EndpointRestored { endpoint, service },
+            Judgement::Limit {
+                limit,
+                running,
+                latency_ms,
+                lowest_ms,
+            } => Event::LimitChanged {
+                endpoint,
+                service,
+                limit,
+                running,
+                latency_ms,
+                lowest_ms,
+            },
+        });
+    }
+}
+
+/// Refuses the request. The caller is told to retry when capacity is expected, if that is
+/// known; the random factor keeps callers that were refused together apart.
+fn refuse(job: &Job, cause: &str) -> Response<Body> {
+    let now = clock::now();
+    let (drain, paused_until) = {
+        let mut pool = job.shard.pool();
+        (pool.record_refusal(now), pool.paused_until(now))
+    };
+    let Some(drain) = drain else {
+        return job.refuse(cause);
+    };
+    let pause = paused_until.map_or(Duration::ZERO, |until| until.since(now));
+    let spread = rand::random_range(1.0..RETRY_AFTER_SPREAD);
+    job.refuse_after(cause, pause + drain.mul_f64(spread))
+}
+
+/// A call in flight, by which its endpoint is judged. Dropping it counts as a cancellation.
+struct Call {
+    shard: Arc<Shard>,
+    endpoint: Arc<str>,
+    sent_at: Time,
+    outcome: Outcome,
+}
+
+impl Call {
+    fn start(job: &Job, endpoint: &Endpoint, sent_at: Time) -> Call {
+        let target = Duration::from_millis(job.route.target_latency_ms);
+        let shard = Arc::clone(&job.shard);
+        shard
+            .pool()
+            .record_call_start(&endpoint.id, target, sent_at);
+        Call {
+            shard,
+            endpoint: Arc::clone(&endpoint.id),
+            sent_at,
+            outcome: Outcome::Cancelled,
+        }
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.shard
+            .pool()
+            .record_call_end(&self.endpoint, self.sent_at, self.outcome, clock::now());
+    }
+}
+
 /// Chooses an endpoint for a retry or a hedge, if another attempt is allowed.
 /// Attempts in flight count as executions.
 fn choose_retry(job: &Job, progress: &mut Progress, in_flight: usize) -> Option<Arc<Endpoint>> {
@@ -197,7 +323,7 @@
         return forward(job, &progress, "", *head, body);
     }
     if progress.executions == 0 {
-        return job.refuse(progress.refusal.map_or("no_endpoint", Into::into));
+        return refuse(job, progress.refusal.map_or("no_endpoint", Into::into));
     }
     let summary = Summary {
         attempts: progress.sends,
@@ -219,6 +345,7 @@
         .shard
         .start(&endpoint, job.work, &job.vm, &job.route.name);
     let started_at = in_flight.started_at;
+    let mut call = Call::start(job, &endpoint, started_at);
     let request = job.endpoint_request(&endpoint, None, None, None);
     let sent = replica::send(&request, CONNECT_TIMEOUT.min(time_left(job.deadline))).await;
     if let Ok(reply) = &sent {
@@ -264,6 +391,7 @@
         };
         job.record_failed_attempt(&in_flight, outcome, fate, &cause);
     }
+    call.outcome = outcome;
     in_flight.end(outcome);
     (endpoint, result)
 }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -74,6 +74,27 @@
     },
     /// An endpoint has rejected a request and wants no other for a while.
     EndpointPaused { endpoint: &'a str, pause_ms: u64 },
+    /// An endpoint leaves calls unanswered and gets none but trials.
+    EndpointSilent {
+        endpoint: &'a str,
+        service: &'a str,
+        late: f64,
+        answered: usize,
+        oldest_ms: u64,
+        usual_ms: f64,
+        pause_ms: u64,
+    },
+    /// A silent endpoint has answered its trials.
+    EndpointRestored { endpoint: &'a str, service: &'a str },
+    /// The in-flight limit of an endpoint has changed; written at most once a second.
+    LimitChanged {
+        endpoint: &'a str,
+        service: &'a str,
+        limit: Option<f64>,
+        running: u32,
+        latency_ms: f64,
+        lowest_ms: f64,
+    },
     /// The engine beside this sidecar has announced that it is leaving.
     EngineLeaving { running: u32, used_tokens: u64 },
     /// The load of the engine beside this sidecar, written once a second.
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -4,11 +4,14 @@
 //! The route `/orders/` is non-idempotent and `/looks/` idempotent; both lead to the same
 //! service.
 
+use std::time::Duration;
+
 use cactusroad::platform::standin::{
     caller::{DEADLINE, SIGNATURE, WORKSPACE},
     replica::Behaviour,
 };
 use http::StatusCode;
+use tokio::time::sleep;
 
 use crate::site::Site;
 
@@ -111,3 +114,33 @@
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(answer.headers.contains_key("retry-after"));
 }
+
+/// Guards against a replica that goes on receiving orders while it answers none, against an
+/// order that is sent a second time because of that, and against a replica that never returns.
+#[tokio::test]
+async fn order_replica_hangs() {
+    let site = Site::start(0, 3).await;
+    for number in 0..20 {
+        site.send("/orders/1", &format!("warm-{number}")).await;
+    }
+    site.orders[0].set_behaviour(Behaviour::Silent);
+    let mut lost = 0;
+    for number in 0..60 {
+        let id = format!("hung-{number}");
+        let answer = site.send_with("/orders/1", &id, &[(DEADLINE, "400")]).await;
+        let answer = answer.expect("the gateway answers");
+        lost += usize::from(answer.status != StatusCode::OK);
+        assert_eq!(Site::runs(&site.orders, &id), 1);
+    }
+    assert!(lost <= 3, "{lost} of 60 orders were lost");
+    site.orders[0].set_behaviour(Behaviour::Normal);
+    let seen = site.orders[0].seen().len();
+    let mut number = 0;
+    while site.orders[0].seen().len() < seen + 4 {
+        assert!(number < 600, "the replica answers, but gets no requests");
+        number += 1;
+        let answer = site.send("/looks/1", &format!("back-{number}")).await;
+        assert_eq!(answer.expect("the gateway answers").status, StatusCode::OK);
+        sleep(Duration::from_millis(10)).await;
+    }
+}
