--- a/src/main.rs
+++ b/src/main.rs
@@ -3,11 +3,12 @@
 //! | exit code | meaning |
 //! | --- | --- |
 //! | 0 | success, or a daemon shut down gracefully |
-//! | 1 | a check of the demo failed, a folder has faults, `explain` found no line of the request, or an argument cannot be parsed |
+//! | 1 | a check of the demo failed, a folder or a checked configuration has faults, `explain` found no line of the request, or an argument cannot be parsed |
 //! | 2 | a settings file, a name or an address is invalid, a log file cannot be read, or the async runtime cannot start |
 //!
 //! The operators' commands have further codes, which `cactusroad_ops` lists.
 
+mod check_site;
 mod explain;
 
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
@@ -33,6 +34,7 @@
     Gateway(GatewayCommand),
     Sidecar(SidecarCommand),
     Explain(explain::Command),
+    CheckSite(check_site::Command),
     Demo(DemoCommand),
     Standin(StandinCommand),
     Check(ops::Check),
@@ -121,6 +123,7 @@
         }
         Command::Sidecar(SidecarCommand {}) => exit_code(gateway::sidecar::run()),
         Command::Explain(command) => explain::run(&command),
+        Command::CheckSite(command) => check_site::run(&command),
         Command::Demo(command) => run_demo(command.stay),
         Command::Standin(command) => block_on(run_standin(command)),
         Command::Check(command) => ops::run(ops::Command::Check(command)),
