--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -144,3 +144,25 @@
         sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Guards against a Retry-After that ignores how soon the service answers.
+#[tokio::test]
+async fn order_refused_until_drained() {
+    let site = Site::start(0, 2).await;
+    for number in 0..20 {
+        site.send("/orders/1", &format!("warm-{number}")).await;
+    }
+    let full = site.orders.iter();
+    full.for_each(|replica| replica.set_behaviour(Behaviour::Full));
+    for number in 0..10 {
+        let id = format!("full-{number}");
+        let answer = site.send("/orders/1", &id).await;
+        let answer = answer.expect("the gateway answers");
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        let seconds = answer.headers["retry-after"].to_str();
+        let seconds = seconds.ok().and_then(|text| text.parse::<f64>().ok());
+        let seconds = seconds.expect("Retry-After is a number");
+        assert!((0.3..=0.45).contains(&seconds), "{seconds} s");
+        assert_eq!(Site::runs(&site.orders, &id), 0);
+    }
+}
