--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use super::{Change, Config, Endpoint, Work, cold::Pace};
+use super::{Change, Config, Endpoint, Work, cold::Pace, plain::Health};
 use crate::Time;
 
 /// The maximum number of sent requests kept with their times; reports are taken to
@@ -134,6 +134,8 @@
     pub(super) paused_until: Time,
     /// The requests to the endpoint while it is cold.
     pub(super) pace: Pace,
+    /// The calls to an endpoint of a plain service.
+    pub(super) health: Health,
 }
 
 impl Member {
@@ -160,6 +162,7 @@
             avoided_until: Time::ZERO,
             paused_until: Time::ZERO,
             pace: Pace::default(),
+            health: Health::default(),
         }
     }
 
@@ -304,10 +307,11 @@
         0.5f64.powf(half_lives)
     }
 
-    /// Returns the share of recent requests that failed.
-    pub(super) fn failure_share(&self, config: &Config, now: Time) -> f64 {
+    /// Returns the share of recent requests that failed. `late` requests that are in flight
+    /// count as failed.
+    pub(super) fn failure_share(&self, late: f64, config: &Config, now: Time) -> f64 {
         let factor = self.decay_factor(config, now);
-        self.failures * factor / (self.requests * factor + FAILURE_PRIOR_REQUESTS)
+        (self.failures * factor + late) / (self.requests * factor + late + FAILURE_PRIOR_REQUESTS)
     }
 
     /// Returns the report, unless it is too old, and the number, prompt tokens and total
@@ -378,6 +382,11 @@
         (now.since(at) <= Duration::from_millis(config.speed_life_ms)).then_some(event_us)
     }
 
+    /// Starts the moving average of the answer latency again from this answer.
+    pub(super) fn restart_latency(&mut self, latency_ms: u64) {
+        self.latency_ms = latency_ms as f64;
+    }
+
     /// Returns the moving average of the answer latency, in milliseconds.
     pub(super) fn latency_ms(&self) -> f64 {
         self.latency_ms
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -32,7 +32,8 @@
 //!
 //! The score is the expected latency of an answer, plus the cost of a failure
 //! times the share of recent failures. The share decays, so that an endpoint that
-//! failed is tried again, with few requests first.
+//! failed is tried again, with few requests first. Endpoints of small services are also
+//! judged by the calls that they leave unanswered; see [`Pool::judge`].
 //!
 //! # Costs
 //!
@@ -51,6 +52,7 @@
 mod grace;
 mod member;
 pub mod pace;
+mod plain;
 
 pub use admit::{Claim, Verdict};
 pub use budget::{Budget, Repeat};
@@ -59,6 +61,7 @@
 pub use failover::{Decision, Loss, Reason, Run};
 pub use grace::Grace;
 pub use member::{Outcome, Report, View};
+pub use plain::{Judgement, Notice};
 
 use member::Member;
 
@@ -141,6 +144,8 @@
     removed: Vec<Removed>,
     /// The limit on requests to cold endpoints.
     cold: cold::Limit,
+    /// The answers and refusals of a plain service.
+    flow: plain::Flow,
     /// Random, so that gateways do not begin at the same time.
     seed: u64,
     /// The requests that wait for capacity, and those that were admitted.
@@ -173,6 +178,7 @@
             candidate: None,
             removed: Vec::new(),
             cold: cold::Limit::default(),
+            flow: plain::Flow::default(),
             seed: 0,
             queue: admit::Queue::default(),
         }
