Decide which gateway holds a duty, and what it reports

The platform wants usage reports from one gateway at a time and does not check tokens itself. core::duty::lease elects the holder by conditional writes of one object; core::duty::usage counts requests by window of true time and decides the reports. Both are pure.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 //!   [`relay`] decides which gateways watch the store for the others,
 //!   [`member`] is the record of a process, [`spread`] distributes the records
 //!   and the configuration to all processes.
+//! * Duties: [`duty`] elects the gateway that reports usage, and decides the reports.
 //! * Shared types: [`id`] identifies processes and attempts, [`digest`] hashes keys
 //!   and bodies, [`Time`] is a point in time.
 
@@ -48,6 +49,7 @@
 pub mod config;
 pub mod crash;
 pub mod digest;
+pub mod duty;
 pub mod fairness;
 pub mod freshness;
 pub mod id;
