Report usage from one gateway at a time

The holder polls the other gateways, decides a report per window in the lease object and sends it. Requests are counted at their first event, or when they are sent if they may have run. Without cloudApi there is no handle, so nothing is counted, called or written.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -34,7 +34,7 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
-use crate::{clock, listen, peer, relay, reply::Body, state::State};
+use crate::{clock, duty, listen, peer, relay, reply::Body, state::State};
 
 /// The path to which announcements are posted and from which they are read.
 pub(crate) const PATH: &str = "/announced";
@@ -151,6 +151,14 @@
                 None => (StatusCode::BAD_REQUEST, Bytes::new()),
             }
         }
+        (&Method::POST, path) if path.starts_with(duty::PATH) => {
+            let body = Limited::new(body, duty::MAX_BODY_BYTES).collect().await;
+            match (&state.duty, body) {
+                (Some(duty), Ok(body)) => duty::answer(duty, path, body.to_bytes()),
+                (None, _) => (StatusCode::NOT_FOUND, Bytes::new()),
+                (_, Err(_)) => (StatusCode::BAD_REQUEST, Bytes::new()),
+            }
+        }
         (&Method::GET, path) => {
             let answered = relay::answer(state, path).await;
             answered.unwrap_or((StatusCode::NOT_FOUND, Bytes::new()))
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -142,6 +142,9 @@
     tokio::spawn(listen::accept_callers(Arc::clone(&state), callers));
     tokio::spawn(listen::serve_readiness(Arc::clone(&state), readiness));
     tokio::spawn(announce::run(Arc::clone(&state)));
+    if let Some(duty) = &state.duty {
+        duty.start();
+    }
     if let Some(peers) = peers {
         tokio::spawn(announce::serve(Arc::clone(&state), peers));
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -113,6 +113,9 @@
             .relays()
             .set_members(objects.iter().filter_map(member));
     }
+    if let Some(duty) = &state.duty {
+        duty.set_members(objects.iter().filter_map(member));
+    }
     let expired: Vec<(Arc<str>, u64)> = census
         .expired(now)
         .map(|(name, revision)| (Arc::clone(name), revision))
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -101,6 +101,21 @@
         }
     }
 
+    /// Counts the request for the report of usage, as one that began at an endpoint at `at`.
+    /// Must be called once per request at most.
+    pub(crate) fn record_start(&self, at: Time) {
+        if let (Some(duty), Some(workspace)) = (&self.state.duty, &self.workspace) {
+            duty.record_start(workspace, at);
+        }
+    }
+
+    /// Takes back what [`Job::record_start`] counted at `at`, because the request did not run.
+    pub(crate) fn retract_start(&self, at: Time) {
+        if let (Some(duty), Some(workspace)) = (&self.state.duty, &self.workspace) {
+            duty.retract_start(workspace, at);
+        }
+    }
+
     /// Refuses the request; the response states that it was not run.
     pub(crate) fn refuse(&self, cause: &str) -> Response<Body> {
         let paused_until = self.shard.pool().paused_until(clock::now());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,13 +23,14 @@
 //! for their load, and `announce` learns of engines that start while the store is
 //! unreachable. `crash` shares which requests crash endpoints, and `rollout` moves services
 //! to other versions. `fleet` finds the other gateways, and `relay` passes changes of the
-//! store on to them. Every change of this state and every decision about a request is
+//! store on to them. `duty` performs duties of which one gateway at a time has charge. Every change of this state and every decision about a request is
 //! written to the log; see docs/LOGS.md.
 
 mod announce;
 mod clock;
 mod crash;
 mod daemon;
+mod duty;
 mod events;
 pub mod explain;
 mod fleet;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub(crate) run_stops: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) relay_calls: IntCounterVec,
+    pub(crate) duties: IntCounterVec,
+    pub(crate) duty_token: IntGauge,
     pub(crate) first_answer: Histogram,
     pub(crate) pause: Histogram,
     pub(crate) config_version: IntGauge,
@@ -91,6 +93,15 @@
                 "Calls to other gateways for changes of the store.",
                 &["kind", "outcome"],
             ),
+            duties: counter(
+                "cactusroad_duties_total",
+                "What happened to the duty to report usage.",
+                &["outcome"],
+            ),
+            duty_token: gauge(
+                "cactusroad_duty_token",
+                "The fencing token while this gateway holds the duty, else 0.",
+            ),
             first_answer: histogram(
                 "cactusroad_first_answer_seconds",
                 "Time to the answer or the first event.",
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -61,6 +61,9 @@
     sends: u32,
     /// The number of endpoints that may have run the request.
     executions: u32,
+    /// The endpoints that may have run the request or still run it, and when it was sent. The
+    /// first one counts for the report of usage.
+    starts: Vec<(Arc<str>, Time)>,
     /// The last error response of an endpoint.
     failure: Option<(Box<response::Parts>, Bytes)>,
     refusal: Option<Refusal>,
@@ -71,7 +74,10 @@
     let mut progress = Progress::default();
     let mut in_flight = FuturesUnordered::new();
     match choose_next(job, &mut progress) {
-        Ok(endpoint) => in_flight.push(attempt(job, endpoint, progress.sends)),
+        Ok(endpoint) => {
+            record_start(job, &mut progress, &endpoint);
+            in_flight.push(attempt(job, endpoint, progress.sends));
+        }
         Err(refusal) => return job.refuse(refusal.into()),
     }
     let target_latency = Duration::from_millis(job.route.target_latency_ms);
@@ -85,6 +91,7 @@
                     return response;
                 }
                 if let Some(endpoint) = choose_retry(job, &mut progress, in_flight.len()) {
+                    record_start(job, &mut progress, &endpoint);
                     in_flight.push(attempt(job, endpoint, progress.sends));
                 } else if in_flight.is_empty() {
                     return answer_exhausted(job, progress);
@@ -93,6 +100,7 @@
             () = sleep_until(clock::instant(hedge_at)), if may_hedge => {
                 may_hedge = false;
                 if let Some(endpoint) = choose_retry(job, &mut progress, in_flight.len()) {
+                    record_start(job, &mut progress, &endpoint);
                     in_flight.push(attempt(job, endpoint, progress.sends));
                 }
             }
@@ -104,6 +112,36 @@
     }
 }
 
+/// Records that the request is being sent to an endpoint, which may run it from now on.
+fn record_start(job: &Job, progress: &mut Progress, endpoint: &Endpoint) {
+    if job.state.duty.is_none() {
+        return;
+    }
+    let now = clock::now();
+    if progress.starts.is_empty() {
+        job.record_start(now);
+    }
+    progress.starts.push((Arc::clone(&endpoint.id), now));
+}
+
+/// Records that an endpoint has not run the request. If it counted, the next one does.
+fn retract_start(job: &Job, progress: &mut Progress, endpoint: &Endpoint) {
+    let place = progress
+        .starts
+        .iter()
+        .position(|(id, _)| *id == endpoint.id);
+    let Some(index) = place else {
+        return;
+    };
+    let (_, at) = progress.starts.remove(index);
+    if index == 0 {
+        job.retract_start(at);
+        if let Some((_, next)) = progress.starts.first() {
+            job.record_start(*next);
+        }
+    }
+}
+
 /// Chooses an endpoint that was not tried yet.
 fn choose_next(job: &Job, progress: &mut Progress) -> Result<Arc<Endpoint>, Refusal> {
     let endpoint = job.shard.choose(&job.criteria(&progress.tried, &[]))?;
@@ -155,7 +193,10 @@
             }
             Some(forward(job, progress, &endpoint.id, *head, body))
         }
-        Attempt::Unsent | Attempt::Refused => None,
+        Attempt::Unsent | Attempt::Refused => {
+            retract_start(job, progress, endpoint);
+            None
+        }
         Attempt::Unknown => {
             progress.executions += 1;
             None
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -102,6 +102,51 @@
     Gateways { count: usize },
     /// The set of data centres that are out of service has changed.
     DataCentresOut { names: &'a [std::sync::Arc<str>] },
+    /// This gateway has taken a duty.
+    DutyTaken {
+        duty: &'a str,
+        token: u64,
+        revision: u64,
+        valid_ms: u64,
+        /// The reports of earlier holders that are still to be sent.
+        pending: usize,
+    },
+    /// This gateway no longer holds a duty.
+    DutyLost {
+        duty: &'a str,
+        token: u64,
+        held_ms: u64,
+        /// How long ago the lease expired.
+        expired_ms: u64,
+        cause: &'a str,
+    },
+    /// The report of a window was decided.
+    UsageDecided {
+        window: u64,
+        requests: u64,
+        workspaces: usize,
+        /// The gateways that have not answered since the end of the window.
+        missing: usize,
+        /// The clocks from which the true time was derived.
+        clocks: usize,
+        /// The time since the end of the window.
+        age_ms: u64,
+    },
+    /// A report was sent to the platform.
+    UsageSent {
+        window: u64,
+        token: u64,
+        outcome: &'a str,
+        cause: &'a str,
+        attempt: u32,
+        took_ms: u64,
+        /// The time since the end of the window when it was sent.
+        age_ms: u64,
+        /// The time after the end of the window at which it is due.
+        due_ms: u64,
+    },
+    /// Windows from `from` up to `to`, exclusive, are not reported.
+    UsageMissed { from: u64, to: u64, cause: &'a str },
     /// The rollout of a service has changed.
     Rollout {
         service: &'a str,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
     announce::Announcements,
     clock,
     crash::Crashes,
+    duty,
     metrics::Metrics,
     observe::Probe,
     record::{self, Event, Snapshot},
@@ -121,6 +122,8 @@
     pub(crate) feeds: Feeds,
     /// The gateways from which this one learns of changes.
     relays: Mutex<Plan>,
+    /// The duties that one gateway performs at a time, if the settings have any.
+    pub(crate) duty: Option<Arc<duty::Handle>>,
 }
 
 /// The endpoints of one service.
@@ -145,6 +148,8 @@
     pub(crate) fn new(settings: Settings, policy: pool::Config) -> State {
         let freshness = Freshness::new(settings.revocation);
         let relays = Mutex::new(Plan::new(&settings.vm, &settings.data_centre));
+        let metrics = Metrics::new();
+        let duty = duty::Handle::new(&settings, &metrics);
         State {
             settings: ArcSwap::from_pointee(settings),
             site: ArcSwapOption::empty(),
@@ -153,7 +158,7 @@
             data_centres_out: ArcSwap::default(),
             request_bytes: AtomicUsize::new(0),
             response_bytes: AtomicUsize::new(0),
-            metrics: Metrics::new(),
+            metrics,
             are_endpoints_listed: AtomicBool::new(false),
             are_evacuations_listed: AtomicBool::new(false),
             synced: watch::Sender::new(false),
@@ -170,6 +175,7 @@
             crashes: Crashes::default(),
             feeds: Feeds::default(),
             relays,
+            duty,
         }
     }
 
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -463,6 +463,9 @@
         }
         self.last_event_at = now;
         self.events += 1;
+        if self.events == 1 {
+            self.job.record_start(now);
+        }
         if self.events == ANSWERED_EVENTS {
             let crashes = &self.job.state.crashes;
             crashes.record_answer(&self.job.suspects);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -36,6 +36,14 @@
     include!("relay.rs");
 }
 
+/// Messages between the gateway that holds a duty and the others, generated from
+/// `proto/duty.proto`.
+#[expect(missing_docs, reason = "the proto file documents the generated types")]
+#[rustfmt::skip]
+pub mod duty {
+    include!("duty.rs");
+}
+
 /// The size limit of a received message, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
--- /dev/null
+++ b/tests/gateway/duty.rs
@@ -0,0 +1,250 @@
+//! Reports of usage by one of several gateways.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use cactusroad::platform::standin::{
+    duty::{Behaviour, Call, Duties},
+    store,
+};
+use http::StatusCode;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::site::Site;
+
+/// The number of gateways that may hold the duty.
+const GATEWAYS: usize = 4;
+
+/// The length of a window, in milliseconds.
+const WINDOW_MS: u64 = 5_000;
+
+/// The time after the end of a window at which its report is due.
+const DUE: Duration = Duration::from_secs(10);
+
+fn wall_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since_epoch.expect("the clock is set").as_millis();
+    u64::try_from(millis).expect("the clock is set")
+}
+
+/// A site whose gateways report usage, and the requests that began, by window.
+struct Metered {
+    site: Site,
+    duties: Duties,
+    sent: BTreeMap<u64, u64>,
+    number: usize,
+}
+
+impl Metered {
+    async fn start() -> Metered {
+        let duties = Duties::start().await.expect("a port is free");
+        let mut site = Site::start(1, 1).await;
+        site.metering = Some(duties.address());
+        site.start_gateways(GATEWAYS).await;
+        Metered {
+            site,
+            duties,
+            sent: BTreeMap::new(),
+            number: 0,
+        }
+    }
+
+    /// Sends requests through these gateways until `limit` has passed, and not near the edge
+    /// of a window, where the window of a request is not certain.
+    async fn send(&mut self, gateways: &[usize], limit: Duration) {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            let now = wall_ms();
+            if !(400..4_600).contains(&(now % WINDOW_MS)) {
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+            let gateway = gateways[self.number % gateways.len()];
+            let path = ["/orders/1", "/drafts/1"][self.number % 2];
+            let id = format!("u{}", self.number);
+            self.number += 1;
+            let answer = self.site.send_through(gateway, path, &id).await;
+            let status = answer.expect("the gateway answers").status;
+            assert_eq!(status, StatusCode::OK);
+            *self.sent.entry(now / WINDOW_MS).or_default() += 1;
+        }
+    }
+
+    fn holder(&self) -> Option<usize> {
+        let spec = self.site.store.spec("duties", "usage")?;
+        let name = spec["holder"].as_str()?.to_owned();
+        name.strip_prefix("edge-south-")?.parse().ok()
+    }
+
+    async fn wait_holder(&self) -> usize {
+        for _ in 0..200 {
+            if let Some(holder) = self.holder() {
+                return holder;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("no gateway holds the duty after 10 s");
+    }
+
+    /// Waits until the current window must have been reported.
+    async fn wait_reported(&self) -> u64 {
+        let window = wall_ms() / WINDOW_MS;
+        let end = (window + 1) * WINDOW_MS + DUE.as_millis() as u64;
+        sleep(Duration::from_millis(end - wall_ms())).await;
+        window
+    }
+
+    /// Checks all that must hold of the calls, and returns the reports that were accepted.
+    fn reports(&self) -> BTreeMap<u64, (Value, Call)> {
+        let mut reports: BTreeMap<u64, (Value, Call)> = BTreeMap::new();
+        let calls = self.duties.calls();
+        let mut last: Option<&Call> = None;
+        for call in &calls {
+            assert_eq!(call.path, "/usage");
+            if let Some(last) = last {
+                assert!(call.token >= last.token, "a lower token: {call:?}");
+                let is_same = call.token == last.token;
+                assert_eq!(
+                    is_same,
+                    call.owner == last.owner,
+                    "a shared token: {call:?}"
+                );
+            }
+            last = Some(call);
+            if !call.is_accepted {
+                continue;
+            }
+            let window = call.body["windowId"].as_u64().expect("a window");
+            let counts = call.body["counts"].clone();
+            let known = reports
+                .entry(window)
+                .or_insert_with(|| (counts.clone(), call.clone()));
+            assert_eq!(known.0, counts, "two reports of window {window}");
+        }
+        reports
+    }
+
+    /// Checks that the windows up to `last` that had requests were reported in time, with
+    /// exact counts.
+    fn assert_reported(&self, last: u64) {
+        let reports = self.reports();
+        for (window, sent) in self.sent.range(..=last) {
+            let Some((counts, call)) = reports.get(window) else {
+                panic!("window {window} with {sent} requests is missing: {reports:#?}");
+            };
+            assert_eq!(*counts, json!({"workshop": sent}), "window {window}");
+            let due_ms = (window + 1) * WINDOW_MS + DUE.as_millis() as u64;
+            assert!(call.wall_ms <= due_ms, "window {window} is late");
+        }
+        let windows: Vec<u64> = reports.keys().copied().collect();
+        for pair in windows.windows(2) {
+            assert_eq!(pair[0] + 1, pair[1], "a window was left out");
+        }
+    }
+}
+
+#[tokio::test]
+async fn duty_holder_killed() {
+    // Guards against reports that are missing, double or wrong when their holder is killed.
+    let mut metered = Metered::start().await;
+    let first = metered.wait_holder().await;
+    let all: Vec<usize> = (0..GATEWAYS).collect();
+    metered.send(&all, Duration::from_secs(8)).await;
+    let rest: Vec<usize> = all.iter().copied().filter(|n| *n != first).collect();
+    // The counts of the holder itself reach its backups with the next poll.
+    sleep(Duration::from_millis(1_300)).await;
+    metered.site.kill_gateway(first);
+    metered.send(&rest, Duration::from_secs(8)).await;
+    let last = metered.wait_reported().await;
+    metered.assert_reported(last);
+    assert_ne!(metered.holder(), Some(first));
+    let owners: Vec<String> = metered
+        .duties
+        .calls()
+        .into_iter()
+        .map(|call| call.owner)
+        .collect();
+    assert!(
+        owners
+            .iter()
+            .any(|owner| *owner == format!("edge-south-{first}"))
+    );
+    assert!(
+        owners
+            .iter()
+            .any(|owner| *owner != format!("edge-south-{first}"))
+    );
+}
+
+#[tokio::test]
+async fn duty_holder_paused() {
+    // Guards against a paused holder that acts after its successor did.
+    let mut metered = Metered::start().await;
+    let first = metered.wait_holder().await;
+    let rest: Vec<usize> = (0..GATEWAYS).filter(|n| *n != first).collect();
+    metered.site.signal_gateway(first, Signal::STOP);
+    metered.send(&rest, Duration::from_secs(9)).await;
+    assert_ne!(metered.holder(), Some(first));
+    metered.site.signal_gateway(first, Signal::CONT);
+    metered.send(&rest, Duration::from_secs(4)).await;
+    let last = metered.wait_reported().await;
+    metered.assert_reported(last);
+}
+
+#[tokio::test]
+async fn duty_platform_disturbed() {
+    // Guards against reports that are given up or changed when the platform does not accept
+    // them at once.
+    let mut metered = Metered::start().await;
+    metered.wait_holder().await;
+    let all: Vec<usize> = (0..GATEWAYS).collect();
+    let slow = Behaviour::Slow(Duration::from_millis(400));
+    for behaviour in [
+        Behaviour::Limiting,
+        Behaviour::Silent,
+        Behaviour::Down,
+        slow,
+    ] {
+        metered.duties.set_behaviour(behaviour);
+        metered.send(&all, Duration::from_millis(2_500)).await;
+    }
+    metered.duties.set_behaviour(Behaviour::Normal);
+    let last = metered.wait_reported().await;
+    metered.assert_reported(last);
+}
+
+#[tokio::test]
+async fn duty_store_lost() {
+    // Guards against a holder that acts without the store, and against a report that is lost
+    // with it.
+    let mut metered = Metered::start().await;
+    metered.wait_holder().await;
+    let all: Vec<usize> = (0..GATEWAYS).collect();
+    metered.send(&all, Duration::from_secs(3)).await;
+    metered.site.store.set_behaviour(store::Behaviour::Closing);
+    sleep(Duration::from_secs(5)).await;
+    let calls = metered.duties.calls().len();
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(metered.duties.calls().len(), calls);
+    metered.site.store.set_behaviour(store::Behaviour::Normal);
+    metered.send(&all, Duration::from_secs(3)).await;
+    let last = metered.wait_reported().await;
+    metered.assert_reported(last);
+}
+
+#[tokio::test]
+async fn duty_without_metering() {
+    // Guards against objects and calls of gateways whose settings have no duties.
+    let duties = Duties::start().await.expect("a port is free");
+    let mut site = Site::start(0, 1).await;
+    site.start_gateways(GATEWAYS).await;
+    let answer = site.send_through(0, "/orders/1", "o1").await;
+    assert_eq!(answer.map(|answer| answer.status), Some(StatusCode::OK));
+    sleep(Duration::from_secs(7)).await;
+    assert_eq!(site.store.names("duties"), Vec::<String>::new());
+    assert_eq!(duties.calls(), Vec::new());
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod cut;
 mod drain;
+mod duty;
 mod endless;
 mod failover;
 mod list;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -44,6 +44,8 @@
     pub(crate) gateway: Gateway,
     /// Gateways of one data centre that know each other, beside [`Site::gateway`].
     group: Vec<Gateway>,
+    /// Where the gateways of the group report usage, if they do.
+    pub(crate) metering: Option<SocketAddr>,
     pub(crate) copies: Copies,
     /// The addresses of sidecars and of the gateway's peer port, if engines have
     /// sidecars.
@@ -280,6 +282,7 @@
             orders: Vec::new(),
             gateway: launch_gateway(&store, peers, |settings| settings),
             group: Vec::new(),
+            metering: None,
             peers,
             sidecars: Vec::new(),
             copies: copies.clone(),
@@ -435,11 +438,15 @@
 
     fn launch_member(&self, number: usize) -> Gateway {
         let peers = free_port();
+        let metering = self.metering;
         launch_gateway(&self.store, None, |mut settings| {
             settings["nodeName"] = format!("edge-south-{number}").into();
             settings["zone"] = "south".into();
             settings["listenAddrs"]["controlPlane"] = peers.to_string().into();
-            settings
+            match metering {
+                Some(address) => operator::with_metering(settings, address),
+                None => settings,
+            }
         })
     }
 
--- a/tools/protogen/src/main.rs
+++ b/tools/protogen/src/main.rs
@@ -7,11 +7,12 @@
 use std::{error::Error, fs, path::Path};
 
 const PROTO_DIR: &str = "crates/wire/proto";
-const OUT_FILES: [(&str, &str); 4] = [
+const OUT_FILES: [(&str, &str); 5] = [
     ("cactusroad.inner.rs", "crates/wire/src/generated.rs"),
     ("cactusroad.spread.rs", "crates/wire/src/spread.rs"),
     ("cactusroad.sidecar.rs", "crates/wire/src/sidecar.rs"),
     ("cactusroad.relay.rs", "crates/wire/src/relay.rs"),
+    ("cactusroad.duty.rs", "crates/wire/src/duty.rs"),
 ];
 
 fn main() -> Result<(), Box<dyn Error>> {
@@ -21,6 +22,7 @@
             "spread.proto",
             "sidecar.proto",
             "relay.proto",
+            "duty.proto",
         ],
         [PROTO_DIR],
     )?;
