--- a/crates/core/src/duty/lease.rs
+++ b/crates/core/src/duty/lease.rs
@@ -122,6 +122,8 @@
     renewals: u64,
     /// The latest writes of this process: their numbers, and when they were sent.
     writes: Vec<(u64, Time)>,
+    /// Whether a write conflicted and the object was not returned.
+    is_outdated: bool,
     /// When the next call may be made.
     next_call: Time,
     /// Failures of calls since the last answer.
@@ -142,6 +144,7 @@
             token: 0,
             renewals: 0,
             writes: Vec::new(),
+            is_outdated: false,
             next_call: first_read,
             failures: 0,
         }
@@ -170,11 +173,17 @@
     ///
     /// The answer must be recorded before the next call is asked for.
     pub fn call(&mut self, draft: Option<D>, spread: f64, now: Time) -> Option<Call<D>> {
+        if self.is_outdated && self.next_call.is_past(now) {
+            self.next_call = now + MIN_RETRY_DELAY;
+            return Some(Call::Read {
+                may_be_stale: false,
+            });
+        }
         if let Some(held) = &self.held {
             let draft = draft.filter(|draft| *draft != held.record.decided);
             let is_due = self.next_call.is_past(now);
             // A draft need not wait for the next renewal, but for the delay after a failure.
-            if !is_due && (draft.is_none() || self.failures > 0) {
+            if !is_due && (draft.is_none() || self.failures > 0 || self.is_outdated) {
                 return None;
             }
             let (revision, token) = (held.revision, held.record.token);
@@ -244,6 +253,7 @@
             return;
         }
         self.is_missing = false;
+        self.is_outdated = false;
         let is_own = record.holder == self.own.name && record.incarnation == self.own.incarnation;
         let write = self
             .writes
@@ -291,6 +301,7 @@
     /// Records that the object does not exist.
     pub fn record_missing(&mut self, now: Time) {
         self.failures = 0;
+        self.is_outdated = false;
         self.held = None;
         self.foreign = None;
         self.read = None;
@@ -298,6 +309,13 @@
         self.next_call = now;
     }
 
+    /// Records that a write conflicted, and that the answer does not hold the object. It is
+    /// read instead.
+    pub fn record_conflict(&mut self, now: Time) {
+        self.record_failure(now);
+        self.is_outdated = true;
+    }
+
     /// Records that a call failed. A write may have taken effect.
     pub fn record_failure(&mut self, now: Time) {
         let doublings = self.failures.min(MAX_DOUBLINGS);
--- a/crates/core/src/site/mod.rs
+++ b/crates/core/src/site/mod.rs
@@ -18,6 +18,8 @@
 
 use std::sync::Arc;
 
+use crate::duty::scale::Range;
+
 mod build;
 
 pub use build::Builder;
@@ -142,6 +144,8 @@
     pub cold_s: f64,
     /// The engine parameters, for a service of model engines.
     pub engine: Option<Engine>,
+    /// How many endpoints may be ordered in each data centre, if any are.
+    pub scaling: Option<Range>,
 }
 
 /// Limits on requests and connections of callers.
--- a/crates/core/tests/duty_lease.rs
+++ b/crates/core/tests/duty_lease.rs
@@ -29,16 +29,19 @@
     Lease::new(owner(name, incarnation), TTL, at(0))
 }
 
+/// The revision and the content of an object.
+type Object = (u64, Record<u64>);
+
 /// A store with one object.
 #[derive(Clone, Debug, Default)]
 struct Store {
     revision: u64,
-    object: Option<(u64, Record<u64>)>,
+    object: Option<Object>,
 }
 
 impl Store {
     /// Applies a call, and returns the object after it.
-    fn apply(&mut self, call: &Call<u64>) -> Option<(u64, Record<u64>)> {
+    fn apply(&mut self, call: &Call<u64>) -> Option<Object> {
         match call {
             Call::Read { .. } => {}
             Call::Create(record) if self.object.is_none() => self.write(record),
@@ -58,7 +61,7 @@
     }
 }
 
-fn answer(lease: &mut Lease<u64>, object: Option<(u64, Record<u64>)>, now: Time) {
+fn answer(lease: &mut Lease<u64>, object: Option<Object>, now: Time) {
     match object {
         Some((revision, record)) => lease.observe(revision, record, 0.0, now),
         None => lease.record_missing(now),
@@ -171,6 +174,29 @@
     assert_eq!(a.permits(RESERVE, at(1_300)), Some(1));
 }
 
+#[test]
+fn lease_conflict_without_object() {
+    // Guards against a process that repeats a write that can no longer succeed.
+    let (mut store, mut a) = held();
+    let write = a.call(None, 0.0, at(1_400)).expect("a renewal is due");
+    store.apply(&write);
+    a.record_conflict(at(1_410));
+    settle(&mut a, &mut store, None, at(1_800));
+    assert_eq!(a.permits(RESERVE, at(1_800)), Some(1));
+    let mut b = lease("b", 1);
+    b.call(None, 0.0, at(1_800)).expect("a read is due");
+    b.record_missing(at(1_800));
+    b.call(None, 0.0, at(1_800)).expect("a creation is due");
+    b.record_conflict(at(1_810));
+    let read = b.call(None, 0.0, at(2_200));
+    assert_eq!(
+        read,
+        Some(Call::Read {
+            may_be_stale: false
+        })
+    );
+}
+
 #[test]
 fn lease_delayed_write() {
     // Guards against a renewal that arrives after a successor took over.
@@ -356,7 +382,7 @@
             .collect();
         let mut now = at(0);
         let mut calls: Vec<(usize, u64, Call<u64>)> = Vec::new();
-        let mut answers: Vec<(usize, u64, Option<(u64, Record<u64>)>)> = Vec::new();
+        let mut answers: Vec<(usize, u64, Option<Object>)> = Vec::new();
         let mut polls: Vec<(usize, u64, u64, Duration)> = Vec::new();
         // When each process acted, and with which token.
         let mut acts: Vec<(Time, (usize, u64), u64)> = Vec::new();
--- a/crates/gateway/src/duty/hold.rs
+++ b/crates/gateway/src/duty/hold.rs
@@ -126,6 +126,10 @@
             handle.with_lease(&mut state, |lease| lease.record_missing(now), "missing");
             return;
         }
+        Err(Error::Conflict) => {
+            state.lease.record_conflict(now);
+            return;
+        }
         Err(cause) => {
             log::info!("a call about the lease of duty {NAME} failed: {cause}");
             state.lease.record_failure(now);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -119,6 +119,7 @@
         body: buffered.bytes.clone(),
         priority: priority.unwrap_or(route.priority).min(9),
         workspace,
+        is_continued: route.resume && caller.last_event.is_some(),
         work: caller.work(),
         side,
         suspects: suspects(digest, caller.parts),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -39,6 +39,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) workspace: Option<Arc<str>>,
+    /// Whether the caller has received the begin of the stream, and only reconnects.
+    pub(crate) is_continued: bool,
     /// From 0 to 9.
     pub(crate) priority: u8,
     /// The tokens of the prompt and the expected tokens of the response.
@@ -104,6 +106,9 @@
     /// Counts the request for the report of usage, as one that began at an endpoint at `at`.
     /// Must be called once per request at most.
     pub(crate) fn record_start(&self, at: Time) {
+        if self.is_continued {
+            return;
+        }
         if let (Some(duty), Some(workspace)) = (&self.state.duty, &self.workspace) {
             duty.record_start(workspace, at);
         }
--- a/tests/gateway/duty.rs
+++ b/tests/gateway/duty.rs
@@ -236,6 +236,30 @@
     metered.assert_reported(last);
 }
 
+#[tokio::test]
+async fn duty_steady() {
+    // Guards against more than one call per window, and against store calls by gateways that
+    // do not hold the duty or beyond the renewals of the one that does.
+    let mut metered = Metered::start().await;
+    let holder = metered.wait_holder().await;
+    let renewals = |site: &Site| {
+        let spec = site.store.spec("duties", "usage").expect("the duty is held");
+        spec["renewal"].as_u64().expect("a number")
+    };
+    let all: Vec<usize> = (0..GATEWAYS).collect();
+    metered.send(&all, Duration::from_secs(2)).await;
+    let before = renewals(&metered.site);
+    metered.send(&all, Duration::from_secs(15)).await;
+    let calls = renewals(&metered.site) - before;
+    // A renewal each 1.3 s, and three decisions.
+    assert!((8..=16).contains(&calls), "{calls} writes in 15 s");
+    let last = metered.wait_reported().await;
+    metered.assert_reported(last);
+    assert_eq!(metered.holder(), Some(holder));
+    assert_eq!(metered.duties.calls().len(), metered.reports().len());
+    assert!(metered.duties.calls().iter().all(|call| call.token == 1));
+}
+
 #[tokio::test]
 async fn duty_without_metering() {
     // Guards against objects and calls of gateways whose settings have no duties.
