Shorten the takeover from a holder that was lost at once, and guard a removed lease

A removed lease object no longer resets token and decisions, and the first window is written at once. Tests for a restarted holder and for the log.

--- a/crates/core/src/duty/lease.rs
+++ b/crates/core/src/duty/lease.rs
@@ -36,6 +36,11 @@
 /// validity. A random part of up to the validity is added.
 const READ_INTERVAL: u32 = 2;
 
+/// The time over which the second reads of processes that the holder never polled are spread,
+/// as a share of the validity. They are made only if the holder was lost soon after it took
+/// the lease, or cannot reach these processes.
+const FIRST_SPREAD: f64 = 0.5;
+
 /// The maximum number of writes whose outcome may be unknown. Older ones have timed out long ago.
 const MAX_WRITES: usize = 64;
 
@@ -117,6 +122,8 @@
     /// The revision and the object at the last read, and when it was read, if another process
     /// holds it.
     read: Option<(u64, Record<D>, Time)>,
+    /// What was decided when the object was last seen.
+    decided: Option<D>,
     /// The highest token that was seen.
     token: u64,
     renewals: u64,
@@ -141,6 +148,7 @@
             foreign: None,
             is_missing: false,
             read: None,
+            decided: None,
             token: 0,
             renewals: 0,
             writes: Vec::new(),
@@ -195,7 +203,9 @@
             return None;
         }
         if self.is_missing {
-            let record = self.draw(self.token + 1, D::default(), now);
+            // Somebody may have removed the object of a site that has decided before.
+            let decided = self.decided.clone().unwrap_or_default();
+            let record = self.draw(self.token + 1, decided, now);
             return Some(Call::Create(record));
         }
         let Some(foreign) = self.foreign else {
@@ -254,6 +264,7 @@
         }
         self.is_missing = false;
         self.is_outdated = false;
+        self.decided = Some(record.decided.clone());
         let is_own = record.holder == self.own.name && record.incarnation == self.own.incarnation;
         let write = self
             .writes
@@ -282,6 +293,7 @@
                 // A holder that polled and was lost may have renewed after its last poll. Its
                 // successor must not wait longer than for that renewal.
                 let is_polled = self.foreign.is_some_and(|foreign| foreign.is_polled);
+                let is_first = self.foreign.is_none();
                 let expires_at = now + self.ttl;
                 self.foreign = Some(Foreign {
                     revision,
@@ -290,6 +302,9 @@
                 });
                 self.next_call = if is_polled {
                     expires_at
+                } else if is_first {
+                    // A holder that runs polls this process by then.
+                    expires_at + self.ttl.mul_f64(FIRST_SPREAD * spread.clamp(0.0, 1.0))
                 } else {
                     now + self.read_interval(spread)
                 };
@@ -298,15 +313,16 @@
         self.read = Some((revision, record, now));
     }
 
-    /// Records that the object does not exist.
+    /// Records that the object does not exist. It is created at once, unless another process is
+    /// known to hold the lease.
     pub fn record_missing(&mut self, now: Time) {
         self.failures = 0;
         self.is_outdated = false;
         self.held = None;
-        self.foreign = None;
         self.read = None;
         self.is_missing = true;
-        self.next_call = now;
+        let foreign = self.foreign.take();
+        self.next_call = foreign.map_or(now, |foreign| foreign.expires_at.max(now));
     }
 
     /// Records that a write conflicted, and that the answer does not hold the object. It is
--- a/crates/core/src/duty/usage.rs
+++ b/crates/core/src/duty/usage.rs
@@ -220,6 +220,9 @@
 /// The result of [`Collector::decide`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
+    /// The site's first report is that of this window. It is written before any report, so
+    /// that successors begin with the same one.
+    Begin(u64),
     /// The window is decided.
     Report {
         /// The report.
@@ -397,11 +400,12 @@
         // Before the first round of polls, most counts are not known.
         let has_polled = (held_since + round + SETTLED).is_past(now);
         let current = self.config.window_at(true_now);
-        let mut next = decided.next.unwrap_or_else(|| {
+        let Some(mut next) = decided.next else {
             let age = now.since(running_since).min(MAX_FIRST_AGE);
             let age = u64::try_from(age.as_micros()).unwrap_or(0);
-            self.config.window_at(true_now.saturating_sub(age))
-        });
+            let first = self.config.window_at(true_now.saturating_sub(age));
+            return vec![Decision::Begin(first)];
+        };
         // Gateways no longer have the counts of earlier windows.
         let first = current.saturating_sub(KEPT_WINDOWS);
         if next < first {
@@ -479,6 +483,7 @@
                     decided.next = Some(report.window + 1);
                     decided.reports.push(report.clone());
                 }
+                Decision::Begin(first) => decided.next = Some(*first),
                 Decision::Skip { to, .. } => decided.next = Some(*to),
             }
         }
--- a/crates/core/tests/duty_lease.rs
+++ b/crates/core/tests/duty_lease.rs
@@ -174,6 +174,27 @@
     assert_eq!(a.permits(RESERVE, at(1_300)), Some(1));
 }
 
+#[test]
+fn lease_object_removed() {
+    // Guards against a second holder, a lower token and a repeated decision when somebody
+    // removes the object.
+    let (mut store, mut a) = held();
+    settle(&mut a, &mut store, Some(7), at(100));
+    let mut b = lease("b", 1);
+    settle(&mut b, &mut store, None, at(200));
+    store.object = None;
+    settle(&mut b, &mut store, None, at(8_300));
+    let held = b.held().expect("the lease is created again");
+    assert_eq!((held.record.token, held.record.decided), (2, 7));
+    let mut c = lease("c", 1);
+    let valid = Duration::from_secs(3);
+    assert!(c.record_poll(50, 5, valid, Duration::ZERO, at(8_300)));
+    c.record_missing(at(8_400));
+    assert_eq!(c.call(None, 0.0, at(11_200)), None);
+    let create = c.call(None, 0.0, at(11_300));
+    assert!(matches!(create, Some(Call::Create(record)) if record.token == 6));
+}
+
 #[test]
 fn lease_conflict_without_object() {
     // Guards against a process that repeats a write that can no longer succeed.
@@ -289,6 +310,21 @@
     assert!(taken_at.since(expired_at) < TTL);
 }
 
+#[test]
+fn lease_never_polled() {
+    // Guards against a duty that nobody performs for long because its first holder was lost
+    // before it polled anyone.
+    let (mut store, _) = held();
+    let mut b = lease("b", 1);
+    let read = b.call(None, 1.0, at(100)).expect("a read is due");
+    let (revision, record) = store.apply(&read).expect("the object exists");
+    b.observe(revision, record, 1.0, at(100));
+    settle(&mut b, &mut store, None, at(4_099));
+    assert_eq!(b.permits(RESERVE, at(4_099)), None);
+    settle(&mut b, &mut store, None, at(6_100));
+    assert_eq!(b.permits(RESERVE, at(6_100)), Some(2));
+}
+
 #[test]
 fn lease_decided_inherited() {
     // Guards against a successor that decides again what its predecessor decided.
--- a/crates/core/tests/duty_usage.rs
+++ b/crates/core/tests/duty_usage.rs
@@ -246,16 +246,18 @@
 #[test]
 fn usage_first_window() {
     // Guards against a site that begins with windows before its start, or misses the one in
-    // which it starts.
+    // which it starts, also when its first holder is lost before it decides a report.
     let mut collector = Collector::new(CONFIG);
     collector.record(answered("g0", 5_400, &[(FIRST, 3)]));
-    let decide = |running_since| {
-        let known = names(1);
-        let decided = Decided::default();
-        collector.decide(&decided, &known, at(1_000), running_since, ROUND, at(6_600))
+    let known = names(1);
+    let decide = |decided: &Decided, running_since| {
+        collector.decide(decided, &known, at(1_000), running_since, ROUND, at(6_600))
     };
-    assert_eq!(report(&decide(at(500))).0.window, FIRST);
-    assert!(decide(at(5_500)).is_empty());
+    let site = Decided::default();
+    assert_eq!(decide(&site, at(500)), [Decision::Begin(FIRST)]);
+    assert_eq!(decide(&site, at(5_500)), [Decision::Begin(FIRST + 1)]);
+    let begun = site.with(&[Decision::Begin(FIRST)], &[]);
+    assert_eq!(report(&decide(&begun, at(5_500))).0.window, FIRST);
 }
 
 #[test]
--- a/crates/gateway/src/duty/hold.rs
+++ b/crates/gateway/src/duty/hold.rs
@@ -74,10 +74,15 @@
     known.extend(state.gateways(now).into_iter().map(|(name, _)| name));
     let round = poll::period(known.len());
     let decided = &held.record.decided;
-    let decisions =
-        state
-            .collector
-            .decide(decided, &known, held.since, handle.started_at, round, now);
+    // Where the object was removed, nobody knows which windows before were reported.
+    let running_since = if held.record.token > 1 {
+        held.since
+    } else {
+        handle.started_at
+    };
+    let decisions = state
+        .collector
+        .decide(decided, &known, held.since, running_since, round, now);
     // An acknowledgement alone waits for the next renewal.
     let is_due = !decisions.is_empty() || state.lease.next_call().is_past(now);
     let draft = is_due.then(|| decided.with(&decisions, &state.acknowledged));
@@ -203,7 +208,7 @@
                     cause: "not_decided",
                 });
             }
-            Decision::Report { .. } | Decision::Skip { .. } => {}
+            Decision::Begin(_) | Decision::Report { .. } | Decision::Skip { .. } => {}
         }
     }
 }
--- a/tests/gateway/duty.rs
+++ b/tests/gateway/duty.rs
@@ -12,6 +12,7 @@
 use http::StatusCode;
 use rustix::process::Signal;
 use serde_json::{Value, json};
+use tempfile::NamedTempFile;
 use tokio::time::sleep;
 
 use crate::site::Site;
@@ -243,7 +244,10 @@
     let mut metered = Metered::start().await;
     let holder = metered.wait_holder().await;
     let renewals = |site: &Site| {
-        let spec = site.store.spec("duties", "usage").expect("the duty is held");
+        let spec = site
+            .store
+            .spec("duties", "usage")
+            .expect("the duty is held");
         spec["renewal"].as_u64().expect("a number")
     };
     let all: Vec<usize> = (0..GATEWAYS).collect();
@@ -260,6 +264,83 @@
     assert!(metered.duties.calls().iter().all(|call| call.token == 1));
 }
 
+#[tokio::test]
+async fn duty_holder_restarted() {
+    // Guards against a restarted holder that acts with its old token, and against requests of
+    // a gateway at a new address that are not counted.
+    let mut metered = Metered::start().await;
+    let first = metered.wait_holder().await;
+    let all: Vec<usize> = (0..GATEWAYS).collect();
+    metered.send(&all, Duration::from_secs(3)).await;
+    sleep(Duration::from_millis(1_300)).await;
+    metered.site.kill_gateway(first);
+    metered.site.restart_gateway(first).await;
+    // The first read of the new process, and the takeover from the old one.
+    sleep(Duration::from_secs(7)).await;
+    metered.send(&all, Duration::from_secs(6)).await;
+    let last = metered.wait_reported().await;
+    metered.assert_reported(last);
+    let tokens = metered.duties.calls().into_iter().map(|call| call.token);
+    assert_eq!(tokens.max(), Some(2));
+}
+
+#[tokio::test]
+async fn duty_logged() {
+    // Guards against a report whose course operators cannot follow in the log.
+    let duties = Duties::start().await.expect("a port is free");
+    let mut site = Site::start(0, 1).await;
+    site.metering = Some(duties.address());
+    let file = NamedTempFile::new().expect("a file can be made");
+    let output = file.reopen().expect("the file can be opened");
+    site.start_logged_gateway(output.into()).await;
+    let answer = site.send_through(0, "/orders/1", "o1").await;
+    assert_eq!(answer.map(|answer| answer.status), Some(StatusCode::OK));
+    sleep(Duration::from_secs(14)).await;
+    let text = std::fs::read_to_string(file.path()).expect("the log can be read");
+    let lines = text.lines().map(|line| serde_json::from_str(line));
+    let lines: Vec<Value> = lines.filter_map(Result::ok).collect();
+    let find = |event: &str| -> Vec<&Value> {
+        let of_kind = lines.iter().filter(|line| line["event"] == event);
+        of_kind.collect()
+    };
+    let taken = find("duty_taken");
+    assert_eq!(taken.len(), 1, "{taken:?}");
+    assert_eq!(
+        (&taken[0]["token"], &taken[0]["duty"]),
+        (&json!(1), &json!("usage"))
+    );
+    for (window, _) in metered_windows(&duties) {
+        let decided = find("usage_decided");
+        assert!(
+            decided.iter().any(|line| line["window"] == window),
+            "{decided:?}"
+        );
+        let sent = find("usage_sent");
+        let is_sent = |line: &&Value| {
+            line["window"] == window && line["outcome"] == "acknowledged" && line["attempt"] == 1
+        };
+        assert!(sent.iter().any(|line| is_sent(line)), "{sent:?}");
+    }
+    let requests: u64 = find("usage_decided")
+        .iter()
+        .filter_map(|line| line["requests"].as_u64())
+        .sum();
+    assert_eq!(requests, 1);
+    assert_eq!(find("duty_lost"), Vec::<&Value>::new());
+    assert_eq!(find("usage_missed"), Vec::<&Value>::new());
+}
+
+/// Returns the reported windows and their counts.
+fn metered_windows(duties: &Duties) -> Vec<(u64, Value)> {
+    let calls = duties.calls();
+    assert!(!calls.is_empty(), "nothing was reported");
+    let window = |call: &Call| (call.body["windowId"].as_u64(), call.body["counts"].clone());
+    let windows = calls.iter().map(window);
+    windows
+        .map(|(id, counts)| (id.expect("a window"), counts))
+        .collect()
+}
+
 #[tokio::test]
 async fn duty_without_metering() {
     // Guards against objects and calls of gateways whose settings have no duties.
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -428,7 +428,7 @@
     /// Starts gateways of another data centre, and waits until they are ready.
     pub(crate) async fn start_gateways(&mut self, count: usize) {
         for number in 0..count {
-            let gateway = self.launch_member(number);
+            let gateway = self.launch_member(number, Stdio::null());
             self.group.push(gateway);
         }
         for number in 0..count {
@@ -436,10 +436,19 @@
         }
     }
 
-    fn launch_member(&self, number: usize) -> Gateway {
+    /// Starts one gateway of another data centre that writes its log to `output`, and waits
+    /// until it is ready.
+    pub(crate) async fn start_logged_gateway(&mut self, output: Stdio) {
+        let number = self.group.len();
+        let gateway = self.launch_member(number, output);
+        self.group.push(gateway);
+        self.wait_member(number).await;
+    }
+
+    fn launch_member(&self, number: usize, output: Stdio) -> Gateway {
         let peers = free_port();
         let metering = self.metering;
-        launch_gateway(&self.store, None, |mut settings| {
+        launch_writing(&self.store, None, output, |mut settings| {
             settings["nodeName"] = format!("edge-south-{number}").into();
             settings["zone"] = "south".into();
             settings["listenAddrs"]["controlPlane"] = peers.to_string().into();
@@ -510,7 +519,7 @@
 
     /// Starts a gateway of the group again, at another address.
     pub(crate) async fn restart_gateway(&mut self, number: usize) {
-        self.group[number] = self.launch_member(number);
+        self.group[number] = self.launch_member(number, Stdio::null());
         self.wait_member(number).await;
     }
 
