Let a successor begin with the first window of a site

A holder that was lost before it wrote the first window left it to its successor, which took the missing decision for a removed object and began later (duty_holder_paused, 1 window with 24 requests missing). The object now says with which token it was created.

--- a/crates/core/src/duty/lease.rs
+++ b/crates/core/src/duty/lease.rs
@@ -67,6 +67,10 @@
     pub address: Option<SocketAddr>,
     /// The fencing token, which increases with each change of the holder.
     pub token: u64,
+    /// The token with which the object was created. Above one, an earlier object was removed,
+    /// and what was decided before may not be known.
+    #[serde(default)]
+    pub origin: u64,
     /// The number of the write, which differs in each write of a process.
     pub renewal: u64,
     /// What was decided.
@@ -194,9 +198,9 @@
             if !is_due && (draft.is_none() || self.failures > 0 || self.is_outdated) {
                 return None;
             }
-            let (revision, token) = (held.revision, held.record.token);
+            let (revision, token, origin) = (held.revision, held.record.token, held.record.origin);
             let decided = draft.unwrap_or_else(|| held.record.decided.clone());
-            let record = self.draw(token, decided, now);
+            let record = self.draw(token, origin, decided, now);
             return Some(Call::Replace(revision, record));
         }
         if !self.next_call.is_past(now) {
@@ -205,7 +209,8 @@
         if self.is_missing {
             // Somebody may have removed the object of a site that has decided before.
             let decided = self.decided.clone().unwrap_or_default();
-            let record = self.draw(self.token + 1, decided, now);
+            let token = self.token + 1;
+            let record = self.draw(token, token, decided, now);
             return Some(Call::Create(record));
         }
         let Some(foreign) = self.foreign else {
@@ -229,12 +234,12 @@
             });
         };
         let token = self.token.max(record.token) + 1;
-        let record = self.draw(token, record.decided, now);
+        let record = self.draw(token, record.origin, record.decided, now);
         Some(Call::Replace(revision, record))
     }
 
     /// Returns a record for a write that is sent now.
-    fn draw(&mut self, token: u64, decided: D, now: Time) -> Record<D> {
+    fn draw(&mut self, token: u64, origin: u64, decided: D, now: Time) -> Record<D> {
         self.renewals += 1;
         if self.writes.len() == MAX_WRITES {
             self.writes.remove(0);
@@ -246,6 +251,7 @@
             incarnation: self.own.incarnation,
             address: self.own.address,
             token,
+            origin,
             renewal: self.renewals,
             decided,
         }
--- a/crates/core/tests/duty_lease.rs
+++ b/crates/core/tests/duty_lease.rs
@@ -186,6 +186,7 @@
     settle(&mut b, &mut store, None, at(8_300));
     let held = b.held().expect("the lease is created again");
     assert_eq!((held.record.token, held.record.decided), (2, 7));
+    assert_eq!(held.record.origin, 2);
     let mut c = lease("c", 1);
     let valid = Duration::from_secs(3);
     assert!(c.record_poll(50, 5, valid, Duration::ZERO, at(8_300)));
@@ -336,6 +337,7 @@
     settle(&mut b, &mut store, None, at(9_000));
     let held = b.held().expect("the lease was taken over");
     assert_eq!((held.record.decided, held.record.token), (7, 2));
+    assert_eq!(held.record.origin, 1);
 }
 
 #[test]
--- a/crates/gateway/src/duty/hold.rs
+++ b/crates/gateway/src/duty/hold.rs
@@ -75,7 +75,7 @@
     let round = poll::period(known.len());
     let decided = &held.record.decided;
     // Where the object was removed, nobody knows which windows before were reported.
-    let running_since = if held.record.token > 1 {
+    let running_since = if held.record.origin > 1 {
         held.since
     } else {
         handle.started_at
