--- a/tests/gateway/duty.rs
+++ b/tests/gateway/duty.rs
@@ -297,7 +297,7 @@
     assert_eq!(answer.map(|answer| answer.status), Some(StatusCode::OK));
     sleep(Duration::from_secs(14)).await;
     let text = std::fs::read_to_string(file.path()).expect("the log can be read");
-    let lines = text.lines().map(|line| serde_json::from_str(line));
+    let lines = text.lines().map(serde_json::from_str);
     let lines: Vec<Value> = lines.filter_map(Result::ok).collect();
     let find = |event: &str| -> Vec<&Value> {
         let of_kind = lines.iter().filter(|line| line["event"] == event);
@@ -319,7 +319,7 @@
         let is_sent = |line: &&Value| {
             line["window"] == window && line["outcome"] == "acknowledged" && line["attempt"] == 1
         };
-        assert!(sent.iter().any(|line| is_sent(line)), "{sent:?}");
+        assert!(sent.iter().any(is_sent), "{sent:?}");
     }
     let requests: u64 = find("usage_decided")
         .iter()
