--- a/crates/core/tests/site.rs
+++ b/crates/core/tests/site.rs
@@ -110,6 +110,7 @@
             migrations: false,
             backups: false,
         }),
+        scaling: None,
     };
     let builder = routes.into_iter().fold(Builder::new(1), Builder::route);
     let owners = classes.iter().enumerate();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -137,6 +137,7 @@
         work,
         claim,
         workspace,
+        is_continued: route.resume && caller.last_event.is_some(),
         side,
         suspects: suspects(digest, caller.parts),
         digest,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod cut;
 mod drain;
+mod duty;
 mod endless;
 mod failover;
 mod list;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -44,6 +44,8 @@
     pub(crate) gateway: Gateway,
     /// Gateways of one data centre that know each other, beside [`Site::gateway`].
     group: Vec<Gateway>,
+    /// Where the gateways of the group report usage, if they do.
+    pub(crate) metering: Option<SocketAddr>,
     pub(crate) copies: Copies,
     /// The addresses of sidecars and of the gateway's peer port, if engines have
     /// sidecars.
@@ -280,6 +282,7 @@
             orders: Vec::new(),
             gateway: launch_gateway(&store, peers, |settings| settings),
             group: Vec::new(),
+            metering: None,
             peers,
             sidecars: Vec::new(),
             copies: copies.clone(),
@@ -425,7 +428,7 @@
     /// Starts gateways of another data centre, and waits until they are ready.
     pub(crate) async fn start_gateways(&mut self, count: usize) {
         for number in 0..count {
-            let gateway = self.launch_member(number);
+            let gateway = self.launch_member(number, Stdio::null());
             self.group.push(gateway);
         }
         for number in 0..count {
@@ -433,13 +436,26 @@
         }
     }
 
-    fn launch_member(&self, number: usize) -> Gateway {
+    /// Starts one gateway of another data centre that writes its log to `output`, and waits
+    /// until it is ready.
+    pub(crate) async fn start_logged_gateway(&mut self, output: Stdio) {
+        let number = self.group.len();
+        let gateway = self.launch_member(number, output);
+        self.group.push(gateway);
+        self.wait_member(number).await;
+    }
+
+    fn launch_member(&self, number: usize, output: Stdio) -> Gateway {
         let peers = free_port();
-        launch_gateway(&self.store, None, |mut settings| {
+        let metering = self.metering;
+        launch_writing(&self.store, None, output, |mut settings| {
             settings["nodeName"] = format!("edge-south-{number}").into();
             settings["zone"] = "south".into();
             settings["listenAddrs"]["controlPlane"] = peers.to_string().into();
-            settings
+            match metering {
+                Some(address) => operator::with_metering(settings, address),
+                None => settings,
+            }
         })
     }
 
@@ -503,7 +519,7 @@
 
     /// Starts a gateway of the group again, at another address.
     pub(crate) async fn restart_gateway(&mut self, number: usize) {
-        self.group[number] = self.launch_member(number);
+        self.group[number] = self.launch_member(number, Stdio::null());
         self.wait_member(number).await;
     }
 
