--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -21,8 +21,8 @@
     rollout::Side,
 };
 use cactusroad_platform::replica::{self, Observer};
-use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
-use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until};
+use futures_util::future::join_all;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::{
     clock, peer,
@@ -35,10 +35,6 @@
 /// hundredth of the time within which the first event of a stream is due.
 const CHOICE_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// How long a run that goes on elsewhere waits for further reports once there is one: a few
-/// round trips between data centres. The caller's stream pauses meanwhile.
-const RESUME_POLL_TIMEOUT: Duration = Duration::from_millis(10);
-
 /// How long a choice waits for a sidecar before it asks the engine itself: a few round
 /// trips between data centres.
 const SIDECAR_TIMEOUT: Duration = Duration::from_millis(12);
@@ -88,48 +84,6 @@
     poll(shard, endpoint, CHOICE_TIMEOUT).await;
 }
 
-/// Samples engines of a version and polls them like [`candidates`], but waits for slow ones for a
-/// shorter time and returns only those that have answered. All sampled engines are returned if
-/// none has; they are then avoided.
-pub(crate) async fn answering_candidates(
-    shard: &Arc<Shard>,
-    work: Work,
-    tried: &[Arc<str>],
-    side: Side,
-) -> Vec<Arc<Endpoint>> {
-    let now = clock::now();
-    let sampled = shard
-        .pool()
-        .sample_for(work, tried, None, side, rand::random(), now);
-    // Tasks, so that polls that are not waited for still record their outcome.
-    let mut polls: FuturesUnordered<_> = sampled
-        .iter()
-        .map(|endpoint| {
-            let (shard, endpoint) = (Arc::clone(shard), Arc::clone(endpoint));
-            tokio::spawn(async move {
-                let has_answered = poll(&shard, &endpoint, CHOICE_TIMEOUT).await;
-                has_answered.then_some(endpoint)
-            })
-        })
-        .collect();
-    let mut answered = Vec::new();
-    let limit = clock::now() + RESUME_POLL_TIMEOUT;
-    loop {
-        tokio::select! {
-            biased;
-            polled = polls.next() => match polled {
-                Some(found) => answered.extend(found.ok().flatten()),
-                None => break,
-            },
-            () = sleep_until(clock::instant(limit)), if !answered.is_empty() => break,
-        }
-    }
-    if answered.is_empty() {
-        return sampled;
-    }
-    answered
-}
-
 /// Polls the engines that hold runs while the store is unreachable, and logs the load.
 pub(crate) async fn run(state: Arc<State>) {
     let mut ticks = interval(OUTAGE_POLL_INTERVAL);
@@ -174,8 +128,8 @@
     }
 }
 
-/// Polls one engine and records the report in the pool. Returns whether the engine answered.
-async fn poll(shard: &Arc<Shard>, endpoint: &Arc<Endpoint>, timeout: Duration) -> bool {
+/// Polls one engine and records the report in the pool.
+async fn poll(shard: &Arc<Shard>, endpoint: &Arc<Endpoint>, timeout: Duration) {
     let mut probe = shard
         .take_idle_probe(&endpoint.id)
         .filter(|probe| probe.address == endpoint.address)
@@ -185,12 +139,10 @@
             let change = shard.pool().report(&endpoint.id, report, clock::now());
             shard.record_change(&endpoint.id, change, "report");
             shard.put_idle_probe(&endpoint.id, probe);
-            true
         }
         Err(cause) => {
             log::debug!("no load report from endpoint {}: {cause}", endpoint.id);
             shard.pool().record_unreachable(&endpoint.id, clock::now());
-            false
         }
     }
 }
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -1,6 +1,6 @@
 //! Failover and migration of a stream whose engine is leaving, silent or lost.
 
-use std::{slice, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use cactusroad_core::{
     Time,
@@ -115,7 +115,7 @@
     /// Continues a run whose engine was given up: stops it there, and resumes it elsewhere.
     /// `spent` is the purpose of a retry that was already taken from the budget.
     async fn go_on(&mut self, lost_at: Time, mut spent: Option<Repeat>) -> Result<(), Ending> {
-        let mut stopped = self.stop_and_poll().await;
+        let mut stopped = self.stop_run().await;
         while let Some((endpoint, source)) = self.find_successor(&mut stopped).await {
             if self.job.deadline.is_past(clock::now()) {
                 return Err(Ending::Deadline);
@@ -136,6 +136,11 @@
             self.sends += 1;
             let standby = (self.run.backup.take(), self.standby.take());
             self.run.endpoint = endpoint;
+            if source.is_some() {
+                let side = self.job.shard.pool().side_of(&self.run.endpoint.version);
+                let work = self.job.work;
+                self.candidates = observe::candidates(&self.job.shard, work, &[], None, side).await;
+            }
             let label = source
                 .as_ref()
                 .map_or_else(|| "rerun".to_owned(), |source| source.address.to_string());
@@ -150,7 +155,7 @@
             self.reply = None;
             match opened {
                 // The run may go on there, and be copied from there.
-                Opened::Lost => stopped = self.stop_and_poll().await,
+                Opened::Lost => stopped = self.stop_run().await,
                 // The copies made before are still valid, but for the one that was refused.
                 Opened::NotRun if !is_at(&standby.0, &self.run.endpoint) => {
                     (self.run.backup, self.standby) = standby;
@@ -161,19 +166,6 @@
         Err(Ending::Lost)
     }
 
-    /// Stops the run at its engine. Meanwhile polls the engines of which one will keep the
-    /// standby copy of the resumed run: the stream pauses until the run goes on.
-    async fn stop_and_poll(&mut self) -> Option<Stopped> {
-        let shard = Arc::clone(&self.job.shard);
-        let engine = Arc::clone(&self.run.endpoint);
-        let side = shard.pool().side_of(&engine.version);
-        let tried = slice::from_ref(&engine.id);
-        let polled = observe::answering_candidates(&shard, self.job.work, tried, side);
-        let (stopped, candidates) = tokio::join!(self.stop_run(), polled);
-        self.candidates = candidates;
-        stopped
-    }
-
     /// Records that the connection to the run's engine broke, as it does in a crash, if the
     /// run had not been answered and the engine was not leaving.
     pub(super) fn record_crash(&mut self) {
