Let the stream of a migration test take longer than 3 s

Cause: the 130 events of stream_migrated_to_evacuated take 2.75 to 2.9 s, and the timeout of its route is 3 s. In a failing run (load 26) the stream was broken off at 3.001 s, after event 122; the run had resumed at the right engine and no request had reached the evacuated one.

Change: the test sets a timeout of 30 s for its route. Its assertions and times are as before.

--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cactusroad::platform::standin::{operator::with_stream_resume, replica::Behaviour};
+use cactusroad::platform::standin::{
+    operator::{with_stream_resume, with_timeout},
+    replica::Behaviour,
+};
 use http::StatusCode;
 use tokio::time::sleep;
 
@@ -82,6 +85,10 @@
 async fn stream_migrated_to_evacuated() {
     let interval = Duration::from_millis(20);
     let mut site = Site::start_with(1, 0, 130, interval).await;
+    // The usual timeout of 3 s is only 0.2 s more than the stream takes on an idle machine.
+    let patient = with_timeout(config(2), 30_000);
+    site.store.put("config", "main", patient);
+    sleep(IN_FORCE).await;
     let mut stream = site.open("/drafts/1", "s1").await;
     assert_eq!(stream.read(2).await, None);
     let evacuated = site.start_engine("e-8", 130, interval).await;
