Keep the comparison of engine speeds between reports

Cause: each sample, choice and copy collected and sorted the known times per event, and a score looked up the speed of its engine twice.

Change: a pool keeps the times sorted, with the reference and the number of slow engines. A report, a restart or a removal that changes a value updates them; a value that lapses has them computed again. A score looks up the speed once. The new test speed_kept compares the kept values with those of a pool that is built from the values that hold.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -310,13 +310,10 @@
         let overflow = (self.memory_use(member, criteria.work, now) - config.memory_share).max(0.0);
         let memory = self.memory_tokens.max(1) as f64;
         let (slowdown, pauses) = scale.map_or((1.0, 0.0), |scale| {
-            let is_untested = member.event_us(config, now).is_none() && running >= UNTESTED_RUNS;
             let reference_us = f64::from(scale.reference_us.max(1));
-            let known = if is_untested {
-                Some((reference_us * MAX_SLOWDOWN) as u32)
-            } else {
-                member.event_us(config, now)
-            };
+            let untested =
+                || (running >= UNTESTED_RUNS).then_some((reference_us * MAX_SLOWDOWN) as u32);
+            let known = member.event_us(config, now).or_else(untested);
             let slowdown = f64::from(scale.event_us(known)) / reference_us;
             let exposed_runs = if scale.is_slow(known) { running } else { 0.0 };
             let pauses = self.pause_tokens(criteria, scale, known)
@@ -349,15 +346,6 @@
         work.output >= self.config.long_run_events
     }
 
-    /// Returns the comparison of the engines' speeds if any of them is slow.
-    fn uneven(&self, now: Time) -> Option<Scale> {
-        if !self.is_engine {
-            return None;
-        }
-        let (scale, _, slow) = self.scale(now);
-        (slow > 0).then_some(scale)
-    }
-
     /// Returns the share of an engine's memory that is in use once it also holds `work`.
     fn memory_use(&self, member: &Member, work: Work, now: Time) -> f64 {
         let memory = member.memory_capacity(self.memory_tokens).max(1);
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -378,8 +378,24 @@
 
     /// Returns the last known time per event of a run, in microseconds.
     pub(super) fn event_us(&self, config: &Config, now: Time) -> Option<u32> {
+        self.speed(config, now).map(|(event_us, _)| event_us)
+    }
+
+    /// Returns the last known time per event of a run and until when it holds.
+    pub(super) fn speed(&self, config: &Config, now: Time) -> Option<(u32, Time)> {
         let (event_us, at) = self.event_us?;
-        (now.since(at) <= Duration::from_millis(config.speed_life_ms)).then_some(event_us)
+        let until = at + Duration::from_millis(config.speed_life_ms);
+        (now <= until).then_some((event_us, until))
+    }
+
+    /// Returns the last time per event of a run, whether or not it still holds.
+    pub(super) fn last_event_us(&self) -> Option<u32> {
+        self.event_us.map(|(event_us, _)| event_us)
+    }
+
+    /// Drops the time per event if it no longer holds.
+    pub(super) fn drop_lapsed_speed(&mut self, config: &Config, now: Time) {
+        self.event_us = self.event_us.filter(|_| self.speed(config, now).is_some());
     }
 
     /// Starts the moving average of the answer latency again from this answer.
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -150,6 +150,8 @@
     seed: u64,
     /// The requests that wait for capacity, and those that were admitted.
     queue: admit::Queue,
+    /// The time per event of each member that has one.
+    speeds: pace::Speeds,
 }
 
 /// An endpoint that was removed.
@@ -168,6 +170,7 @@
 impl Pool {
     /// Returns a pool without members.
     pub fn new(config: Config) -> Pool {
+        let speeds = pace::Speeds::new(std::iter::empty(), config.slow_ratio);
         Pool {
             config,
             members: Vec::new(),
@@ -181,6 +184,7 @@
             flow: plain::Flow::default(),
             seed: 0,
             queue: admit::Queue::default(),
+            speeds,
         }
     }
 
@@ -246,7 +250,12 @@
                     Change::Joined
                 })
             }
-            Ok(index) => self.members[index].update(endpoint, now),
+            Ok(index) => {
+                let last_us = self.members[index].last_event_us();
+                let change = self.members[index].update(endpoint, now);
+                self.update_speed(index, last_us, now);
+                change
+            }
         }
     }
 
@@ -324,7 +333,11 @@
         });
         self.removed.extend(removed);
         self.removed.retain(|removed| !removed.until.is_past(now));
+        let count = self.members.len();
         self.members.retain(|member| !is_expired(member));
+        if self.members.len() < count {
+            self.reset_speeds(now);
+        }
     }
 
     /// Returns whether an endpoint was removed within the last minute. An announcement
@@ -345,7 +358,11 @@
 
     /// Records an engine's load report.
     pub fn report(&mut self, id: &str, report: Report, now: Time) -> Option<Change> {
-        self.member(id)?.record_report(report, now)
+        let index = self.index(id).ok()?;
+        let last_us = self.members[index].last_event_us();
+        let change = self.members[index].record_report(report, now);
+        self.update_speed(index, last_us, now);
+        change
     }
 
     /// Records that an endpoint said that it is leaving.
@@ -476,23 +493,50 @@
 
     /// Returns how the engines compare in speed.
     pub fn speed(&self, now: Time) -> pace::Summary {
-        let (scale, known, slow) = self.scale(now);
-        pace::Summary {
-            reference_us: scale.reference_us,
-            known,
-            slow,
+        self.with_speeds(now, pace::Speeds::summary)
+    }
+
+    /// Returns the comparison of the engines' speeds if any of them is slow.
+    fn uneven(&self, now: Time) -> Option<pace::Scale> {
+        if !self.is_engine {
+            return None;
         }
+        self.with_speeds(now, pace::Speeds::uneven)
     }
 
-    /// Compares the known speeds of the engines. Also returns the number of known ones and of
-    /// slow ones.
-    fn scale(&self, now: Time) -> (pace::Scale, usize, usize) {
-        let known = |member: &Member| member.event_us(&self.config, now);
-        let mut times_us: Vec<u32> = self.members.iter().filter_map(known).collect();
-        let scale = pace::Scale::new(&mut times_us, self.config.slow_ratio);
-        let slow = times_us.iter().filter(|time| scale.is_slow(Some(**time)));
-        let slow = slow.count();
-        (scale, times_us.len(), slow)
+    /// Evaluates the known speeds. Those that are kept are used unless one has lapsed since the
+    /// last report.
+    fn with_speeds<T>(&self, now: Time, evaluate: impl Fn(&pace::Speeds) -> T) -> T {
+        if self.speeds.is_valid(now) {
+            evaluate(&self.speeds)
+        } else {
+            evaluate(&self.compare_speeds(now))
+        }
+    }
+
+    fn compare_speeds(&self, now: Time) -> pace::Speeds {
+        let values = self.members.iter();
+        let values = values.filter_map(|member| member.speed(&self.config, now));
+        pace::Speeds::new(values, self.config.slow_ratio)
+    }
+
+    /// Updates the kept speeds after a member's time per event may have changed from `last_us`.
+    fn update_speed(&mut self, index: usize, last_us: Option<u32>, now: Time) {
+        if self.speeds.is_valid(now) {
+            let next = self.members[index].speed(&self.config, now);
+            let slow_ratio = self.config.slow_ratio;
+            self.speeds.replace(last_us, next, slow_ratio);
+        } else {
+            self.reset_speeds(now);
+        }
+    }
+
+    /// Drops the speeds that have lapsed, and compares the others.
+    fn reset_speeds(&mut self, now: Time) {
+        for member in &mut self.members {
+            member.drop_lapsed_speed(&self.config, now);
+        }
+        self.speeds = self.compare_speeds(now);
     }
 
     /// Returns a member's endpoint.
--- a/crates/core/src/pool/pace.rs
+++ b/crates/core/src/pool/pace.rs
@@ -185,10 +185,10 @@
 }
 
 impl Scale {
-    /// Compares the known times per event, in any order. The reference is the lower quartile:
-    /// the speed that an engine has when nothing is wrong with it, even if most are slow.
-    pub(super) fn new(times_us: &mut [u32], slow_ratio: f64) -> Scale {
-        times_us.sort_unstable();
+    /// Compares the known times per event, which must be sorted. The reference is the lower
+    /// quartile: the speed that an engine has when nothing is wrong with it, even if most are
+    /// slow.
+    fn new(times_us: &[u32], slow_ratio: f64) -> Scale {
         let floor_us = match times_us {
             [first, second, ..] if first.saturating_mul(CREDIBLE_FACTOR) < *second => *second,
             [first, ..] => *first,
@@ -217,3 +217,88 @@
         self.event_us(known) > self.slow_above_us
     }
 }
+
+/// The known times per event of the engines of a pool.
+///
+/// A sample, a choice and a copy each compare all engines, several times as often as a report
+/// changes a value. The comparison is therefore kept until a value changes or lapses.
+#[derive(Debug)]
+pub(super) struct Speeds {
+    /// In microseconds, sorted.
+    times_us: Vec<u32>,
+    scale: Scale,
+    slow: usize,
+    /// A time before which no value lapses.
+    valid_until: Time,
+}
+
+impl Speeds {
+    /// Compares values, each given with the time until which it holds.
+    pub(super) fn new(values: impl Iterator<Item = (u32, Time)>, slow_ratio: f64) -> Speeds {
+        let mut valid_until = Time::MAX;
+        let mut times_us: Vec<u32> = values
+            .map(|(time_us, until)| {
+                valid_until = valid_until.min(until);
+                time_us
+            })
+            .collect();
+        times_us.sort_unstable();
+        let mut speeds = Speeds {
+            times_us,
+            scale: Scale::default(),
+            slow: 0,
+            valid_until,
+        };
+        speeds.compare(slow_ratio);
+        speeds
+    }
+
+    /// Replaces the value of one engine.
+    pub(super) fn replace(
+        &mut self,
+        last_us: Option<u32>,
+        next: Option<(u32, Time)>,
+        slow_ratio: f64,
+    ) {
+        if let Some((_, until)) = next {
+            self.valid_until = self.valid_until.min(until);
+        }
+        let next_us = next.map(|(time_us, _)| time_us);
+        if last_us == next_us {
+            return;
+        }
+        if let Some(Ok(index)) = last_us.map(|last_us| self.times_us.binary_search(&last_us)) {
+            self.times_us.remove(index);
+        }
+        if let Some(next_us) = next_us {
+            let index = self.times_us.partition_point(|time| *time < next_us);
+            self.times_us.insert(index, next_us);
+        }
+        self.compare(slow_ratio);
+    }
+
+    fn compare(&mut self, slow_ratio: f64) {
+        self.scale = Scale::new(&self.times_us, slow_ratio);
+        let scale = self.scale;
+        let is_not_slow = |time: &u32| !scale.is_slow(Some(*time));
+        self.slow = self.times_us.len() - self.times_us.partition_point(is_not_slow);
+    }
+
+    /// Returns whether no value has lapsed.
+    pub(super) fn is_valid(&self, now: Time) -> bool {
+        now <= self.valid_until
+    }
+
+    /// Returns the comparison if any engine is slow.
+    pub(super) fn uneven(&self) -> Option<Scale> {
+        (self.slow > 0).then_some(self.scale)
+    }
+
+    pub(super) fn summary(&self) -> Summary {
+        Summary {
+            reference_us: self.scale.reference_us,
+            known: self.times_us.len(),
+            slow: self.slow,
+        }
+    }
+}
--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -10,6 +10,7 @@
     },
     rollout::Side,
 };
+use proptest::prelude::*;
 
 const START: Time = Time::from_millis(1_000_000);
 const MEMORY_TOKENS: u64 = 27_000;
@@ -195,6 +196,46 @@
     assert_eq!(pool.speed(after(30_001)).slow, 0);
 }
 
+proptest! {
+    /// Guards against a kept comparison that differs from the values that hold: after reports,
+    /// restarts, removals, and the lapse of values.
+    #[test]
+    fn speed_kept(
+        steps in prop::collection::vec((0..8u16, 0..5u32, 0..4u8, 0..12_000u64), 1..60),
+    ) {
+        let mut pool = pool(&[0; 8]);
+        let mut millis = 0;
+        for (number, speed, action, elapsed) in steps {
+            millis += elapsed;
+            let (now, engine) = (after(millis), endpoint(number));
+            match action {
+                0 => {
+                    pool.mark_unlisted(&engine.id, now);
+                    pool.remove_expired(now);
+                }
+                1 => {
+                    let restarted = Endpoint { born_ms: millis, ..(*engine).clone() };
+                    pool.upsert(Arc::new(restarted), now);
+                }
+                _ => {
+                    pool.upsert(Arc::clone(&engine), now);
+                    let born_ms = 0;
+                    let event_us = [0, 20_000, 30_000, 45_000, 70_000][speed as usize];
+                    pool.report(&engine.id, Report { born_ms, ..report(event_us) }, now);
+                }
+            }
+            for now in [now, now + Duration::from_secs(25), now + Duration::from_secs(31)] {
+                let mut values: Vec<u32> = pool
+                    .views(now)
+                    .filter_map(|view| view.event_us)
+                    .collect();
+                values.resize(8, 0);
+                prop_assert_eq!(pool.speed(now), self::pool(&values).speed(START));
+            }
+        }
+    }
+}
+
 /// Guards against any other choice than without speeds where no engine is slow, whatever the
 /// other values are: close together, partly unknown, or one absurdly fast.
 #[test]
