Decide on admission and count the request under one lock

Cause: a gateway decided under the pool's lock whether an engine has capacity for a request, and counted the request there under another one when it was sent. Two requests could be admitted for the same capacity in between.

Change: Pool::admit_and_start decides and records. The guard of the request is created with the decision and handed to the relay, which logs the state of the engine from before the count, as it did.

--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -332,6 +332,17 @@
         self.queue.end(&claim.workspace);
     }
 
+    /// Decides like [`Pool::admit`]. If the request is admitted, records that it is sent to the
+    /// engine, so that the next decision counts it.
+    pub fn admit_and_start(&mut self, id: &str, claim: &Claim, now: Time) -> Verdict {
+        let verdict = self.admit(id, claim, now);
+        if verdict.is_admitted {
+            self.record_admission(claim, now);
+            self.record_start(id, claim.work, now);
+        }
+        verdict
+    }
+
     /// Records that a request that may wait is sent to an engine.
     pub fn record_admission(&mut self, claim: &Claim, now: Time) {
         let tokens = claim.work.tokens();
--- a/crates/core/tests/admit.rs
+++ b/crates/core/tests/admit.rs
@@ -118,6 +118,25 @@
     assert!(!pool.admit("e-00", &claim, old).is_admitted);
 }
 
+/// Guards against two requests of one gateway that are admitted for the same capacity, and
+/// against a request that counts although it was not admitted.
+#[test]
+fn admitted_once() {
+    let now = after(0);
+    let mut pool = pool(1);
+    pool.report("e-00", report(14_000, 0, true), now);
+    let claim = claim(LONG, "", now, now);
+    let first = pool.admit_and_start("e-00", &claim, now);
+    let second = pool.admit_and_start("e-00", &claim, now);
+    assert!(first.is_admitted && !second.is_admitted);
+    let added = second.memory_use - first.memory_use;
+    let own = (LONG.prompt + LONG.output) as f64 / MEMORY as f64;
+    assert!((added - own).abs() < 1e-9, "{added}");
+    let third = pool.admit_and_start("e-00", &claim, now);
+    assert_eq!(third, second);
+    assert_eq!(pool.view("e-00", now).unwrap().running, 1);
+}
+
 /// Guards against requests that no engine admits, because of their size alone.
 #[test]
 fn large_request_admitted() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,10 @@
 use cactusroad_core::{
     Time,
     freshness::{Answer, Freshness},
-    pool::{self, Budget, Change, Criteria, Endpoint, Outcome, Pool, Refusal, Repeat, Work},
+    pool::{
+        self, Budget, Change, Claim, Criteria, Endpoint, Outcome, Pool, Refusal, Repeat, Verdict,
+        Work,
+    },
     relay::Plan,
     rollout::evidence::Ending,
     site::Site,
@@ -621,16 +624,49 @@
         route: &Arc<str>,
     ) -> InFlight {
         let now = clock::now();
+        self.pool().record_start(&endpoint.id, work, now);
+        self.in_flight(endpoint, work, (vm, route), now)
+    }
+
+    /// Decides whether an engine has capacity for a request that may wait. If so, the request
+    /// is counted at the engine until the guard is ended or dropped. The decision and the count
+    /// share one lock, so that two requests are not admitted for the same capacity.
+    pub(crate) fn admit(
+        self: &Arc<Shard>,
+        endpoint: &Arc<Endpoint>,
+        claim: &Claim,
+        vm: &Arc<str>,
+        route: &Arc<str>,
+        now: Time,
+    ) -> (Verdict, Option<Admitted>) {
+        let (verdict, view) = {
+            let mut pool = self.pool();
+            let view = pool.view(&endpoint.id, now);
+            (pool.admit_and_start(&endpoint.id, claim, now), view)
+        };
+        let admitted = verdict.is_admitted.then(|| Admitted {
+            in_flight: self.in_flight(endpoint, claim.work, (vm, route), now),
+            snapshot: view.map_or_else(Snapshot::default, |view| Snapshot::new(&view)),
+        });
+        (verdict, admitted)
+    }
+
+    /// Returns the guard of a request whose start at `now` the pool has recorded.
+    fn in_flight(
+        self: &Arc<Shard>,
+        endpoint: &Arc<Endpoint>,
+        work: Work,
+        (vm, route): (&Arc<str>, &Arc<str>),
+        now: Time,
+    ) -> InFlight {
         let side = self.pool().side_of(&endpoint.version);
         let is_counted = self.rollout.record_sent(side);
-        let witness = is_counted.then(|| Witness::new(vm, route, &endpoint.id, side, now));
-        self.pool().record_start(&endpoint.id, work, now);
         InFlight {
             shard: Arc::clone(self),
             endpoint: Arc::clone(endpoint),
             work,
             started_at: now,
-            witness,
+            witness: is_counted.then(|| Witness::new(vm, route, &endpoint.id, side, now)),
             is_answered: false,
             is_ended: false,
         }
@@ -647,6 +683,14 @@
     }
 }
 
+/// A request that was admitted to an engine and is counted there, but not sent yet.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    pub(crate) in_flight: InFlight,
+    /// What was known of the engine before the request was counted, for the log.
+    pub(crate) snapshot: Snapshot,
+}
+
 /// A request in flight at an endpoint. Dropping it without [`InFlight::end`] counts as a
 /// cancellation.
 #[derive(Debug)]
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -29,7 +29,7 @@
     observe, plain,
     record::{self, Event},
     reply::{self, Body, Truncated},
-    state::{CopyGuard, InFlight, Reservation, Use, time_left},
+    state::{Admitted, CopyGuard, InFlight, Reservation, Use, time_left},
 };
 
 /// The maximum number of times that a request is sent while no engine runs it.
@@ -73,6 +73,9 @@
     run: Run,
     reply: Option<Reply>,
     in_flight: Option<InFlight>,
+    /// The request at the engine of the first attempt, until it is sent, if it had to be
+    /// admitted.
+    admitted: Option<Admitted>,
     /// The reservation at the engine that keeps the standby copy.
     standby: Option<CopyGuard>,
     splitter: Splitter,
@@ -107,6 +110,7 @@
         let Place {
             endpoint,
             candidates,
+            admitted,
         } = match wait::place(&job, &tried).await {
             Ok(place) => place,
             Err(refusal) => return refusal,
@@ -114,6 +118,7 @@
         tried.push(Arc::clone(&endpoint.id));
         let sends = u32::try_from(tried.len()).unwrap_or(u32::MAX);
         let mut relay = Relay::new(job, endpoint, candidates, sends);
+        relay.admitted = admitted;
         match relay.open(None).await {
             Opened::Reply => return relay.answer().await,
             Opened::NotRun => {
@@ -161,6 +166,7 @@
             run,
             reply: None,
             in_flight: None,
+            admitted: None,
             standby: None,
             splitter: Splitter::default(),
             reservation: Reservation::new(&job.state, Use::Responses),
@@ -182,17 +188,22 @@
     async fn open(&mut self, source: Option<Source>) -> Opened {
         self.place_standby();
         let endpoint = Arc::clone(&self.run.endpoint);
+        let (admitted, snapshot) = self
+            .admitted
+            .take()
+            .map(|admitted| (admitted.in_flight, admitted.snapshot))
+            .unzip();
         record::write(&Event::Placed {
             request: &self.job.request_id,
             endpoint: &endpoint.id,
             backup: self.run.backup.as_ref().map(|backup| &*backup.id),
             attempt: self.sends,
-            snapshot: self.job.shard.endpoint_snapshot(&endpoint.id),
+            snapshot: snapshot.unwrap_or_else(|| self.job.shard.endpoint_snapshot(&endpoint.id)),
+        });
+        let in_flight = admitted.unwrap_or_else(|| {
+            let (work, route) = (self.job.work, &self.job.route.name);
+            self.job.shard.start(&endpoint, work, &self.job.vm, route)
         });
-        let in_flight =
-            self.job
-                .shard
-                .start(&endpoint, self.job.work, &self.job.vm, &self.job.route.name);
         observe::await_notice(&self.job.shard, &endpoint);
         let backup = self.run.backup.as_deref();
         let request = self
--- a/crates/gateway/src/stream/wait.rs
+++ b/crates/gateway/src/stream/wait.rs
@@ -8,7 +8,7 @@
 
 use cactusroad_core::{
     Time,
-    pool::{Claim, Endpoint},
+    pool::{Claim, Endpoint, Verdict},
 };
 use http::Response;
 use rand::Rng;
@@ -21,7 +21,7 @@
     observe,
     record::{self, Event},
     reply::Body,
-    state::{Shard, State},
+    state::{Admitted, Shard, State},
 };
 
 /// The cause of refusals of requests for which there is no capacity in time.
@@ -40,6 +40,8 @@
     pub(super) endpoint: Arc<Endpoint>,
     /// The engines that were polled.
     pub(super) candidates: Vec<Arc<Endpoint>>,
+    /// The request at the engine, if it had to be admitted.
+    pub(super) admitted: Option<Admitted>,
 }
 
 /// Chooses an engine. A request that may wait does so until an engine has capacity for it. If
@@ -56,6 +58,7 @@
             return Ok(Place {
                 endpoint,
                 candidates,
+                admitted: None,
             });
         };
         if candidates.iter().all(|polled| polled.id != endpoint.id) {
@@ -68,9 +71,8 @@
             return Err(refusal);
         }
         let now = clock::now();
-        let verdict = job.shard.pool().admit(&endpoint.id, claim, now);
-        if verdict.is_admitted && !job.deadline.is_past(now) {
-            job.shard.pool().record_admission(claim, now);
+        let (verdict, admitted) = admit(job, &endpoint, claim, now);
+        if admitted.is_some() {
             if let Some(waiting) = waiting {
                 record::write(&Event::Admitted {
                     request: &job.request_id,
@@ -84,6 +86,7 @@
             return Ok(Place {
                 endpoint,
                 candidates,
+                admitted,
             });
         }
         let (waits_until, is_hopeless) = {
@@ -120,6 +123,21 @@
     }
 }
 
+/// Decides whether an engine has capacity for a request, and if so counts the request there. A
+/// request whose deadline has passed is not admitted.
+fn admit(
+    job: &Job,
+    endpoint: &Arc<Endpoint>,
+    claim: &Claim,
+    now: Time,
+) -> (Verdict, Option<Admitted>) {
+    if job.deadline.is_past(now) {
+        return (job.shard.pool().admit(&endpoint.id, claim, now), None);
+    }
+    let route = &job.route.name;
+    job.shard.admit(endpoint, claim, &job.vm, route, now)
+}
+
 /// Refuses a request for a reason that was not known when it began to wait: the process stops
 /// accepting requests, or the request was found to crash engines.
 fn refuse_after_wait(job: &Job) -> Option<Response<Body>> {
