Take the speed of a single fast engine as credible

Cause: a time per event below half of the next one was taken for an error. Real engines of one service differ by 2.2, so a single fast engine among slow ones counted as unknown, and the slow ones as normal.

Change: a value is credible down to a third of the next one. If the reference rests on one engine and all others are slow, that engine is preferred until it has twice as many runs as the others have on average with one more run each; then the others are compared among themselves. Speed shortens the expected wait of prompts at most by half.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -59,6 +59,10 @@
 /// speed does not take an engine out of use. Engines of one service differ by about two.
 const MAX_SLOWDOWN: f64 = 2.5;
 
+/// The factor by which speed shortens the expected wait of prompts at most, so that a wrong speed
+/// draws at most twice as many prompts to an engine.
+const MIN_SLOWDOWN: f64 = 0.5;
+
 /// Returns whether a member is among the candidates; an empty list allows every member.
 fn allows(candidates: &[Arc<Endpoint>], member: &Member) -> bool {
     candidates.is_empty()
@@ -318,7 +322,7 @@
             let exposed_runs = if scale.is_slow(known) { running } else { 0.0 };
             let pauses = self.pause_tokens(criteria, scale, known)
                 + exposed_runs * config.exposed_run_tokens;
-            (slowdown.min(MAX_SLOWDOWN), pauses)
+            (slowdown.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN), pauses)
         });
         prompts * slowdown
             + pauses.min(memory)
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -68,6 +68,10 @@
 /// The weight of a new request in the moving average of the prompt length.
 const PROMPT_WEIGHT: f64 = 0.05;
 
+/// How many times the runs of the other engines a single fast engine gets by preference. It is
+/// close to the ratio of real speeds (2.2), and bounds the harm of a wrong one.
+const SINGLE_SHARE: f64 = 2.0;
+
 /// How long a removed endpoint is remembered, so that a late announcement or entry does not
 /// bring it back: twice as long as the seed gateways keep an announcement.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
@@ -497,11 +501,34 @@
     }
 
     /// Returns the comparison of the engines' speeds if any of them is slow.
+    ///
+    /// If all known engines but one are slow, that one may be fast or report a wrong speed. It
+    /// is taken for fast until it has a multiple of the runs of the others, and its speed is
+    /// not counted from then on.
     fn uneven(&self, now: Time) -> Option<pace::Scale> {
         if !self.is_engine {
             return None;
         }
-        self.with_speeds(now, pace::Speeds::uneven)
+        self.with_speeds(now, |speeds| match speeds.single_reference_us() {
+            Some(time_us) if self.has_single_share(time_us, now) => speeds.uneven_others(),
+            _ => speeds.uneven(),
+        })
+    }
+
+    /// Returns whether the engine with this time per event has [`SINGLE_SHARE`] times as many
+    /// runs as the other engines have on average with one more run each.
+    fn has_single_share(&self, time_us: u32, now: Time) -> bool {
+        let (mut own, mut others, mut count) = (0.0, 0.0, 0.0);
+        for member in &self.members {
+            let (running, _) = member.load(&self.config, self.mean_prompt, now);
+            if member.event_us(&self.config, now) == Some(time_us) {
+                own = running;
+            } else if self.is_eligible(member, now) {
+                others += running;
+                count += 1.0;
+            }
+        }
+        count > 0.0 && own >= SINGLE_SHARE * (1.0 + others / count)
     }
 
     /// Evaluates the known speeds. Those that are kept are used unless one has lapsed since the
--- a/crates/core/src/pool/pace.rs
+++ b/crates/core/src/pool/pace.rs
@@ -170,8 +170,9 @@
 }
 
 /// A time per event that is lower than that of the fastest other engine by more than this
-/// factor is taken for an error of measurement.
-const CREDIBLE_FACTOR: u32 = 2;
+/// factor is taken for an error of measurement. Engines of one service differ by 2.2, and each
+/// value is off by up to a tenth, which makes 2.7.
+const CREDIBLE_FACTOR: u32 = 3;
 
 /// Known times per event, compared with each other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -185,25 +186,34 @@
 }
 
 impl Scale {
-    /// Compares the known times per event, which must be sorted. The reference is the lower
+    /// Compares times per event, which must be credible and sorted. The reference is the lower
     /// quartile: the speed that an engine has when nothing is wrong with it, even if most are
     /// slow.
     fn new(times_us: &[u32], slow_ratio: f64) -> Scale {
-        let floor_us = match times_us {
-            [first, second, ..] if first.saturating_mul(CREDIBLE_FACTOR) < *second => *second,
-            [first, ..] => *first,
-            [] => return Scale::default(),
+        let Some(floor_us) = times_us.first() else {
+            return Scale::default();
         };
-        let first = times_us.partition_point(|time| *time < floor_us);
-        let credible = &times_us[first..];
-        let reference_us = credible[(credible.len() - 1) / 4];
+        let reference_us = times_us[(times_us.len() - 1) / 4];
         Scale {
             reference_us,
-            floor_us,
+            floor_us: *floor_us,
             slow_above_us: (f64::from(reference_us) * slow_ratio) as u32,
         }
     }
 
+    /// Returns whether the first of the sorted times is the reference, and all others are slow.
+    fn has_single_reference(&self, times_us: &[u32]) -> bool {
+        let second = times_us.get(1);
+        second.is_some_and(|second| *second > self.slow_above_us)
+            && times_us.first() == Some(&self.reference_us)
+    }
+
+    /// Returns the number of slow engines among the sorted times.
+    fn count_slow(&self, times_us: &[u32]) -> usize {
+        let is_not_slow = |time: &u32| !self.is_slow(Some(*time));
+        times_us.len() - times_us.partition_point(is_not_slow)
+    }
+
     /// Returns the time per event to assume of an engine: the reference if its own is not
     /// known or not credible.
     pub(super) fn event_us(&self, known: Option<u32>) -> u32 {
@@ -228,6 +238,9 @@
     times_us: Vec<u32>,
     scale: Scale,
     slow: usize,
+    /// The comparison without the reference, and its number of slow engines, if the reference
+    /// is the value of a single engine and all others are slow.
+    others: Option<(Scale, usize)>,
     /// A time before which no value lapses.
     valid_until: Time,
 }
@@ -247,6 +260,7 @@
             times_us,
             scale: Scale::default(),
             slow: 0,
+            others: None,
             valid_until,
         };
         speeds.compare(slow_ratio);
@@ -278,10 +292,23 @@
     }
 
     fn compare(&mut self, slow_ratio: f64) {
-        self.scale = Scale::new(&self.times_us, slow_ratio);
-        let scale = self.scale;
-        let is_not_slow = |time: &u32| !scale.is_slow(Some(*time));
-        self.slow = self.times_us.len() - self.times_us.partition_point(is_not_slow);
+        let credible = match &self.times_us[..] {
+            [first, others @ ..]
+                if others
+                    .first()
+                    .is_some_and(|second| first.saturating_mul(CREDIBLE_FACTOR) < *second) =>
+            {
+                others
+            }
+            all => all,
+        };
+        self.scale = Scale::new(credible, slow_ratio);
+        self.slow = self.scale.count_slow(credible);
+        self.others = self.scale.has_single_reference(credible).then(|| {
+            let others = &credible[1..];
+            let scale = Scale::new(others, slow_ratio);
+            (scale, scale.count_slow(others))
+        });
     }
 
     /// Returns whether no value has lapsed.
@@ -289,11 +316,24 @@
         now <= self.valid_until
     }
 
+    /// Returns the time per event of the only engine that is not slow, if the reference rests
+    /// on that engine alone.
+    pub(super) fn single_reference_us(&self) -> Option<u32> {
+        self.others.map(|_| self.scale.reference_us)
+    }
+
     /// Returns the comparison if any engine is slow.
     pub(super) fn uneven(&self) -> Option<Scale> {
         (self.slow > 0).then_some(self.scale)
     }
 
+    /// Returns the comparison without a reference that rests on one engine, if any engine is
+    /// slow in it.
+    pub(super) fn uneven_others(&self) -> Option<Scale> {
+        let (scale, slow) = self.others?;
+        (slow > 0).then_some(scale)
+    }
+
     pub(super) fn summary(&self) -> Summary {
         Summary {
             reference_us: self.scale.reference_us,
