Remove Pool::sample_for, and share the setup of the pool tests

Cause: only tests called Pool::sample; Job::record_start was said to be called once, though a call that follows a retraction records it again; the tests admit, pace and pool of the core each had their own START, after, endpoint, criteria and pool.

Change: Pool::sample takes the work of the request, as sample_for did. The doc of record_start states the rule. The tests use tests/engines/mod.rs. The calls of sample in the tests pass Work::default(), which sample used.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -199,27 +199,15 @@
         chosen.map(|(_, member)| Arc::clone(&member.endpoint))
     }
 
-    /// Returns [`Config::choices`](super::Config::choices) random endpoints, which the
-    /// caller asks for load reports before it chooses one. Endpoints that are avoided for
-    /// now, are in `tried` or are not on `side` are left out; those in the data centre
-    /// `near` come first.
-    pub fn sample(
-        &self,
-        tried: &[Arc<str>],
-        near: Option<&str>,
-        side: Side,
-        seed: u64,
-        now: Time,
-    ) -> Vec<Arc<Endpoint>> {
-        self.sample_for(Work::default(), tried, near, side, seed, now)
-    }
-
-    /// Samples endpoints like [`Pool::sample`] for a request with this work.
+    /// Returns [`Config::choices`](super::Config::choices) random endpoints for a request with
+    /// this work, which the caller asks for load reports before it chooses one. Endpoints that
+    /// are avoided for now, are in `tried` or are not on `side` are left out; those in the data
+    /// centre `near` come first.
     ///
     /// If some engines are slow and the run is long, more than half of the sample are engines
     /// that are known not to be slow, as far as there are any. Answers the load pattern in which
     /// most engines are slow: a sample often has none of the others, although they have room.
-    pub fn sample_for(
+    pub fn sample(
         &self,
         work: Work,
         tried: &[Arc<str>],
--- a/crates/core/tests/admit.rs
+++ b/crates/core/tests/admit.rs
@@ -11,7 +11,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const START: Time = Time::from_millis(1_000_000);
+mod engines;
+
+use engines::{START, after, criteria, engine_pool};
+
 const MEMORY: u64 = 27_000;
 const LONG: Work = Work {
     prompt: 3_000,
@@ -28,28 +31,13 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 const TARGET: Duration = Duration::from_secs(4);
 
-fn after(millis: u64) -> Time {
-    START + Duration::from_millis(millis)
-}
-
-fn pool(engines: u16) -> Pool {
-    let mut pool = Pool::new(Config::default());
-    pool.set_engine(MEMORY);
-    for number in 0..engines {
-        let endpoint = Endpoint {
-            id: format!("e-{number:02}").into(),
-            address: ([10, 0, 0, 1], 1_000 + number).into(),
-            service: "engines".into(),
-            data_centre: "dc".into(),
-            version: "v1".into(),
-            slots: 24,
-            born_ms: 1,
-            draining: false,
-            cold_until: Time::ZERO,
-        };
-        pool.upsert(Arc::new(endpoint), START);
-    }
-    pool
+fn pool(count: u16) -> Pool {
+    let endpoint = |number| Endpoint {
+        id: format!("e-{number:02}").into(),
+        data_centre: "dc".into(),
+        ..engines::endpoint(number)
+    };
+    engine_pool(MEMORY, (0..count).map(endpoint))
 }
 
 fn report(used_tokens: u64, waiting: u32, is_fresh: bool) -> Report {
@@ -366,7 +354,14 @@
                 continue;
             }
             let pool = &mut pools[request.gateway];
-            let candidates = pool.sample(&[], None, Side::Baseline, random.random(), now);
+            let candidates = pool.sample(
+                Work::default(),
+                &[],
+                None,
+                Side::Baseline,
+                random.random(),
+                now,
+            );
             let index = |id: &str| id[2..].parse::<usize>().expect("ids end with a number");
             for candidate in &candidates {
                 let report = engines[index(&candidate.id)].report();
@@ -374,11 +369,9 @@
             }
             let criteria = Criteria {
                 target_pause: Duration::ZERO,
-                work: request.work,
                 data_centre: "dc",
-                tried: &[],
                 candidates: &candidates,
-                side: Side::Baseline,
+                ..criteria(request.work)
             };
             let chosen = pool.choose(&criteria, random.random(), now);
             let id = Arc::clone(&chosen.expect("an engine is chosen").id);
@@ -570,11 +563,8 @@
     }
     let criteria = Criteria {
         target_pause: Duration::ZERO,
-        work: LONG,
         data_centre: "dc",
-        tried: &[],
-        candidates: &[],
-        side: Side::Baseline,
+        ..criteria(LONG)
     };
     let choices = |pool: &Pool| -> Vec<Arc<str>> {
         let chosen = (0..50).map(|seed| pool.choose(&criteria, seed, now));
--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -2,17 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cactusroad_core::{
-    Time,
-    pool::{
-        Config, Criteria, Endpoint, Pool, Purpose, Report, Work,
-        pace::{Meter, Reading, Run},
-    },
-    rollout::Side,
+use cactusroad_core::pool::{
+    Endpoint, Pool, Purpose, Report, Work,
+    pace::{Meter, Reading, Run},
 };
 use proptest::prelude::*;
 
-const START: Time = Time::from_millis(1_000_000);
+mod engines;
+
+use engines::{START, after, criteria, engine_pool};
+
 const MEMORY_TOKENS: u64 = 27_000;
 
 /// The time per event at nominal speed, in microseconds.
@@ -28,10 +27,6 @@
     output: 2,
 };
 
-fn after(millis: u64) -> Time {
-    START + Duration::from_millis(millis)
-}
-
 /// Returns the reading at a time of an engine that needs `event_us` for an event, and 2.5 times
 /// as long for 600 ms of every 4 s.
 fn reading(event_us: u64, millis: u64) -> Reading {
@@ -58,17 +53,11 @@
     meter
 }
 
+/// Returns an engine whose incarnation is not listed.
 fn endpoint(number: u16) -> Arc<Endpoint> {
     Arc::new(Endpoint {
-        id: format!("e-{number:03}").into(),
-        address: ([10, 0, 0, 1], 1_000 + number).into(),
-        service: "engines".into(),
-        data_centre: "dc-0".into(),
-        version: "v1".into(),
-        slots: 24,
         born_ms: 0,
-        draining: false,
-        cold_until: Time::ZERO,
+        ..engines::endpoint(number)
     })
 }
 
@@ -84,27 +73,15 @@
 
 /// Returns a pool of engines that have reported these times per event; zero if unknown.
 fn pool(times_us: &[u32]) -> Pool {
-    let mut pool = Pool::new(Config::default());
-    pool.set_engine(MEMORY_TOKENS);
+    let listed = (0..).take(times_us.len());
+    let listed = listed.map(|number| (*endpoint(number)).clone());
+    let mut pool = engine_pool(MEMORY_TOKENS, listed);
     for (number, event_us) in (0..).zip(times_us) {
-        let endpoint = endpoint(number);
-        pool.upsert(Arc::clone(&endpoint), START);
-        pool.report(&endpoint.id, report(*event_us), START);
+        pool.report(&endpoint(number).id, report(*event_us), START);
     }
     pool
 }
 
-fn criteria(work: Work) -> Criteria<'static> {
-    Criteria {
-        work,
-        data_centre: "dc-0",
-        tried: &[],
-        candidates: &[],
-        side: Side::Baseline,
-        target_pause: Duration::from_millis(180),
-    }
-}
-
 /// Chooses engines for `count` runs that all go on, and returns the chosen ones by number.
 fn place(pool: &mut Pool, work: Work, count: u64) -> Vec<usize> {
     let choose = |seed| {
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -13,31 +13,22 @@
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
 
-const START: Time = Time::from_millis(1_000_000);
-const MEMORY_TOKENS: u64 = 30_000;
+mod engines;
 
-fn after(millis: u64) -> Time {
-    START + Duration::from_millis(millis)
-}
+use engines::{START, after, criteria};
+
+const MEMORY_TOKENS: u64 = 30_000;
 
 /// Returns endpoint `e-NNN` in one of the data centres `dc-0`, `dc-1` and `dc-2`.
 fn endpoint(number: u16) -> Endpoint {
     Endpoint {
-        id: format!("e-{number:03}").into(),
-        address: ([10, 0, 0, 1], 1_000 + number).into(),
-        service: "engines".into(),
         data_centre: format!("dc-{}", number % 3).into(),
-        version: "v1".into(),
-        slots: 24,
-        born_ms: 1,
-        draining: false,
-        cold_until: Time::ZERO,
+        ..engines::endpoint(number)
     }
 }
 
 fn engine_pool(count: u16) -> Pool {
-    let mut pool = Pool::new(Config::default());
-    pool.set_engine(MEMORY_TOKENS);
+    let mut pool = engines::engine_pool(MEMORY_TOKENS, std::iter::empty());
     for number in 0..count {
         assert_eq!(
             pool.upsert(Arc::new(endpoint(number)), START),
@@ -60,17 +51,6 @@
     output: 900,
 };
 
-fn criteria(work: Work) -> Criteria<'static> {
-    Criteria {
-        work,
-        data_centre: "dc-0",
-        tried: &[],
-        candidates: &[],
-        side: Side::Baseline,
-        target_pause: Duration::from_millis(180),
-    }
-}
-
 fn draining(number: u16) -> Arc<Endpoint> {
     Arc::new(Endpoint {
         draining: true,
@@ -250,7 +230,14 @@
 #[test]
 fn choose_among_candidates() {
     let mut pool = engine_pool(6);
-    let candidates = pool.sample(&["e-000".into()], None, Side::Baseline, 5, START);
+    let candidates = pool.sample(
+        Work::default(),
+        &["e-000".into()],
+        None,
+        Side::Baseline,
+        5,
+        START,
+    );
     assert_eq!(candidates.len(), Config::default().choices);
     assert!(candidates.iter().all(|endpoint| &*endpoint.id != "e-000"));
     let criteria = Criteria {
@@ -326,7 +313,14 @@
 fn sample_near_first() {
     let pool = engine_pool(24);
     for seed in 0..20 {
-        let drawn = pool.sample(&["e-000".into()], Some("dc-0"), Side::Baseline, seed, START);
+        let drawn = pool.sample(
+            Work::default(),
+            &["e-000".into()],
+            Some("dc-0"),
+            Side::Baseline,
+            seed,
+            START,
+        );
         assert_eq!(drawn.len(), Config::default().choices);
         assert!(
             drawn
@@ -335,7 +329,14 @@
         );
     }
     let few = engine_pool(4);
-    let drawn = few.sample(&["e-000".into()], Some("dc-0"), Side::Baseline, 1, START);
+    let drawn = few.sample(
+        Work::default(),
+        &["e-000".into()],
+        Some("dc-0"),
+        Side::Baseline,
+        1,
+        START,
+    );
     assert_eq!(&*drawn[0].id, "e-003");
     assert_eq!(drawn.len(), 3);
 }
@@ -499,7 +500,14 @@
             let primary = format!("e-{:03}", number / 3);
             let data_centre = format!("dc-{}", number / 3 % 3);
             let seed = gateway * 1_000_003 + u64::from(number);
-            let near = pool.sample(&[], Some(&data_centre), Side::Baseline, seed, START);
+            let near = pool.sample(
+                Work::default(),
+                &[],
+                Some(&data_centre),
+                Side::Baseline,
+                seed,
+                START,
+            );
             let criteria = Criteria {
                 candidates: &near,
                 ..criteria(LONG_WORK)
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -116,7 +116,8 @@
     }
 
     /// Counts the request for the report of usage, as one that began at an endpoint at `at`.
-    /// Must be called once per request at most.
+    /// Must not be called again for the same request, unless [`Job::retract_start`] has taken
+    /// back what was counted before.
     pub(crate) fn record_start(&self, at: Time) {
         if self.is_continued {
             return;
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -69,7 +69,7 @@
     let now = clock::now();
     let sampled = shard
         .pool()
-        .sample_for(work, tried, near, side, rand::random(), now);
+        .sample(work, tried, near, side, rand::random(), now);
     join_all(
         sampled
             .iter()
