Judge plain endpoints by the latencies of each route

Cause: the usual latency of a small plain service, and the latency of an endpoint and its lowest mean, mixed the calls of all routes. When the share of a route with longer calls grew, all endpoints looked slow and were limited, and long calls counted as late by the usual latency of short ones.

Change: the usual latency is kept for each route of a service, and the mean and the lowest mean for each route at an endpoint, for at most 32 routes each. A call is compared with its own route only. The new tests are limit_routes_of_different_length (which also shows that the same calls lead to a limit if they count as one route), limit_by_latency_of_one_route and limit_many_routes. The other tests of plain.rs pass the route "orders"; what they check is the same.

--- a/crates/core/src/pool/plain.rs
+++ b/crates/core/src/pool/plain.rs
@@ -5,6 +5,9 @@
 //! Endpoints are judged while their calls are still unanswered. The trade-off is that an
 //! endpoint with a few very long calls is avoided for a moment although it works.
 //!
+//! The routes of a service may differ in the time that their calls take, so latencies are
+//! compared with those of the same route only.
+//!
 //! Each gateway judges by its own calls only. Without late calls, refusals and raised
 //! latency, there is nothing to judge by and choices are as for any other service.
 
@@ -21,6 +24,10 @@
 /// while two late calls add up.
 const MAX_ANSWERS: usize = 64;
 
+/// The maximum number of routes of a service whose latencies are remembered. A service has a few;
+/// routes that were removed from the configuration make room for others.
+const MAX_ROUTES: usize = 32;
+
 /// The maximum number of calls remembered that were given up while they were late.
 const MAX_GIVEN_UP: usize = 16;
 
@@ -43,13 +50,13 @@
 /// had reached: with half of its calls hung, it passes its trials one time in eight.
 const RELAPSE_TIME: Duration = Duration::from_secs(10);
 
-/// The weight of an answer in the mean latency of a service.
-const SERVICE_WEIGHT: f64 = 0.05;
+/// The weight of an answer in the mean latency of a route.
+const USUAL_WEIGHT: f64 = 0.05;
 
-/// The weight of an answer in the mean latency of an endpoint.
+/// The weight of an answer in the mean latency of a route at an endpoint.
 const ENDPOINT_WEIGHT: f64 = 0.2;
 
-/// The answers before the latency of an endpoint is compared with its lowest.
+/// The answers of a route before its latency at an endpoint is compared with the lowest.
 const MIN_ANSWERS: u32 = 8;
 
 /// How long a lowest latency holds at least; it holds for at most twice as long.
@@ -92,7 +99,7 @@
         answered: usize,
         /// The age of the oldest late call in milliseconds.
         oldest_ms: u64,
-        /// The mean latency of the service in milliseconds.
+        /// The mean latency of the route of the oldest late call, in milliseconds.
         usual_ms: f64,
         /// The time until the next trial in milliseconds.
         pause_ms: u64,
@@ -105,32 +112,175 @@
         limit: Option<f64>,
         /// The calls of this process in flight.
         running: u32,
-        /// The mean latency of the endpoint in milliseconds.
+        /// The mean latency of the route that is the slowest compared with its lowest mean, in
+        /// milliseconds.
         latency_ms: f64,
-        /// The lowest recent mean in milliseconds.
+        /// The lowest recent mean of that route in milliseconds.
         lowest_ms: f64,
     },
 }
 
 /// A call in flight.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Call {
     sent_at: Time,
+    route: Arc<str>,
     /// The target latency of its route.
     target: Duration,
 }
 
 impl Call {
-    /// Returns whether the call takes longer than `ratio` times the usual latency and half
-    /// its target latency.
-    fn exceeds(&self, ratio: f64, usual_ms: f64, now: Time) -> bool {
-        let usual = Duration::from_secs_f64(ratio * usual_ms / 1e3);
-        now.since(self.sent_at) > usual.max(self.target / 2)
+    /// Returns whether the call takes longer than `ratio` times the usual latency of its route
+    /// and half its target latency.
+    fn exceeds(&self, ratio: f64, usual: &Usual, now: Time) -> bool {
+        usual.of(&self.route).is_some_and(|usual_ms| {
+            let usual = Duration::from_secs_f64(ratio * usual_ms / 1e3);
+            now.since(self.sent_at) > usual.max(self.target / 2)
+        })
+    }
+}
+
+/// A call that was given up while it was late.
+#[derive(Clone, Debug)]
+struct GivenUp {
+    sent_at: Time,
+    route: Arc<str>,
+    weight: f64,
+}
+
+/// The calls that speak against an endpoint.
+#[derive(Clone, Debug)]
+struct Evidence {
+    /// The late calls; those that were given up early count less.
+    late: f64,
+    /// The answers since the oldest late call was sent.
+    answered: usize,
+    /// The age of the oldest late call.
+    age: Duration,
+    /// The usual latency of its route.
+    usual_ms: f64,
+}
+
+/// The mean latency of each route of a service.
+#[derive(Debug, Default)]
+struct Usual {
+    /// The route, its mean latency in milliseconds, and when it was last answered; sorted.
+    routes: Vec<(Arc<str>, f64, Time)>,
+}
+
+impl Usual {
+    /// Returns the usual latency of a route in milliseconds, once an answer is known. Other
+    /// routes say nothing about it.
+    fn of(&self, route: &str) -> Option<f64> {
+        let known = self
+            .routes
+            .binary_search_by(|(name, ..)| (**name).cmp(route));
+        known.ok().map(|index| self.routes[index].1)
+    }
+
+    fn record(&mut self, route: &Arc<str>, latency_ms: f64, now: Time) {
+        let place = self.routes.binary_search_by(|(name, ..)| name.cmp(route));
+        match place {
+            Ok(index) => {
+                let (_, mean_ms, at) = &mut self.routes[index];
+                *mean_ms += (latency_ms - *mean_ms) * USUAL_WEIGHT;
+                *at = now;
+            }
+            Err(_) => {
+                remove_oldest(&mut self.routes, |(.., at)| *at);
+                let index = self.routes.partition_point(|(name, ..)| name < route);
+                self.routes
+                    .insert(index, (Arc::clone(route), latency_ms, now));
+            }
+        }
+    }
+}
+
+/// Removes the entry of the route that was answered longest ago if there are [`MAX_ROUTES`].
+fn remove_oldest<T>(routes: &mut Vec<T>, answered_at: impl Fn(&T) -> Time) {
+    if routes.len() < MAX_ROUTES {
+        return;
+    }
+    let oldest = (0..routes.len()).min_by_key(|index| answered_at(&routes[*index]));
+    if let Some(oldest) = oldest {
+        routes.remove(oldest);
+    }
+}
+
+/// The latency of one route at an endpoint.
+#[derive(Debug)]
+struct Latency {
+    route: Arc<str>,
+    mean_ms: f64,
+    answered: u32,
+    answered_at: Time,
+    /// The lowest mean of the last complete window and of the current one.
+    lowest_ms: (f64, f64),
+    window_ends_at: Time,
+    /// Whether the mean has exceeded its lowest by [`Config::slow_answers`], and has not come
+    /// down since.
+    is_slow: bool,
+}
+
+impl Latency {
+    fn new(route: &Arc<str>) -> Latency {
+        Latency {
+            route: Arc::clone(route),
+            mean_ms: 0.0,
+            answered: 0,
+            answered_at: Time::ZERO,
+            lowest_ms: (0.0, 0.0),
+            window_ends_at: Time::ZERO,
+            is_slow: false,
+        }
+    }
+
+    /// Adds an answer. Returns whether the endpoint is slow, if it can be judged.
+    fn record(&mut self, latency_ms: f64, config: &Config, now: Time) -> Option<bool> {
+        self.answered = self.answered.saturating_add(1);
+        self.answered_at = now;
+        let weight = if self.answered == 1 {
+            1.0
+        } else {
+            ENDPOINT_WEIGHT
+        };
+        self.mean_ms += (latency_ms - self.mean_ms) * weight;
+        if self.answered < MIN_ANSWERS {
+            return None;
+        }
+        if self.window_ends_at.is_past(now) {
+            let is_recent = now.since(self.window_ends_at) < LOWEST_WINDOW;
+            let last = if is_recent && self.lowest_ms.1 > 0.0 {
+                self.lowest_ms.1
+            } else {
+                self.mean_ms
+            };
+            self.lowest_ms = (last, self.mean_ms);
+            self.window_ends_at = now + LOWEST_WINDOW;
+        }
+        self.lowest_ms.1 = self.lowest_ms.1.min(self.mean_ms);
+        let lowest_ms = self.lowest_ms().max(1.0);
+        self.is_slow &= self.mean_ms > lowest_ms * RECOVERED_RATIO;
+        let is_slow = self.mean_ms > lowest_ms * config.slow_answers;
+        self.is_slow |= is_slow;
+        Some(is_slow)
+    }
+
+    fn lowest_ms(&self) -> f64 {
+        self.lowest_ms.0.min(self.lowest_ms.1)
+    }
+
+    /// Returns the ratio of the mean to the lowest one; zero if they are not compared yet.
+    fn ratio(&self) -> f64 {
+        if self.answered < MIN_ANSWERS {
+            return 0.0;
+        }
+        self.mean_ms / self.lowest_ms().max(1.0)
     }
 }
 
 /// The state of an endpoint that is silent.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Silence {
     /// When the next trial may be sent.
     until: Time,
@@ -159,21 +309,15 @@
     calls: Vec<Call>,
     /// When the last answers arrived, oldest first.
     answers: VecDeque<Time>,
-    /// When calls were sent that were given up, oldest first, and their weight as evidence.
-    given_up: VecDeque<(Time, f64)>,
+    /// Calls that were given up while they were late, oldest first.
+    given_up: VecDeque<GivenUp>,
     /// Calls sent before this time are no evidence, because they were judged already.
     judged_until: Time,
     silence: Option<Silence>,
     /// When the last silence ended and the pause that it had reached.
     restored: Option<(Time, Duration)>,
-    latency_ms: f64,
-    answered: u32,
-    /// The lowest mean latency of the last complete window and of the current one.
-    lowest_ms: (f64, f64),
-    window_ends_at: Time,
-    /// Whether the mean latency has exceeded its lowest by [`Config::slow_answers`], and has
-    /// not come down since.
-    is_slow: bool,
+    /// The latencies by route, sorted.
+    latencies: Vec<Latency>,
     limit: Option<f64>,
     reduced_at: Time,
     /// The limit in the last log line and the time of that line.
@@ -195,21 +339,28 @@
     /// calls away, and the mean would never change.
     fn is_outdated(&self, now: Time) -> bool {
         let is_old = |at: &Time| now.since(*at) >= SLOW_RETENTION;
-        self.is_slow && self.answers.back().is_none_or(is_old)
+        let mut latencies = self.latencies.iter();
+        latencies.any(|latency| latency.is_slow) && self.answers.back().is_none_or(is_old)
+    }
+
+    /// Returns the lowest mean latency of the routes that were slow.
+    fn lowest_slow_ms(&self) -> Option<f64> {
+        let slow = self.latencies.iter().filter(|latency| latency.is_slow);
+        slow.map(Latency::lowest_ms).reduce(f64::min)
     }
 
     /// Returns the age of the oldest call in flight that takes much longer than usual, in
     /// milliseconds: the least that the next call may take as well.
-    fn overdue_ms(&self, usual_ms: f64, now: Time) -> Option<f64> {
+    fn overdue_ms(&self, usual: &Usual, now: Time) -> Option<f64> {
         let mut calls = self.calls.iter();
-        let overdue = calls.find(|call| call.exceeds(OVERDUE_RATIO, usual_ms, now))?;
+        let overdue = calls.find(|call| call.exceeds(OVERDUE_RATIO, usual, now))?;
         Some(now.since(overdue.sent_at).as_secs_f64() * 1e3)
     }
 
     /// Returns whether a trial call may be sent. Calls that must not be repeated are used only
     /// if no other came for as long again as the pause.
     fn is_trial_due(&self, may_repeat: bool, now: Time) -> bool {
-        self.silence.is_some_and(|silence| {
+        self.silence.as_ref().is_some_and(|silence| {
             let due = if may_repeat {
                 silence.until
             } else {
@@ -219,16 +370,17 @@
         })
     }
 
-    fn start(&mut self, target: Duration, now: Time) {
+    fn start(&mut self, route: &Arc<str>, target: Duration, now: Time) {
         let call = Call {
             sent_at: now,
+            route: Arc::clone(route),
             target,
         };
         if let Some(silence) = &mut self.silence
             && silence.trial.is_none()
             && silence.until.is_past(now)
         {
-            silence.trial = Some(call);
+            silence.trial = Some(call.clone());
         }
         if self.calls.len() < MAX_CALLS {
             self.calls.push(call);
@@ -237,33 +389,36 @@
 
     fn end(
         &mut self,
-        sent_at: Time,
+        (sent_at, route): (Time, &Arc<str>),
         outcome: Outcome,
-        usual_ms: Option<f64>,
+        usual: &Usual,
         config: &Config,
         slots: u32,
         now: Time,
     ) {
         let in_flight = self.calls.len();
-        let found = self.calls.iter().position(|call| call.sent_at == sent_at);
+        let found = self
+            .calls
+            .iter()
+            .position(|call| call.sent_at == sent_at && call.route == *route);
         let call = found.map(|index| self.calls.remove(index));
-        let was_overdue = call.is_some_and(|call| {
-            usual_ms.is_some_and(|usual_ms| call.exceeds(OVERDUE_RATIO, usual_ms, now))
-        });
+        let exceeds = |ratio| {
+            call.as_ref()
+                .is_some_and(|call| call.exceeds(ratio, usual, now))
+        };
+        let was_overdue = exceeds(OVERDUE_RATIO);
         match outcome {
             Outcome::Answered { latency_ms } => {
                 self.record_answer(now);
-                self.record_latency(latency_ms as f64, in_flight, config, slots, now);
+                self.record_latency(route, latency_ms as f64, in_flight, config, slots, now);
             }
             Outcome::Failed => self.record_answer(now),
             Outcome::Refused => {
-                let spacing = Duration::from_secs_f64(self.latency_ms / 1e3);
+                let spacing = Duration::from_secs_f64(self.mean_ms(route) / 1e3);
                 self.reduce(in_flight, spacing, config, slots, now);
             }
             Outcome::Cancelled if was_overdue => {
-                let is_late =
-                    |call: Call| call.exceeds(config.late_ratio, usual_ms.unwrap_or(f64::MAX), now);
-                let weight = if call.is_some_and(is_late) {
+                let weight = if exceeds(config.late_ratio) {
                     1.0
                 } else {
                     GIVEN_UP_WEIGHT
@@ -271,7 +426,11 @@
                 if self.given_up.len() == MAX_GIVEN_UP {
                     self.given_up.pop_front();
                 }
-                self.given_up.push_back((sent_at, weight));
+                self.given_up.push_back(GivenUp {
+                    sent_at,
+                    route: Arc::clone(route),
+                    weight,
+                });
             }
             Outcome::Cancelled | Outcome::Misdirected | Outcome::Unreachable | Outcome::Broken => {}
         }
@@ -289,7 +448,11 @@
         let Some(silence) = &mut self.silence else {
             return;
         };
-        if silence.trial.is_none_or(|trial| trial.sent_at != sent_at) {
+        if silence
+            .trial
+            .as_ref()
+            .is_none_or(|trial| trial.sent_at != sent_at)
+        {
             return;
         }
         silence.trial = None;
@@ -307,53 +470,59 @@
         self.answers.push_back(now);
     }
 
+    fn place(&self, route: &str) -> Result<usize, usize> {
+        self.latencies
+            .binary_search_by(|latency| (*latency.route).cmp(route))
+    }
+
+    /// Returns the mean latency of a route in milliseconds, or that of the slowest one if the
+    /// endpoint has not answered the route.
+    fn mean_ms(&self, route: &str) -> f64 {
+        let mean_ms = |latency: &Latency| latency.mean_ms;
+        match self.place(route) {
+            Ok(index) => mean_ms(&self.latencies[index]),
+            Err(_) => self.latencies.iter().map(mean_ms).fold(0.0, f64::max),
+        }
+    }
+
+    /// Starts the mean latency of a route again from this answer.
+    fn restart_latency(&mut self, route: &str, latency_ms: f64) {
+        if let Ok(index) = self.place(route) {
+            self.latencies[index].mean_ms = latency_ms;
+        }
+    }
+
     fn record_latency(
         &mut self,
+        route: &Arc<str>,
         latency_ms: f64,
         in_flight: usize,
         config: &Config,
         slots: u32,
         now: Time,
     ) {
-        self.answered = self.answered.saturating_add(1);
-        let weight = if self.answered == 1 {
-            1.0
-        } else {
-            ENDPOINT_WEIGHT
-        };
-        self.latency_ms += (latency_ms - self.latency_ms) * weight;
-        if self.answered < MIN_ANSWERS {
-            return;
+        if self.place(route).is_err() {
+            remove_oldest(&mut self.latencies, |latency| latency.answered_at);
         }
-        if self.window_ends_at.is_past(now) {
-            let is_recent = now.since(self.window_ends_at) < LOWEST_WINDOW;
-            let last = if is_recent && self.lowest_ms.1 > 0.0 {
-                self.lowest_ms.1
-            } else {
-                self.latency_ms
-            };
-            self.lowest_ms = (last, self.latency_ms);
-            self.window_ends_at = now + LOWEST_WINDOW;
-        }
-        self.lowest_ms.1 = self.lowest_ms.1.min(self.latency_ms);
-        let lowest_ms = self.lowest_ms().max(1.0);
-        self.is_slow &= self.latency_ms > lowest_ms * RECOVERED_RATIO;
-        if self.latency_ms > lowest_ms * config.slow_answers {
-            self.is_slow = true;
-            let spacing = Duration::from_secs_f64(self.latency_ms / 1e3);
-            self.reduce(in_flight, spacing, config, slots, now);
-        } else if let Some(limit) = &mut self.limit {
-            *limit += 1.0 / *limit;
-            if *limit >= f64::from(slots.max(1)) {
-                self.limit = None;
+        let index = self.place(route).unwrap_or_else(|index| {
+            self.latencies.insert(index, Latency::new(route));
+            index
+        });
+        let latency = &mut self.latencies[index];
+        let judged = latency.record(latency_ms, config, now);
+        let spacing = Duration::from_secs_f64(latency.mean_ms / 1e3);
+        match (judged, &mut self.limit) {
+            (Some(true), _) => self.reduce(in_flight, spacing, config, slots, now),
+            (Some(false), Some(limit)) => {
+                *limit += 1.0 / *limit;
+                if *limit >= f64::from(slots.max(1)) {
+                    self.limit = None;
+                }
             }
+            _ => {}
         }
     }
 
-    fn lowest_ms(&self) -> f64 {
-        self.lowest_ms.0.min(self.lowest_ms.1)
-    }
-
     /// Reduces the limit, at most once per `spacing`, so that the calls that were sent before
     /// a reduction do not cause another one.
     fn reduce(
@@ -372,32 +541,39 @@
         self.reduced_at = now;
     }
 
-    /// Returns the late calls, the answers since the oldest of them was sent, and its age.
-    fn evidence(&self, usual_ms: f64, config: &Config, now: Time) -> (f64, usize, Duration) {
+    /// Returns the calls that speak against the endpoint, if there are any.
+    fn evidence(&self, usual: &Usual, config: &Config, now: Time) -> Option<Evidence> {
         let late = self
             .calls
             .iter()
-            .filter(|call| call.exceeds(config.late_ratio, usual_ms, now))
-            .map(|call| (call.sent_at, 1.0));
+            .filter(|call| call.exceeds(config.late_ratio, usual, now))
+            .map(|call| (call.sent_at, &call.route, 1.0));
         let given_up = self
             .given_up
             .iter()
-            .copied()
-            .filter(|(sent_at, _)| now.since(*sent_at) < GIVEN_UP_RETENTION);
-        let (mut weight, mut oldest) = (0.0, now);
-        for (sent_at, call_weight) in late.chain(given_up) {
+            .filter(|call| now.since(call.sent_at) < GIVEN_UP_RETENTION)
+            .map(|call| (call.sent_at, &call.route, call.weight));
+        let (mut weight, mut oldest) = (0.0, None);
+        for (sent_at, route, call_weight) in late.chain(given_up) {
             if sent_at >= self.judged_until {
                 weight += call_weight;
-                oldest = oldest.min(sent_at);
+                if oldest.is_none_or(|(at, _)| sent_at < at) {
+                    oldest = Some((sent_at, route));
+                }
             }
         }
+        let (oldest, route) = oldest?;
         let answered = self.answers.iter().rev().take_while(|at| **at > oldest);
-        (weight, answered.count(), now.since(oldest))
+        Some(Evidence {
+            late: weight,
+            answered: answered.count(),
+            age: now.since(oldest),
+            usual_ms: usual.of(route)?,
+        })
     }
 
     /// Judges the endpoint by its calls, and returns what changed.
-    fn judge(&mut self, usual_ms: Option<f64>, config: &Config, now: Time) -> Option<Judgement> {
-        let usual_ms = usual_ms?;
+    fn judge(&mut self, usual: &Usual, config: &Config, now: Time) -> Option<Judgement> {
         if let Some(silence) = &mut self.silence {
             if silence.passed >= config.trials {
                 self.restored = Some((now, silence.pause));
@@ -408,8 +584,8 @@
                 self.reduced_at = now;
                 return Some(Judgement::Restored);
             }
-            let trial = silence.trial?;
-            if !trial.exceeds(config.late_ratio, usual_ms, now) {
+            let trial = silence.trial.clone()?;
+            if !trial.exceeds(config.late_ratio, usual, now) {
                 return None;
             }
             silence.extend(config, now);
@@ -417,11 +593,16 @@
                 late: 1.0,
                 answered: 0,
                 oldest_ms: millis(now.since(trial.sent_at)),
-                usual_ms,
+                usual_ms: usual.of(&trial.route)?,
                 pause_ms: millis(silence.pause),
             });
         }
-        let (late, answered, age) = self.evidence(usual_ms, config, now);
+        let Evidence {
+            late,
+            answered,
+            age,
+            usual_ms,
+        } = self.evidence(usual, config, now)?;
         if late < MIN_LATE_CALLS || late < config.silent_share * (late + answered as f64) {
             return None;
         }
@@ -458,11 +639,15 @@
             return None;
         }
         self.noticed = (self.limit, now);
+        let slowest = self
+            .latencies
+            .iter()
+            .max_by(|left, right| left.ratio().total_cmp(&right.ratio()));
         Some(Judgement::Limit {
             limit: self.limit,
             running: u32::try_from(self.calls.len()).unwrap_or(u32::MAX),
-            latency_ms: self.latency_ms,
-            lowest_ms: self.lowest_ms(),
+            latency_ms: slowest.map_or(0.0, |latency| latency.mean_ms),
+            lowest_ms: slowest.map_or(0.0, Latency::lowest_ms),
         })
     }
 }
@@ -470,8 +655,7 @@
 /// The answers and refusals of a service, from which its drain is expected.
 #[derive(Debug, Default)]
 pub(super) struct Flow {
-    /// The mean latency of the service in milliseconds, once an answer is known.
-    usual_ms: Option<f64>,
+    usual: Usual,
     window_starts_at: Time,
     /// Answers and refusals of the last complete window and of the current one.
     last: (u32, u32),
@@ -493,11 +677,10 @@
         self.window_starts_at = now;
     }
 
-    fn record_answer(&mut self, latency_ms: f64, now: Time) {
+    fn record_answer(&mut self, route: &Arc<str>, latency_ms: f64, now: Time) {
         self.advance(now);
         self.current.0 += 1;
-        let usual_ms = self.usual_ms.unwrap_or(latency_ms);
-        self.usual_ms = Some(usual_ms + (latency_ms - usual_ms) * SERVICE_WEIGHT);
+        self.usual.record(route, latency_ms, now);
     }
 
     /// Returns the answers per second and the refusals of the last one to two windows.
@@ -521,19 +704,26 @@
     }
 
     /// Records that a call is sent; `target` is the target latency of its route.
-    pub fn record_call_start(&mut self, id: &str, target: Duration, now: Time) {
+    pub fn record_call_start(&mut self, id: &str, route: &Arc<str>, target: Duration, now: Time) {
         if !self.is_judged() {
             return;
         }
         if let Some(member) = self.member(id) {
-            member.health.start(target, now);
+            member.health.start(route, target, now);
         }
     }
 
-    /// Records the end of a call that was sent at `sent_at`.
-    pub fn record_call_end(&mut self, id: &str, sent_at: Time, outcome: Outcome, now: Time) {
+    /// Records the end of a call of `route` that was sent at `sent_at`.
+    pub fn record_call_end(
+        &mut self,
+        id: &str,
+        route: &Arc<str>,
+        sent_at: Time,
+        outcome: Outcome,
+        now: Time,
+    ) {
         if let Outcome::Answered { latency_ms } = outcome {
-            self.flow.record_answer(latency_ms as f64, now);
+            self.flow.record_answer(route, latency_ms as f64, now);
         }
         if !self.is_judged() {
             return;
@@ -546,13 +736,11 @@
             && member.health.is_outdated(now)
         {
             member.restart_latency(latency_ms);
-            member.health.latency_ms = latency_ms as f64;
+            member.health.restart_latency(route, latency_ms as f64);
         }
         let slots = member.endpoint.slots;
-        let usual_ms = self.flow.usual_ms;
-        member
-            .health
-            .end(sent_at, outcome, usual_ms, &self.config, slots, now);
+        let (health, usual) = (&mut member.health, &self.flow.usual);
+        health.end((sent_at, route), outcome, usual, &self.config, slots, now);
     }
 
     /// Judges the endpoints by their calls. Must be called before a choice; returns what
@@ -564,7 +752,7 @@
         }
         for member in &mut self.members {
             let health = &mut member.health;
-            let judgement = health.judge(self.flow.usual_ms, &self.config, now);
+            let judgement = health.judge(&self.flow.usual, &self.config, now);
             let limit = health.judge_limit(&self.config, now);
             notices.extend(judgement.into_iter().chain(limit).map(|change| Notice {
                 endpoint: Arc::clone(&member.endpoint.id),
@@ -651,12 +839,13 @@
         if self.is_judged() {
             let health = &member.health;
             if health.is_outdated(now) && health.calls.is_empty() {
-                latency_ms = latency_ms.min(health.lowest_ms());
-            }
-            if let Some(usual_ms) = self.flow.usual_ms {
-                late = health.evidence(usual_ms, config, now).0;
-                latency_ms = latency_ms.max(health.overdue_ms(usual_ms, now).unwrap_or(0.0));
+                latency_ms = latency_ms.min(health.lowest_slow_ms().unwrap_or(f64::MAX));
             }
+            let usual = &self.flow.usual;
+            late = health
+                .evidence(usual, config, now)
+                .map_or(0.0, |evidence| evidence.late);
+            latency_ms = latency_ms.max(health.overdue_ms(usual, now).unwrap_or(0.0));
         }
         let failures = member.failure_share(late, config, now);
         let slots = f64::from(member.endpoint.slots.max(1));
--- a/crates/core/tests/plain.rs
+++ b/crates/core/tests/plain.rs
@@ -79,8 +79,18 @@
 /// endpoint, the time in milliseconds, the calls in flight there and a random number to the
 /// latency; a call without one ends at the deadline.
 fn drive(
+    pools: &mut [Pool],
+    times: (u64, u64),
+    answer: impl FnMut(usize, u64, usize, u32) -> Option<u64>,
+) -> (Vec<Sent>, Vec<Judgement>) {
+    drive_routes(pools, times, |_| "orders", answer)
+}
+
+/// Sends calls like [`drive`]; `route` maps the time in milliseconds to the route of a call.
+fn drive_routes(
     pools: &mut [Pool],
     (every_ms, until_ms): (u64, u64),
+    route: impl Fn(u64) -> &'static str,
     mut answer: impl FnMut(usize, u64, usize, u32) -> Option<u64>,
 ) -> (Vec<Sent>, Vec<Judgement>) {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
@@ -97,7 +107,8 @@
             if *ends_at == ms {
                 let (pool, name) = (&mut pools[*owner], id(call.endpoint));
                 pool.record_end(&name, CRITERIA.work, call.answered, outcome, after(ms));
-                pool.record_call_end(&name, after(call.at), outcome, after(ms));
+                let route = route(call.at).into();
+                pool.record_call_end(&name, &route, after(call.at), outcome, after(ms));
             }
             *ends_at != ms
         });
@@ -117,7 +128,7 @@
         let chosen = chosen.expect("an endpoint accepts work");
         let endpoint = chosen.id[2..].parse().expect("the id ends with a number");
         pool.record_start(&chosen.id, CRITERIA.work, after(ms));
-        pool.record_call_start(&chosen.id, TARGET, after(ms));
+        pool.record_call_start(&chosen.id, &route(ms).into(), TARGET, after(ms));
         let there = open.iter().filter(|(_, _, call)| call.endpoint == endpoint);
         let latency = answer(endpoint, ms, there.count(), rng.random());
         let call = Sent {
@@ -228,6 +239,87 @@
     assert!(later > 0.2, "{later} of the calls after it");
 }
 
+/// Returns the route of a call: long calls follow short ones every two seconds.
+fn changing_route(ms: u64) -> &'static str {
+    if (ms / 2_000).is_multiple_of(2) {
+        "short"
+    } else {
+        "long"
+    }
+}
+
+/// Answers a short call after 30 ms and a long one after 240 ms.
+fn answer_route(_: usize, ms: u64, _: usize, _: u32) -> Option<u64> {
+    Some(match changing_route(ms) {
+        "long" => 240,
+        _ => 30,
+    })
+}
+
+/// Guards against a route with longer calls that makes endpoints look slow.
+#[test]
+fn limit_routes_of_different_length() {
+    let times = (10, 16_000);
+    let is_limit = |change: &Judgement| matches!(change, Judgement::Limit { limit: Some(_), .. });
+    let expected = drive_routes(&mut [unjudged(3)], times, changing_route, answer_route);
+    let found = drive_routes(&mut [judged(3)], times, changing_route, answer_route);
+    assert_eq!(found, expected);
+    // The same calls look slow if they count as calls of one route.
+    let (_, judgements) = drive(&mut [judged(3)], times, answer_route);
+    assert!(judgements.iter().any(is_limit));
+}
+
+/// Guards against a slowdown that is hidden by calls of other routes.
+#[test]
+fn limit_by_latency_of_one_route() {
+    for slow in ["short", "long"] {
+        let mut pool = judged(1);
+        let mut notices = Vec::new();
+        for number in 0..100 {
+            let (route, usual_ms) = [("short", 10), ("long", 80)][number as usize % 2];
+            let is_slow = route == slow && number >= 80;
+            let latency_ms = if is_slow { usual_ms * 3 } else { usual_ms };
+            let (sent_at, route) = (after(number * 250), route.into());
+            let ended_at = sent_at + Duration::from_millis(latency_ms);
+            pool.record_call_start(&id(0), &route, TARGET, sent_at);
+            let answered = Outcome::Answered { latency_ms };
+            pool.record_call_end(&id(0), &route, sent_at, answered, ended_at);
+            notices.extend(pool.judge(ended_at));
+            assert!(number >= 80 || notices.is_empty(), "{slow}: {notices:?}");
+        }
+        let first = notices.first().map(|notice| &notice.change);
+        let expected = if slow == "long" { 80.0 } else { 10.0 };
+        assert!(
+            matches!(first, Some(Judgement::Limit { lowest_ms, .. }) if *lowest_ms == expected),
+            "{slow}: {first:?}"
+        );
+    }
+}
+
+/// Guards against the state of routes that grows with every route ever configured.
+#[test]
+fn limit_many_routes() {
+    let mut pool = judged(1);
+    let mut calls = (0..).map(|number| (after(number * 10), number));
+    for (at, number) in calls.by_ref().take(400) {
+        let route = format!("route-{}", number % 100).into();
+        pool.record_call_start(&id(0), &route, TARGET, at);
+        let answered = Outcome::Answered { latency_ms: 5 };
+        pool.record_call_end(&id(0), &route, at, answered, at + Duration::from_millis(5));
+    }
+    // A route that is in use is judged, whatever the others are.
+    let mut limits = Vec::new();
+    for (at, number) in calls.take(40) {
+        let route = "orders".into();
+        let latency_ms = if number < 420 { 5 } else { 50 };
+        pool.record_call_start(&id(0), &route, TARGET, at);
+        let answered = Outcome::Answered { latency_ms };
+        pool.record_call_end(&id(0), &route, at, answered, at + Duration::from_millis(9));
+        limits.extend(pool.judge(at + Duration::from_millis(9)));
+    }
+    assert_eq!(limits.len(), 1, "{limits:?}");
+}
+
 /// Guards against an endpoint that is never tried again, and against one that returns at once.
 #[test]
 fn silent_then_restored() {
@@ -312,10 +404,11 @@
 #[test]
 fn trial_single() {
     let mut pool = judged(2);
+    let route = "orders".into();
     let answered = Outcome::Answered { latency_ms: 40 };
-    pool.record_call_end(&id(1), START, answered, START);
+    pool.record_call_end(&id(1), &route, START, answered, START);
     for ms in 0..3 {
-        pool.record_call_start(&id(0), TARGET, after(ms));
+        pool.record_call_start(&id(0), &route, TARGET, after(ms));
     }
     assert!(pool.judge(after(300)).is_empty());
     assert_eq!(pool.judge(after(400)).len(), 1);
@@ -325,7 +418,7 @@
     assert!(!is_due(&pool, true, 699));
     assert!(is_due(&pool, true, 700) && !is_due(&pool, false, 700));
     assert!(is_due(&pool, false, 1_000));
-    pool.record_call_start(&id(0), TARGET, after(700));
+    pool.record_call_start(&id(0), &route, TARGET, after(700));
     assert!(!is_due(&pool, true, 710), "one trial at a time");
     // The trial is late as well, so the pause doubles.
     assert_eq!(pool.judge(after(1_100)).len(), 1);
@@ -338,9 +431,10 @@
     let mut pool = judged(2);
     let mut limits = Vec::new();
     for turn in 0..20 {
-        let at = after(turn * 1_100);
-        pool.record_call_start(&id(0), TARGET, at);
-        pool.record_call_end(&id(0), at, Outcome::Refused, at + Duration::from_millis(1));
+        let (at, route) = (after(turn * 1_100), "orders".into());
+        pool.record_call_start(&id(0), &route, TARGET, at);
+        let refused_at = at + Duration::from_millis(1);
+        pool.record_call_end(&id(0), &route, at, Outcome::Refused, refused_at);
         for notice in pool.judge(at + Duration::from_millis(2)) {
             if let Judgement::Limit { limit, .. } = notice.change {
                 limits.push(limit);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -249,6 +249,7 @@
 struct Call {
     shard: Arc<Shard>,
     endpoint: Arc<str>,
+    route: Arc<str>,
     sent_at: Time,
     outcome: Outcome,
 }
@@ -256,13 +257,14 @@
 impl Call {
     fn start(job: &Job, endpoint: &Endpoint, sent_at: Time) -> Call {
         let target = Duration::from_millis(job.route.target_latency_ms);
-        let shard = Arc::clone(&job.shard);
+        let (shard, route) = (Arc::clone(&job.shard), Arc::clone(&job.route.name));
         shard
             .pool()
-            .record_call_start(&endpoint.id, target, sent_at);
+            .record_call_start(&endpoint.id, &route, target, sent_at);
         Call {
             shard,
             endpoint: Arc::clone(&endpoint.id),
+            route,
             sent_at,
             outcome: Outcome::Cancelled,
         }
@@ -271,9 +273,13 @@
 
 impl Drop for Call {
     fn drop(&mut self) {
-        self.shard
-            .pool()
-            .record_call_end(&self.endpoint, self.sent_at, self.outcome, clock::now());
+        self.shard.pool().record_call_end(
+            &self.endpoint,
+            &self.route,
+            self.sent_at,
+            self.outcome,
+            clock::now(),
+        );
     }
 }
 
