--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -59,6 +59,10 @@
 /// speed does not take an engine out of use. Engines of one service differ by about two.
 const MAX_SLOWDOWN: f64 = 2.5;
 
+/// The factor by which speed shortens the expected wait of prompts at most, so that a wrong speed
+/// draws at most twice as many prompts to an engine.
+const MIN_SLOWDOWN: f64 = 0.5;
+
 /// Returns whether a member is among the candidates; an empty list allows every member.
 fn allows(candidates: &[Arc<Endpoint>], member: &Member) -> bool {
     candidates.is_empty()
@@ -195,27 +199,15 @@
         chosen.map(|(_, member)| Arc::clone(&member.endpoint))
     }
 
-    /// Returns [`Config::choices`](super::Config::choices) random endpoints, which the
-    /// caller asks for load reports before it chooses one. Endpoints that are avoided for
-    /// now, are in `tried` or are not on `side` are left out; those in the data centre
-    /// `near` come first.
-    pub fn sample(
-        &self,
-        tried: &[Arc<str>],
-        near: Option<&str>,
-        side: Side,
-        seed: u64,
-        now: Time,
-    ) -> Vec<Arc<Endpoint>> {
-        self.sample_for(Work::default(), tried, near, side, seed, now)
-    }
-
-    /// Samples endpoints like [`Pool::sample`] for a request with this work.
+    /// Returns [`Config::choices`](super::Config::choices) random endpoints for a request with
+    /// this work, which the caller asks for load reports before it chooses one. Endpoints that
+    /// are avoided for now, are in `tried` or are not on `side` are left out; those in the data
+    /// centre `near` come first.
     ///
     /// If some engines are slow and the run is long, more than half of the sample are engines
     /// that are known not to be slow, as far as there are any. Answers the load pattern in which
     /// most engines are slow: a sample often has none of the others, although they have room.
-    pub fn sample_for(
+    pub fn sample(
         &self,
         work: Work,
         tried: &[Arc<str>],
@@ -310,18 +302,15 @@
         let overflow = (self.memory_use(member, criteria.work, now) - config.memory_share).max(0.0);
         let memory = self.memory_tokens.max(1) as f64;
         let (slowdown, pauses) = scale.map_or((1.0, 0.0), |scale| {
-            let is_untested = member.event_us(config, now).is_none() && running >= UNTESTED_RUNS;
             let reference_us = f64::from(scale.reference_us.max(1));
-            let known = if is_untested {
-                Some((reference_us * MAX_SLOWDOWN) as u32)
-            } else {
-                member.event_us(config, now)
-            };
+            let untested =
+                || (running >= UNTESTED_RUNS).then_some((reference_us * MAX_SLOWDOWN) as u32);
+            let known = member.event_us(config, now).or_else(untested);
             let slowdown = f64::from(scale.event_us(known)) / reference_us;
             let exposed_runs = if scale.is_slow(known) { running } else { 0.0 };
             let pauses = self.pause_tokens(criteria, scale, known)
                 + exposed_runs * config.exposed_run_tokens;
-            (slowdown.min(MAX_SLOWDOWN), pauses)
+            (slowdown.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN), pauses)
         });
         prompts * slowdown
             + pauses.min(memory)
@@ -349,15 +338,6 @@
         work.output >= self.config.long_run_events
     }
 
-    /// Returns the comparison of the engines' speeds if any of them is slow.
-    fn uneven(&self, now: Time) -> Option<Scale> {
-        if !self.is_engine {
-            return None;
-        }
-        let (scale, _, slow) = self.scale(now);
-        (slow > 0).then_some(scale)
-    }
-
     /// Returns the share of an engine's memory that is in use once it also holds `work`.
     fn memory_use(&self, member: &Member, work: Work, now: Time) -> f64 {
         let memory = member.memory_capacity(self.memory_tokens).max(1);
--- a/crates/core/src/pool/pace.rs
+++ b/crates/core/src/pool/pace.rs
@@ -170,8 +170,9 @@
 }
 
 /// A time per event that is lower than that of the fastest other engine by more than this
-/// factor is taken for an error of measurement.
-const CREDIBLE_FACTOR: u32 = 2;
+/// factor is taken for an error of measurement. Engines of one service differ by 2.2, and each
+/// value is off by up to a tenth, which makes 2.7.
+const CREDIBLE_FACTOR: u32 = 3;
 
 /// Known times per event, compared with each other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -185,25 +186,34 @@
 }
 
 impl Scale {
-    /// Compares the known times per event, in any order. The reference is the lower quartile:
-    /// the speed that an engine has when nothing is wrong with it, even if most are slow.
-    pub(super) fn new(times_us: &mut [u32], slow_ratio: f64) -> Scale {
-        times_us.sort_unstable();
-        let floor_us = match times_us {
-            [first, second, ..] if first.saturating_mul(CREDIBLE_FACTOR) < *second => *second,
-            [first, ..] => *first,
-            [] => return Scale::default(),
+    /// Compares times per event, which must be credible and sorted. The reference is the lower
+    /// quartile: the speed that an engine has when nothing is wrong with it, even if most are
+    /// slow.
+    fn new(times_us: &[u32], slow_ratio: f64) -> Scale {
+        let Some(floor_us) = times_us.first() else {
+            return Scale::default();
         };
-        let first = times_us.partition_point(|time| *time < floor_us);
-        let credible = &times_us[first..];
-        let reference_us = credible[(credible.len() - 1) / 4];
+        let reference_us = times_us[(times_us.len() - 1) / 4];
         Scale {
             reference_us,
-            floor_us,
+            floor_us: *floor_us,
             slow_above_us: (f64::from(reference_us) * slow_ratio) as u32,
         }
     }
 
+    /// Returns whether the first of the sorted times is the reference, and all others are slow.
+    fn has_single_reference(&self, times_us: &[u32]) -> bool {
+        let second = times_us.get(1);
+        second.is_some_and(|second| *second > self.slow_above_us)
+            && times_us.first() == Some(&self.reference_us)
+    }
+
+    /// Returns the number of slow engines among the sorted times.
+    fn count_slow(&self, times_us: &[u32]) -> usize {
+        let is_not_slow = |time: &u32| !self.is_slow(Some(*time));
+        times_us.len() - times_us.partition_point(is_not_slow)
+    }
+
     /// Returns the time per event to assume of an engine: the reference if its own is not
     /// known or not credible.
     pub(super) fn event_us(&self, known: Option<u32>) -> u32 {
@@ -217,3 +227,118 @@
         self.event_us(known) > self.slow_above_us
     }
 }
+
+/// The known times per event of the engines of a pool.
+///
+/// A sample, a choice and a copy each compare all engines, several times as often as a report
+/// changes a value. The comparison is therefore kept until a value changes or lapses.
+#[derive(Debug)]
+pub(super) struct Speeds {
+    /// In microseconds, sorted.
+    times_us: Vec<u32>,
+    scale: Scale,
+    slow: usize,
+    /// The comparison without the reference, and its number of slow engines, if the reference
+    /// is the value of a single engine and all others are slow.
+    others: Option<(Scale, usize)>,
+    /// A time before which no value lapses.
+    valid_until: Time,
+}
+
+impl Speeds {
+    /// Compares values, each given with the time until which it holds.
+    pub(super) fn new(values: impl Iterator<Item = (u32, Time)>, slow_ratio: f64) -> Speeds {
+        let mut valid_until = Time::MAX;
+        let mut times_us: Vec<u32> = values
+            .map(|(time_us, until)| {
+                valid_until = valid_until.min(until);
+                time_us
+            })
+            .collect();
+        times_us.sort_unstable();
+        let mut speeds = Speeds {
+            times_us,
+            scale: Scale::default(),
+            slow: 0,
+            others: None,
+            valid_until,
+        };
+        speeds.compare(slow_ratio);
+        speeds
+    }
+
+    /// Replaces the value of one engine.
+    pub(super) fn replace(
+        &mut self,
+        last_us: Option<u32>,
+        next: Option<(u32, Time)>,
+        slow_ratio: f64,
+    ) {
+        if let Some((_, until)) = next {
+            self.valid_until = self.valid_until.min(until);
+        }
+        let next_us = next.map(|(time_us, _)| time_us);
+        if last_us == next_us {
+            return;
+        }
+        if let Some(Ok(index)) = last_us.map(|last_us| self.times_us.binary_search(&last_us)) {
+            self.times_us.remove(index);
+        }
+        if let Some(next_us) = next_us {
+            let index = self.times_us.partition_point(|time| *time < next_us);
+            self.times_us.insert(index, next_us);
+        }
+        self.compare(slow_ratio);
+    }
+
+    fn compare(&mut self, slow_ratio: f64) {
+        let credible = match &self.times_us[..] {
+            [first, others @ ..]
+                if others
+                    .first()
+                    .is_some_and(|second| first.saturating_mul(CREDIBLE_FACTOR) < *second) =>
+            {
+                others
+            }
+            all => all,
+        };
+        self.scale = Scale::new(credible, slow_ratio);
+        self.slow = self.scale.count_slow(credible);
+        self.others = self.scale.has_single_reference(credible).then(|| {
+            let others = &credible[1..];
+            let scale = Scale::new(others, slow_ratio);
+            (scale, scale.count_slow(others))
+        });
+    }
+
+    /// Returns whether no value has lapsed.
+    pub(super) fn is_valid(&self, now: Time) -> bool {
+        now <= self.valid_until
+    }
+
+    /// Returns the time per event of the only engine that is not slow, if the reference rests
+    /// on that engine alone.
+    pub(super) fn single_reference_us(&self) -> Option<u32> {
+        self.others.map(|_| self.scale.reference_us)
+    }
+
+    /// Returns the comparison if any engine is slow.
+    pub(super) fn uneven(&self) -> Option<Scale> {
+        (self.slow > 0).then_some(self.scale)
+    }
+
+    /// Returns the comparison without a reference that rests on one engine, if any engine is
+    /// slow in it.
+    pub(super) fn uneven_others(&self) -> Option<Scale> {
+        let (scale, slow) = self.others?;
+        (slow > 0).then_some(scale)
+    }
+
+    pub(super) fn summary(&self) -> Summary {
+        Summary {
+            reference_us: self.scale.reference_us,
+            known: self.times_us.len(),
+            slow: self.slow,
+        }
+    }
+}
