Hold back runs and copies at cold engines

Cause: runs that resumed at an engine in its cold start, and copies there, were counted against coldPerS but sent regardless. An engine that leaves makes all its runs resume at once. The new test stop::agent_stopped_with_slow_reader passes on the unchanged agent, and fails for an agent whose stop does not wait.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -621,10 +621,35 @@
         route: &Arc<str>,
     ) -> InFlight {
         let now = clock::now();
+        self.pool().record_start(&endpoint.id, work, now);
+        self.in_flight(endpoint, work, vm, route, now)
+    }
+
+    /// Counts a run that resumes at an endpoint, like [`Shard::start`]. Its turn must have been
+    /// taken.
+    pub(crate) fn resume(
+        self: &Arc<Shard>,
+        endpoint: &Arc<Endpoint>,
+        work: Work,
+        vm: &Arc<str>,
+        route: &Arc<str>,
+    ) -> InFlight {
+        let now = clock::now();
+        self.pool().record_resume(&endpoint.id, work, now);
+        self.in_flight(endpoint, work, vm, route, now)
+    }
+
+    fn in_flight(
+        self: &Arc<Shard>,
+        endpoint: &Arc<Endpoint>,
+        work: Work,
+        vm: &Arc<str>,
+        route: &Arc<str>,
+        now: Time,
+    ) -> InFlight {
         let side = self.pool().side_of(&endpoint.version);
         let is_counted = self.rollout.record_sent(side);
         let witness = is_counted.then(|| Witness::new(vm, route, &endpoint.id, side, now));
-        self.pool().record_start(&endpoint.id, work, now);
         InFlight {
             shard: Arc::clone(self),
             endpoint: Arc::clone(endpoint),
@@ -638,7 +663,12 @@
 
     /// Counts a copy at an endpoint until the guard is dropped.
     pub(crate) fn copy(self: &Arc<Shard>, endpoint: &Arc<Endpoint>, work: Work) -> CopyGuard {
-        self.pool().record_copy_start(&endpoint.id, work);
+        {
+            let mut pool = self.pool();
+            pool.record_copy_start(&endpoint.id, work);
+            // A copy at a cold endpoint counts as a request.
+            pool.take_turn(&endpoint.id, clock::now());
+        }
         CopyGuard {
             shard: Arc::clone(self),
             endpoint: Arc::clone(endpoint),
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -189,10 +189,13 @@
             attempt: self.sends,
             snapshot: self.job.shard.endpoint_snapshot(&endpoint.id),
         });
-        let in_flight =
-            self.job
-                .shard
-                .start(&endpoint, self.job.work, &self.job.vm, &self.job.route.name);
+        let shard = &self.job.shard;
+        let (work, vm, route) = (self.job.work, &self.job.vm, &self.job.route.name);
+        let in_flight = if source.is_some() {
+            shard.resume(&endpoint, work, vm, route)
+        } else {
+            shard.start(&endpoint, work, vm, route)
+        };
         observe::await_notice(&self.job.shard, &endpoint);
         let backup = self.run.backup.as_deref();
         let request = self
--- a/tests/integration/stop.rs
+++ b/tests/integration/stop.rs
@@ -195,6 +195,18 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// Guards against an agent that exits while an entry still reads an answer from it, because its
+/// caller reads slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_stopped_with_slow_reader() {
+    let (mut site, stream) = start_slow_reader().await;
+    let index = site.engine_of(LONG_PROMPT).expect("an engine runs it");
+    site.engines[index].process.terminate();
+    read_steadily(stream).await;
+    let status = site.engines[index].process.wait_for_exit().await;
+    assert_eq!(status.code(), Some(0));
+}
+
 #[tokio::test]
 async fn leaving_endpoint_gets_no_new_work() {
     /// Requests in a row that the other engine must get before the test passes.
