--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -12,6 +12,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
+    task::JoinHandle,
     time::{Instant, sleep},
 };
 
@@ -80,6 +81,14 @@
 /// Stops the gateway while three callers read large answers steadily, and checks that they get
 /// them whole.
 async fn check_slow_readers(site: &mut Site, path: &'static str) {
+    let callers = start_slow_readers(site, path).await;
+    site.gateway.signal(Signal::TERM);
+    check_whole(callers).await;
+    assert!(site.gateway.wait_exit(Duration::from_secs(1)).await);
+}
+
+/// Starts three callers that read large answers steadily.
+async fn start_slow_readers(site: &Site, path: &'static str) -> Vec<JoinHandle<usize>> {
     let mut callers = Vec::new();
     for number in 0..3 {
         let stream = connect_slow(site).await;
@@ -87,12 +96,14 @@
         callers.push(tokio::spawn(read_steadily(stream, path, id)));
     }
     sleep(Duration::from_millis(200)).await;
-    site.gateway.signal(Signal::TERM);
+    callers
+}
+
+async fn check_whole(callers: Vec<JoinHandle<usize>>) {
     for caller in callers {
         let received = caller.await.expect("the caller does not panic");
         assert!(received >= LARGE, "{received} of {LARGE} bytes");
     }
-    assert!(site.gateway.wait_exit(Duration::from_secs(1)).await);
 }
 
 /// Guards against answers that are cut off because the process exits once they were handed to
@@ -119,6 +130,23 @@
     check_slow_readers(&mut site, "/drafts/1").await;
 }
 
+/// Guards against a sidecar whose end cuts off the streams of its engine. A gateway reads them
+/// from the engine itself, so a sidecar has nothing to wait for, even when it is killed.
+#[tokio::test]
+async fn stop_sidecars_large_streams() {
+    let events = 100;
+    let mut site = Site::start_with_sidecars(3, events, Duration::from_millis(2)).await;
+    set_long_timeouts(&site).await;
+    for engine in &site.engines {
+        engine.set_behaviour(Behaviour::Wide(LARGE / 100));
+    }
+    let callers = start_slow_readers(&site, "/drafts/1").await;
+    for _ in 0..3 {
+        site.kill_sidecar(0);
+    }
+    check_whole(callers).await;
+}
+
 /// Guards against requests that are cut off with no answer at the end of the grace period,
 /// those that came late in it as well.
 #[tokio::test]
