Protect duties from a removed lease object, hand them over, and queue reports

Cause: a paused or new gateway that found no lease object created one at once, with a token that was in use. A holder that was stopped left its successor to wait for the lease to expire. A report that the platform rejects delayed all later ones, a `dutiesPerS` below 0.5 was exceeded, and the lease was checked before the connection was opened.

Change: a gateway that finds no object waits for the whole validity, checks by a watch that nobody has created it, and takes a token above the revision of the store. A holder with a valid lease creates it again with its own token. With `bootstrap` in the settings, a process that has seen no object creates it at once, as before. At SIGTERM the holder sends nothing more, releases the lease by one write and tells its backups. `duty::queue` chooses the report with the fewest attempts and keeps the rate. The lease is checked when the connection is open. No store call is added in the steady state.

--- a/crates/core/src/duty/lease.rs
+++ b/crates/core/src/duty/lease.rs
@@ -9,6 +9,15 @@
 //! conflict returns the object. Each write has a number of its own, so the object shows which
 //! of the writes took effect, and the validity counts from when that one was sent.
 //!
+//! The object may be removed by somebody else. A process that finds none creates one only after
+//! the store has shown no change of it for the whole validity: a lease that was written before
+//! the removal has then expired. Tokens never exceed the revision of the store, so a token
+//! above the revision at which the object was missing is above all earlier ones. Only a process
+//! that was started together with its site creates the first object at once.
+//!
+//! A holder that stops releases the lease in a last write. A successor then need not wait for
+//! the validity.
+//!
 //! The object also holds what the holder has decided. A successor takes it over in the write
 //! that makes it the holder, so nothing is decided twice.
 //!
@@ -41,6 +50,9 @@
 /// the lease, or cannot reach these processes.
 const FIRST_SPREAD: f64 = 0.5;
 
+/// The maximum time between the check that nobody has created the object and its creation.
+const MAX_CHECK_AGE: Duration = Duration::from_secs(1);
+
 /// The maximum number of writes whose outcome may be unknown. Older ones have timed out long ago.
 const MAX_WRITES: usize = 64;
 
@@ -73,10 +85,21 @@
     pub origin: u64,
     /// The number of the write, which differs in each write of a process.
     pub renewal: u64,
+    /// Whether the holder has released the lease with this write.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_released: bool,
     /// What was decided.
     pub decided: D,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 /// A call to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call<D> {
@@ -85,6 +108,13 @@
         /// Whether the store may answer with a state that is some seconds old.
         may_be_stale: bool,
     },
+    /// Read the changes since this revision of the store. Answered with [`Lease::observe`],
+    /// [`Lease::record_removed`], [`Lease::record_unchanged`] or, if the store no longer has
+    /// them, with [`Lease::record_missing`].
+    Watch {
+        /// The revision at which the object was missing.
+        since: u64,
+    },
     /// Create the object.
     Create(Record<D>),
     /// Replace the object if it is at the revision.
@@ -114,6 +144,18 @@
     is_polled: bool,
 }
 
+/// What a process knows of the time in which the object did not exist.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Absence {
+    /// The revision of the store at which the object was missing, and when that was known.
+    since: Option<(u64, Time)>,
+    /// A later revision up to which nobody has created it, and when that was known.
+    checked: Option<(u64, Time)>,
+    /// Until when this process is the holder, with its token and origin, if the object was
+    /// removed while it was.
+    held: Option<(Time, u64, u64)>,
+}
+
 /// The view of one process.
 #[derive(Clone, Debug)]
 pub struct Lease<D> {
@@ -121,8 +163,16 @@
     ttl: Duration,
     held: Option<Held<D>>,
     foreign: Option<Foreign>,
-    /// Whether the object was missing at the last read.
-    is_missing: bool,
+    /// What is known of the object's absence, if it was missing when last looked for.
+    absence: Option<Absence>,
+    /// Until when this process creates the first object of its site without a wait.
+    bootstrap_until: Time,
+    /// When this process, or an earlier one of the same VM, has not acted for the validity.
+    rested_at: Time,
+    /// The revision with which this process released the lease, if it did.
+    released: Option<u64>,
+    /// Whether this process stops. It does not acquire the lease again.
+    is_stopping: bool,
     /// The revision and the object at the last read, and when it was read, if another process
     /// holds it.
     read: Option<(u64, Record<D>, Time)>,
@@ -143,14 +193,24 @@
 
 impl<D: Clone + Default + PartialEq> Lease<D> {
     /// Returns the view of a process that makes its first call at `first_read`, which must be
-    /// random so that processes that start together do not call together.
-    pub fn new(own: Owner, ttl: Duration, first_read: Time) -> Lease<D> {
+    /// random so that processes that start together do not call together. `is_bootstrap` is
+    /// whether the site was started together with this process: if there is no object then,
+    /// there has been none.
+    pub fn new(own: Owner, ttl: Duration, is_bootstrap: bool, first_read: Time) -> Lease<D> {
         Lease {
             own,
             ttl,
             held: None,
             foreign: None,
-            is_missing: false,
+            absence: None,
+            bootstrap_until: if is_bootstrap {
+                first_read + ttl
+            } else {
+                Time::ZERO
+            },
+            rested_at: first_read + ttl,
+            released: None,
+            is_stopping: false,
             read: None,
             decided: None,
             token: 0,
@@ -171,10 +231,39 @@
     /// Returns the token if the lease stays valid for at least `reserve`. Must be called
     /// immediately before each action.
     pub fn permits(&self, reserve: Duration, now: Time) -> Option<u64> {
-        let held = self.held.as_ref()?;
+        let held = self.held.as_ref().filter(|_| !self.is_stopping)?;
         (!held.until.is_past(now + reserve)).then_some(held.record.token)
     }
 
+    /// Stops acting. The lease is not acquired or renewed from now on, and can be released once
+    /// everything that was sent has been answered.
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Returns whether [`Lease::stop`] was called.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping
+    }
+
+    /// Returns the write that releases the lease with what was decided, if this process has
+    /// stopped and holds it. The answer must be recorded; the write must not be repeated.
+    pub fn release(&mut self, decided: D, now: Time) -> Option<Call<D>> {
+        let held = self.held.as_ref().filter(|_| self.is_stopping)?;
+        if held.record.is_released || held.until.is_past(now) {
+            return None;
+        }
+        let (revision, token, origin) = (held.revision, held.record.token, held.record.origin);
+        let mut record = self.draw(token, origin, decided, now);
+        record.is_released = true;
+        Some(Call::Replace(revision, record))
+    }
+
+    /// Returns the revision with which this process released the lease, if it did.
+    pub fn released(&self) -> Option<u64> {
+        self.released
+    }
+
     /// Returns when [`Lease::call`] is to be asked next.
     pub fn next_call(&self) -> Time {
         self.next_call
@@ -185,6 +274,9 @@
     ///
     /// The answer must be recorded before the next call is asked for.
     pub fn call(&mut self, draft: Option<D>, spread: f64, now: Time) -> Option<Call<D>> {
+        if self.is_stopping {
+            return None;
+        }
         if self.is_outdated && self.next_call.is_past(now) {
             self.next_call = now + MIN_RETRY_DELAY;
             return Some(Call::Read {
@@ -206,12 +298,8 @@
         if !self.next_call.is_past(now) {
             return None;
         }
-        if self.is_missing {
-            // Somebody may have removed the object of a site that has decided before.
-            let decided = self.decided.clone().unwrap_or_default();
-            let token = self.token + 1;
-            let record = self.draw(token, token, decided, now);
-            return Some(Call::Create(record));
+        if let Some(absence) = self.absence {
+            return self.call_absent(absence, spread, now);
         }
         let Some(foreign) = self.foreign else {
             self.next_call = now + self.read_interval(spread);
@@ -238,6 +326,46 @@
         Some(Call::Replace(revision, record))
     }
 
+    /// Returns the call that is due while the object does not exist.
+    fn call_absent(&mut self, absence: Absence, spread: f64, now: Time) -> Option<Call<D>> {
+        let is_first = self.token == 0 && !self.bootstrap_until.is_past(now);
+        // While the lease that this process wrote last is valid, nobody else creates the object.
+        // It knows all that was decided, and keeps its token.
+        let held = absence.held.filter(|(until, ..)| !until.is_past(now));
+        if let Some((_, token, origin)) = held {
+            let decided = self.decided.clone().unwrap_or_default();
+            let record = self.draw(token, origin, decided, now);
+            return Some(Call::Create(record));
+        }
+        let checked = absence.checked;
+        let checked = checked.filter(|(_, at)| !(*at + MAX_CHECK_AGE).is_past(now));
+        let at = match (checked, absence.since) {
+            _ if is_first => 0,
+            (Some((at, _)), _) => at,
+            (None, None) => {
+                self.next_call = now + MIN_RETRY_DELAY;
+                return Some(Call::Read {
+                    may_be_stale: false,
+                });
+            }
+            (None, Some((_, since))) if !(since + self.ttl).is_past(now) => {
+                // The first one that creates it polls the others before they try.
+                let spread = self.ttl.mul_f64(FIRST_SPREAD * spread.clamp(0.0, 1.0));
+                self.next_call = since + self.ttl + spread;
+                return None;
+            }
+            (None, Some((since, _))) => {
+                self.next_call = now + MIN_RETRY_DELAY;
+                return Some(Call::Watch { since });
+            }
+        };
+        // Somebody may have removed the object of a site that has decided before.
+        let decided = self.decided.clone().unwrap_or_default();
+        let token = self.token.max(at) + 1;
+        let record = self.draw(token, token, decided, now);
+        Some(Call::Create(record))
+    }
+
     /// Returns a record for a write that is sent now.
     fn draw(&mut self, token: u64, origin: u64, decided: D, now: Time) -> Record<D> {
         self.renewals += 1;
@@ -253,6 +381,7 @@
             token,
             origin,
             renewal: self.renewals,
+            is_released: false,
             decided,
         }
     }
@@ -268,7 +397,7 @@
             // A stale read.
             return;
         }
-        self.is_missing = false;
+        self.absence = None;
         self.is_outdated = false;
         self.decided = Some(record.decided.clone());
         let is_own = record.holder == self.own.name && record.incarnation == self.own.incarnation;
@@ -276,7 +405,7 @@
             .writes
             .iter()
             .find(|(number, _)| *number == record.renewal);
-        if let (true, Some(&(_, sent_at))) = (is_own, write) {
+        if let (true, Some(&(_, sent_at))) = (is_own && !record.is_released, write) {
             // While the lease was expired, the holder has missed what happened.
             let uninterrupted = self.held.as_ref().filter(|held| !held.until.is_past(now));
             let since = uninterrupted.map_or(now, |held| held.since);
@@ -289,9 +418,29 @@
                 until: sent_at + self.ttl,
             });
             self.next_call = sent_at + self.ttl.mul_f64(RENEWAL_SHARE);
+            self.rested_at = sent_at + self.ttl * 2;
             return;
         }
         self.held = None;
+        if record.is_released {
+            if is_own {
+                self.released = Some(revision);
+            }
+            // Its holder does not act any more. A process whose VM has acted shortly before
+            // that holder waits, so that the two do not alternate.
+            let expires_at = self.rested_at.max(now).min(now + self.ttl);
+            let known = self.foreign.filter(|foreign| foreign.revision == revision);
+            let expires_at = known.map_or(expires_at, |known| known.expires_at.min(expires_at));
+            self.foreign = Some(Foreign {
+                revision,
+                expires_at,
+                is_polled: true,
+            });
+            // The object is read again at that time, unless that is now.
+            self.next_call = expires_at;
+            self.read = Some((revision, record, now));
+            return;
+        }
         match self.foreign.filter(|foreign| foreign.revision == revision) {
             Some(foreign) if foreign.expires_at.is_past(now) => self.next_call = now,
             Some(_) => {}
@@ -319,16 +468,39 @@
         self.read = Some((revision, record, now));
     }
 
-    /// Records that the object does not exist. It is created at once, unless another process is
-    /// known to hold the lease.
-    pub fn record_missing(&mut self, now: Time) {
+    /// Records that the object does not exist. `at` is the revision of the store, if the answer
+    /// is to a read that is not stale.
+    pub fn record_missing(&mut self, at: Option<u64>, now: Time) {
         self.failures = 0;
         self.is_outdated = false;
-        self.held = None;
         self.read = None;
-        self.is_missing = true;
-        let foreign = self.foreign.take();
-        self.next_call = foreign.map_or(now, |foreign| foreign.expires_at.max(now));
+        self.foreign = None;
+        let held = self.held.take();
+        let held = held.map(|held| (held.until, held.record.token, held.record.origin));
+        let held = held.or(self.absence.and_then(|absence| absence.held));
+        self.absence = Some(Absence {
+            since: at.map(|at| (at, now)),
+            checked: None,
+            held,
+        });
+        self.next_call = now;
+    }
+
+    /// Records that the object was created since it was missing, and removed again in the state
+    /// `record`, at the latest at revision `at` of the store.
+    pub fn record_removed(&mut self, record: Record<D>, at: u64, now: Time) {
+        self.token = self.token.max(record.token);
+        self.decided = Some(record.decided);
+        self.record_missing(Some(at), now);
+    }
+
+    /// Records that nobody has created the object up to revision `at` of the store.
+    pub fn record_unchanged(&mut self, at: u64, now: Time) {
+        self.failures = 0;
+        if let Some(absence) = &mut self.absence {
+            absence.checked = Some((at, now));
+            self.next_call = now;
+        }
     }
 
     /// Records that a write conflicted, and that the answer does not hold the object. It is
@@ -346,7 +518,8 @@
     }
 
     /// Records what a holder says: the revision of the object, and how much longer its lease
-    /// is valid. This process tries to take over `delay` after that at the earliest.
+    /// is valid: zero if it was released. This process tries to take over `delay` after that at
+    /// the earliest.
     /// Returns whether the message is about the newest known holder.
     pub fn record_poll(
         &mut self,
@@ -368,9 +541,13 @@
         }
         self.token = self.token.max(token);
         self.held = None;
-        self.is_missing = false;
+        self.absence = None;
         let known = self.foreign.filter(|foreign| foreign.revision == revision);
-        let expires_at = now + valid.min(self.ttl);
+        let expires_at = if valid.is_zero() {
+            self.rested_at.max(now).min(now + self.ttl)
+        } else {
+            now + valid.min(self.ttl)
+        };
         let expires_at = known.map_or(expires_at, |known| known.expires_at.max(expires_at));
         self.foreign = Some(Foreign {
             revision,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -209,6 +209,9 @@
         ends_at: asked_at + grace.saturating_sub(FLUSH_MARGIN),
     };
     listen::stop(state, stop);
+    if let Some(duty) = &state.duty {
+        duty.stop();
+    }
     let drained = async {
         // Callers that have not noticed the shutdown yet still send requests.
         sleep_until(clock::instant(stop.accepts_until)).await;
--- a/crates/gateway/src/duty/hold.rs
+++ b/crates/gateway/src/duty/hold.rs
@@ -5,7 +5,7 @@
 use cactusroad_core::{
     Time,
     duty::{
-        lease::{Call, Record},
+        lease::{Call, Lease, Record},
         usage::{Decided, Decision},
     },
 };
@@ -31,14 +31,30 @@
 /// move the deadline of its next call while it waits.
 const CANDIDATE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// An answer to a call about the lease object.
+enum Answer {
+    /// The object as it is.
+    Object(Object),
+    /// It does not exist. The revision of the store, unless the answer may be stale.
+    Missing(Option<u64>),
+    /// It was created and removed again, up to this revision of the store.
+    Removed(Object, u64),
+    /// It was not created up to this revision of the store.
+    Unchanged(u64),
+}
+
 /// Holds the duty whenever no other gateway does, until the process exits.
 pub(crate) async fn run(handle: Arc<Handle>) {
     let mut client = Client::new(handle.store, CALL_TIMEOUT);
     loop {
+        if handle.is_stopping() {
+            stop(&handle, &mut client).await;
+            return;
+        }
         let (call, decisions) = next_call(&handle, clock::now());
         if let Some(call) = call {
             let answer = make(&mut client, &call).await;
-            apply(&handle, answer, &decisions);
+            apply(&handle, answer, &decisions, "taken_over");
             join(&handle).await;
             continue;
         }
@@ -52,7 +68,34 @@
             };
             until_call.clamp(Duration::from_millis(5), limit)
         };
-        sleep(delay).await;
+        tokio::select! {
+            () = sleep(delay) => {}
+            () = handle.stopping.notified() => {}
+        }
+    }
+}
+
+/// Releases the lease, if this gateway holds it, and tells the gateways that may take it over.
+async fn stop(handle: &Arc<Handle>, client: &mut Client) {
+    let quiet_at = handle.state().quiet_at;
+    // A call that arrives later would have a lower token than those of the successor.
+    sleep(quiet_at.since(clock::now())).await;
+    let now = clock::now();
+    let notices = poll::final_requests(handle, now);
+    let call = {
+        let mut state = handle.state();
+        let held = state.valid_lease(now);
+        let decided = held.map(|held| held.record.decided.with(&[], &state.acknowledged));
+        decided.and_then(|decided| state.lease.release(decided, now))
+    };
+    let Some(call) = call else {
+        return;
+    };
+    let answer = make(client, &call).await;
+    apply(handle, answer, &[], "released");
+    let revision = handle.state().lease.released();
+    if let Some(revision) = revision {
+        poll::send_final(notices, revision).await;
     }
 }
 
@@ -89,46 +132,76 @@
     (draft, decisions)
 }
 
-/// Makes a call. The answer is the object, or none if it does not exist.
-async fn make(client: &mut Client, call: &Call<Decided>) -> Result<Option<Object>, Error> {
+/// Makes a call.
+async fn make(client: &mut Client, call: &Call<Decided>) -> Result<Answer, Error> {
+    let find = |objects: Vec<Object>| {
+        let mut objects = objects.into_iter();
+        objects.find(|object| &*object.meta.name == NAME)
+    };
     match call {
-        Call::Read { may_be_stale } => {
-            let objects = if *may_be_stale {
-                client.list_stale(Kind::Duties).await?
-            } else {
-                client.list(Kind::Duties).await?.objects
+        Call::Read { may_be_stale: true } => {
+            let object = find(client.list_stale(Kind::Duties).await?);
+            Ok(object.map_or(Answer::Missing(None), Answer::Object))
+        }
+        Call::Read { .. } => {
+            let listing = client.list(Kind::Duties).await?;
+            let at = listing.at;
+            Ok(find(listing.objects).map_or(Answer::Missing(Some(at)), Answer::Object))
+        }
+        Call::Watch { since } => {
+            let changes = client.watch(Kind::Duties, *since, Duration::ZERO).await;
+            let changes = match changes {
+                Err(Error::Compacted) => return Ok(Answer::Missing(None)),
+                changes => changes?,
             };
-            Ok(objects
-                .into_iter()
-                .find(|object| &*object.meta.name == NAME))
+            let at = changes.at;
+            let mut events = changes.events.into_iter().rev();
+            let last = events.find(|event| &*event.object.meta.name == NAME);
+            Ok(last.map_or(Answer::Unchanged(at), |last| {
+                if last.deleted {
+                    Answer::Removed(last.object, at)
+                } else {
+                    Answer::Object(last.object)
+                }
+            }))
+        }
+        Call::Create(record) => {
+            let object = client.try_create(Kind::Duties, NAME, record).await;
+            object.map(Answer::Object)
         }
-        Call::Create(record) => client
-            .try_create(Kind::Duties, NAME, record)
-            .await
-            .map(Some),
         Call::Replace(revision, record) => {
-            match client
-                .try_replace(Kind::Duties, NAME, *revision, record)
-                .await
-            {
-                Err(Error::Missing) => Ok(None),
-                answer => answer.map(Some),
+            let object = client.try_replace(Kind::Duties, NAME, *revision, record);
+            match object.await {
+                Err(Error::Missing) => Ok(Answer::Missing(None)),
+                object => object.map(Answer::Object),
             }
         }
     }
 }
 
-/// Records the answer to a call.
-fn apply(handle: &Handle, answer: Result<Option<Object>, Error>, decisions: &[Decision]) {
+/// Records the answer to a call. `cause` is why the duty is lost, if another process's record
+/// or a released one is in the object.
+fn apply(
+    handle: &Handle,
+    answer: Result<Answer, Error>,
+    decisions: &[Decision],
+    cause: &'static str,
+) {
     let now = clock::now();
     let outcome = if answer.is_ok() { "answered" } else { "failed" };
     let labels = [Kind::Duties.into(), outcome];
     handle.metrics.store_calls.with_label_values(&labels).inc();
     let mut state = handle.state();
-    let object = match answer {
-        Ok(Some(object)) => object,
-        Ok(None) => {
-            handle.with_lease(&mut state, |lease| lease.record_missing(now), "missing");
+    let (object, removed_at) = match answer {
+        Ok(Answer::Object(object)) => (object, None),
+        Ok(Answer::Removed(object, at)) => (object, Some(at)),
+        Ok(Answer::Missing(at)) => {
+            let record = |lease: &mut Lease<Decided>| lease.record_missing(at, now);
+            handle.with_lease(&mut state, record, "missing");
+            return;
+        }
+        Ok(Answer::Unchanged(at)) => {
+            state.lease.record_unchanged(at, now);
             return;
         }
         Err(Error::Conflict) => {
@@ -153,13 +226,19 @@
             return;
         }
     };
-    let address = record.address;
+    if let Some(at) = removed_at {
+        let record = |lease: &mut Lease<Decided>| lease.record_removed(record, at, now);
+        handle.with_lease(&mut state, record, "missing");
+        return;
+    }
+    // A holder that has released the lease does not poll.
+    let address = record.address.filter(|_| !record.is_released);
     let revision = object.meta.revision;
     let spread = rand::random();
-    let observe = |lease: &mut cactusroad_core::duty::lease::Lease<Decided>| {
+    let observe = |lease: &mut Lease<Decided>| {
         lease.observe(revision, record, spread, now);
     };
-    handle.with_lease(&mut state, observe, "taken_over");
+    handle.with_lease(&mut state, observe, cause);
     match state.lease.held() {
         Some(held) => record_decisions(handle, &state, &held.record.decided, decisions, now),
         None => state.join = address,
--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -22,6 +22,7 @@
 };
 use cactusroad_platform::settings::{Duties, Duty, Settings};
 use prometheus::{IntCounterVec, IntGauge};
+use tokio::sync::Notify;
 
 use crate::{
     clock,
@@ -61,6 +62,8 @@
     started_at: Time,
     counter: Mutex<Counter>,
     state: Mutex<State>,
+    /// Wakes the task that keeps the lease when this gateway stops.
+    stopping: Notify,
     metrics: Counts,
 }
 
@@ -87,6 +90,8 @@
     joined: Vec<(Arc<str>, SocketAddr, Time)>,
     /// The windows whose reports were acknowledged by the platform.
     acknowledged: Vec<u64>,
+    /// When no call to the platform that this gateway has sent can arrive any more.
+    quiet_at: Time,
 }
 
 impl Handle {
@@ -108,7 +113,8 @@
             due: duties.due,
         };
         let first_read = now + FIRST_READ_JITTER.mul_f64(rand::random());
-        let lease = Lease::new(own.clone(), duties.lease + TTL_MARGIN, first_read);
+        let ttl = duties.lease + TTL_MARGIN;
+        let lease = Lease::new(own.clone(), ttl, settings.is_bootstrap, first_read);
         Some(Arc::new(Handle {
             own,
             store: settings.store,
@@ -124,7 +130,9 @@
                 members: Vec::new(),
                 joined: Vec::new(),
                 acknowledged: Vec::new(),
+                quiet_at: Time::ZERO,
             }),
+            stopping: Notify::new(),
             metrics: Counts {
                 store_calls: metrics.store_calls.clone(),
                 duties: metrics.duties.clone(),
@@ -157,6 +165,17 @@
         self.state().members = members;
     }
 
+    /// Sends nothing to the platform from now on, and releases the lease if this gateway holds
+    /// it.
+    pub(crate) fn stop(&self) {
+        self.state().lease.stop();
+        self.stopping.notify_one();
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.state().lease.is_stopping()
+    }
+
     /// Starts the tasks.
     pub(crate) fn start(self: &Arc<Handle>) {
         tokio::spawn(hold::run(Arc::clone(self)));
--- a/crates/gateway/src/duty/poll.rs
+++ b/crates/gateway/src/duty/poll.rs
@@ -196,6 +196,18 @@
     wants_kept: bool,
     now: Time,
 ) -> Option<Bytes> {
+    let poll = message(handle, is_backup, period, wants_kept, now);
+    poll.map(|poll| wire::encode(&poll))
+}
+
+/// Returns the message of a poll, or none if this gateway no longer holds the duty.
+fn message(
+    handle: &Handle,
+    is_backup: bool,
+    period: Duration,
+    wants_kept: bool,
+    now: Time,
+) -> Option<Poll> {
     let true_us = true_time(handle, now);
     let (lease, tallies) = {
         let state = handle.state();
@@ -203,7 +215,8 @@
         let lease = Lease {
             revision: held.revision,
             holder: handle.own.name.to_string(),
-            valid_us: micros(held.until.since(now)),
+            // Zero says that the lease was released.
+            valid_us: micros(held.until.since(now)).max(1),
             // Backups try at once.
             period_us: if is_backup { 0 } else { micros(period) },
             token: held.record.token,
@@ -227,9 +240,8 @@
         names: names.into_table(),
         held,
     };
-    let bytes = wire::encode(&poll);
-    if bytes.len() <= MAX_BODY_BYTES {
-        return Some(bytes);
+    if wire::encoded_len(&poll) <= MAX_BODY_BYTES {
+        return Some(poll);
     }
     // The counts of live gateways can be asked for again, so the poll matters more.
     let poll = Poll {
@@ -237,7 +249,56 @@
         held: Vec::new(),
         ..poll
     };
-    Some(wire::encode(&poll))
+    Some(poll)
+}
+
+/// The last polls of a holder that stops: what they say, and to whom.
+pub(super) struct Final {
+    poll: Poll,
+    addresses: Vec<SocketAddr>,
+}
+
+/// Returns the polls by which this gateway, if it holds the duty, tells its backups that it has
+/// released the lease.
+pub(super) fn final_requests(handle: &Handle, now: Time) -> Option<Final> {
+    count_own(handle, now);
+    let poll = message(handle, true, MIN_PERIOD, false, now)?;
+    let gateways = handle.state().gateways(now);
+    let first = gateways.partition_point(|(name, _)| *name < handle.own.name);
+    let (before, after) = gateways.split_at(first);
+    let addresses = after.iter().chain(before).take(BACKUPS);
+    Some(Final {
+        poll,
+        addresses: addresses.map(|(_, address)| *address).collect(),
+    })
+}
+
+/// Sends the last polls after the lease was released with this revision.
+pub(super) async fn send_final(notice: Option<Final>, revision: u64) {
+    let Some(Final {
+        mut poll,
+        addresses,
+    }) = notice
+    else {
+        return;
+    };
+    if let Some(lease) = &mut poll.lease {
+        lease.revision = revision;
+        lease.valid_us = 0;
+    }
+    let request = wire::encode(&poll);
+    let mut polls = JoinSet::new();
+    for address in addresses {
+        let request = request.clone();
+        polls.spawn(async move {
+            let sent = peer::exchange(address, Method::POST, POLL_PATH, request, POLL_TIMEOUT);
+            // A gateway that is not reached waits for the lease to expire.
+            if let Err(cause) = sent.await {
+                log::info!("telling {address} that the lease was released failed: {cause}");
+            }
+        });
+    }
+    polls.join_all().await;
 }
 
 /// Polls a gateway. Returns whether it has answered with counts.
--- a/crates/gateway/src/duty/send.rs
+++ b/crates/gateway/src/duty/send.rs
@@ -2,8 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cactusroad_core::{Time, duty::usage::Report};
-use cactusroad_platform::duty::{self, Error, Holder};
+use cactusroad_core::{
+    Time,
+    duty::{queue::Queue, usage::Report},
+};
+use cactusroad_platform::duty::{Error, Holder, Session};
 use tokio::time::sleep;
 
 use super::{Handle, millis};
@@ -25,88 +28,93 @@
 /// The interval at which a gateway that does not hold the duty checks whether it does.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The delay before a report is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
-
-/// What is to be done with the oldest report that was not acknowledged.
-enum Step {
-    Idle,
-    Wait,
-    Send(Report, u64, u64),
-}
-
 /// Sends reports until the process exits.
 pub(crate) async fn run(handle: Arc<Handle>) {
-    let mut attempts = 0;
+    let mut queue = Queue::new(handle.duties.calls_per_s);
+    let mut token = None;
     loop {
-        match next_step(&handle) {
-            Step::Idle => sleep(IDLE_INTERVAL).await,
-            Step::Wait => sleep(INTERVAL).await,
-            Step::Send(report, token, true_now) => {
-                attempts += 1;
-                if send(&handle, &report, token, true_now, attempts).await {
-                    attempts = 0;
-                }
-                // The platform accepts a bounded number of calls a second.
-                let pause = Duration::from_secs_f64(1.0 / handle.duties.calls_per_s.max(0.1));
-                let pause = pause.min(RETRY_DELAY * 4);
-                let retry = RETRY_DELAY.mul_f64(rand::random_range(1.0..2.0));
-                sleep(if attempts > 0 {
-                    pause.max(retry)
-                } else {
-                    pause
-                })
-                .await;
-            }
+        let Some(held) = handle.state().lease.held().map(|held| held.record.token) else {
+            sleep(IDLE_INTERVAL).await;
+            continue;
+        };
+        if token != Some(held) {
+            token = Some(held);
+            queue.restart(clock::now());
         }
+        let Some((report, true_now)) = next_report(&handle, &mut queue) else {
+            sleep(INTERVAL).await;
+            continue;
+        };
+        send(&handle, &mut queue, &report, true_now).await;
     }
 }
 
-fn next_step(handle: &Handle) -> Step {
+/// Returns the report to send and the true time. Gives up reports that are overdue.
+fn next_report(handle: &Handle, queue: &mut Queue) -> Option<(Report, u64)> {
     let mut state = handle.state();
     let now = clock::now();
-    let Some(held) = state.lease.held() else {
-        return Step::Idle;
-    };
-    let pending: Vec<Report> = held
-        .record
-        .decided
-        .reports
+    state.lease.permits(CALL_TIMEOUT + MARGIN, now)?;
+    let true_now = state.collector.true_time(now)?;
+    let reports = &state.lease.held()?.record.decided.reports;
+    let pending: Vec<Report> = reports
         .iter()
         .filter(|report| !state.acknowledged.contains(&report.window))
         .cloned()
         .collect();
-    let Some(true_now) = state.collector.true_time(now) else {
-        return Step::Wait;
-    };
-    for report in pending {
-        if handle.config.is_given_up(report.window, true_now) {
-            handle.count("missed");
-            record::write(&Event::UsageMissed {
-                from: report.window,
-                to: report.window + 1,
-                cause: "not_acknowledged",
-            });
-            state.acknowledged.push(report.window);
-            continue;
-        }
-        // Checked last, so that nothing but the send comes after it.
-        return match state.lease.permits(CALL_TIMEOUT + MARGIN, clock::now()) {
-            Some(token) => Step::Send(report, token, true_now),
-            None => Step::Wait,
-        };
+    let (overdue, pending): (Vec<Report>, Vec<Report>) = pending
+        .into_iter()
+        .partition(|report| handle.config.is_given_up(report.window, true_now));
+    for report in overdue {
+        handle.count("missed");
+        record::write(&Event::UsageMissed {
+            from: report.window,
+            to: report.window + 1,
+            cause: "not_acknowledged",
+        });
+        state.acknowledged.push(report.window);
     }
-    Step::Wait
+    let windows: Vec<u64> = pending.iter().map(|report| report.window).collect();
+    queue.retain(&windows);
+    let window = queue.choose(windows.into_iter(), now)?;
+    let report = pending.into_iter().find(|report| report.window == window)?;
+    Some((report, true_now))
+}
+
+/// Returns the token if a call that is made now ends while the lease is valid. Until then, or
+/// until its answer is recorded, the lease is not released.
+fn permit(handle: &Handle) -> Option<u64> {
+    let mut state = handle.state();
+    let now = clock::now();
+    let token = state.lease.permits(CALL_TIMEOUT + MARGIN, now)?;
+    state.quiet_at = now + CALL_TIMEOUT + MARGIN;
+    Some(token)
 }
 
-/// Sends a report, and returns whether it was acknowledged.
-async fn send(handle: &Handle, report: &Report, token: u64, true_now: u64, attempt: u32) -> bool {
+/// Sends a report.
+async fn send(handle: &Handle, queue: &mut Queue, report: &Report, true_now: u64) {
     let sent_at: Time = clock::now();
-    let holder = Holder {
-        vm: &handle.own.name,
-        token,
+    queue.record_call(sent_at);
+    let attempt = queue.record_attempt(report.window, rand::random(), sent_at);
+    let (result, token) = match Session::open(handle.duties.address, CALL_TIMEOUT).await {
+        Err(cause) => (Err(cause), 0),
+        Ok(session) => {
+            // Opening the connection takes time, and the process may have been paused.
+            let Some(token) = permit(handle) else {
+                return;
+            };
+            let holder = Holder {
+                vm: &handle.own.name,
+                token,
+            };
+            let result = session.report_usage(holder, report, CALL_TIMEOUT).await;
+            if !matches!(result, Err(Error::Lost(_))) {
+                handle.state().quiet_at = clock::now();
+            }
+            (result, token)
+        }
     };
-    let result = duty::report_usage(handle.duties.address, holder, report, CALL_TIMEOUT).await;
+    // A slow answer must not shorten the pause before the next call.
+    queue.record_call(clock::now());
     let outcome = match &result {
         Ok(()) => "acknowledged",
         Err(Error::Refused(_)) => "refused",
@@ -128,5 +136,4 @@
     if result.is_ok() {
         handle.state().acknowledged.push(report.window);
     }
-    result.is_ok()
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -52,6 +52,11 @@
 #[error("failed to decode a message from a peer ({0}); check that both run the same release")]
 pub struct Error(prost::DecodeError);
 
+/// Returns the size of an encoded message, in bytes.
+pub fn encoded_len(message: &impl Message) -> usize {
+    message.encoded_len()
+}
+
 /// Encodes a message without the length prefix.
 pub fn encode(message: &impl Message) -> Bytes {
     let mut buffer = BytesMut::with_capacity(message.encoded_len());
