Test that duties survive removals, stops and rejected reports

Cause: `duty_without_metering` gave the gateways no address to call, and `duty_store_lost` and `duty_holder_paused` observed holders that had nothing to send.

Change: the first also runs with `cloudApi` without a known duty, and checks the store calls about duties. In the other two a refused report is pending when the store is lost or the holder is paused. `duty_store_lost` no longer requires that this report is in time, as it is refused for 3 s and the store is lost for 7 s of its 10 s; it requires that it is accepted unchanged. New: `duty_holder_terminated`, `duty_object_removed` and `duty_report_rejected`.

--- a/tests/gateway/duty.rs
+++ b/tests/gateway/duty.rs
@@ -91,6 +91,19 @@
         panic!("no gateway holds the duty after 10 s");
     }
 
+    /// Waits until a call of a gateway was refused.
+    async fn wait_refused(&self, owner: &str) {
+        for _ in 0..500 {
+            let calls = self.duties.calls();
+            let mut refused = calls.iter().filter(|call| !call.is_accepted);
+            if refused.any(|call| call.owner == owner) {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("no call of {owner} was refused after 10 s");
+    }
+
     /// Waits until the current window must have been reported.
     async fn wait_reported(&self) -> u64 {
         let window = wall_ms() / WINDOW_MS;
@@ -183,17 +196,115 @@
 
 #[tokio::test]
 async fn duty_holder_paused() {
-    // Guards against a paused holder that acts after its successor did.
+    // Guards against a paused holder that sends what it had not sent yet after its successor did.
     let mut metered = Metered::start().await;
     let first = metered.wait_holder().await;
     let rest: Vec<usize> = (0..GATEWAYS).filter(|n| *n != first).collect();
+    let owner = format!("edge-south-{first}");
+    metered.duties.set_behaviour(Behaviour::Limiting);
+    metered.wait_refused(&owner).await;
     metered.site.signal_gateway(first, Signal::STOP);
+    metered.duties.set_behaviour(Behaviour::Normal);
     metered.send(&rest, Duration::from_secs(9)).await;
     assert_ne!(metered.holder(), Some(first));
+    let before = metered.duties.calls().len();
     metered.site.signal_gateway(first, Signal::CONT);
     metered.send(&rest, Duration::from_secs(4)).await;
     let last = metered.wait_reported().await;
     metered.assert_reported(last);
+    let calls = metered.duties.calls();
+    let refused = calls.iter().find(|call| call.owner == owner);
+    let refused = refused.map(|call| call.body["windowId"].clone());
+    let is_successor = |call: &Call| call.owner != owner && call.is_accepted;
+    let sent = calls[..before].iter().filter(|call| is_successor(call));
+    let mut sent = sent.map(|call| call.body["windowId"].clone());
+    assert!(sent.any(|window| Some(window) == refused), "{calls:#?}");
+    let late = calls[before..].iter().find(|call| call.owner == owner);
+    assert_eq!(late, None);
+}
+
+#[tokio::test]
+async fn duty_holder_terminated() {
+    // Guards against a successor that waits for the lease of a holder that was told to stop, and
+    // against a holder that acts after that.
+    let mut metered = Metered::start().await;
+    let first = metered.wait_holder().await;
+    let all: Vec<usize> = (0..GATEWAYS).collect();
+    let rest: Vec<usize> = all.iter().copied().filter(|n| *n != first).collect();
+    metered.send(&all, Duration::from_secs(7)).await;
+    metered.site.signal_gateway(first, Signal::TERM);
+    let told_at = Instant::now();
+    let limit = Duration::from_millis(2_500);
+    while metered.holder() == Some(first) {
+        assert!(told_at.elapsed() < limit, "no successor after {limit:?}");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let successor = metered.holder();
+    metered.send(&rest, Duration::from_secs(6)).await;
+    assert!(metered.site.wait_exit(first, Duration::from_secs(10)).await);
+    let last = metered.wait_reported().await;
+    metered.assert_reported(last);
+    assert_eq!(metered.holder(), successor);
+    let calls = metered.duties.calls();
+    assert_eq!(calls.last().map(|call| call.token), Some(2));
+}
+
+#[tokio::test]
+async fn duty_object_removed() {
+    // Guards against a paused holder or a new gateway that creates the lease object again with
+    // a token that was used, and against two reports of a window.
+    let mut metered = Metered::start().await;
+    let first = metered.wait_holder().await;
+    let rest: Vec<usize> = (0..GATEWAYS).filter(|n| *n != first).collect();
+    metered.send(&rest, Duration::from_secs(6)).await;
+    metered.site.signal_gateway(first, Signal::STOP);
+    while metered.holder() == Some(first) {
+        sleep(Duration::from_millis(20)).await;
+    }
+    let token = |metered: &Metered| {
+        let spec = metered.site.store.spec("duties", "usage");
+        spec.and_then(|spec| spec["token"].as_u64())
+    };
+    let before = (metered.holder(), token(&metered));
+    assert_eq!(before.1, Some(2));
+    metered.site.store.remove("duties", "usage");
+    metered.site.signal_gateway(first, Signal::CONT);
+    // The successor holds a valid lease, so it creates the object again with its token.
+    let holder = metered.wait_holder().await;
+    assert_ne!(holder, first);
+    assert_eq!((Some(holder), token(&metered)), before);
+    metered.send(&rest, Duration::from_secs(6)).await;
+    metered.wait_reported().await;
+    assert_eq!(metered.holder(), Some(holder));
+    // Checks the tokens and the reports of all calls.
+    assert!(!metered.reports().is_empty());
+}
+
+#[tokio::test]
+async fn duty_report_rejected() {
+    // Guards against reports that wait for one that the platform never accepts.
+    let mut metered = Metered::start().await;
+    metered.wait_holder().await;
+    let all: Vec<usize> = (0..GATEWAYS).collect();
+    let rejected = wall_ms() / WINDOW_MS + 1;
+    metered.duties.set_behaviour(Behaviour::Rejecting(rejected));
+    metered.send(&all, Duration::from_secs(15)).await;
+    let last = metered.wait_reported().await;
+    let calls = metered.duties.calls();
+    let of_rejected = calls
+        .iter()
+        .filter(|call| call.body["windowId"] == rejected);
+    let attempts = of_rejected.count();
+    assert!((3..=12).contains(&attempts), "{attempts} attempts");
+    for window in (rejected + 1)..=last {
+        let accepted = calls
+            .iter()
+            .find(|call| call.body["windowId"] == window && call.is_accepted);
+        let accepted = accepted.unwrap_or_else(|| panic!("window {window} is missing"));
+        // It is decided at most 6 s after its end, and usually after 1.5 s.
+        let age_ms = accepted.wall_ms - (window + 1) * WINDOW_MS;
+        assert!(age_ms < 7_500, "window {window} was sent after {age_ms} ms");
+    }
 }
 
 #[tokio::test]
@@ -220,21 +331,34 @@
 
 #[tokio::test]
 async fn duty_store_lost() {
-    // Guards against a holder that acts without the store, and against a report that is lost
-    // with it.
+    // Guards against a holder that sends a decided report without the store, and against a
+    // report that is lost with it.
     let mut metered = Metered::start().await;
-    metered.wait_holder().await;
+    let holder = metered.wait_holder().await;
     let all: Vec<usize> = (0..GATEWAYS).collect();
     metered.send(&all, Duration::from_secs(3)).await;
+    metered.duties.set_behaviour(Behaviour::Limiting);
+    metered.wait_refused(&format!("edge-south-{holder}")).await;
+    let refused = metered.duties.calls().last().cloned();
+    let refused = refused.expect("a call was refused").body;
     metered.site.store.set_behaviour(store::Behaviour::Closing);
-    sleep(Duration::from_secs(5)).await;
+    sleep(Duration::from_millis(4_500)).await;
+    // The report is still to be sent, and the platform would accept it.
+    metered.duties.set_behaviour(Behaviour::Normal);
     let calls = metered.duties.calls().len();
-    sleep(Duration::from_secs(2)).await;
+    sleep(Duration::from_millis(2_500)).await;
     assert_eq!(metered.duties.calls().len(), calls);
     metered.site.store.set_behaviour(store::Behaviour::Normal);
     metered.send(&all, Duration::from_secs(3)).await;
-    let last = metered.wait_reported().await;
-    metered.assert_reported(last);
+    metered.wait_reported().await;
+    let window = refused["windowId"].as_u64().expect("a window");
+    let reports = metered.reports();
+    let counts = reports.get(&window).map(|(counts, _)| counts);
+    assert_eq!(counts, Some(&refused["counts"]));
+    for (window, sent) in &metered.sent {
+        let counts = reports.get(window).map(|(counts, _)| counts);
+        assert_eq!(counts, Some(&json!({"workshop": sent})), "window {window}");
+    }
 }
 
 #[tokio::test]
@@ -343,13 +467,20 @@
 
 #[tokio::test]
 async fn duty_without_metering() {
-    // Guards against objects and calls of gateways whose settings have no duties.
+    // Guards against objects, store calls and calls to the platform by gateways whose settings
+    // have no duties, or only unknown ones.
     let duties = Duties::start().await.expect("a port is free");
-    let mut site = Site::start(0, 1).await;
-    site.start_gateways(GATEWAYS).await;
-    let answer = site.send_through(0, "/orders/1", "o1").await;
-    assert_eq!(answer.map(|answer| answer.status), Some(StatusCode::OK));
-    sleep(Duration::from_secs(7)).await;
-    assert_eq!(site.store.names("duties"), Vec::<String>::new());
-    assert_eq!(duties.calls(), Vec::new());
+    for names in [None, Some(json!([])), Some(json!(["mowing"]))] {
+        let mut site = Site::start(0, 1).await;
+        site.metering = names.as_ref().map(|_| duties.address());
+        site.duties = names;
+        site.start_gateways(GATEWAYS).await;
+        let answer = site.send_through(0, "/orders/1", "o1").await;
+        assert_eq!(answer.map(|answer| answer.status), Some(StatusCode::OK));
+        sleep(Duration::from_secs(7)).await;
+        assert_eq!(site.store.names("duties"), Vec::<String>::new());
+        assert_eq!(site.store.calls_about("duties"), 0);
+        assert!(site.store.calls_about("servers") > 0);
+        assert_eq!(duties.calls(), Vec::new());
+    }
 }
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -46,6 +46,8 @@
     group: Vec<Gateway>,
     /// Where the gateways of the group report usage, if they do.
     pub(crate) metering: Option<SocketAddr>,
+    /// The duties in their settings, if not that to report usage.
+    pub(crate) duties: Option<Value>,
     pub(crate) copies: Copies,
     /// The addresses of sidecars and of the gateway's peer port, if engines have
     /// sidecars.
@@ -283,6 +285,7 @@
             gateway: launch_gateway(&store, peers, |settings| settings),
             group: Vec::new(),
             metering: None,
+            duties: None,
             peers,
             sidecars: Vec::new(),
             copies: copies.clone(),
@@ -447,13 +450,19 @@
 
     fn launch_member(&self, number: usize, output: Stdio) -> Gateway {
         let peers = free_port();
-        let metering = self.metering;
+        let (metering, duties) = (self.metering, self.duties.clone());
         launch_writing(&self.store, None, output, |mut settings| {
             settings["nodeName"] = format!("edge-south-{number}").into();
             settings["zone"] = "south".into();
             settings["listenAddrs"]["controlPlane"] = peers.to_string().into();
             match metering {
-                Some(address) => operator::with_metering(settings, address),
+                Some(address) => {
+                    let mut settings = operator::with_metering(settings, address);
+                    if let Some(duties) = duties {
+                        settings["cloudApi"]["duties"] = duties;
+                    }
+                    settings
+                }
                 None => settings,
             }
         })
@@ -512,6 +521,11 @@
         self.group[number].signal(signal);
     }
 
+    /// Waits until a gateway of the group has exited. Returns false after `limit`.
+    pub(crate) async fn wait_exit(&mut self, number: usize, limit: Duration) -> bool {
+        self.group[number].wait_exit(limit).await
+    }
+
     /// Kills a gateway of the group.
     pub(crate) fn kill_gateway(&self, number: usize) {
         self.signal_gateway(number, Signal::KILL);
