Let `lease_interleavings` find creations that come too early

Cause: with the wait before a creation taken out, the test still passed: a process rarely makes a read, a check and a creation in a row.

Change: a step in which a process makes the calls that are due with answers at once, and the test `lease_released_read` for a process that reads of a release and is not told.

Measured: without the wait, or with a lease that counts as held after its end, `lease_interleavings` fails; without the check by a watch, three other tests fail, and without the wait after a restart `lease_released_read`.

--- a/crates/core/tests/duty_lease.rs
+++ b/crates/core/tests/duty_lease.rs
@@ -382,6 +382,27 @@
     assert_eq!(again.permits(RESERVE, at(9_100)), Some(3));
 }
 
+#[test]
+fn lease_released_read() {
+    // Guards against a process that was just restarted, reads that the lease is released, and
+    // takes it over before its VM has not acted for the validity.
+    let (mut store, mut a) = held();
+    release(&mut store, &mut a, at(1_000));
+    let mut again = late("a", 2, at(1_100));
+    settle(&mut again, &mut store, None, at(1_100));
+    settle(&mut again, &mut store, None, at(5_099));
+    assert!(again.held().is_none());
+    settle(&mut again, &mut store, None, at(5_100));
+    assert_eq!(again.permits(RESERVE, at(5_100)), Some(2));
+    // A process that has run for longer need not wait, although nobody has told it.
+    let (mut store, mut a) = held();
+    settle(&mut a, &mut store, None, at(5_000));
+    release(&mut store, &mut a, at(6_000));
+    let mut b = lease("b", 1);
+    settle(&mut b, &mut store, None, at(6_100));
+    assert_eq!(b.permits(RESERVE, at(6_100)), Some(2));
+}
+
 #[test]
 fn lease_conflict_without_object() {
     // Guards against a process that repeats a write that can no longer succeed.
@@ -572,6 +593,8 @@
     ArriveStale(usize),
     /// Somebody removes the object.
     Remove,
+    /// A process makes the calls that are due, with answers at once.
+    Settle(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -588,6 +611,7 @@
         1 => (0..3usize).prop_map(Step::Stop),
         2 => (0..8usize).prop_map(Step::ArriveStale),
         2 => Just(Step::Remove),
+        10 => (0..3usize).prop_map(Step::Settle),
     ]
 }
 
@@ -598,6 +622,37 @@
     waits_for: Option<u64>,
 }
 
+/// The store of a trial, and what must hold of it.
+struct Trial {
+    store: Store,
+    /// The states of the object, each with the time from which it held.
+    states: Vec<(Time, Option<Object>)>,
+    /// Since when the object exists, if it does.
+    exists_since: Option<Time>,
+    decided: u64,
+}
+
+impl Trial {
+    /// Applies a call. Fails if it replaces a decision.
+    fn apply(&mut self, call: &Call<u64>, now: Time) -> Result<Reply, TestCaseError> {
+        let reply = self.store.apply(call);
+        if let Some((_, record)) = &self.store.object {
+            let grown = record.decided.checked_sub(self.decided);
+            if self.exists_since.is_some() {
+                // Decisions only grow, one by one.
+                prop_assert!(matches!(grown, Some(0 | 1)));
+            } else {
+                // What was decided before a removal may not be known.
+                prop_assert!(record.decided <= self.decided);
+                self.exists_since = Some(now);
+            }
+            self.decided = record.decided;
+        }
+        self.states.push((now, self.store.object.clone()));
+        Ok(reply)
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
@@ -609,7 +664,12 @@
     /// does not arrive later than the validity after it was sent.
     #[test]
     fn lease_interleavings(steps in prop::collection::vec(step(), 1..250)) {
-        let mut store = Store::default();
+        let mut trial = Trial {
+            store: Store::default(),
+            states: vec![(at(0), None)],
+            exists_since: None,
+            decided: 0,
+        };
         let mut processes: Vec<Process> = (0..3)
             .map(|number| Process {
                 lease: lease(&format!("p{number}"), 0),
@@ -620,14 +680,10 @@
         let mut now = at(0);
         let mut calls: Vec<(usize, u64, Call<u64>, Time)> = Vec::new();
         let mut answers: Vec<(usize, u64, Reply)> = Vec::new();
-        // The states of the object, and since when it exists.
-        let mut states: Vec<(Time, Option<Object>)> = vec![(now, None)];
-        let mut exists_since = None;
         let mut polls: Vec<(usize, u64, u64, Duration)> = Vec::new();
         // When each process acted, and with which token.
         let mut acts: Vec<(Time, (usize, u64), u64)> = Vec::new();
         let mut number = 0;
-        let mut decided = 0;
         for step in steps {
             match step {
                 Step::Pass(ms) => now = now + Duration::from_millis(ms),
@@ -650,23 +706,7 @@
                         if is_creation && (sent_at + TTL).is_past(now) {
                             continue;
                         }
-                        let reply = store.apply(&call);
-                        match (&store.object, exists_since) {
-                            (Some((_, record)), None) => {
-                                // What was decided before the removal may not be known.
-                                prop_assert!(record.decided <= decided);
-                                decided = record.decided;
-                                exists_since = Some(now);
-                            }
-                            (Some((_, record)), Some(_)) => {
-                                // Decisions only grow, one by one.
-                                let grown = record.decided.checked_sub(decided);
-                                prop_assert!(matches!(grown, Some(0 | 1)));
-                                decided = record.decided;
-                            }
-                            (None, _) => {}
-                        }
-                        states.push((now, store.object.clone()));
+                        let reply = trial.apply(&call, now)?;
                         answers.push((who, id, reply));
                     }
                 }
@@ -675,20 +715,33 @@
                     if calls.first().is_some_and(|(_, _, call, _)| is_read(call)) {
                         let (who, id, _, _) = calls.remove(0);
                         // The state at most some seconds ago.
-                        let last = states.len() - 1;
-                        let oldest = states.iter().rposition(|(since, _)| {
+                        let last = trial.states.len() - 1;
+                        let oldest = trial.states.iter().rposition(|(since, _)| {
                             (*since + Duration::from_secs(5)).is_past(now)
                         });
                         let index = last.saturating_sub(back).max(oldest.unwrap_or(0));
-                        answers.push((who, id, states[index].1.clone().into()));
+                        answers.push((who, id, trial.states[index].1.clone().into()));
                     }
                 }
                 Step::Remove => {
                     let is_old = |since: Time| (since + TTL * 2).is_past(now);
-                    if store.object.is_some() && exists_since.is_some_and(is_old) {
-                        store.remove();
-                        exists_since = None;
-                        states.push((now, None));
+                    if trial.exists_since.is_some_and(is_old) {
+                        trial.store.remove();
+                        trial.exists_since = None;
+                        trial.states.push((now, None));
+                    }
+                }
+                Step::Settle(who) => {
+                    let process = &mut processes[who];
+                    for _ in 0..4 {
+                        if process.waits_for.is_some() {
+                            break;
+                        }
+                        let Some(call) = process.lease.call(None, 0.5, now) else {
+                            break;
+                        };
+                        let reply = trial.apply(&call, now)?;
+                        answer(&mut process.lease, reply, now);
                     }
                 }
                 Step::Stop(who) => {
@@ -712,7 +765,8 @@
                             process.waits_for = None;
                             answer(&mut process.lease, object, now);
                             if let Some(revision) = process.lease.released() {
-                                let token = store.object.as_ref().map_or(0, |(_, record)| record.token);
+                                let object = trial.store.object.as_ref();
+                                let token = object.map_or(0, |(_, record)| record.token);
                                 polls.push(((who + 1) % 3, revision, token, Duration::ZERO));
                             }
                         }
