Wait only while a request can be in time, and recognize first attempts

Most requests admitted after 3 s were late by the time to the first event. Change: a request counts as a retry only if it has less time left than a refused caller has at its return; a wait ends when the usual time to the first event no longer fits.

--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -52,6 +52,18 @@
 /// requests came late more often.
 const MAX_WORK_SHARE: f64 = 0.2;
 
+/// The time from admission to the first event that is assumed before any was measured, as a
+/// share of the target latency.
+const FIRST_EVENT_SHARE: f64 = 0.15;
+
+/// The maximum of that time, as a share of the target latency, so that a few slow answers do
+/// not end the waits of all others at once.
+const MAX_FIRST_EVENT_SHARE: f64 = 0.5;
+
+/// The weight of one measured time to the first event in the moving average. A gateway admits
+/// about one request a second, so the average covers some ten seconds.
+const FIRST_EVENT_WEIGHT: f64 = 0.125;
+
 /// The range of the random factor on the delay of a retry, so that requests that were refused
 /// together do not return together.
 const RETRY_SPREAD: (f64, f64) = (0.8, 1.4);
@@ -72,27 +84,6 @@
 }
 
 impl Claim {
-    /// Returns the claim of a request whose first event is due `target` after the caller's
-    /// first attempt. A caller that retries states the time that is left, so the first attempt
-    /// was made the route's `timeout` before the deadline.
-    pub fn new(
-        work: Work,
-        workspace: Arc<str>,
-        arrived_at: Time,
-        deadline: Time,
-        timeout: Duration,
-        target: Duration,
-    ) -> Claim {
-        let first_at = before(deadline, timeout).min(arrived_at);
-        Claim {
-            work,
-            workspace,
-            first_at,
-            arrived_at,
-            late_at: first_at + target,
-        }
-    }
-
     /// Returns the share of the target latency that has passed since the first attempt, at
     /// most 1.
     fn age_share(&self, now: Time) -> f64 {
@@ -131,6 +122,8 @@
     busy_since: Option<Time>,
     /// Admitted requests that may wait, oldest first: time, workspace, tokens.
     admitted: VecDeque<(Time, Arc<str>, u64)>,
+    /// The moving average of the time from admission to the first event, in seconds.
+    first_event: Option<f64>,
 }
 
 impl Queue {
@@ -229,6 +222,40 @@
 }
 
 impl Pool {
+    /// Returns the claim of a request whose first event is due `target` after the caller's
+    /// first attempt.
+    ///
+    /// A caller that retries states the time that is left, so its first attempt was made the
+    /// route's `timeout` before the deadline. A caller whose own timeout is shorter than the
+    /// route's states less time as well. The two are told apart by the earliest time at which
+    /// a refused caller returns: it has waited for half of the target latency at least, and
+    /// then for the least delay of a retry.
+    pub fn claim(
+        &self,
+        work: Work,
+        workspace: Arc<str>,
+        arrived_at: Time,
+        deadline: Time,
+        timeout: Duration,
+        target: Duration,
+    ) -> Claim {
+        let stated_first_at = before(deadline, timeout).min(arrived_at);
+        let retry_min = Duration::from_millis(self.config.retry_min_ms).mul_f64(RETRY_SPREAD.0);
+        let earliest_return = target.mul_f64(1.0 - MAX_FIRST_EVENT_SHARE) + retry_min;
+        let first_at = if arrived_at.since(stated_first_at) < earliest_return {
+            arrived_at
+        } else {
+            stated_first_at
+        };
+        Claim {
+            work,
+            workspace,
+            first_at,
+            arrived_at,
+            late_at: first_at + target,
+        }
+    }
+
     /// Decides whether an engine has capacity for a request that may wait. An engine without a
     /// recent report has none.
     pub fn admit(&self, id: &str, claim: &Claim, now: Time) -> Verdict {
@@ -287,14 +314,26 @@
         (share - stale - unfair).clamp(0.0, 1.0)
     }
 
-    /// Returns until when a request may wait: until it is late, or for a limited time if it was
-    /// late when it arrived.
+    /// Returns until when a request may wait: as long as it is in time if it is admitted then
+    /// and takes the usual time to its first event, or for a limited time if it was late when
+    /// it arrived.
     pub fn waits_until(&self, claim: &Claim) -> Time {
         if claim.late_at.is_past(claim.arrived_at) {
-            claim.arrived_at + Duration::from_millis(self.config.late_wait_ms)
-        } else {
-            claim.late_at
+            return claim.arrived_at + Duration::from_millis(self.config.late_wait_ms);
         }
+        let target = claim.late_at.since(claim.first_at);
+        let first_event = self.queue.first_event.map(Duration::from_secs_f64);
+        let first_event = first_event
+            .unwrap_or(target.mul_f64(FIRST_EVENT_SHARE))
+            .min(target.mul_f64(MAX_FIRST_EVENT_SHARE));
+        before(claim.late_at, first_event).max(claim.arrived_at)
+    }
+
+    /// Records the time from the admission of a request that may wait to its first event.
+    pub fn record_first_event(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        let average = self.queue.first_event.get_or_insert(took);
+        *average += (took - *average) * FIRST_EVENT_WEIGHT;
     }
 
     /// Returns whether the expected wait of a request that found no capacity is so long that it
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -7,7 +7,7 @@
     buffer,
     crash::Suspect,
     digest::Digest,
-    pool::{Claim, Work},
+    pool::Work,
     site::{Kind, Route, Site, Workspace},
 };
 use cactusroad_platform::{replica, request::Caller};
@@ -124,7 +124,8 @@
     let claim = is_deferrable.then(|| {
         let workspace = workspace.clone().unwrap_or_else(|| "".into());
         let target = Duration::from_millis(route.target_latency_ms);
-        Claim::new(work, workspace, arrived_at, deadline, route_timeout, target)
+        let pool = shard.pool();
+        pool.claim(work, workspace, arrived_at, deadline, route_timeout, target)
     });
     let job = Job {
         shard,
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -82,6 +82,8 @@
     last_event: Option<u64>,
     /// The number of forwarded events.
     events: u64,
+    /// When the request was sent to its first engine.
+    placed_at: Time,
     /// The time to the first event, in milliseconds.
     first_ms: u64,
     /// How often the request was sent.
@@ -166,6 +168,7 @@
             reservation: Reservation::new(&job.state, Use::Responses),
             last_event: None,
             events: 0,
+            placed_at: clock::now(),
             first_ms: 0,
             sends,
             last_event_at: clock::now(),
@@ -299,6 +302,10 @@
         match (first, head) {
             (Ok(first), Some(head)) => {
                 self.first_ms = clock::millis_since(self.job.arrived_at);
+                if self.job.claim.is_some() {
+                    let took = clock::now().since(self.placed_at);
+                    self.job.shard.pool().record_first_event(took);
+                }
                 self.job
                     .state
                     .metrics
