--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -2,16 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cactusroad_core::{
-    Time,
-    pool::{
-        Config, Criteria, Endpoint, Pool, Purpose, Report, Work,
-        pace::{Meter, Reading, Run},
-    },
-    rollout::Side,
+use cactusroad_core::pool::{
+    Endpoint, Pool, Purpose, Report, Work,
+    pace::{Meter, Reading, Run},
 };
+use proptest::prelude::*;
+
+mod engines;
+
+use engines::{START, after, criteria, engine_pool};
 
-const START: Time = Time::from_millis(1_000_000);
 const MEMORY_TOKENS: u64 = 27_000;
 
 /// The time per event at nominal speed, in microseconds.
@@ -27,10 +27,6 @@
     output: 2,
 };
 
-fn after(millis: u64) -> Time {
-    START + Duration::from_millis(millis)
-}
-
 /// Returns the reading at a time of an engine that needs `event_us` for an event, and 2.5 times
 /// as long for 600 ms of every 4 s.
 fn reading(event_us: u64, millis: u64) -> Reading {
@@ -57,17 +53,11 @@
     meter
 }
 
+/// Returns an engine whose incarnation is not listed.
 fn endpoint(number: u16) -> Arc<Endpoint> {
     Arc::new(Endpoint {
-        id: format!("e-{number:03}").into(),
-        address: ([10, 0, 0, 1], 1_000 + number).into(),
-        service: "engines".into(),
-        data_centre: "dc-0".into(),
-        version: "v1".into(),
-        slots: 24,
         born_ms: 0,
-        draining: false,
-        cold_until: Time::ZERO,
+        ..engines::endpoint(number)
     })
 }
 
@@ -83,27 +73,15 @@
 
 /// Returns a pool of engines that have reported these times per event; zero if unknown.
 fn pool(times_us: &[u32]) -> Pool {
-    let mut pool = Pool::new(Config::default());
-    pool.set_engine(MEMORY_TOKENS);
+    let listed = (0..).take(times_us.len());
+    let listed = listed.map(|number| (*endpoint(number)).clone());
+    let mut pool = engine_pool(MEMORY_TOKENS, listed);
     for (number, event_us) in (0..).zip(times_us) {
-        let endpoint = endpoint(number);
-        pool.upsert(Arc::clone(&endpoint), START);
-        pool.report(&endpoint.id, report(*event_us), START);
+        pool.report(&endpoint(number).id, report(*event_us), START);
     }
     pool
 }
 
-fn criteria(work: Work) -> Criteria<'static> {
-    Criteria {
-        work,
-        data_centre: "dc-0",
-        tried: &[],
-        candidates: &[],
-        side: Side::Baseline,
-        target_pause: Duration::from_millis(180),
-    }
-}
-
 /// Chooses engines for `count` runs that all go on, and returns the chosen ones by number.
 fn place(pool: &mut Pool, work: Work, count: u64) -> Vec<usize> {
     let choose = |seed| {
@@ -195,6 +173,46 @@
     assert_eq!(pool.speed(after(30_001)).slow, 0);
 }
 
+proptest! {
+    /// Guards against a kept comparison that differs from the values that hold: after reports,
+    /// restarts, removals, and the lapse of values.
+    #[test]
+    fn speed_kept(
+        steps in prop::collection::vec((0..8u16, 0..5u32, 0..4u8, 0..12_000u64), 1..60),
+    ) {
+        let mut pool = pool(&[0; 8]);
+        let mut millis = 0;
+        for (number, speed, action, elapsed) in steps {
+            millis += elapsed;
+            let (now, engine) = (after(millis), endpoint(number));
+            match action {
+                0 => {
+                    pool.mark_unlisted(&engine.id, now);
+                    pool.remove_expired(now);
+                }
+                1 => {
+                    let restarted = Endpoint { born_ms: millis, ..(*engine).clone() };
+                    pool.upsert(Arc::new(restarted), now);
+                }
+                _ => {
+                    pool.upsert(Arc::clone(&engine), now);
+                    let born_ms = 0;
+                    let event_us = [0, 20_000, 30_000, 45_000, 70_000][speed as usize];
+                    pool.report(&engine.id, Report { born_ms, ..report(event_us) }, now);
+                }
+            }
+            for now in [now, now + Duration::from_secs(25), now + Duration::from_secs(31)] {
+                let mut values: Vec<u32> = pool
+                    .views(now)
+                    .filter_map(|view| view.event_us)
+                    .collect();
+                values.resize(8, 0);
+                prop_assert_eq!(pool.speed(now), self::pool(&values).speed(START));
+            }
+        }
+    }
+}
+
 /// Guards against any other choice than without speeds where no engine is slow, whatever the
 /// other values are: close together, partly unknown, or one absurdly fast.
 #[test]
@@ -257,6 +275,41 @@
     assert!(at_slow(&found, LONG, 180) >= 20);
 }
 
+/// Guards against a single fast engine whose speed counts for nothing, because it differs from
+/// the others as much as fast and slow engines do.
+#[test]
+fn choose_single_fast() {
+    for times_us in [
+        &[15_000, 33_000, 33_000, 33_000][..],
+        &[14_000, 36_000, 33_000],
+        &[33_000, 15_000],
+    ] {
+        let mut pool = pool(times_us);
+        let speed = pool.speed(START);
+        assert_eq!(
+            speed.reference_us,
+            times_us[..2].iter().copied().min().unwrap()
+        );
+        assert_eq!(speed.slow, times_us.len() - 1);
+        let fast = times_us.iter().position(|time| *time == speed.reference_us);
+        for seed in 0..20 {
+            let purpose = Purpose::Migration;
+            let target = pool.backup("unknown", purpose, &criteria(LONG), seed, START);
+            let target = target.map(|target| target.id[2..].parse().unwrap());
+            assert_eq!(target, fast);
+        }
+        let placed = place(&mut pool, LONG, 2);
+        assert!(
+            placed.iter().all(|number| Some(*number) == fast),
+            "{placed:?}"
+        );
+    }
+    // A slow engine among the others is avoided also when the fast one has its share.
+    let mut pool = pool(&[15_000, 30_000, 30_000, 70_000]);
+    let placed = place(&mut pool, LONG, 12);
+    assert!(!placed.contains(&3), "{placed:?}");
+}
+
 /// Guards against a wrong speed that floods an engine or takes it out of use.
 #[test]
 fn choose_wrong_speed() {
@@ -268,13 +321,44 @@
         placed.iter().filter(|number| **number == 5).count()
     };
     let fair = share(30_000, 30_000);
-    for wrong_us in [0, 1, 14_000, 16_000, 20_000] {
+    for wrong_us in [0, 1, 9_999, 10_000, 12_000, 14_000, 16_000, 20_000] {
         assert!(share(wrong_us, 30_000).abs_diff(fair) <= 3, "{wrong_us}");
     }
     // One that is taken for slow still gets what the others have no room for.
     assert!((1..fair).contains(&share(u32::MAX, 30_000)));
 }
 
+/// Guards against a wrong speed that floods an engine of a small pool, where no others show
+/// that it is wrong, or where the prompts at the engine are not computed yet.
+#[test]
+fn choose_wrong_speed_few_known() {
+    for (known, unknown) in [(2, 0), (3, 0), (4, 0), (5, 0), (2, 10), (4, 8)] {
+        for wrong_us in [1, 10_000, 12_000, 14_000, 16_000, 20_000] {
+            let mut times_us = vec![30_000; known];
+            times_us[0] = wrong_us;
+            times_us.resize(known + unknown, 0);
+            let fair = 4;
+            let count = fair * times_us.len();
+            let placed = place(&mut pool(&times_us), LONG, count as u64);
+            let own = placed.iter().filter(|number| **number == 0).count();
+            assert!(
+                (1..=2 * fair + 1).contains(&own),
+                "{wrong_us} of {known}: {own}"
+            );
+        }
+    }
+    let mut times_us = [30_000; 12];
+    (times_us[5], times_us[6]) = (10_000, 70_000);
+    let mut pool = pool(&times_us);
+    let mut own = 0;
+    for seed in 0..72 {
+        let chosen = pool.choose(&criteria(SHORT), seed, after(seed)).unwrap();
+        pool.record_start(&chosen.id, SHORT, after(seed));
+        own += usize::from(&*chosen.id == "e-005");
+    }
+    assert!((1..=13).contains(&own), "{own}");
+}
+
 /// Guards against copies and migrations of long runs to slow engines while others have room,
 /// and against losing a run because only a slow one has room.
 #[test]
