--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -119,7 +119,7 @@
             scored.retain(|(_, member)| member.avoided_until.is_past(now));
         }
         self.retain_unlimited(&mut scored);
-        self.retain_sample(&mut scored, &mut rng);
+        self.retain_sample(&mut scored, scale.is_some(), &mut rng);
         let best = scored
             .iter()
             .map(|(score, _)| *score)
@@ -161,7 +161,8 @@
         let source_data_centre = source.as_ref().map(|source| &source.data_centre);
         // A run continues only at an engine with the weights that it began with.
         let side = source.as_ref().map(|source| self.side_of(&source.version));
-        let scale = self.uneven(now).filter(|_| self.is_long(criteria.work));
+        let uneven = self.uneven(now);
+        let scale = uneven.filter(|_| self.is_long(criteria.work));
         let is_slow = |member: &Member| {
             scale.is_some_and(|scale| scale.is_slow(member.event_us(&self.config, now)))
         };
@@ -184,7 +185,7 @@
                 ));
             }
         }
-        self.retain_sample(&mut scored, &mut rng);
+        self.retain_sample(&mut scored, uneven.is_some(), &mut rng);
         let best = scored.iter().map(|(score, _)| *score);
         let best = best.fold(f64::INFINITY, f64::min);
         let spread = match purpose {
@@ -199,7 +200,8 @@
         chosen.map(|(_, member)| Arc::clone(&member.endpoint))
     }
 
-    /// Returns [`Config::choices`](super::Config::choices) random endpoints for a request with
+    /// Returns [`Config::choices`](super::Config::choices) random endpoints
+    /// ([`Config::uneven_choices`](super::Config::uneven_choices) if some engines are slow) for a request with
     /// this work, which the caller asks for load reports before it chooses one. Endpoints that
     /// are avoided for now, are in `tried` or are not on `side` are left out; those in the data
     /// centre `near` come first.
@@ -232,8 +234,9 @@
         sampled.shuffle(&mut rng);
         remote.shuffle(&mut rng);
         sampled.append(&mut remote);
-        let count = self.config.choices.max(1);
-        if let Some(scale) = self.uneven(now).filter(|_| self.is_long(work)) {
+        let uneven = self.uneven(now);
+        let count = self.sample_size(uneven.is_some());
+        if let Some(scale) = uneven.filter(|_| self.is_long(work)) {
             let is_fast = |member: &&Member| {
                 let known = member.event_us(&self.config, now);
                 known.is_some() && !scale.is_slow(known)
@@ -254,12 +257,27 @@
 
     /// Reduces engine candidates to a small random sample, so that gateways with the
     /// same reports do not all choose the same engine. Plain services are not reduced.
-    fn retain_sample(&self, candidates: &mut Vec<(f64, &Member)>, rng: &mut ChaCha8Rng) {
+    fn retain_sample(
+        &self,
+        candidates: &mut Vec<(f64, &Member)>,
+        is_uneven: bool,
+        rng: &mut ChaCha8Rng,
+    ) {
         if !self.is_engine {
             return;
         }
         candidates.shuffle(rng);
-        candidates.truncate(self.config.choices.max(1));
+        candidates.truncate(self.sample_size(is_uneven));
+    }
+
+    /// Returns the number of engines that are compared for one choice.
+    fn sample_size(&self, is_uneven: bool) -> usize {
+        let count = if is_uneven {
+            self.config.uneven_choices
+        } else {
+            self.config.choices
+        };
+        count.max(1)
     }
 
     /// Returns the side of a version; all are the baseline unless the service is moved to
--- a/crates/core/src/pool/config.rs
+++ b/crates/core/src/pool/config.rs
@@ -33,6 +33,11 @@
     /// requests, not of engines or gateways. With 3, first events came later; the
     /// difference between 5 and 8 was within noise.
     pub choices: usize,
+    /// The size of that sample for services some of whose engines are slow; 8 by default. A
+    /// gateway learns the speed of an engine only when it asks it for its load, and engines
+    /// are replaced after some twenty seconds: with 5, a third of the long runs began at slow
+    /// engines while fast ones had room.
+    pub uneven_choices: usize,
     /// The cost of one token of memory overflow, in prompt tokens; 20 by default, so
     /// that an engine without room is chosen last.
     pub overflow_weight: f64,
@@ -137,6 +142,7 @@
             rescue_spread: 0.5,
             far_copy_share: 0.5,
             choices: 5,
+            uneven_choices: 8,
             overflow_weight: 20.0,
             distance_tokens: 0.0,
             distance_ms: 1.0,
