--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -106,6 +106,26 @@
     }
 }
 
+/// Guards against fast engines with room that are not found, because the speeds of most are not
+/// known at a gateway, and against more queries where all engines are alike.
+#[test]
+fn sample_size_of_uneven_engines() {
+    let sampled = |pool: &Pool| {
+        let side = Side::Baseline;
+        let work = Work {
+            prompt: 3_000,
+            output: 750,
+        };
+        pool.sample(work, &[], None, side, 1, START).len()
+    };
+    let config = Config::default();
+    assert_eq!(sampled(&pool(&[16_000; 20])), config.choices);
+    let mut times_us = [33_000; 20];
+    times_us[..5].fill(16_000);
+    assert_eq!(sampled(&pool(&times_us)), config.uneven_choices);
+    assert!(config.uneven_choices > config.choices);
+}
+
 /// Guards against a value from too few samples, and against one that lapses while the engine
 /// is idle for a moment.
 #[test]
