--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -2,9 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cactusroad_core::pool::{
-    Endpoint, Pool, Purpose, Report, Work,
-    pace::{Meter, Reading, Run},
+use cactusroad_core::{
+    pool::{
+        Config, Endpoint, Pool, Purpose, Report, Work,
+        pace::{Meter, Reading, Run},
+    },
+    rollout::Side,
 };
 use proptest::prelude::*;
 
@@ -110,14 +113,7 @@
 /// known at a gateway, and against more queries where all engines are alike.
 #[test]
 fn sample_size_of_uneven_engines() {
-    let sampled = |pool: &Pool| {
-        let side = Side::Baseline;
-        let work = Work {
-            prompt: 3_000,
-            output: 750,
-        };
-        pool.sample(work, &[], None, side, 1, START).len()
-    };
+    let sampled = |pool: &Pool| pool.sample(LONG, &[], None, Side::Baseline, 1, START).len();
     let config = Config::default();
     assert_eq!(sampled(&pool(&[16_000; 20])), config.choices);
     let mut times_us = [33_000; 20];
