--- a/crates/core/tests/cold_runs.rs
+++ b/crates/core/tests/cold_runs.rs
@@ -75,7 +75,7 @@
             ..Report::default()
         };
         pool.report(&format!("e-{:02}", seed % 12), report, now);
-        let sample = pool.sample_for(WORK, &[], None, Side::Baseline, seed, now);
+        let sample = pool.sample(WORK, &[], None, Side::Baseline, seed, now);
         let run = pool.choose(&criteria(&sample), seed, now);
         let run = run.expect("an engine is free");
         pool.record_start(&run.id, WORK, now);
