--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -143,8 +143,7 @@
     /// engine is gone.
     ///
     /// Slow engines count as fuller for a long run, and are taken for the run of a leaving
-    /// engine only if none is better. Cold engines are taken only if no other one has room, and
-    /// within their limit.
+    /// engine only if none is better.
     pub fn backup(
         &self,
         primary: &str,
@@ -168,7 +167,6 @@
             scale.is_some_and(|scale| scale.is_slow(member.event_us(&self.config, now)))
         };
         let mut scored: Vec<(f64, &Member)> = Vec::with_capacity(self.members.len());
-        let mut warm_others: Vec<(f64, &Member)> = Vec::new();
         for member in &self.members {
             let is_other =
                 &*member.endpoint.id != primary && side.is_none_or(|side| self.is_on(side, member));
@@ -176,20 +174,17 @@
                 continue;
             }
             let memory_use = self.memory_use(member, criteria.work, now);
-            if memory_use <= limit {
+            if memory_use <= limit && allows(criteria.candidates, member) {
                 let is_remote = source_data_centre
                     .is_some_and(|data_centre| *data_centre != member.endpoint.data_centre);
-                let score = memory_use
-                    + f64::from(u8::from(is_remote)) * self.config.far_copy_share
-                    + f64::from(u8::from(is_slow(member))) * self.config.slow_copy_share;
-                if allows(criteria.candidates, member) {
-                    scored.push((score, member));
-                } else if !member.is_cold(now) {
-                    warm_others.push((score, member));
-                }
+                scored.push((
+                    memory_use
+                        + f64::from(u8::from(is_remote)) * self.config.far_copy_share
+                        + f64::from(u8::from(is_slow(member))) * self.config.slow_copy_share,
+                    member,
+                ));
             }
         }
-        self.retain_warm(&mut scored, warm_others, purpose, now);
         self.retain_sample(&mut scored, uneven.is_some(), &mut rng);
         let best = scored.iter().map(|(score, _)| *score);
         let best = best.fold(f64::INFINITY, f64::min);
--- a/crates/core/src/pool/cold.rs
+++ b/crates/core/src/pool/cold.rs
@@ -9,26 +9,11 @@
 //!
 //! Answers the load pattern in which an endpoint returns cold while the others carry the full
 //! load, and is chosen by all gateways because nothing runs there.
-//!
-//! # Runs of engines that were lost
-//!
-//! When an engine leaves, all its runs resume at once, so they are limited as well. A run takes
-//! its turn ([`Pool::take_turn`]) and waits for it, because no other engine may hold a copy.
-//! New requests are held back until the turns that were taken have passed.
-//!
-//! Copies of runs go to engines that are not cold ([`Pool::backup`]). If only cold ones have
-//! room, a standby copy takes a turn that requests left unused, so that copies cause no refusals.
 
 use std::time::Duration;
 
-use super::{Member, Pool, Purpose};
 use crate::Time;
 
-/// The longest time that a run waits for its turn at a cold engine. Callers abandon a stream
-/// after a pause of two seconds at the earliest, of which up to half a second passes while the
-/// engine that was lost is ordered to stop the run.
-const MAX_TURN_WAIT: Duration = Duration::from_millis(1_500);
-
 /// The limit of one service, and this gateway's share of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Limit {
@@ -95,75 +80,4 @@
             self.next_at = Some(next_at.max(now) + interval);
         }
     }
-    /// Returns whether the endpoint is cold and its requests are limited.
-    pub(super) fn is_limited(&self, cold_until: Time, now: Time) -> bool {
-        self.next_at.is_some() && !cold_until.is_past(now)
-    }
-
-    /// Returns when the next request may be sent.
-    fn turn(&self, cold_until: Time, now: Time) -> Time {
-        match self.next_at {
-            Some(next_at) if !cold_until.is_past(now) => next_at.min(cold_until).max(now),
-            _ => now,
-        }
-    }
-
-    /// Returns whether a copy may be made at the endpoint while it is cold. The run of a leaving
-    /// engine needs a turn; a standby copy needs one that was unused for an interval.
-    fn permits_copy(&self, purpose: Purpose, limit: &Limit, now: Time) -> bool {
-        let spare = match purpose {
-            Purpose::Standby => limit.interval().unwrap_or_default(),
-            Purpose::Migration => Duration::ZERO,
-        };
-        self.next_at.is_none_or(|at| (at + spare).is_past(now))
-    }
-}
-
-impl Pool {
-    /// Returns whether an endpoint is in a cold start in which its requests are limited.
-    pub fn is_cold(&self, id: &str, now: Time) -> bool {
-        self.index(id)
-            .is_ok_and(|index| self.members[index].is_cold(now))
-    }
-
-    /// Returns when a run may resume at an endpoint: now unless the endpoint is cold. `None` if
-    /// the wait would be too long for the caller.
-    pub fn turn(&self, id: &str, now: Time) -> Option<Time> {
-        let index = self.index(id).ok()?;
-        let member = &self.members[index];
-        let turn = member.pace.turn(member.endpoint.cold_until, now);
-        (turn.since(now) <= MAX_TURN_WAIT).then_some(turn)
-    }
-
-    /// Takes the turn of a run or a copy at an endpoint, and returns when it is. A run is then
-    /// recorded with [`Pool::record_resume`], which takes no other turn.
-    pub fn take_turn(&mut self, id: &str, now: Time) -> Option<Time> {
-        let turn = self.turn(id, now)?;
-        let limit = self.cold;
-        if let Some(member) = self.member(id) {
-            member.pace.record(&limit, now);
-        }
-        Some(turn)
-    }
-
-    /// Leaves out cold engines for a copy if others have room: of the candidates, or else
-    /// `others`. If there is none, cold engines whose limit permits a copy remain.
-    pub(super) fn retain_warm<'a>(
-        &self,
-        scored: &mut Vec<(f64, &'a Member)>,
-        others: Vec<(f64, &'a Member)>,
-        purpose: Purpose,
-        now: Time,
-    ) {
-        if !scored.iter().any(|(_, member)| member.is_cold(now)) {
-            return;
-        }
-        if scored.iter().any(|(_, member)| !member.is_cold(now)) {
-            scored.retain(|(_, member)| !member.is_cold(now));
-        } else if others.is_empty() {
-            scored.retain(|(_, member)| member.pace.permits_copy(purpose, &self.cold, now));
-        } else {
-            *scored = others;
-        }
-    }
 }
--- a/crates/core/src/pool/failover.rs
+++ b/crates/core/src/pool/failover.rs
@@ -76,8 +76,6 @@
     NoCopy,
     /// The engine that holds the copy is unknown, is leaving, or is out of service.
     CopyLeaving,
-    /// The engine that holds the copy is cold, and its limit permits no run soon enough.
-    CopyCold,
     /// The deadline of the request has passed.
     Deadline,
     /// The run has left too many engines.
@@ -100,13 +98,10 @@
             return Decision::End(Reason::Crashes);
         }
         match &run.backup {
-            Some(backup)
-                if self.holds_copy(&backup.id, now) && self.turn(&backup.id, now).is_some() =>
-            {
+            Some(backup) if self.holds_copy(&backup.id, now) => {
                 Decision::Resume(Arc::clone(backup))
             }
             _ if run.reruns > 0 => Decision::Rerun,
-            Some(backup) if self.holds_copy(&backup.id, now) => Decision::End(Reason::CopyCold),
             Some(_) => Decision::End(Reason::CopyLeaving),
             None => Decision::End(Reason::NoCopy),
         }
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -408,11 +408,6 @@
         self.latency_ms
     }
 
-    /// Returns whether the endpoint is in a cold start in which its requests are limited.
-    pub(super) fn is_cold(&self, now: Time) -> bool {
-        self.pace.is_limited(self.endpoint.cold_until, now)
-    }
-
     /// Returns whether the endpoint may receive work now.
     pub(super) fn accepts_work(&self, now: Time) -> bool {
         self.is_in_use(now) && self.paused_until.is_past(now)
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -432,23 +432,16 @@
 
     /// Records that a request is sent.
     pub fn record_start(&mut self, id: &str, work: Work, now: Time) {
-        self.record_resume(id, work, now);
-        let limit = self.cold;
-        if let Some(member) = self.member(id) {
-            member.pace.record(&limit, now);
-        }
-    }
-
-    /// Records that a run is sent to an endpoint to resume there, after [`Pool::take_turn`].
-    pub fn record_resume(&mut self, id: &str, work: Work, now: Time) {
         let weight = if self.mean_prompt > 0.0 {
             PROMPT_WEIGHT
         } else {
             1.0
         };
         self.mean_prompt += (work.prompt as f64 - self.mean_prompt) * weight;
+        let limit = self.cold;
         if let Some(member) = self.member(id) {
             member.record_start(work, now);
+            member.pace.record(&limit, now);
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,7 +19,6 @@
     pub(crate) attempts: IntCounterVec,
     pub(crate) engine_losses: IntCounterVec,
     pub(crate) resumes: IntCounter,
-    pub(crate) cold_resumes: IntCounterVec,
     pub(crate) migrations: IntCounterVec,
     pub(crate) run_stops: IntCounterVec,
     pub(crate) judgements: IntCounterVec,
@@ -88,11 +87,6 @@
                 &["loss"],
             ),
             resumes: register(&registry, resumes.expect("the name of a metric is valid")),
-            cold_resumes: counter(
-                "cactusroad_cold_resumes_total",
-                "Runs that were to resume at a cold engine, by outcome.",
-                &["outcome"],
-            ),
             migrations: counter(
                 "cactusroad_moves_total",
                 "Moves of runs by outcome.",
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -253,13 +253,6 @@
         outcome: &'a str,
         after_ms: u64,
     },
-    /// The only copies of a run are at cold engines; it resumes at one within the limit.
-    ColdResume {
-        request: &'a str,
-        endpoint: &'a str,
-        outcome: &'a str,
-        wait_ms: u64,
-    },
     /// A run was resumed at another engine.
     Resumed {
         request: &'a str,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -628,20 +628,6 @@
         self.in_flight(endpoint, work, (vm, route), now)
     }
 
-    /// Counts a run that resumes at an endpoint, like [`Shard::start`]. Its turn must have been
-    /// taken.
-    pub(crate) fn resume(
-        self: &Arc<Shard>,
-        endpoint: &Arc<Endpoint>,
-        work: Work,
-        vm: &Arc<str>,
-        route: &Arc<str>,
-    ) -> InFlight {
-        let now = clock::now();
-        self.pool().record_resume(&endpoint.id, work, now);
-        self.in_flight(endpoint, work, (vm, route), now)
-    }
-
     /// Decides whether an engine has capacity for a request that may wait. If so, the request
     /// is counted at the engine until the guard is ended or dropped. The decision and the count
     /// share one lock, so that two requests are not admitted for the same capacity.
@@ -688,12 +674,7 @@
 
     /// Counts a copy at an endpoint until the guard is dropped.
     pub(crate) fn copy(self: &Arc<Shard>, endpoint: &Arc<Endpoint>, work: Work) -> CopyGuard {
-        {
-            let mut pool = self.pool();
-            pool.record_copy_start(&endpoint.id, work);
-            // A copy at a cold endpoint counts as a request.
-            pool.take_turn(&endpoint.id, clock::now());
-        }
+        self.pool().record_copy_start(&endpoint.id, work);
         CopyGuard {
             shard: Arc::clone(self),
             endpoint: Arc::clone(endpoint),
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -204,13 +204,8 @@
             snapshot: snapshot.unwrap_or_else(|| self.job.shard.endpoint_snapshot(&endpoint.id)),
         });
         let in_flight = admitted.unwrap_or_else(|| {
-            let shard = &self.job.shard;
-            let (work, vm, route) = (self.job.work, &self.job.vm, &self.job.route.name);
-            if source.is_some() {
-                shard.resume(&endpoint, work, vm, route)
-            } else {
-                shard.start(&endpoint, work, vm, route)
-            }
+            let (work, route) = (self.job.work, &self.job.route.name);
+            self.job.shard.start(&endpoint, work, &self.job.vm, route)
         });
         observe::await_notice(&self.job.shard, &endpoint);
         let backup = self.run.backup.as_deref();
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -8,15 +8,13 @@
 };
 use cactusroad_platform::replica::{Reply, Source};
 
-use tokio::time::sleep_until;
-
 use super::{Ending, Opened, Relay, stop::Stopped};
 use crate::{
     clock,
     crash::ANSWERED_EVENTS,
     events::Splitter,
     job,
-    migration::{Migration, ResumePoint, free_copy},
+    migration::Migration,
     observe,
     record::{self, Event},
 };
@@ -73,16 +71,8 @@
     /// copy. Otherwise the run stays where it is.
     pub(super) async fn fail_over_if_possible(&mut self) -> Result<(), Ending> {
         let silent_since = clock::now();
-        let is_possible = {
-            let pool = self.job.shard.pool();
-            // The run may go on where it is, so it does not leave to wait for a turn.
-            match pool.fail_over(&self.run, silent_since) {
-                Decision::Resume(backup) => {
-                    pool.turn(&backup.id, silent_since) == Some(silent_since)
-                }
-                Decision::Rerun | Decision::End(_) => false,
-            }
-        };
+        let decision = self.job.shard.pool().fail_over(&self.run, silent_since);
+        let is_possible = matches!(decision, Decision::Resume(_));
         if !is_possible || !self.job.shard.spend_retry(Repeat::Resume) {
             self.has_no_failover = true;
             return Ok(());
@@ -126,15 +116,7 @@
     /// `spent` is the purpose of a retry that was already taken from the budget.
     async fn go_on(&mut self, lost_at: Time, mut spent: Option<Repeat>) -> Result<(), Ending> {
         let mut stopped = self.stop_run().await;
-        let mut spare = Spare::default();
-        while let Some((endpoint, source)) = self.find_successor(&mut stopped, &mut spare).await {
-            if source.is_some() && !self.await_turn(&endpoint).await {
-                self.record_move_failed(Reason::CopyCold.into());
-                if is_at(&self.run.backup, &endpoint) {
-                    self.drop_standby();
-                }
-                continue;
-            }
+        while let Some((endpoint, source)) = self.find_successor(&mut stopped).await {
             if self.job.deadline.is_past(clock::now()) {
                 return Err(Ending::Deadline);
             }
@@ -184,40 +166,6 @@
         Err(Ending::Lost)
     }
 
-    /// Takes the turn of the run at an engine that holds a copy, and waits for it if the engine
-    /// is cold. Returns false if the run has none soon enough.
-    async fn await_turn(&self, engine: &Endpoint) -> bool {
-        let now = clock::now();
-        let (is_cold, turn) = {
-            let mut pool = self.job.shard.pool();
-            let is_cold = pool.is_cold(&engine.id, now);
-            (is_cold, pool.take_turn(&engine.id, now))
-        };
-        if !is_cold {
-            return true;
-        }
-        let outcome = match turn {
-            Some(turn) if turn <= now => "sent",
-            Some(_) => "held",
-            None => "refused",
-        };
-        let resumes = &self.job.state.metrics.cold_resumes;
-        resumes.with_label_values(&[outcome]).inc();
-        let wait_ms = turn.map_or(0, |turn| {
-            u64::try_from(turn.since(now).as_millis()).unwrap_or(u64::MAX)
-        });
-        record::write(&Event::ColdResume {
-            request: &self.job.request_id,
-            endpoint: &engine.id,
-            outcome,
-            wait_ms,
-        });
-        if let Some(turn) = turn {
-            sleep_until(clock::instant(turn.min(self.job.deadline))).await;
-        }
-        turn.is_some()
-    }
-
     /// Records that the connection to the run's engine broke, as it does in a crash, if the
     /// run had not been answered and the engine was not leaving.
     pub(super) fn record_crash(&mut self) {
@@ -308,12 +256,10 @@
     /// Finds the engine that continues the stream: the one with the last copy before the run
     /// was stopped, otherwise the one with the copy of a migration, the one with the standby
     /// copy, or any that may run the request again. If there is none, the engine that stopped
-    /// the run continues it. A migration's copy at a cold engine is kept in `spare` while the
-    /// standby copy is at one that is not cold.
+    /// the run continues it.
     async fn find_successor(
         &mut self,
         stopped: &mut Option<Stopped>,
-        spare: &mut Spare,
     ) -> Option<(Arc<Endpoint>, Option<Source>)> {
         if let Some(stopped) = stopped
             && let Some(target) = stopped.take_target()
@@ -326,16 +272,13 @@
             }
             return Some((target, Some(self.source(address, handle))));
         }
-        let migrated = self
+        if let Some(found) = self
             .migration
             .take()
-            .and_then(|migration| migration.finish(&self.job));
-        if let Some(found) = migrated.or_else(|| spare.take()) {
-            if !self.has_warmer_standby(&found.target) {
-                let source = self.source(found.source, found.handle);
-                return Some((found.target, Some(source)));
-            }
-            *spare = Spare(Some(found));
+            .and_then(|migration| migration.finish(&self.job))
+        {
+            let source = self.source(found.source, found.handle);
+            return Some((found.target, Some(source)));
         }
         let decision = self.job.shard.pool().fail_over(&self.run, clock::now());
         match decision {
@@ -344,9 +287,7 @@
                 Some((endpoint, Some(source)))
             }
             Decision::Rerun => Some((self.choose_rerun().await?, None)),
-            Decision::End(Reason::NoCopy | Reason::CopyLeaving | Reason::CopyCold)
-                if stopped.is_some() =>
-            {
+            Decision::End(Reason::NoCopy | Reason::CopyLeaving) if stopped.is_some() => {
                 self.return_to(stopped.take()?)
             }
             Decision::End(reason) => {
@@ -356,16 +297,6 @@
         }
     }
 
-    /// Returns whether an engine is cold and the standby copy is at one that is not.
-    pub(super) fn has_warmer_standby(&self, engine: &Endpoint) -> bool {
-        let now = clock::now();
-        let pool = self.job.shard.pool();
-        let is_warm = |standby: &Arc<Endpoint>| {
-            pool.holds_copy(&standby.id, now) && !pool.is_cold(&standby.id, now)
-        };
-        pool.is_cold(&engine.id, now) && self.run.backup.as_ref().is_some_and(is_warm)
-    }
-
     /// Lets the engine that stopped the run continue it, if it still takes requests.
     fn return_to(&self, mut stopped: Stopped) -> Option<(Arc<Endpoint>, Option<Source>)> {
         let engine = Arc::clone(stopped.engine());
@@ -379,25 +310,6 @@
     }
 }
 
-/// The copy of a migration from which a run may resume if its standby copy fails. It is freed on
-/// drop.
-#[derive(Debug, Default)]
-struct Spare(Option<ResumePoint>);
-
-impl Spare {
-    fn take(&mut self) -> Option<ResumePoint> {
-        self.0.take()
-    }
-}
-
-impl Drop for Spare {
-    fn drop(&mut self) {
-        if let Some(point) = self.0.take() {
-            free_copy(point.source, point.handle);
-        }
-    }
-}
-
 /// Returns whether a standby copy is at this engine.
 fn is_at(standby: &Option<Arc<Endpoint>>, engine: &Endpoint) -> bool {
     standby
--- a/crates/gateway/src/stream/stop.rs
+++ b/crates/gateway/src/stream/stop.rs
@@ -95,11 +95,7 @@
     /// Stops the run at its engine, if it can go on at another one. Returns the copy that the
     /// engine made.
     pub(super) async fn stop_run(&mut self) -> Option<Stopped> {
-        let migrated_to = self
-            .migration
-            .as_ref()
-            .and_then(|copy| copy.halt())
-            .filter(|target| !self.has_warmer_standby(target));
+        let migrated_to = self.migration.as_ref().and_then(|copy| copy.halt());
         let target = migrated_to
             .or_else(|| self.run.backup.clone())
             .or_else(|| self.choose_target())?;
