--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -7,8 +7,11 @@
 
 use std::{
     io::{self, BufReader, Write},
-    net::{SocketAddr, TcpStream},
-    sync::{Arc, Mutex, MutexGuard},
+    net::{Shutdown, SocketAddr, TcpStream},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -19,6 +22,7 @@
     http::{self, Request},
     record::Record,
     site::ENGINES,
+    store::Store,
 };
 
 /// The time to the first event, and the time between two events.
@@ -52,8 +56,28 @@
     pub full: Option<(Duration, Duration)>,
 }
 
+/// A request that crashes each engine that begins to run it.
+#[derive(Clone, Copy, Debug)]
+pub struct Deadly {
+    /// The text in its body.
+    pub text: &'static str,
+    /// The events that an engine makes of it before it crashes.
+    pub events: u64,
+    /// How long the engine is down then.
+    pub down: Duration,
+}
+
+/// A crash of an engine, or the begin of work on a deadly request.
+#[derive(Clone, Debug)]
+pub struct Sighting {
+    pub at: Instant,
+    pub run: String,
+    pub is_crash: bool,
+}
+
 #[derive(Default)]
 struct State {
+    sightings: Vec<Sighting>,
     /// Copies of runs: the engine that holds it, its name, and the events that it covers.
     copies: Vec<(SocketAddr, String, u64)>,
     spans: Vec<Span>,
@@ -66,6 +90,9 @@
 pub struct Engines {
     state: Arc<Mutex<State>>,
     preemption: Option<Preemption>,
+    deadly: Option<Deadly>,
+    /// Where engines that start again are listed.
+    store: Option<Store>,
     record: Record,
 }
 
@@ -78,8 +105,16 @@
 struct Engine {
     name: String,
     address: SocketAddr,
+    born_ms: u64,
+    /// Cleared when it crashes.
+    is_up: Arc<AtomicBool>,
+    /// All connections, to close them when it crashes.
+    connections: Mutex<Vec<TcpStream>>,
     shared: Engines,
+    /// The runs that have begun.
     runs: Mutex<Vec<Run>>,
+    /// The requests that were admitted and are not complete.
+    active: AtomicUsize,
 }
 
 impl Engines {
@@ -87,10 +122,26 @@
         Engines {
             state: Arc::default(),
             preemption,
+            deadly: None,
+            store: None,
             record: record.clone(),
         }
     }
 
+    /// Returns engines that a request crashes, and that are listed in `store`.
+    pub fn with_deadly(deadly: Deadly, store: &Store, record: &Record) -> Engines {
+        Engines {
+            deadly: Some(deadly),
+            store: Some(store.clone()),
+            ..Engines::new(None, record)
+        }
+    }
+
+    /// Returns what was seen of deadly requests, in order.
+    pub fn sightings(&self) -> Vec<Sighting> {
+        self.state().sightings.clone()
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder panics")
     }
@@ -108,10 +159,16 @@
 
     /// Starts an engine on a free port of `ip` and returns its address.
     pub fn start(&self, name: &str, ip: &str) -> io::Result<SocketAddr> {
+        self.start_at(name, &format!("{ip}:0"), BORN_MS)
+    }
+
+    /// Starts an engine at `address`, whose incarnation began at `born_ms`.
+    pub fn start_at(&self, name: &str, address: &str, born_ms: u64) -> io::Result<SocketAddr> {
         // The address is known only when the engine listens already.
         let slot: Arc<Mutex<Option<Arc<Engine>>>> = Arc::default();
         let served = Arc::clone(&slot);
-        let address = http::listen(ip, move |stream| {
+        let is_up = Arc::new(AtomicBool::new(true));
+        let address = http::listen_while(address, Arc::clone(&is_up), move |stream| {
             let engine = served.lock().expect("no holder panics").clone();
             if let Some(engine) = engine {
                 // An error means that the caller has left.
@@ -121,19 +178,26 @@
         *slot.lock().expect("no holder panics") = Some(Arc::new(Engine {
             name: name.to_owned(),
             address,
+            born_ms,
+            is_up,
+            connections: Mutex::default(),
             shared: self.clone(),
             runs: Mutex::default(),
+            active: AtomicUsize::new(0),
         }));
         Ok(address)
     }
 }
 
+/// When the engines started that are not started again, in Unix milliseconds.
+pub const BORN_MS: u64 = 1_780_000_000_000;
+
 /// The entry of an engine in the list of replicas.
-pub fn entry(address: SocketAddr, sequence: u64) -> Value {
+pub fn entry(address: SocketAddr, born_ms: u64, sequence: u64) -> Value {
     json!({"service": ENGINES, "address": address.to_string(), "zone": "sahel-kairouan",
         "version": "v1", "batchSlots": 24, "phase": "available", "coldRemainingMs": 0,
         "phaseName": "colocated", "modelIds": [{"name": "m", "version": 1, "loras": []}],
-        "sequence": sequence, "born": 1_780_000_000_000u64})
+        "sequence": sequence, "born": born_ms})
 }
 
 impl Engine {
@@ -170,6 +234,8 @@
                 .add(format!("{name} resets a new connection beyond its limit: {line}"));
             return Ok(());
         }
+        let own = stream.try_clone()?;
+        self.connections.lock().expect("no holder panics").push(own);
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(request) = http::read_request(&mut reader)? {
@@ -194,7 +260,12 @@
                 http::respond(writer, status, &json, body.to_string().as_bytes())
             }
             ("DELETE", _) => http::respond(writer, 200, &json, b"{}"),
-            _ => self.run(request, writer),
+            _ => {
+                self.active.fetch_add(1, Ordering::Relaxed);
+                let ended = self.run(request, writer);
+                self.active.fetch_sub(1, Ordering::Relaxed);
+                ended
+            }
         }
     }
 
@@ -204,12 +275,13 @@
             .iter()
             .map(|run| json!([run.id, 3_000 + run.events * STRIDE, run.events, 5]))
             .collect();
-        let used = 3_200 * runs.len();
+        let active = self.active.load(Ordering::Relaxed);
+        let used = 3_200 * active;
         json!({"phaseName": "colocated",
             "modelIds": [{"name": "m", "version": 1, "loras": []}], "busy": false,
-            "sequence": 1, "queued": 0, "active": runs.len(), "kvInUse": used,
+            "sequence": 1, "queued": 0, "active": active, "kvInUse": used,
             "kvCapacity": 34282, "kvHandles": 0, "phase": "available",
-            "executions": executions, "born": 1_780_000_000_000u64})
+            "executions": executions, "born": self.born_ms})
     }
 
     /// Handles an order to copy a run to another engine.
@@ -276,6 +348,11 @@
             "{name} gets {id}, {} after event {last}, backup at {backup:?}",
             if is_resumed { "to go on" } else { "to begin" }
         ));
+        let body = String::from_utf8_lossy(&request.body);
+        let deadly = self.shared.deadly.filter(|deadly| body.contains(deadly.text));
+        if deadly.is_some() {
+            self.see(&id, false);
+        }
         let signature = format!("s.{name}.{id}");
         let head = format!(
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n\
@@ -309,6 +386,15 @@
                 // The connection ends without the end of the stream.
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
+            if !self.is_up.load(Ordering::Relaxed) {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            if let Some(deadly) = deadly
+                && number == last + deadly.events + 1
+            {
+                self.crash(&id, deadly);
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
             self.make(&id, number, backup);
             let event = format!("id: {number}\ndata: {id} {number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
@@ -326,6 +412,52 @@
         writer.write_all(b"0\r\n\r\n")
     }
 
+    fn see(&self, run: &str, is_crash: bool) {
+        self.shared.state().sightings.push(Sighting {
+            at: Instant::now(),
+            run: run.to_owned(),
+            is_crash,
+        });
+    }
+
+    /// Ends all connections and closes the port. A new incarnation starts some time later.
+    fn crash(&self, id: &str, deadly: Deadly) {
+        if !self.is_up.swap(false, Ordering::Relaxed) {
+            return;
+        }
+        let name = &self.name;
+        self.shared.record.add(format!(
+            "{name} crashes under {id} when it has made {} event of it",
+            deadly.events
+        ));
+        self.see(id, true);
+        // The port is closed first.
+        thread::sleep(Duration::from_millis(5));
+        for stream in self.connections.lock().expect("no holder panics").drain(..) {
+            // It may be closed already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        {
+            let mut state = self.shared.state();
+            let address = self.address;
+            state.copies.retain(|copy| copy.0 != address);
+        }
+        let (shared, old, address) = (self.shared.clone(), name.clone(), self.address);
+        let born_ms = self.born_ms + 60_000;
+        thread::spawn(move || {
+            thread::sleep(deadly.down);
+            let new = format!("{old}x");
+            let started = shared.start_at(&new, &address.to_string(), born_ms);
+            if let (Ok(_), Some(store)) = (started, &shared.store) {
+                shared.record.add(format!("{old} is back as {new}"));
+                store.put("servers", &new, entry(address, born_ms, 1));
+                // An entry is removed after three heartbeats of silence.
+                thread::sleep(Duration::from_millis(3_600).saturating_sub(deadly.down));
+                store.remove("servers", &old);
+            }
+        });
+    }
+
     /// Pauses the run if it is the one that is preempted now.
     fn preempt(&self, id: &str, number: u64) {
         let Some(preemption) = self.shared.preemption else {
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -35,12 +38,12 @@
     }
 }
 
-/// Listens on a free port of `ip`, and serves each connection in a thread of its own.
+/// Listens on `address`, and serves each connection in a thread of its own.
 pub fn listen(
-    ip: &str,
+    address: &str,
     serve: impl Fn(TcpStream) + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind((ip, 0))?;
+    let listener = TcpListener::bind(address)?;
     let address = listener.local_addr()?;
     let serve = Arc::new(serve);
     thread::spawn(move || {
@@ -52,6 +55,33 @@
     Ok(address)
 }
 
+/// The interval at which a listener checks whether it shall stop.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Like [`listen`], until `is_up` is false. Then the port is closed.
+pub fn listen_while(
+    address: &str,
+    is_up: Arc<AtomicBool>,
+    serve: impl Fn(TcpStream) + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        while is_up.load(Ordering::Relaxed) {
+            match listener.accept() {
+                Ok((stream, _)) if stream.set_nonblocking(false).is_ok() => {
+                    let serve = Arc::clone(&serve);
+                    thread::spawn(move || serve(stream));
+                }
+                _ => thread::sleep(POLL_INTERVAL),
+            }
+        }
+    });
+    Ok(address)
+}
+
 fn read_line(reader: &mut impl BufRead) -> io::Result<Option<String>> {
     let mut line = Vec::new();
     if reader.read_until(b'\n', &mut line)? == 0 {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,8 +3,11 @@
 //!
 //! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod crash;
+mod deadly;
 mod engine;
 mod http;
+mod plain;
 mod record;
 mod site;
 mod stop;
@@ -31,6 +34,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
+    if let [_, role, name, address, born_ms] = &arguments[..]
+        && role == "engine"
+    {
+        return crash::serve_engine(name, address, born_ms);
+    }
     let [_, case, folder, path] = &arguments[..] else {
         eprintln!("usage: review-standins-2 CASE FOLDER RECORD");
         return ExitCode::from(2);
@@ -42,6 +50,8 @@
     };
     let found = match case.as_str() {
         "stop" => stop::run(&context),
+        "crash" => crash::run(&context),
+        "deadly" => deadly::run(&context),
         _ => Err(std::io::Error::other("there is no such case")),
     };
     let (text, code) = match found {
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -112,10 +112,16 @@
 /// A gateway, and a sidecar beside each engine.
 pub struct Site {
     pub callers: SocketAddr,
-    _gateway: Process,
+    readiness: SocketAddr,
+    folder: String,
+    settings: Value,
+    gateway: Process,
     _sidecars: Vec<Process>,
 }
 
+/// The command of the gateway in the deploy file.
+const GATEWAY: [&str; 5] = ["gateway", "--metrics", "9464", "--policy", "deploy/policy.json"];
+
 impl Site {
     /// Starts the gateway on `ip`, an address that no other process uses, and a sidecar
     /// beside each engine. Waits until the gateway says that it is ready.
@@ -146,34 +152,58 @@
         own["ipAddress"] = ip.into();
         own["listenAddrs"] = json!({"frontend": callers.to_string(),
             "readiness": readiness.to_string(), "controlPlane": peers.to_string()});
-        let words = ["gateway", "--metrics", "9464", "--policy", "deploy/policy.json"];
-        let gateway = start(folder, "gateway", &words, &own)?;
+        let gateway = start(folder, "gateway", &GATEWAY, &own)?;
+        // It is true only when the whole system starts for the first time.
+        own["bootstrap"] = false.into();
         let site = Site {
             callers,
-            _gateway: gateway,
+            readiness,
+            folder: folder.to_owned(),
+            settings: own,
+            gateway,
             _sidecars: sidecars,
         };
+        site.wait_ready()?;
+        // The gateways are counted and the list is read again within this time.
+        thread::sleep(Duration::from_millis(3_000));
+        Ok(site)
+    }
+
+    fn wait_ready(&self) -> io::Result<()> {
         let deadline = Instant::now() + Duration::from_secs(10);
         let request = "GET /v1/readyz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
         while Instant::now() < deadline {
-            if http::exchange(readiness, request, Duration::from_secs(1)).status == 200 {
-                // The gateways are counted and the list is read again within this time.
-                thread::sleep(Duration::from_millis(3_000));
-                return Ok(site);
+            if http::exchange(self.readiness, request, Duration::from_secs(1)).status == 200 {
+                return Ok(());
             }
             thread::sleep(Duration::from_millis(50));
         }
         Err(io::ErrorKind::TimedOut.into())
     }
+
+    /// Kills the gateway, starts it again after `delay`, and waits until it is ready.
+    pub fn restart_gateway(&mut self, delay: Duration) -> io::Result<()> {
+        self.gateway.0.kill()?;
+        self.gateway.0.wait()?;
+        thread::sleep(delay);
+        self.gateway = start(&self.folder, "gateway-2", &GATEWAY, &self.settings)?;
+        self.wait_ready()
+    }
 }
 
-/// A stream of `tokens` (prompt, output) as a client sends it.
+/// A stream of `tokens` (prompt, output) as a client sends it. Its prompt begins with a part
+/// that all prompts share.
 pub fn stream_request(id: &str, tokens: (u32, u32)) -> String {
-    let body = "the prompt";
+    stream_request_with(id, id, tokens)
+}
+
+/// A stream of the prompt `prompt`, which each attempt to send it repeats.
+pub fn stream_request_with(id: &str, prompt: &str, tokens: (u32, u32)) -> String {
+    let body = format!("the prompt of {prompt}");
     format!(
-        "POST /lohu930/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Cactusroad-Attempt-Id: {id}\r\n\
+        "POST /lohu930/{prompt} HTTP/1.1\r\nHost: {HOST}\r\nX-Cactusroad-Attempt-Id: {id}\r\n\
          X-Cactusroad-Model-Id: m\r\nX-Cactusroad-Token-Usage: {},{}\r\n\
-         X-Cactusroad-Prompt-Prefix: 5c1e07a2:48,{id}:32\r\n\
+         X-Cactusroad-Prompt-Prefix: 5c1e07a2:48,{prompt}:32\r\n\
          X-Cactusroad-Deadline-Ms: 39000\r\nAuthorization: Bearer {KEY}\r\n\
          Content-Length: {}\r\n\r\n{body}",
         tokens.0,
@@ -181,3 +211,11 @@
         body.len()
     )
 }
+
+/// A lookup, which may be repeated, as a client sends it.
+pub fn look_request(id: &str) -> String {
+    format!(
+        "GET /puxa403/{id} HTTP/1.1\r\nHost: {HOST}\r\nX-Cactusroad-Attempt-Id: {id}\r\n\
+         X-Cactusroad-Deadline-Ms: 1000\r\nAuthorization: Bearer {KEY}\r\n\r\n"
+    )
+}
--- a/review/standins-2/src/stop.rs
+++ b/review/standins-2/src/stop.rs
@@ -41,7 +41,7 @@
     for number in 1..=3 {
         let (name, ip) = (format!("i-{number}"), format!("127.0.61.{number}"));
         let address = engines.start(&name, &ip)?;
-        store.put("servers", &name, engine::entry(address, 1));
+        store.put("servers", &name, engine::entry(address, engine::BORN_MS, 1));
         addresses.push(address);
     }
     store.put("config", "main", site::config(7));
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -72,7 +72,7 @@
         let store = Store::default();
         store.state().revision = 1;
         let served = store.clone();
-        let address = http::listen("127.0.0.1", move |stream| {
+        let address = http::listen("127.0.0.1:0", move |stream| {
             // An error means that the caller has left.
             let _ = served.serve(stream);
         })?;
@@ -98,6 +98,20 @@
         self.0.1.notify_all();
     }
 
+    /// Removes an object, if it exists.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state();
+        if let Some(object) = state.find(kind, name) {
+            state.change(object, true);
+        }
+        self.0.1.notify_all();
+    }
+
+    /// Returns the `spec` of an object, if it exists.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        Some(self.state().find(kind, name)?.spec)
+    }
+
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
