--- a/review/standins-2/src/deadly.rs
+++ b/review/standins-2/src/deadly.rs
@@ -73,7 +73,10 @@
                 thread::spawn(move || {
                     let request = site::stream_request(&format!("a{number:015x}"), (3_000, 80));
                     let answer = http::exchange(callers, &request, Duration::from_secs(20));
-                    served.fetch_add(usize::from(answer.is_complete && answer.status == 200), Ordering::Relaxed);
+                    served.fetch_add(
+                        usize::from(answer.is_complete && answer.status == 200),
+                        Ordering::Relaxed,
+                    );
                 });
                 thread::sleep(STREAM_INTERVAL);
             }
@@ -120,5 +123,9 @@
         "{retries} retries reached engines later than {} s after the third crash; {ALLOWED_RETRIES} are allowed",
         CONTACT.as_secs()
     ));
-    Ok(if retries > ALLOWED_RETRIES { Finding::Broken } else { Finding::Held })
+    Ok(if retries > ALLOWED_RETRIES {
+        Finding::Broken
+    } else {
+        Finding::Held
+    })
 }
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -229,9 +229,9 @@
             let text = String::from_utf8_lossy(&first[..seen]).into_owned();
             let line = text.lines().next().unwrap_or("");
             let name = &self.name;
-            self.shared
-                .record
-                .add(format!("{name} resets a new connection beyond its limit: {line}"));
+            self.shared.record.add(format!(
+                "{name} resets a new connection beyond its limit: {line}"
+            ));
             return Ok(());
         }
         let own = stream.try_clone()?;
@@ -293,14 +293,18 @@
         let created = {
             let mut runs = self.runs();
             let Some(run) = runs.iter_mut().find(|run| run.id == id) else {
-                record.add(format!("{name} is ordered to copy {id}, which it does not run"));
+                record.add(format!(
+                    "{name} is ordered to copy {id}, which it does not run"
+                ));
                 return (404, Value::Null);
             };
             run.is_stopped |= is_final;
             run.events
         };
         let kind = if is_final { "stop and copy" } else { "copy" };
-        record.add(format!("{name} is ordered to {kind} {id} after event {created}"));
+        record.add(format!(
+            "{name} is ordered to {kind} {id} after event {created}"
+        ));
         thread::sleep(COPY_TIME);
         let handle = format!("h-{name}-{id}");
         let target = order["target"].as_str().and_then(|text| text.parse().ok());
@@ -338,9 +342,15 @@
             };
             state.copies.swap_remove(index);
         }
-        let last: u64 = header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let last: u64 = header("last-event-id")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let tokens = header("x-cactusroad-token-usage").unwrap_or("0,0");
-        let output: u64 = tokens.split(',').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let output: u64 = tokens
+            .split(',')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let events = output.div_ceil(STRIDE);
         let backup = header("x-cactusroad-kv-backup").and_then(|text| text.parse().ok());
         let is_resumed = header("kv-from").is_some();
@@ -349,7 +359,10 @@
             if is_resumed { "to go on" } else { "to begin" }
         ));
         let body = String::from_utf8_lossy(&request.body);
-        let deadly = self.shared.deadly.filter(|deadly| body.contains(deadly.text));
+        let deadly = self
+            .shared
+            .deadly
+            .filter(|deadly| body.contains(deadly.text));
         if deadly.is_some() {
             self.see(&id, false);
         }
@@ -361,7 +374,11 @@
         );
         // Errors mean that the caller has left, which this engine does not notice.
         let _ = writer.write_all(head.as_bytes());
-        thread::sleep(if is_resumed { EVENT_INTERVAL } else { FIRST_EVENT });
+        thread::sleep(if is_resumed {
+            EVENT_INTERVAL
+        } else {
+            FIRST_EVENT
+        });
         self.runs().push(Run {
             id: id.clone(),
             events: last,
@@ -400,14 +417,18 @@
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if writer.write_all(chunk.as_bytes()).is_err() && !left {
                 left = true;
-                record.add(format!("{name} cannot send event {number} of {id}, and works on"));
+                record.add(format!(
+                    "{name} cannot send event {number} of {id}, and works on"
+                ));
             }
             thread::sleep(EVENT_INTERVAL);
         }
         record.add(format!("{name} has completed {id}"));
         self.runs().retain(|run| run.id != id);
         let mut state = self.shared.state();
-        state.copies.retain(|copy| !copy.1.ends_with(&format!("/{id}")));
+        state
+            .copies
+            .retain(|copy| !copy.1.ends_with(&format!("/{id}")));
         drop(state);
         writer.write_all(b"0\r\n\r\n")
     }
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -92,9 +92,7 @@
 }
 
 /// Reads the start line and the headers, whose names are returned in lower case.
-pub fn read_head(
-    reader: &mut impl BufRead,
-) -> io::Result<Option<(String, Vec<(String, String)>)>> {
+pub fn read_head(reader: &mut impl BufRead) -> io::Result<Option<(String, Vec<(String, String)>)>> {
     let Some(start) = read_line(reader)? else {
         return Ok(None);
     };
@@ -157,7 +155,10 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -187,10 +188,7 @@
 }
 
 /// Reads an answer; `on_data` is called with each part of its body.
-pub fn read_answer(
-    reader: &mut BufReader<TcpStream>,
-    mut on_data: impl FnMut(&[u8]),
-) -> Answer {
+pub fn read_answer(reader: &mut BufReader<TcpStream>, mut on_data: impl FnMut(&[u8])) -> Answer {
     let mut answer = Answer::default();
     let Ok(Some((start, headers))) = read_head(reader) else {
         return answer;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -12,6 +12,8 @@
 mod site;
 mod stop;
 mod store;
+mod traffic;
+mod verdict;
 
 use std::process::ExitCode;
 
@@ -37,7 +39,7 @@
     if let [_, role, name, address, born_ms] = &arguments[..]
         && role == "engine"
     {
-        return crash::serve_engine(name, address, born_ms);
+        return traffic::serve_engine(name, address, born_ms);
     }
     let [_, case, folder, path] = &arguments[..] else {
         eprintln!("usage: review-standins-2 CASE FOLDER RECORD");
@@ -51,6 +53,7 @@
     let found = match case.as_str() {
         "stop" => stop::run(&context),
         "crash" => crash::run(&context),
+        "verdict" => verdict::run(&context),
         "deadly" => deadly::run(&context),
         _ => Err(std::io::Error::other("there is no such case")),
     };
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -120,7 +120,13 @@
 }
 
 /// The command of the gateway in the deploy file.
-const GATEWAY: [&str; 5] = ["gateway", "--metrics", "9464", "--policy", "deploy/policy.json"];
+const GATEWAY: [&str; 5] = [
+    "gateway",
+    "--metrics",
+    "9464",
+    "--policy",
+    "deploy/policy.json",
+];
 
 impl Site {
     /// Starts the gateway on `ip`, an address that no other process uses, and a sidecar
--- a/review/standins-2/src/stop.rs
+++ b/review/standins-2/src/stop.rs
@@ -54,7 +54,11 @@
     let spans = engines.spans(id);
     let mut longest = Duration::ZERO;
     for span in &spans {
-        let from = spans.iter().map(|one| one.began_at).min().unwrap_or(span.began_at);
+        let from = spans
+            .iter()
+            .map(|one| one.began_at)
+            .min()
+            .unwrap_or(span.began_at);
         let at = |time: Instant| time.duration_since(from).as_secs_f64();
         let (began, last) = (at(span.began_at), at(span.last_at));
         record.add(format!(
@@ -73,7 +77,11 @@
     if spans.len() < 2 {
         return Err(io::Error::other("the run did not go on at another engine"));
     }
-    Ok(if longest > ALLOWED { Finding::Broken } else { Finding::Held })
+    Ok(if longest > ALLOWED {
+        Finding::Broken
+    } else {
+        Finding::Held
+    })
 }
 
 /// Sends the stream and reads it to its end.
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -182,7 +182,9 @@
         let name = if name.is_empty() { own } else { name };
         let mut state = self.state();
         let existing = state.find(kind, name);
-        let revision = request.parameter("revision").and_then(|text| text.parse().ok());
+        let revision = request
+            .parameter("revision")
+            .and_then(|text| text.parse().ok());
         let revision = revision.or_else(|| body["metadata"]["revision"].as_u64());
         let result = match (request.method.as_str(), existing) {
             (_, Some(object)) if revision.is_some_and(|at| at != object.revision) => {
