--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -25,13 +25,19 @@
     store::Store,
 };
 
-/// The time to the first event, and the time between two events.
-const FIRST_EVENT: Duration = Duration::from_millis(250);
+/// Prompt tokens that are read in a millisecond, and the time from there to the first event.
+const PROMPT_TOKENS_PER_MS: u64 = 14;
+const FIRST_STEP: Duration = Duration::from_millis(36);
+
+/// The time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Output tokens that one event holds.
 const STRIDE: u64 = 4;
 
+/// The interval at which the memory of a run is sent to its backup: several times a second.
+const BACKUP_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How long the copy of a run to another engine takes.
 const COPY_TIME: Duration = Duration::from_millis(40);
 
@@ -346,6 +352,11 @@
             .and_then(|text| text.parse().ok())
             .unwrap_or(0);
         let tokens = header("x-cactusroad-token-usage").unwrap_or("0,0");
+        let prompt: u64 = tokens
+            .split(',')
+            .next()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let output: u64 = tokens
             .split(',')
             .nth(1)
@@ -366,6 +377,7 @@
         if deadly.is_some() {
             self.see(&id, false);
         }
+        let admitted_at = Instant::now();
         let signature = format!("s.{name}.{id}");
         let head = format!(
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n\
@@ -377,7 +389,7 @@
         thread::sleep(if is_resumed {
             EVENT_INTERVAL
         } else {
-            FIRST_EVENT
+            Duration::from_millis(prompt / PROMPT_TOKENS_PER_MS) + FIRST_STEP
         });
         self.runs().push(Run {
             id: id.clone(),
@@ -385,6 +397,7 @@
             is_stopped: false,
         });
         let mut left = false;
+        let mut sent_at = admitted_at;
         for number in last + 1..=events {
             if !is_resumed {
                 self.preempt(&id, number);
@@ -412,7 +425,11 @@
                 self.crash(&id, deadly);
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            self.make(&id, number, backup);
+            if sent_at.elapsed() >= BACKUP_INTERVAL {
+                sent_at = Instant::now();
+                self.back_up(&id, number, backup);
+            }
+            self.make(&id);
             let event = format!("id: {number}\ndata: {id} {number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if writer.write_all(chunk.as_bytes()).is_err() && !left {
@@ -497,15 +514,20 @@
         record.add(format!("{name} reads {id} in again"));
     }
 
-    /// Records that an event was made.
-    fn make(&self, id: &str, number: u64, backup: Option<SocketAddr>) {
-        let now = Instant::now();
-        let mut state = self.shared.state();
+    /// Sends the memory of a run, up to an event, to its backup.
+    fn back_up(&self, id: &str, number: u64, backup: Option<SocketAddr>) {
         if let Some(backup) = backup {
             let copy = format!("{backup}/{id}");
+            let mut state = self.shared.state();
             state.copies.retain(|known| known.1 != copy);
             state.copies.push((backup, copy, number));
         }
+    }
+
+    /// Records that an event was made.
+    fn make(&self, id: &str) {
+        let now = Instant::now();
+        let mut state = self.shared.state();
         let mut spans = state.spans.iter_mut();
         match spans.find(|span| span.engine == self.name && span.run == id) {
             Some(span) => {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -54,7 +54,8 @@
         "stop" => stop::run(&context),
         "crash" => crash::run(&context),
         "verdict" => verdict::run(&context),
-        "deadly" => deadly::run(&context),
+        "deadly" => deadly::run(&context, &deadly::SHORT),
+        "sessions" => deadly::run(&context, &deadly::SESSIONS),
         _ => Err(std::io::Error::other("there is no such case")),
     };
     let (text, code) = match found {
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -205,11 +205,20 @@
 
 /// A stream of the prompt `prompt`, which each attempt to send it repeats.
 pub fn stream_request_with(id: &str, prompt: &str, tokens: (u32, u32)) -> String {
+    stream_request_of(id, prompt, 1, tokens)
+}
+
+/// A stream of a prompt that has `parts` parts, one of which all prompts share, before its own.
+pub fn stream_request_of(id: &str, prompt: &str, parts: usize, tokens: (u32, u32)) -> String {
+    let mut prefix = "5c1e07a2:48,".to_owned();
+    for part in 1..parts {
+        prefix.push_str(&format!("{prompt}{part:x}:32,"));
+    }
     let body = format!("the prompt of {prompt}");
     format!(
         "POST /lohu930/{prompt} HTTP/1.1\r\nHost: {HOST}\r\nX-Cactusroad-Attempt-Id: {id}\r\n\
          X-Cactusroad-Model-Id: m\r\nX-Cactusroad-Token-Usage: {},{}\r\n\
-         X-Cactusroad-Prompt-Prefix: 5c1e07a2:48,{prompt}:32\r\n\
+         X-Cactusroad-Prompt-Prefix: {prefix}{prompt}:32\r\n\
          X-Cactusroad-Deadline-Ms: 39000\r\nAuthorization: Bearer {KEY}\r\n\
          Content-Length: {}\r\n\r\n{body}",
         tokens.0,
