--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -7,6 +7,7 @@
 
 mod http;
 mod leaving;
+mod loaded;
 mod missed;
 mod record;
 mod relay;
@@ -50,6 +51,7 @@
     let play = match case.as_str() {
         "missed" => missed::play,
         "relay" => relay::play,
+        "loaded" => loaded::play,
         "leaving" => leaving::play,
         _ => {
             eprintln!("no case {case}");
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -169,7 +169,7 @@
             .env_clear()
             .env("CACTUSROAD_CONFIG", &path)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log(name))
             .spawn()
             .expect("the gateway starts; build it first");
         let child = Arc::new(Mutex::new(child));
@@ -192,6 +192,13 @@
     }
 }
 
+/// Returns where the log of a gateway goes: to a file in the folder `REVIEW_LOGS`, if that is set.
+fn log(name: &str) -> Stdio {
+    let folder = std::env::var_os("REVIEW_LOGS").map(PathBuf::from);
+    let file = folder.and_then(|folder| fs::File::create(folder.join(format!("{name}.log"))).ok());
+    file.map_or_else(Stdio::null, Stdio::from)
+}
+
 /// A request of a client, and its answer.
 #[derive(Clone, Debug)]
 pub struct Sent {
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -136,6 +136,11 @@
         Some(())
     }
 
+    /// Returns the status of an object.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        find(&self.state().data, kind, name).map(|object| object.status.clone())
+    }
+
     fn serve(&self, stream: TcpStream) {
         {
             let mut state = self.state();
