--- a/review/standins-3/src/leaving.rs
+++ b/review/standins-3/src/leaving.rs
@@ -13,13 +13,17 @@
     wait_until,
 };
 
-/// How long before the replica begins to drain the copy is made.
-const COPY_BEFORE: f64 = 0.3;
-/// Times in seconds after the store has acknowledged that the replica is draining.
-const AWAY_AT: f64 = 2.3;
-const BACK_AT: f64 = 2.5;
+/// Times in seconds after the store has acknowledged that the replica is draining. A heartbeat of
+/// the replica is due while the store is away; it is made again 1.2 s later.
+const AWAY_AT: f64 = 2.25;
+const BACK_AT: f64 = 2.45;
 /// When the replica exits: it serves for `drainMs` and a little longer.
-const EXIT_AT: f64 = 3.5;
+const EXIT_AT: f64 = 2.7;
+
+/// Orders a second, over all gateways.
+const PER_S: f64 = 43.0;
+/// The longest work of an order on the sheet.
+const WORK: Duration = Duration::from_millis(110);
 
 pub fn play(record: &Record, has_trouble: bool) -> Result<Outcome, String> {
     let (addresses, folder) = (Addresses::new(), Folder::create());
@@ -32,39 +36,53 @@
                 id: &format!("i-{number}"),
                 service: "souk-a",
                 zone: zones[number],
-                address: addresses.at(10 + number as u8, 8740), version: "v1", fault: None,
+                address: addresses.at(10 + number as u8, 8740),
+                version: "v1",
+                fault: None,
             };
             let offset = HEARTBEAT.mul_f64(0.2 + number as f64 / 3.0);
-            Replica::start(place, Duration::from_millis(100), HEARTBEAT, offset, &store, record)
+            Replica::start(place, WORK, HEARTBEAT, offset, &store, record)
         })
         .collect();
     let place = site::Place { addresses: &addresses, store: store.address, folder: &folder, bounds: &SMALL };
-    let gateway = Gateway::start("edge-sahel-sfax-1", zones[2], 2, &place);
-    if !gateway.wait_ready(Duration::from_secs(10)) {
-        return Err(format!("{} is not ready", gateway.name));
+    // As on the sheet: four in three zones.
+    let gateways: Vec<Gateway> = [(0, 1), (1, 1), (1, 2), (2, 1)]
+        .into_iter()
+        .enumerate()
+        .map(|(index, (zone, number))| {
+            let name = format!("edge-{}-{number}", zones[zone]);
+            Gateway::start(&name, zones[zone], 2 + index as u8, &place)
+        })
+        .collect();
+    for gateway in &gateways {
+        if !gateway.wait_ready(Duration::from_secs(10)) {
+            return Err(format!("{} is not ready", gateway.name));
+        }
     }
     let clients = Clients::new(record);
     let mut number = 0;
-    let mut send_until = |end: Instant, pause: Duration| {
+    let mut send_until = |end: Instant| {
+        let began_at = Instant::now();
+        let mut sent = 0.0;
         while Instant::now() < end {
+            let gateway = &gateways[number as usize % gateways.len()];
             number += 1;
-            clients.send(&gateway, "/orders/new", "key-1", &format!("c{number:05}"));
-            std::thread::sleep(pause);
+            sent += 1.0;
+            clients.send(gateway, "/orders/new", "key-1", &format!("c{number:05}"));
+            wait_until(began_at + seconds(sent / PER_S));
         }
     };
     let leaver = &replicas[2];
-    // The gateway has no request at the replica, and gets none, when it begins to drain.
-    let drain_at = Instant::now() + seconds(6.0);
-    send_until(drain_at - seconds(1.0), Duration::from_millis(100));
-    wait_until(drain_at - seconds(COPY_BEFORE));
+    send_until(Instant::now() + seconds(5.0));
+    // The clients are quiet while the replica begins to drain, so that no answer of its own tells
+    // the gateways.
+    std::thread::sleep(seconds(0.5));
     let copy = store.copy();
     record.write(&format!("the copy is made at revision {}", store.revision()));
-    wait_until(drain_at);
     let drained_at = leaver.drain();
     record.write(&format!("the store acknowledges that {} is draining", leaver.id()));
     let at = |offset: f64| drained_at + seconds(offset);
     wait_until(at(1.0));
-    send_until(at(1.9), Duration::from_millis(50));
     std::thread::scope(|scope| {
         scope.spawn(|| {
             wait_until(at(AWAY_AT));
@@ -84,8 +102,7 @@
                 std::thread::sleep(Duration::from_millis(20));
             }
         });
-        wait_until(at(AWAY_AT));
-        send_until(at(5.0), Duration::from_millis(50));
+        send_until(at(5.0));
     });
     std::thread::sleep(Duration::from_millis(1_500));
     judge(record, &clients, leaver, drained_at)
--- a/review/standins-3/src/replica.rs
+++ b/review/standins-3/src/replica.rs
@@ -26,7 +26,11 @@
 #[derive(Default)]
 struct State {
     sequence: u64,
+    /// Whether it begins to drain with its next heartbeat.
+    is_told_to_drain: bool,
     is_draining: bool,
+    /// When the store acknowledged that it is draining.
+    drained_at: Option<Instant>,
     has_exited: bool,
     running: u32,
     runs: Vec<Run>,
@@ -73,9 +77,6 @@
     pub fault: Option<Fault>,
 }
 
-/// How long a replica waits before it tries again to reach a store that is away.
-const RETRY: Duration = Duration::from_millis(20);
-
 impl Replica {
     /// Starts a replica that takes `work` for a request and writes its entry every `heartbeat`,
     /// first after `offset`.
@@ -110,8 +111,7 @@
         thread::spawn(move || {
             thread::sleep(offset);
             while !beating.state().has_exited {
-                // A write that fails is made again with the next heartbeat.
-                beating.write_entry();
+                beating.beat();
                 thread::sleep(heartbeat);
             }
         });
@@ -141,14 +141,29 @@
         self.0.store.put("servers", &self.0.id, &entry).is_some()
     }
 
-    /// Says from now on that it is leaving, in its entry and in its answers. Returns when the
-    /// store has acknowledged the entry.
+    /// Says from its next heartbeat on that it is leaving, in its entry and in its answers. Returns
+    /// when the store has acknowledged the entry.
     pub fn drain(&self) -> Instant {
-        self.state().is_draining = true;
-        while !self.write_entry() {
-            thread::sleep(RETRY);
+        self.state().is_told_to_drain = true;
+        loop {
+            if let Some(at) = self.state().drained_at {
+                return at;
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Writes the entry at its time. A write that fails is made again with the next heartbeat.
+    fn beat(&self) {
+        {
+            let mut state = self.state();
+            state.is_draining |= state.is_told_to_drain;
+        }
+        let is_written = self.write_entry();
+        let mut state = self.state();
+        if state.is_draining && is_written {
+            state.drained_at.get_or_insert_with(Instant::now);
         }
-        Instant::now()
     }
 
     /// Ends: closes all connections, and resets new ones.
