--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod loaded;
 mod missed;
+mod opened;
 mod record;
 mod relay;
 mod replica;
@@ -53,6 +54,7 @@
         "relay" => relay::play,
         "loaded" => loaded::play,
         "leaving" => leaving::play,
+        "opened" => opened::play,
         _ => {
             eprintln!("no case {case}");
             return ExitCode::from(2);
