--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -5,6 +5,7 @@
 
 #![recursion_limit = "256"]
 
+mod engine;
 mod http;
 mod leaving;
 mod loaded;
@@ -15,6 +16,7 @@
 mod replica;
 mod site;
 mod store;
+mod twice;
 
 use std::{
     path::Path,
@@ -51,6 +53,7 @@
     };
     let play = match case.as_str() {
         "missed" => missed::play,
+        "twice" => twice::play,
         "relay" => relay::play,
         "loaded" => loaded::play,
         "leaving" => leaving::play,
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     net::{IpAddr, SocketAddr},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
@@ -102,7 +102,7 @@
     pub bounds: &'a Bounds,
 }
 
-/// A gateway process, which is killed on drop.
+/// A gateway or sidecar process, which is killed on drop.
 pub struct Gateway {
     pub name: String,
     pub callers: SocketAddr,
@@ -164,19 +164,29 @@
         });
         let path = folder.0.join(format!("{name}.json"));
         fs::write(&path, settings.to_string()).expect("the settings can be written");
-        let child = Command::new("target/release/cactusroad")
-            .args(["gateway", "--metrics", "9464", "--policy", "deploy/policy.json"])
-            .env_clear()
-            .env("CACTUSROAD_CONFIG", &path)
-            .stdin(Stdio::null())
-            .stdout(log(name))
-            .spawn()
-            .expect("the gateway starts; build it first");
-        let child = Arc::new(Mutex::new(child));
-        CHILDREN.lock().unwrap().push(Arc::clone(&child));
+        let command = ["gateway", "--metrics", "9464", "--policy", "deploy/policy.json"];
+        let child = spawn(name, &command, &path);
         Gateway { name: name.to_owned(), callers, readiness, child }
     }
 
+    /// Starts the sidecar of the engine on the same machine with the command of the deploy file.
+    pub fn start_sidecar(name: &str, zone: &str, host: u8, place: &Place<'_>) -> Gateway {
+        let Place { addresses, folder, .. } = place;
+        let settings = json!({
+            "nodeName": name, "nodeRole": "sidecar", "machineClass": "side", "servingRoles": [],
+            "ipAddress": addresses.ip(host).to_string(), "zone": zone, "region": "sahel",
+            "portRange": [7200, 7215], "app": addresses.at(host, 8740).to_string(), "service": "makers",
+            "seedNodes": [addresses.at(2, 8748).to_string()], "bootstrap": true,
+            "limits": {"cpuFraction": 0.2, "cpuCores": 1, "memoryMb": 192, "maxFds": 4096,
+                "bandwidthMbps": 2000.0, "diskMb": 0},
+        });
+        let path = folder.0.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string()).expect("the settings can be written");
+        let child = spawn(name, &["sidecar"], &path);
+        let none = addresses.at(host, 0);
+        Gateway { name: name.to_owned(), callers: none, readiness: none, child }
+    }
+
     /// Waits until the gateway says that it is ready.
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let deadline = Instant::now() + limit;
@@ -192,6 +202,21 @@
     }
 }
 
+/// Starts a process of the project.
+fn spawn(name: &str, command: &[&str], settings: &Path) -> Arc<Mutex<Child>> {
+    let child = Command::new("target/release/cactusroad")
+        .args(command)
+        .env_clear()
+        .env("CACTUSROAD_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stdout(log(name))
+        .spawn()
+        .expect("the process starts; build it first");
+    let child = Arc::new(Mutex::new(child));
+    CHILDREN.lock().unwrap().push(Arc::clone(&child));
+    child
+}
+
 /// Returns where the log of a gateway goes: to a file in the folder `REVIEW_LOGS`, if that is set.
 fn log(name: &str) -> Stdio {
     let folder = std::env::var_os("REVIEW_LOGS").map(PathBuf::from);
@@ -225,6 +250,23 @@
 
     /// Sends a request without waiting for its answer.
     pub fn send(&self, gateway: &Gateway, path: &str, key: &str, attempt: &str) -> thread::JoinHandle<()> {
+        self.exchange(gateway, path, key, attempt, ("1000", ""), Duration::from_secs(2))
+    }
+
+    /// Sends a request for a stream, with 3,000 prompt tokens and at most 160 of output.
+    pub fn send_stream(&self, gateway: &Gateway, path: &str, key: &str, attempt: &str) -> thread::JoinHandle<()> {
+        self.exchange(gateway, path, key, attempt, ("39000", "3000,160"), Duration::from_secs(8))
+    }
+
+    fn exchange(
+        &self,
+        gateway: &Gateway,
+        path: &str,
+        key: &str,
+        attempt: &str,
+        (deadline, tokens): (&'static str, &'static str),
+        limit: Duration,
+    ) -> thread::JoinHandle<()> {
         let (name, address) = (gateway.name.clone(), gateway.callers);
         let (path, key, attempt) = (path.to_owned(), key.to_owned(), attempt.to_owned());
         let clients = self.clone();
@@ -232,19 +274,28 @@
             let at = Instant::now();
             clients.record.write(&format!("client sends {attempt} to {name}: POST {path} with {key}"));
             let authorization = format!("Bearer {key}");
-            let headers = [
+            let parts = format!("5c1e07a2:40,{:x}:2960", attempt.bytes().fold(7_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(byte))));
+            let mut headers = vec![
                 ("Host", HOST),
-                ("X-Cactusroad-Attempt-Id", &attempt),
-                ("X-Cactusroad-Deadline-Ms", "1000"),
-                ("Authorization", &authorization),
+                ("X-Cactusroad-Attempt-Id", &*attempt),
+                ("X-Cactusroad-Deadline-Ms", deadline),
+                ("Authorization", &*authorization),
             ];
+            if !tokens.is_empty() {
+                headers.extend([
+                    ("X-Cactusroad-Model-Id", "m"),
+                    ("X-Cactusroad-Token-Usage", tokens),
+                    ("X-Cactusroad-Prompt-Prefix", &*parts),
+                ]);
+            }
             let body = format!("body of {attempt}");
-            let answer = http::call(address, "POST", &path, &headers, body.as_bytes(), Duration::from_secs(2));
+            let answer = http::call(address, "POST", &path, &headers, body.as_bytes(), limit);
             let (status, body) = match &answer {
                 Ok(answer) => (answer.status(), String::from_utf8_lossy(&answer.body).into_owned()),
                 Err(cause) => (0, cause.to_string()),
             };
-            clients.record.write(&format!("client gets {status} for {attempt}: {body}"));
+            let shown = body.trim_end().rsplit('\n').next().unwrap_or("").to_owned();
+            clients.record.write(&format!("client gets {status} for {attempt}: {shown}"));
             clients.sent.lock().unwrap().push(Sent { attempt, gateway: name, key, at, status, body });
         })
     }
