--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -82,8 +82,17 @@
 pub const RESET_AFTER: f64 = 0.5;
 
 impl Engine {
-    pub fn start(id: &str, zone: &str, address: SocketAddr, pool: &Pool, heartbeat: Duration, store: &Store) -> Engine {
-        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    pub fn start(
+        id: &str,
+        zone: &str,
+        address: SocketAddr,
+        pool: &Pool,
+        heartbeat: Duration,
+        store: &Store,
+    ) -> Engine {
+        let born = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap();
         let engine = Engine(Arc::new(Shared {
             id: id.to_owned(),
             address,
@@ -130,7 +139,9 @@
         while let Ok(Some(request)) = http::read(&mut reader) {
             let bytes = match (request.method(), request.target().0) {
                 ("GET", "/v1/report") => self.report(),
-                ("GET", "/healthz") => http::response(200, &[("X-Cactusroad-Replica-Id", &self.0.id)], b""),
+                ("GET", "/healthz") => {
+                    http::response(200, &[("X-Cactusroad-Replica-Id", &self.0.id)], b"")
+                }
                 ("POST", "/v1/kv-move") => self.copy(&request.body),
                 ("DELETE", _) => http::response(200, &[], b"{}"),
                 _ => {
@@ -149,24 +160,36 @@
         let spans = self.lock();
         let open: Vec<&Span> = spans.iter().filter(|span| !span.has_ended).collect();
         let running = open.iter().filter(|span| span.first_at.is_some());
-        let executions: Vec<_> = running.map(|span| json!([span.attempt, 3_000 + 4 * span.events, span.events, 0])).collect();
+        let executions: Vec<_> = running
+            .map(|span| json!([span.attempt, 3_000 + 4 * span.events, span.events, 0]))
+            .collect();
         let body = json!({"phaseName": "colocated", "modelIds": [{"name": "m", "version": 1, "loras": []}],
             "busy": false, "sequence": 0, "queued": 0, "active": open.len(), "kvInUse": 3_160 * open.len(),
             "kvCapacity": 34_282, "kvHandles": 0, "phase": "available", "executions": executions,
             "born": self.0.born});
-        http::response(200, &[("Content-Type", "application/json")], body.to_string().as_bytes())
+        http::response(
+            200,
+            &[("Content-Type", "application/json")],
+            body.to_string().as_bytes(),
+        )
     }
 
     /// Copies a run; with `final`, stops it first.
     fn copy(&self, body: &[u8]) -> Vec<u8> {
         let order: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
         let (attempt, is_final) = (order["id"].as_str().unwrap_or(""), order["final"] == true);
-        let target: Option<SocketAddr> = order["target"].as_str().and_then(|text| text.parse().ok());
+        let target: Option<SocketAddr> =
+            order["target"].as_str().and_then(|text| text.parse().ok());
         let mut spans = self.lock();
-        let exists = |span: &&mut Span| span.attempt == attempt && span.first_at.is_some() && !span.has_ended;
+        let exists = |span: &&mut Span| {
+            span.attempt == attempt && span.first_at.is_some() && !span.has_ended
+        };
         let found = spans.iter_mut().find(exists);
         let status = if found.is_some() { 200 } else { 404 };
-        self.0.record.write(&format!("{} answers {status} to the order to copy {attempt} (final: {is_final})", self.0.id));
+        self.0.record.write(&format!(
+            "{} answers {status} to the order to copy {attempt} (final: {is_final})",
+            self.0.id
+        ));
         let (Some(span), Some(target)) = (found, target) else {
             return http::response(404, &[], b"{}");
         };
@@ -175,7 +198,11 @@
         self.0.copies.put(target, &handle, 1.0);
         self.0.copies.put(self.0.address, &handle, 1.0);
         let answer = json!({"kvHandle": handle, "created": span.events}).to_string();
-        http::response(200, &[("Content-Type", "application/json")], answer.as_bytes())
+        http::response(
+            200,
+            &[("Content-Type", "application/json")],
+            answer.as_bytes(),
+        )
     }
 
     fn run(&self, request: &http::Message, stream: &TcpStream) {
@@ -193,7 +220,9 @@
             Some((_, name)) => match self.0.copies.take(self.0.address, name) {
                 Some(share) => share,
                 None => {
-                    self.0.record.write(&format!("{} has no copy of {attempt}: 503", self.0.id));
+                    self.0
+                        .record
+                        .write(&format!("{} has no copy of {attempt}: 503", self.0.id));
                     return refuse(503);
                 }
             },
@@ -202,14 +231,22 @@
         let backup: Option<SocketAddr> = header("x-cactusroad-kv-backup").parse().ok();
         let is_lost = {
             let mut lost = self.0.lost.lock().unwrap();
-            let is_lost = self.0.loses.as_ref().is_some_and(|loses| attempt.starts_with(loses.as_str()))
+            let is_lost = self
+                .0
+                .loses
+                .as_ref()
+                .is_some_and(|loses| attempt.starts_with(loses.as_str()))
                 && !lost.contains(&attempt);
             if is_lost {
                 lost.push(attempt.clone());
             }
             is_lost
         };
-        self.0.record.write(&format!("{} begins to read {attempt}, {:.0} in 100 of it known", self.0.id, known * 100.0));
+        self.0.record.write(&format!(
+            "{} begins to read {attempt}, {:.0} in 100 of it known",
+            self.0.id,
+            known * 100.0
+        ));
         let place = {
             let mut spans = self.lock();
             spans.push(Span {
@@ -225,10 +262,13 @@
         };
         if is_lost {
             if let Ok(connection) = stream.try_clone() {
-                let (record, id, attempt) = (self.0.record.clone(), self.0.id.clone(), attempt.clone());
+                let (record, id, attempt) =
+                    (self.0.record.clone(), self.0.id.clone(), attempt.clone());
                 thread::spawn(move || {
                     thread::sleep(seconds(RESET_AFTER));
-                    record.write(&format!("{id} loses its answer to {attempt}: the connection ends, the work goes on"));
+                    record.write(&format!(
+                        "{id} loses its answer to {attempt}: the connection ends, the work goes on"
+                    ));
                     let _ = connection.shutdown(Shutdown::Both);
                 });
             }
@@ -246,10 +286,13 @@
         };
         while share < 1.0 {
             thread::sleep(CHUNK);
-            share = (known + begun_at.elapsed().as_secs_f64() / self.0.reading.as_secs_f64()).min(1.0);
+            share =
+                (known + begun_at.elapsed().as_secs_f64() / self.0.reading.as_secs_f64()).min(1.0);
             back_up(share);
         }
-        self.0.record.write(&format!("{} makes the first token of {attempt}", self.0.id));
+        self.0
+            .record
+            .write(&format!("{} makes the first token of {attempt}", self.0.id));
         let signature = format!("sig.{}.{attempt}", self.0.id);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
@@ -263,7 +306,9 @@
                 if span.is_stopped {
                     span.has_ended = true;
                     drop(spans);
-                    self.0.record.write(&format!("{} stops {attempt} on order", self.0.id));
+                    self.0
+                        .record
+                        .write(&format!("{} stops {attempt} on order", self.0.id));
                     return;
                 }
                 span.first_at.get_or_insert_with(Instant::now);
@@ -276,7 +321,10 @@
             is_sent &= (&*stream).write_all(chunk.as_bytes()).is_ok();
             if !is_sent && !is_lost {
                 // It drops a request when its connection closes.
-                self.0.record.write(&format!("{} drops {attempt} after event {number}", self.0.id));
+                self.0.record.write(&format!(
+                    "{} drops {attempt} after event {number}",
+                    self.0.id
+                ));
                 self.lock()[place].has_ended = true;
                 return;
             }
@@ -284,7 +332,9 @@
         }
         let _ = (&*stream).write_all(b"0\r\n\r\n");
         self.lock()[place].has_ended = true;
-        self.0.record.write(&format!("{} has ended {attempt}", self.0.id));
+        self.0
+            .record
+            .write(&format!("{} has ended {attempt}", self.0.id));
         if let Some(backup) = backup {
             self.0.copies.take(backup, &attempt);
         }
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -67,14 +67,19 @@
         if line.is_empty() {
             break;
         }
-        let (name, value) = line.split_once(':').ok_or_else(|| broken("a header has no colon"))?;
-        message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+        let (name, value) = line
+            .split_once(':')
+            .ok_or_else(|| broken("a header has no colon"))?;
+        message
+            .headers
+            .push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
     if message.header("transfer-encoding").is_some() {
         loop {
             line.clear();
             reader.read_line(&mut line)?;
-            let size = usize::from_str_radix(line.trim(), 16).map_err(|_| broken("a chunk has no size"))?;
+            let size = usize::from_str_radix(line.trim(), 16)
+                .map_err(|_| broken("a chunk has no size"))?;
             let mut chunk = vec![0; size + 2];
             reader.read_exact(&mut chunk)?;
             if size == 0 {
@@ -83,7 +88,9 @@
             message.body.extend_from_slice(&chunk[..size]);
         }
     } else if let Some(length) = message.header("content-length") {
-        let length = length.parse().map_err(|_| broken("the length is no number"))?;
+        let length = length
+            .parse()
+            .map_err(|_| broken("the length is no number"))?;
         message.body = vec![0; length];
         reader.read_exact(&mut message.body)?;
     }
@@ -126,7 +133,10 @@
     let stream = TcpStream::connect_timeout(&address, limit)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(limit))?;
-    let mut text = format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/review/standins-3/src/leaving.rs
+++ b/review/standins-3/src/leaving.rs
@@ -29,7 +29,11 @@
     let (addresses, folder) = (Addresses::new(), Folder::create());
     let store = Store::start(addresses.at(1, 8742));
     let zones = ["sahel-kairouan", "sahel-sousse", "sahel-sfax"];
-    store.put("config", "main", &config(10, "souk-a", 1_000, [&["key-1"], &["key-2"]]));
+    store.put(
+        "config",
+        "main",
+        &config(10, "souk-a", 1_000, [&["key-1"], &["key-2"]]),
+    );
     let replicas: Vec<Replica> = (0..3)
         .map(|number| {
             let place = Place {
@@ -44,7 +48,12 @@
             Replica::start(place, WORK, HEARTBEAT, offset, &store, record)
         })
         .collect();
-    let place = site::Place { addresses: &addresses, store: store.address, folder: &folder, bounds: &SMALL };
+    let place = site::Place {
+        addresses: &addresses,
+        store: store.address,
+        folder: &folder,
+        bounds: &SMALL,
+    };
     // As on the sheet: four in three zones.
     let gateways: Vec<Gateway> = [(0, 1), (1, 1), (1, 2), (2, 1)]
         .into_iter()
@@ -78,22 +87,34 @@
     // the gateways.
     std::thread::sleep(seconds(0.5));
     let copy = store.copy();
-    record.write(&format!("the copy is made at revision {}", store.revision()));
+    record.write(&format!(
+        "the copy is made at revision {}",
+        store.revision()
+    ));
     let drained_at = leaver.drain();
-    record.write(&format!("the store acknowledges that {} is draining", leaver.id()));
+    record.write(&format!(
+        "the store acknowledges that {} is draining",
+        leaver.id()
+    ));
     let at = |offset: f64| drained_at + seconds(offset);
     wait_until(at(1.0));
     std::thread::scope(|scope| {
         scope.spawn(|| {
             wait_until(at(AWAY_AT));
             if has_trouble {
-                record.write(&format!("the store is away at revision {}", store.revision()));
+                record.write(&format!(
+                    "the store is away at revision {}",
+                    store.revision()
+                ));
                 store.go_away();
             }
             wait_until(at(BACK_AT));
             if has_trouble {
                 store.come_back(copy);
-                record.write(&format!("the store is back at revision {}", store.revision()));
+                record.write(&format!(
+                    "the store is back at revision {}",
+                    store.revision()
+                ));
             }
             wait_until(at(EXIT_AT));
             leaver.exit();
@@ -108,7 +129,12 @@
     judge(record, &clients, leaver, drained_at)
 }
 
-fn judge(record: &Record, clients: &Clients, leaver: &Replica, drained_at: Instant) -> Result<Outcome, String> {
+fn judge(
+    record: &Record,
+    clients: &Clients,
+    leaver: &Replica,
+    drained_at: Instant,
+) -> Result<Outcome, String> {
     let drain = Duration::from_millis(SMALL.drain);
     let runs = leaver.runs();
     if !runs.iter().any(|run| run.at < drained_at) {
@@ -117,9 +143,18 @@
     let sent = clients.sent();
     let after: Vec<_> = runs.iter().filter(|run| run.at > drained_at).collect();
     let acknowledged_at = drained_at + seconds(1.0);
-    let between = sent.iter().filter(|sent| sent.at > acknowledged_at && sent.at < drained_at + drain).count();
-    let early = after.iter().filter(|run| run.at <= drained_at + drain).count();
-    let late: Vec<_> = after.iter().filter(|run| run.at > drained_at + drain).collect();
+    let between = sent
+        .iter()
+        .filter(|sent| sent.at > acknowledged_at && sent.at < drained_at + drain)
+        .count();
+    let early = after
+        .iter()
+        .filter(|run| run.at <= drained_at + drain)
+        .count();
+    let late: Vec<_> = after
+        .iter()
+        .filter(|run| run.at > drained_at + drain)
+        .collect();
     let lost: Vec<&str> = late
         .iter()
         .filter(|run| {
--- a/review/standins-3/src/loaded.rs
+++ b/review/standins-3/src/loaded.rs
@@ -24,7 +24,10 @@
 const PER_S: f64 = 100.0;
 const WORK: Duration = Duration::from_millis(50);
 /// "several times slower", "under load": with half of the slots taken.
-const FAULT: Fault = Fault { from_running: 3, factor: 4 };
+const FAULT: Fault = Fault {
+    from_running: 3,
+    factor: 4,
+};
 /// The bounds of the rule.
 const ROLLBACK: Duration = Duration::from_millis(5_000);
 const BAD_ANSWERS: usize = 50;
@@ -33,7 +36,11 @@
     let (addresses, folder) = (Addresses::new(), Folder::create());
     let store = Store::start(addresses.at(1, 8742));
     let zones = ["sahel-kairouan", "sahel-sousse", "sahel-sfax"];
-    store.put("config", "main", &config(10, "souk-a", 1_000, [&["key-1"], &["key-2"]]));
+    store.put(
+        "config",
+        "main",
+        &config(10, "souk-a", 1_000, [&["key-1"], &["key-2"]]),
+    );
     let start = |host: u8, version: &str, fault| {
         let number = usize::from(host) % 3;
         let place = Place {
@@ -48,7 +55,12 @@
         Replica::start(place, WORK, HEARTBEAT, offset, &store, record)
     };
     let old: Vec<Replica> = (10..13).map(|host| start(host, "v1", None)).collect();
-    let place = site::Place { addresses: &addresses, store: store.address, folder: &folder, bounds: &SMALL };
+    let place = site::Place {
+        addresses: &addresses,
+        store: store.address,
+        folder: &folder,
+        bounds: &SMALL,
+    };
     // As on the sheet: four in three zones.
     let gateways: Vec<Gateway> = [(0, 1), (1, 1), (1, 2), (2, 1)]
         .into_iter()
@@ -71,14 +83,22 @@
     let new = thread::scope(|scope| {
         let operating = scope.spawn(|| {
             wait_until(ordered_at);
-            store.put("rollouts", "souk-a", &json!({"service": "souk-a", "target": "v2", "durationS": DURATION_S}));
+            store.put(
+                "rollouts",
+                "souk-a",
+                &json!({"service": "souk-a", "target": "v2", "durationS": DURATION_S}),
+            );
             record.write("the operator orders v2 of souk-a");
             let fault = has_trouble.then_some(FAULT);
             let new: Vec<Replica> = (13..16).map(|host| start(host, "v2", fault)).collect();
             let mut known = String::new();
             while Instant::now() < end {
                 let status = store.status("rollouts", "souk-a");
-                let phase = status.as_ref().and_then(|status| status["phase"].as_str()).unwrap_or("none").to_owned();
+                let phase = status
+                    .as_ref()
+                    .and_then(|status| status["phase"].as_str())
+                    .unwrap_or("none")
+                    .to_owned();
                 if phase != known {
                     record.write(&format!("the roll-out is {phase}"));
                     let leaving = match phase.as_str() {
@@ -112,18 +132,41 @@
     });
     thread::sleep(Duration::from_millis(1_500));
     let (new, phase) = new;
-    let mut bad: Vec<Instant> = new.iter().flat_map(Replica::runs).filter_map(|run| run.bad_at).collect();
+    let mut bad: Vec<Instant> = new
+        .iter()
+        .flat_map(Replica::runs)
+        .filter_map(|run| run.bad_at)
+        .collect();
     bad.sort();
     let sent = clients.sent();
     let failed = |from: Instant, to: Instant| {
-        let own: Vec<_> = sent.iter().filter(|sent| sent.at >= from && sent.at < to).collect();
-        (own.iter().filter(|sent| sent.status != 200).count(), own.len())
+        let own: Vec<_> = sent
+            .iter()
+            .filter(|sent| sent.at >= from && sent.at < to)
+            .collect();
+        (
+            own.iter().filter(|sent| sent.status != 200).count(),
+            own.len(),
+        )
     };
-    let (before, after) = (failed(began_at, deadline), failed(deadline + seconds(3.0), end));
+    let (before, after) = (
+        failed(began_at, deadline),
+        failed(deadline + seconds(3.0), end),
+    );
     let notes = vec![
-        format!("the roll-out ended as {phase}; the deadline was at {:.1} s", record.seconds(deadline)),
-        format!("orders not answered with success: {} of {} before the deadline, {} of {} from 3 s after it", before.0, before.1, after.0, after.1),
-        format!("bad answers of v2: {}, of these {} before the deadline", bad.len(), bad.iter().filter(|at| **at < deadline).count()),
+        format!(
+            "the roll-out ended as {phase}; the deadline was at {:.1} s",
+            record.seconds(deadline)
+        ),
+        format!(
+            "orders not answered with success: {} of {} before the deadline, {} of {} from 3 s after it",
+            before.0, before.1, after.0, after.1
+        ),
+        format!(
+            "bad answers of v2: {}, of these {} before the deadline",
+            bad.len(),
+            bad.iter().filter(|at| **at < deadline).count()
+        ),
     ];
     let mut broken = Vec::new();
     if let Some(fiftieth) = bad.get(BAD_ANSWERS - 1) {
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -83,7 +83,11 @@
                 record.write(line);
                 println!("{line}");
             }
-            let verdict = if outcome.broken.is_empty() { "the rule held" } else { "the rule was broken" };
+            let verdict = if outcome.broken.is_empty() {
+                "the rule held"
+            } else {
+                "the rule was broken"
+            };
             record.write(verdict);
             println!("{verdict}");
             ExitCode::from(u8::from(!outcome.broken.is_empty()))
--- a/review/standins-3/src/missed.rs
+++ b/review/standins-3/src/missed.rs
@@ -33,13 +33,27 @@
                 id: &format!("i-{number}"),
                 service,
                 zone: zones[number % 3],
-                address: addresses.at(10 + number as u8, 8740), version: "v1", fault: None,
+                address: addresses.at(10 + number as u8, 8740),
+                version: "v1",
+                fault: None,
             };
             let offset = HEARTBEAT.mul_f64(0.1 + number as f64 / 6.0);
-            Replica::start(place, Duration::from_millis(15), HEARTBEAT, offset, &store, record)
+            Replica::start(
+                place,
+                Duration::from_millis(15),
+                HEARTBEAT,
+                offset,
+                &store,
+                record,
+            )
         })
         .collect();
-    let place = site::Place { addresses: &addresses, store: store.address, folder: &folder, bounds: &SMALL };
+    let place = site::Place {
+        addresses: &addresses,
+        store: store.address,
+        folder: &folder,
+        bounds: &SMALL,
+    };
     let gateways: Vec<Gateway> = (0..2)
         .map(|number| {
             let name = format!("edge-{}-1", zones[number]);
@@ -107,10 +121,18 @@
 
 /// Judges requests of machines that are in touch, past all bounds that a disruption of the store
 /// stretches.
-pub fn judge(record: &Record, clients: &Clients, acked_at: Instant, bounds: &Bounds) -> Result<Outcome, String> {
+pub fn judge(
+    record: &Record,
+    clients: &Clients,
+    acked_at: Instant,
+    bounds: &Bounds,
+) -> Result<Outcome, String> {
     let judged_from = bounds.judged_from(acked_at);
     let sent = clients.sent();
-    let before = sent.iter().filter(|sent| sent.at < acked_at && sent.status == 200).count();
+    let before = sent
+        .iter()
+        .filter(|sent| sent.at < acked_at && sent.status == 200)
+        .count();
     if before == 0 {
         return Err("no request was served before the change".to_owned());
     }
@@ -121,8 +143,14 @@
     names.dedup();
     for name in names {
         let own: Vec<_> = judged.iter().filter(|sent| sent.gateway == name).collect();
-        let old_service = own.iter().filter(|sent| sent.status == 200 && sent.body.starts_with("souk-a ")).count();
-        let old_key = own.iter().filter(|sent| sent.status == 200 && sent.key == "key-2").count();
+        let old_service = own
+            .iter()
+            .filter(|sent| sent.status == 200 && sent.body.starts_with("souk-a "))
+            .count();
+        let old_key = own
+            .iter()
+            .filter(|sent| sent.status == 200 && sent.key == "key-2")
+            .count();
         if old_service + old_key > 0 {
             broken.push(format!(
                 "CONFIG: {name}, requests sent from {:.1} s to {:.1} s after version 17 was acknowledged: {old_service} of {} run by the old service, {old_key} run with the dropped key",
--- a/review/standins-3/src/opened.rs
+++ b/review/standins-3/src/opened.rs
@@ -31,7 +31,11 @@
         config["tenants"] = tenants;
         config
     };
-    store.put("config", "main", &version(10, json!([{"name": "tenant-1", "apiKeys": [KEY]}])));
+    store.put(
+        "config",
+        "main",
+        &version(10, json!([{"name": "tenant-1", "apiKeys": [KEY]}])),
+    );
     let replicas: Vec<Replica> = (0..3)
         .map(|number| {
             let place = Place {
@@ -43,10 +47,22 @@
                 fault: None,
             };
             let offset = HEARTBEAT.mul_f64(0.2 + number as f64 / 3.0);
-            Replica::start(place, Duration::from_millis(15), HEARTBEAT, offset, &store, record)
+            Replica::start(
+                place,
+                Duration::from_millis(15),
+                HEARTBEAT,
+                offset,
+                &store,
+                record,
+            )
         })
         .collect();
-    let place = site::Place { addresses: &addresses, store: store.address, folder: &folder, bounds: &SMALL };
+    let place = site::Place {
+        addresses: &addresses,
+        store: store.address,
+        folder: &folder,
+        bounds: &SMALL,
+    };
     let gateways: Vec<Gateway> = (0..2)
         .map(|number| {
             let name = format!("edge-{}-1", zones[number]);
@@ -73,10 +89,16 @@
     };
     let began_at = Instant::now();
     send_until(began_at + seconds(5.0));
-    let tenants = if has_trouble { json!([]) } else { json!([{"name": "tenant-1", "apiKeys": []}]) };
+    let tenants = if has_trouble {
+        json!([])
+    } else {
+        json!([{"name": "tenant-1", "apiKeys": []}])
+    };
     store.put("config", "main", &version(13, tenants.clone()));
     let acked_at = Instant::now();
-    record.write(&format!("the operator writes version 13, whose tenants are {tenants}"));
+    record.write(&format!(
+        "the operator writes version 13, whose tenants are {tenants}"
+    ));
     send_until(acked_at + seconds(8.0));
     wait_until(acked_at + seconds(9.5));
     let sent = clients.sent();
@@ -85,7 +107,13 @@
     let count = |key: &str, is_judged: bool| {
         let of_key = sent.iter().filter(|sent| sent.key == key);
         let of_key: Vec<_> = of_key
-            .filter(|sent| if is_judged { sent.at >= judged_from } else { sent.at < acked_at })
+            .filter(|sent| {
+                if is_judged {
+                    sent.at >= judged_from
+                } else {
+                    sent.at < acked_at
+                }
+            })
             .collect();
         let ran = |sent: &&&site::Sent| runs.iter().any(|run| run.attempt == sent.attempt);
         (of_key.iter().filter(ran).count(), of_key.len())
@@ -101,7 +129,10 @@
     )];
     let mut broken = Vec::new();
     if never.0 + before_never.0 > 0 {
-        broken.push(format!("ROUTE: {} of {} requests with a key that no version ever held run", never.0, never.1));
+        broken.push(format!(
+            "ROUTE: {} of {} requests with a key that no version ever held run",
+            never.0, never.1
+        ));
     }
     if dropped.0 > 0 {
         broken.push(format!(
--- a/review/standins-3/src/record.rs
+++ b/review/standins-3/src/record.rs
@@ -18,14 +18,21 @@
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Record> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Record { file, began_at: Instant::now() })
+        Ok(Record {
+            file,
+            began_at: Instant::now(),
+        })
     }
 
     /// Writes a line with the time in seconds since the start.
     pub fn write(&self, text: &str) {
         let mut file = self.file.lock().unwrap();
         // A full disk shows in the record itself.
-        let _ = writeln!(file, "{:8.3}  {text}", self.began_at.elapsed().as_secs_f64());
+        let _ = writeln!(
+            file,
+            "{:8.3}  {text}",
+            self.began_at.elapsed().as_secs_f64()
+        );
     }
 
     pub fn seconds(&self, at: Instant) -> f64 {
--- a/review/standins-3/src/relay.rs
+++ b/review/standins-3/src/relay.rs
@@ -33,13 +33,27 @@
                 id: &format!("i-{number}"),
                 service,
                 zone: zones[number % 3],
-                address: addresses.at(10 + number as u8, 8740), version: "v1", fault: None,
+                address: addresses.at(10 + number as u8, 8740),
+                version: "v1",
+                fault: None,
             };
             let offset = HEARTBEAT.mul_f64(0.1 + number as f64 / 9.0);
-            Replica::start(place, Duration::from_millis(15), HEARTBEAT, offset, &store, record)
+            Replica::start(
+                place,
+                Duration::from_millis(15),
+                HEARTBEAT,
+                offset,
+                &store,
+                record,
+            )
         })
         .collect();
-    let place = site::Place { addresses: &addresses, store: store.address, folder: &folder, bounds: &GROWN };
+    let place = site::Place {
+        addresses: &addresses,
+        store: store.address,
+        folder: &folder,
+        bounds: &GROWN,
+    };
     let gateways: Vec<Gateway> = (1..=4)
         .map(|number| {
             let name = format!("edge-sahel-sousse-{number}");
--- a/review/standins-3/src/replica.rs
+++ b/review/standins-3/src/replica.rs
@@ -88,7 +88,9 @@
         store: &Store,
         record: &Record,
     ) -> Replica {
-        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let born = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap();
         let replica = Replica(Arc::new(Shared {
             id: place.id.to_owned(),
             service: place.service.to_owned(),
@@ -129,7 +131,11 @@
     fn entry(&self) -> Value {
         let mut state = self.state();
         state.sequence += 1;
-        let phase = if state.is_draining { "draining" } else { "available" };
+        let phase = if state.is_draining {
+            "draining"
+        } else {
+            "available"
+        };
         json!({"service": self.0.service, "address": self.0.address.to_string(), "zone": self.0.zone,
             "version": self.0.version, "batchSlots": SLOTS, "phase": phase, "coldRemainingMs": 0,
             "sequence": state.sequence, "born": self.0.born})
@@ -197,14 +203,24 @@
             if !is_sent {
                 break;
             }
-            let attempt = request.header("x-cactusroad-attempt-id").unwrap_or("").to_owned();
+            let attempt = request
+                .header("x-cactusroad-attempt-id")
+                .unwrap_or("")
+                .to_owned();
             let mut state = self.state();
-            if let Some(run) = state.runs.iter_mut().rev().find(|run| run.attempt == attempt) {
+            if let Some(run) = state
+                .runs
+                .iter_mut()
+                .rev()
+                .find(|run| run.attempt == attempt)
+            {
                 run.is_answered = true;
             }
         }
         let own = stream.peer_addr().ok();
-        self.state().connections.retain(|open| open.peer_addr().ok() != own);
+        self.state()
+            .connections
+            .retain(|open| open.peer_addr().ok() != own);
         let _ = stream.shutdown(Shutdown::Both);
     }
 
@@ -218,7 +234,10 @@
             headers.push(("X-Cactusroad-Replica-Id", &self.0.id));
             return http::response(if is_draining { 503 } else { 200 }, &headers, b"");
         }
-        let attempt = request.header("x-cactusroad-attempt-id").unwrap_or("").to_owned();
+        let attempt = request
+            .header("x-cactusroad-attempt-id")
+            .unwrap_or("")
+            .to_owned();
         if attempt.is_empty() {
             headers.push(("X-Cactusroad-Not-Executed", "1"));
             return http::response(400, &headers, b"");
@@ -230,15 +249,26 @@
             return http::response(421, &headers, b"");
         }
         let (place, running) = {
-            let state = self.0.freed.wait_while(self.state(), |state| state.running >= SLOTS);
+            let state = self
+                .0
+                .freed
+                .wait_while(self.state(), |state| state.running >= SLOTS);
             let mut state = state.unwrap();
-            let run = Run { attempt: attempt.clone(), at: Instant::now(), is_answered: false, bad_at: None };
+            let run = Run {
+                attempt: attempt.clone(),
+                at: Instant::now(),
+                is_answered: false,
+                bad_at: None,
+            };
             state.runs.push(run);
             state.running += 1;
             (state.runs.len() - 1, state.running - 1)
         };
         let tenant = request.header("x-cactusroad-tenant-id").unwrap_or("-");
-        self.0.record.write(&format!("{} ({}) runs {attempt} for tenant {tenant}", self.0.id, self.0.service));
+        self.0.record.write(&format!(
+            "{} ({}) runs {attempt} for tenant {tenant}",
+            self.0.id, self.0.service
+        ));
         let fault = self.0.fault.filter(|fault| running >= fault.from_running);
         thread::sleep(self.0.work * fault.map_or(1, |fault| fault.factor));
         {
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -26,12 +26,22 @@
 }
 
 /// Those of `sites/babouche-route.toml`.
-pub const SMALL: Bounds =
-    Bounds { contact: 3_000, drain: 2_000, config_apply: 2_000, skew: 5_000, retry_min_extra: 52 };
+pub const SMALL: Bounds = Bounds {
+    contact: 3_000,
+    drain: 2_000,
+    config_apply: 2_000,
+    skew: 5_000,
+    retry_min_extra: 52,
+};
 
 /// Those of `grown/babouche-route-grown.toml`.
-pub const GROWN: Bounds =
-    Bounds { contact: 4_000, drain: 3_000, config_apply: 3_000, skew: 6_000, retry_min_extra: 100 };
+pub const GROWN: Bounds = Bounds {
+    contact: 4_000,
+    drain: 3_000,
+    config_apply: 3_000,
+    skew: 6_000,
+    retry_min_extra: 100,
+};
 
 impl Bounds {
     /// Returns when requests are judged that must be handled as the configuration says that was
@@ -59,7 +69,9 @@
             let addresses = Addresses { block };
             let is_free = |host| {
                 let ports = [8740, 8742, 8748, 8749, 9464];
-                ports.iter().all(|port| std::net::TcpListener::bind(addresses.at(host, *port)).is_ok())
+                ports
+                    .iter()
+                    .all(|port| std::net::TcpListener::bind(addresses.at(host, *port)).is_ok())
             };
             if (1..=20).all(is_free) {
                 return addresses;
@@ -136,7 +148,12 @@
 impl Gateway {
     /// Starts a gateway with the command of the deploy file.
     pub fn start(name: &str, zone: &str, host: u8, place: &Place<'_>) -> Gateway {
-        let Place { addresses, store, folder, bounds } = place;
+        let Place {
+            addresses,
+            store,
+            folder,
+            bounds,
+        } = place;
         let [callers, readiness, peers] = [8740, 8749, 8748].map(|port| addresses.at(host, port));
         let settings = json!({
             "nodeName": name, "nodeRole": "gateway", "machineClass": "edge",
@@ -164,14 +181,27 @@
         });
         let path = folder.0.join(format!("{name}.json"));
         fs::write(&path, settings.to_string()).expect("the settings can be written");
-        let command = ["gateway", "--metrics", "9464", "--policy", "deploy/policy.json"];
+        let command = [
+            "gateway",
+            "--metrics",
+            "9464",
+            "--policy",
+            "deploy/policy.json",
+        ];
         let child = spawn(name, &command, &path);
-        Gateway { name: name.to_owned(), callers, readiness, child }
+        Gateway {
+            name: name.to_owned(),
+            callers,
+            readiness,
+            child,
+        }
     }
 
     /// Starts the sidecar of the engine on the same machine with the command of the deploy file.
     pub fn start_sidecar(name: &str, zone: &str, host: u8, place: &Place<'_>) -> Gateway {
-        let Place { addresses, folder, .. } = place;
+        let Place {
+            addresses, folder, ..
+        } = place;
         let settings = json!({
             "nodeName": name, "nodeRole": "sidecar", "machineClass": "side", "servingRoles": [],
             "ipAddress": addresses.ip(host).to_string(), "zone": zone, "region": "sahel",
@@ -184,7 +214,12 @@
         fs::write(&path, settings.to_string()).expect("the settings can be written");
         let child = spawn(name, &["sidecar"], &path);
         let none = addresses.at(host, 0);
-        Gateway { name: name.to_owned(), callers: none, readiness: none, child }
+        Gateway {
+            name: name.to_owned(),
+            callers: none,
+            readiness: none,
+            child,
+        }
     }
 
     /// Waits until the gateway says that it is ready.
@@ -192,7 +227,14 @@
         let deadline = Instant::now() + limit;
         while Instant::now() < deadline {
             let headers = [("Host", "x")];
-            let asked = http::call(self.readiness, "GET", "/v1/readyz", &headers, b"", Duration::from_secs(1));
+            let asked = http::call(
+                self.readiness,
+                "GET",
+                "/v1/readyz",
+                &headers,
+                b"",
+                Duration::from_secs(1),
+            );
             if asked.is_ok_and(|answer| answer.status() == 200) {
                 return true;
             }
@@ -245,17 +287,46 @@
 
 impl Clients {
     pub fn new(record: &Record) -> Clients {
-        Clients { record: record.clone(), sent: Arc::default() }
+        Clients {
+            record: record.clone(),
+            sent: Arc::default(),
+        }
     }
 
     /// Sends a request without waiting for its answer.
-    pub fn send(&self, gateway: &Gateway, path: &str, key: &str, attempt: &str) -> thread::JoinHandle<()> {
-        self.exchange(gateway, path, key, attempt, ("1000", ""), Duration::from_secs(2))
+    pub fn send(
+        &self,
+        gateway: &Gateway,
+        path: &str,
+        key: &str,
+        attempt: &str,
+    ) -> thread::JoinHandle<()> {
+        self.exchange(
+            gateway,
+            path,
+            key,
+            attempt,
+            ("1000", ""),
+            Duration::from_secs(2),
+        )
     }
 
     /// Sends a request for a stream, with 3,000 prompt tokens and at most 160 of output.
-    pub fn send_stream(&self, gateway: &Gateway, path: &str, key: &str, attempt: &str) -> thread::JoinHandle<()> {
-        self.exchange(gateway, path, key, attempt, ("39000", "3000,160"), Duration::from_secs(8))
+    pub fn send_stream(
+        &self,
+        gateway: &Gateway,
+        path: &str,
+        key: &str,
+        attempt: &str,
+    ) -> thread::JoinHandle<()> {
+        self.exchange(
+            gateway,
+            path,
+            key,
+            attempt,
+            ("39000", "3000,160"),
+            Duration::from_secs(8),
+        )
     }
 
     fn exchange(
@@ -272,9 +343,16 @@
         let clients = self.clone();
         thread::spawn(move || {
             let at = Instant::now();
-            clients.record.write(&format!("client sends {attempt} to {name}: POST {path} with {key}"));
+            clients.record.write(&format!(
+                "client sends {attempt} to {name}: POST {path} with {key}"
+            ));
             let authorization = format!("Bearer {key}");
-            let parts = format!("5c1e07a2:40,{:x}:2960", attempt.bytes().fold(7_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(byte))));
+            let parts = format!(
+                "5c1e07a2:40,{:x}:2960",
+                attempt.bytes().fold(7_u64, |sum, byte| sum
+                    .wrapping_mul(31)
+                    .wrapping_add(u64::from(byte)))
+            );
             let mut headers = vec![
                 ("Host", HOST),
                 ("X-Cactusroad-Attempt-Id", &*attempt),
@@ -291,12 +369,24 @@
             let body = format!("body of {attempt}");
             let answer = http::call(address, "POST", &path, &headers, body.as_bytes(), limit);
             let (status, body) = match &answer {
-                Ok(answer) => (answer.status(), String::from_utf8_lossy(&answer.body).into_owned()),
+                Ok(answer) => (
+                    answer.status(),
+                    String::from_utf8_lossy(&answer.body).into_owned(),
+                ),
                 Err(cause) => (0, cause.to_string()),
             };
             let shown = body.trim_end().rsplit('\n').next().unwrap_or("").to_owned();
-            clients.record.write(&format!("client gets {status} for {attempt}: {shown}"));
-            clients.sent.lock().unwrap().push(Sent { attempt, gateway: name, key, at, status, body });
+            clients
+                .record
+                .write(&format!("client gets {status} for {attempt}: {shown}"));
+            clients.sent.lock().unwrap().push(Sent {
+                attempt,
+                gateway: name,
+                key,
+                at,
+                status,
+                body,
+            });
         })
     }
 
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -110,7 +110,8 @@
         if state.is_away {
             return None;
         }
-        let status = find(&state.data, kind, name).map_or(Value::Null, |known| known.status.clone());
+        let status =
+            find(&state.data, kind, name).map_or(Value::Null, |known| known.status.clone());
         let object = Object {
             kind: kind.to_owned(),
             name: name.to_owned(),
@@ -187,8 +188,10 @@
                 return Some(found.map_or((404, Value::Null), |object| (200, object.json())));
             }
             let objects = state.data.objects.iter();
-            let entries: Vec<Value> =
-                objects.filter(|object| object.kind == kind).map(Object::json).collect();
+            let entries: Vec<Value> = objects
+                .filter(|object| object.kind == kind)
+                .map(Object::json)
+                .collect();
             let at = state.data.revision;
             return Some((200, json!({"entries": entries, "hasMore": false, "at": at})));
         }
@@ -217,17 +220,34 @@
             if !events.is_empty() || now >= deadline {
                 return Some((200, json!({"events": events, "at": at})));
             }
-            state = self.shared.changed.wait_timeout(state, deadline - now).unwrap().0;
+            state = self
+                .shared
+                .changed
+                .wait_timeout(state, deadline - now)
+                .unwrap()
+                .0;
         }
     }
 
-    fn write(&self, method: &str, kind: &str, name: &str, query: &str, body: &Value) -> (u16, Value) {
+    fn write(
+        &self,
+        method: &str,
+        kind: &str,
+        name: &str,
+        query: &str,
+        body: &Value,
+    ) -> (u16, Value) {
         let (name, is_status) = match name.strip_suffix("/status") {
             Some(name) => (name, true),
             None => (name, false),
         };
-        let name = if name.is_empty() { body["metadata"]["name"].as_str().unwrap_or("") } else { name };
-        let expected = http::parameter(query, "revision").or_else(|| body["metadata"]["revision"].as_u64());
+        let name = if name.is_empty() {
+            body["metadata"]["name"].as_str().unwrap_or("")
+        } else {
+            name
+        };
+        let expected =
+            http::parameter(query, "revision").or_else(|| body["metadata"]["revision"].as_u64());
         let mut state = self.state();
         let known = find(&state.data, kind, name).cloned();
         if let (Some(expected), Some(known)) = (expected, &known)
@@ -277,11 +297,14 @@
 fn change(data: &mut Copy, mut object: Object, deleted: bool) -> Object {
     data.revision += 1;
     object.revision = data.revision;
-    data.objects.retain(|known| known.kind != object.kind || known.name != object.name);
+    data.objects
+        .retain(|known| known.kind != object.kind || known.name != object.name);
     if !deleted {
         data.objects.push(object.clone());
-        data.objects.sort_by(|a, b| (&a.kind, &a.name).cmp(&(&b.kind, &b.name)));
+        data.objects
+            .sort_by(|a, b| (&a.kind, &a.name).cmp(&(&b.kind, &b.name)));
     }
-    data.history.push((object.revision, deleted, object.clone()));
+    data.history
+        .push((object.revision, deleted, object.clone()));
     object
 }
--- a/review/standins-3/src/twice.rs
+++ b/review/standins-3/src/twice.rs
@@ -49,12 +49,31 @@
     let engines: Vec<Engine> = (0..6)
         .map(|number| {
             let address = addresses.at(10 + number as u8, 8740);
-            Engine::start(&format!("e-{number}"), zones[number % 3], address, &pool, HEARTBEAT, &store)
+            Engine::start(
+                &format!("e-{number}"),
+                zones[number % 3],
+                address,
+                &pool,
+                HEARTBEAT,
+                &store,
+            )
         })
         .collect();
-    let place = site::Place { addresses: &addresses, store: store.address, folder: &folder, bounds: &SMALL };
+    let place = site::Place {
+        addresses: &addresses,
+        store: store.address,
+        folder: &folder,
+        bounds: &SMALL,
+    };
     let _sidecars: Vec<Gateway> = (0..6)
-        .map(|number| Gateway::start_sidecar(&format!("side-{number}"), zones[number % 3], 10 + number as u8, &place))
+        .map(|number| {
+            Gateway::start_sidecar(
+                &format!("side-{number}"),
+                zones[number % 3],
+                10 + number as u8,
+                &place,
+            )
+        })
         .collect();
     let gateway = Gateway::start("edge-sahel-kairouan-1", zones[0], 2, &place);
     if !gateway.wait_ready(Duration::from_secs(10)) {
@@ -68,7 +87,12 @@
             wait_until(began_at + seconds(f64::from(number) * 0.25));
             // The answer of one stream in twenty is lost.
             let kind = if number % 20 == 10 { "lost" } else { "sound" };
-            clients.send_stream(&gateway, "/drafts/new", "key-1", &format!("{kind}-{number:03}"))
+            clients.send_stream(
+                &gateway,
+                "/drafts/new",
+                "key-1",
+                &format!("{kind}-{number:03}"),
+            )
         })
         .collect();
     for send in sends {
@@ -80,7 +104,11 @@
         let own = sent.iter().filter(|sent| sent.attempt.starts_with(kind));
         let own: Vec<_> = own.collect();
         let is_whole = |sent: &&&site::Sent| sent.status == 200 && sent.body.ends_with("40\n\n");
-        format!("{} of {} {kind} streams were answered whole", own.iter().filter(is_whole).count(), own.len())
+        format!(
+            "{} of {} {kind} streams were answered whole",
+            own.iter().filter(is_whole).count(),
+            own.len()
+        )
     };
     let notes = vec![whole("sound"), whole("lost")];
     let mut broken = Vec::new();
@@ -91,7 +119,9 @@
             .filter(|(_, span)| span.attempt == request.attempt)
             .collect();
         for (later, span) in spans.iter().filter(|(_, span)| span.is_resumed) {
-            let Some(went_on_at) = span.first_at else { continue };
+            let Some(went_on_at) = span.first_at else {
+                continue;
+            };
             for (before, first) in spans.iter().filter(|(_, span)| !span.is_resumed) {
                 let overlap = first.last_at.saturating_duration_since(went_on_at);
                 if first.first_at.is_some() && overlap > ALLOWED {
