review: case 15, a resumed stream starts over after a lost answer

A client that resumes a stream with Last-Event-Id gets events twice if the answer of its engine is lost: the gateway goes on from the copy with Last-Event-Id 0.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/release/review-standins-3
 [ -x "$program" ] && [ -x target/release/cactusroad ] || exit 2
-exec "$program" opened review/15/record.txt
+exec "$program" resumed review/15/record.txt
--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -18,7 +18,6 @@
 const CHUNK: Duration = Duration::from_millis(20);
 /// How often the memory of a run is sent to its backup.
 const BACKUP_INTERVAL: Duration = Duration::from_millis(200);
-const EVENT_INTERVAL: Duration = Duration::from_millis(60);
 
 /// The copies at all engines: where one is and of which run, and the share of the prompt in it.
 #[derive(Clone, Default)]
@@ -54,6 +53,7 @@
     born: u64,
     reading: Duration,
     events: u64,
+    interval: Duration,
     /// The answers to requests with this beginning of their id are lost, once each.
     loses: Option<String>,
     copies: Copies,
@@ -74,6 +74,8 @@
     /// The time to read a whole prompt, and the events of a whole stream.
     pub reading: Duration,
     pub events: u64,
+    /// The time between two events.
+    pub interval: Duration,
     pub loses: Option<String>,
     pub lost: Arc<Mutex<Vec<String>>>,
 }
@@ -99,6 +101,7 @@
             born: born.as_millis() as u64,
             reading: pool.reading,
             events: pool.events,
+            interval: pool.interval,
             loses: pool.loses.clone(),
             copies: pool.copies.clone(),
             record: pool.record.clone(),
@@ -243,9 +246,10 @@
             is_lost
         };
         self.0.record.write(&format!(
-            "{} begins to read {attempt}, {:.0} in 100 of it known",
+            "{} begins to read {attempt}, {:.0} in 100 of it known; Last-Event-Id: {}, Kv-From: {source}",
             self.0.id,
-            known * 100.0
+            known * 100.0,
+            header("last-event-id")
         ));
         let place = {
             let mut spans = self.lock();
@@ -298,7 +302,7 @@
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
              X-Cactusroad-Attempt-Id: {attempt}\r\nX-Cactusroad-Replica-Signature: {signature}\r\n\r\n"
         );
-        let mut is_sent = (&*stream).write_all(head.as_bytes()).is_ok();
+        let mut is_sent = !is_lost && (&*stream).write_all(head.as_bytes()).is_ok();
         for number in first_event..=self.0.events {
             {
                 let mut spans = self.lock();
@@ -318,7 +322,7 @@
             back_up(1.0);
             let event = format!("id: {number}\ndata: {attempt} {number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            is_sent &= (&*stream).write_all(chunk.as_bytes()).is_ok();
+            is_sent = is_sent && (&*stream).write_all(chunk.as_bytes()).is_ok();
             if !is_sent && !is_lost {
                 // It drops a request when its connection closes.
                 self.0.record.write(&format!(
@@ -328,7 +332,7 @@
                 self.lock()[place].has_ended = true;
                 return;
             }
-            thread::sleep(EVENT_INTERVAL);
+            thread::sleep(self.0.interval);
         }
         let _ = (&*stream).write_all(b"0\r\n\r\n");
         self.lock()[place].has_ended = true;
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -14,6 +14,7 @@
 mod record;
 mod relay;
 mod replica;
+mod resumed;
 mod site;
 mod store;
 mod twice;
@@ -58,6 +59,7 @@
         "loaded" => loaded::play,
         "leaving" => leaving::play,
         "opened" => opened::play,
+        "resumed" => resumed::play,
         _ => {
             eprintln!("no case {case}");
             return ExitCode::from(2);
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -43,6 +43,15 @@
     retry_min_extra: 100,
 };
 
+/// Those of `demands/punktwerk-zrh-grown.toml`.
+pub const PUNKTWERK: Bounds = Bounds {
+    contact: 4_000,
+    drain: 3_000,
+    config_apply: 3_000,
+    skew: 6_000,
+    retry_min_extra: 98,
+};
+
 impl Bounds {
     /// Returns when requests are judged that must be handled as the configuration says that was
     /// acknowledged at `acked_at`, whatever disruption of the store came shortly before: after
@@ -222,6 +231,11 @@
         }
     }
 
+    /// Kills the process.
+    pub fn kill(&self) {
+        kill(&self.child);
+    }
+
     /// Waits until the gateway says that it is ready.
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let deadline = Instant::now() + limit;
--- a/review/standins-3/src/twice.rs
+++ b/review/standins-3/src/twice.rs
@@ -43,6 +43,7 @@
         record: record.clone(),
         reading: Duration::from_millis(800),
         events: 40,
+        interval: Duration::from_millis(60),
         loses: has_trouble.then(|| "lost-".to_owned()),
         lost: Arc::default(),
     };
