--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -12,7 +12,7 @@
 
 use serde_json::json;
 
-use crate::{http, record::Record, seconds, store::Store};
+use crate::{http, record::Record, seconds, store::Store, wait_until};
 
 /// The step in which a prompt is read.
 const CHUNK: Duration = Duration::from_millis(20);
@@ -43,7 +43,8 @@
     pub first_at: Option<Instant>,
     pub last_at: Instant,
     pub events: u64,
-    has_ended: bool,
+    /// When it dropped, stopped or completed the request.
+    pub ended_at: Option<Instant>,
     is_stopped: bool,
 }
 
@@ -60,6 +61,8 @@
     record: Record,
     spans: Mutex<Vec<Span>>,
     lost: Arc<Mutex<Vec<String>>>,
+    /// Until when its machine stands still.
+    wakes_at: Mutex<Option<Instant>>,
 }
 
 /// An engine; clones are the same one.
@@ -107,6 +110,7 @@
             record: pool.record.clone(),
             spans: Mutex::default(),
             lost: Arc::clone(&pool.lost),
+            wakes_at: Mutex::default(),
         }));
         let listener = TcpListener::bind(address).expect("the engine's port is free");
         let served = engine.clone();
@@ -114,6 +118,7 @@
         let (store, zone, beating) = (store.clone(), zone.to_owned(), engine.clone());
         thread::spawn(move || {
             for sequence in 1_u64.. {
+                beating.wait_awake();
                 let entry = json!({"service": "makers", "address": beating.0.address.to_string(), "zone": zone,
                     "version": "v1", "batchSlots": 24, "phase": "available", "coldRemainingMs": 0,
                     "sequence": sequence, "born": beating.0.born});
@@ -128,6 +133,28 @@
         &self.0.id
     }
 
+    /// Returns the number of runs that have begun and not ended.
+    pub fn open_runs(&self) -> usize {
+        let spans = self.lock();
+        let open = spans
+            .iter()
+            .filter(|span| span.first_at.is_some() && span.ended_at.is_none());
+        open.count()
+    }
+
+    /// Lets the engine stand still: connections open, but nothing is read, made or sent.
+    pub fn freeze(&self, length: Duration) {
+        *self.0.wakes_at.lock().unwrap() = Some(Instant::now() + length);
+    }
+
+    /// Waits until the engine does not stand still.
+    fn wait_awake(&self) {
+        let wakes_at = *self.0.wakes_at.lock().unwrap();
+        if let Some(at) = wakes_at {
+            wait_until(at);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<Span>> {
         self.0.spans.lock().unwrap()
     }
@@ -140,6 +167,7 @@
     fn serve(&self, stream: TcpStream) {
         let mut reader = BufReader::new(&stream);
         while let Ok(Some(request)) = http::read(&mut reader) {
+            self.wait_awake();
             let bytes = match (request.method(), request.target().0) {
                 ("GET", "/v1/report") => self.report(),
                 ("GET", "/healthz") => {
@@ -161,7 +189,10 @@
 
     fn report(&self) -> Vec<u8> {
         let spans = self.lock();
-        let open: Vec<&Span> = spans.iter().filter(|span| !span.has_ended).collect();
+        let open: Vec<&Span> = spans
+            .iter()
+            .filter(|span| span.ended_at.is_none())
+            .collect();
         let running = open.iter().filter(|span| span.first_at.is_some());
         let executions: Vec<_> = running
             .map(|span| json!([span.attempt, 3_000 + 4 * span.events, span.events, 0]))
@@ -185,7 +216,7 @@
             order["target"].as_str().and_then(|text| text.parse().ok());
         let mut spans = self.lock();
         let exists = |span: &&mut Span| {
-            span.attempt == attempt && span.first_at.is_some() && !span.has_ended
+            span.attempt == attempt && span.first_at.is_some() && span.ended_at.is_none()
         };
         let found = spans.iter_mut().find(exists);
         let status = if found.is_some() { 200 } else { 404 };
@@ -259,7 +290,7 @@
                 first_at: None,
                 last_at: Instant::now(),
                 events: 0,
-                has_ended: false,
+                ended_at: None,
                 is_stopped: false,
             });
             spans.len() - 1
@@ -290,6 +321,7 @@
         };
         while share < 1.0 {
             thread::sleep(CHUNK);
+            self.wait_awake();
             share =
                 (known + begun_at.elapsed().as_secs_f64() / self.0.reading.as_secs_f64()).min(1.0);
             back_up(share);
@@ -304,11 +336,12 @@
         );
         let mut is_sent = !is_lost && (&*stream).write_all(head.as_bytes()).is_ok();
         for number in first_event..=self.0.events {
+            self.wait_awake();
             {
                 let mut spans = self.lock();
                 let span = &mut spans[place];
                 if span.is_stopped {
-                    span.has_ended = true;
+                    span.ended_at = Some(Instant::now());
                     drop(spans);
                     self.0
                         .record
@@ -329,13 +362,13 @@
                     "{} drops {attempt} after event {number}",
                     self.0.id
                 ));
-                self.lock()[place].has_ended = true;
+                self.lock()[place].ended_at = Some(Instant::now());
                 return;
             }
             thread::sleep(self.0.interval);
         }
         let _ = (&*stream).write_all(b"0\r\n\r\n");
-        self.lock()[place].has_ended = true;
+        self.lock()[place].ended_at = Some(Instant::now());
         self.0
             .record
             .write(&format!("{} has ended {attempt}", self.0.id));
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -6,6 +6,7 @@
 #![recursion_limit = "256"]
 
 mod engine;
+mod frozen;
 mod http;
 mod leaving;
 mod loaded;
@@ -55,6 +56,7 @@
     let play = match case.as_str() {
         "missed" => missed::play,
         "twice" => twice::play,
+        "frozen" => frozen::play,
         "relay" => relay::play,
         "loaded" => loaded::play,
         "leaving" => leaving::play,
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -82,7 +82,7 @@
                     .iter()
                     .all(|port| std::net::TcpListener::bind(addresses.at(host, *port)).is_ok())
             };
-            if (1..=20).all(is_free) {
+            if (1..=24).all(is_free) {
                 return addresses;
             }
             number = number.wrapping_add(1);
@@ -231,6 +231,13 @@
         }
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.lock().unwrap().id().to_string();
+        let sent = Command::new("kill").args([name, &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "{name} is sent");
+    }
+
     /// Kills the process.
     pub fn kill(&self) {
         kill(&self.child);
