gateway: keep one position of a stream that a caller resumes

Cause: the caller's position was a header that was passed on as it came; the gateway's own began at nothing with each attempt and replaced it as soon as the run went on from a copy.

Change: the position is decoded once and moves with each forwarded event. All requests to engines take their header from it; the caller's own header is not passed on, so an id that is not a plain integer means the same to all engines.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -115,7 +115,8 @@
         |deferral| deferral.rank(class, route.priority),
     );
     // A stream that is resumed has begun already, and its caller waits for the next event.
-    let is_resumed = route.resume && caller.last_event.is_some_and(|last| last > 0);
+    let last_event = caller.last_event.filter(|_| route.resume);
+    let is_resumed = last_event.is_some_and(|last| last > 0);
     let is_deferrable =
         !is_resumed && deferral.is_some_and(|deferral| deferral.is_deferrable(&route));
     let workspace = workspace.map(|workspace| Arc::clone(&workspace.name));
@@ -130,7 +131,7 @@
     let mut job = Job {
         shard,
         request_id: caller.attempt.clone().unwrap_or_else(|| "".into()),
-        headers: replica::forwarded(&head.headers, route.resume),
+        headers: replica::forwarded(&head.headers),
         method: head.method,
         uri: head.uri,
         body: buffered.bytes.clone(),
@@ -138,7 +139,7 @@
         work,
         claim,
         workspace,
-        is_continued: route.resume && caller.last_event.is_some(),
+        last_event,
         side,
         suspects: suspects(digest, caller.parts),
         digest,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -39,8 +39,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) workspace: Option<Arc<str>>,
-    /// Whether the caller has received the begin of the stream, and only reconnects.
-    pub(crate) is_continued: bool,
+    /// The last event that the caller had when it sent the request, if it resumes a stream.
+    pub(crate) last_event: Option<u64>,
     /// From 0 to 9.
     pub(crate) priority: u8,
     /// The tokens of the prompt and the expected tokens of the response.
@@ -121,7 +121,7 @@
     /// Must not be called again for the same request, unless [`Job::retract_start`] has taken
     /// back what was counted before.
     pub(crate) fn record_start(&self, at: Time) {
-        if self.is_continued {
+        if self.last_event.is_some() {
             return;
         }
         if let (Some(duty), Some(workspace)) = (&self.state.duty, &self.workspace) {
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -14,7 +14,7 @@
 };
 
 use cactusroad_core::pool::{Criteria, Endpoint, Purpose, Work};
-use cactusroad_platform::replica::{self, Copied, CopyOrder};
+use cactusroad_platform::replica::{self, Copied, CopyOrder, Source};
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::{
@@ -59,9 +59,8 @@
 pub(crate) struct ResumePoint {
     /// The engine that holds the copy.
     pub(crate) target: Arc<Endpoint>,
-    /// The engine from which the run was copied.
-    pub(crate) source: SocketAddr,
-    pub(crate) handle: Arc<str>,
+    /// The copy, by the engine from which the run was copied.
+    pub(crate) source: Source,
 }
 
 impl Migration {
@@ -107,8 +106,10 @@
             .accepts_runs(&copy.endpoint.id, clock::now());
         is_in_use.then(|| ResumePoint {
             target: Arc::clone(&copy.endpoint),
-            source: self.source,
-            handle,
+            source: Source {
+                address: self.source,
+                name: handle,
+            },
         })
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -394,7 +394,7 @@
         .start(&endpoint, job.work, &job.vm, &job.route.name);
     let started_at = in_flight.started_at;
     let mut call = Call::start(job, &endpoint, started_at);
-    let request = job.endpoint_request(&endpoint, None, None, None);
+    let request = job.endpoint_request(&endpoint, None, None, job.last_event);
     let sent = replica::send(&request, CONNECT_TIMEOUT.min(time_left(job.deadline))).await;
     if let Ok(reply) = &sent {
         in_flight.record_head(reply);
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -82,7 +82,8 @@
     splitter: Splitter,
     /// The memory that the splitter takes beyond [`UNRESERVED_BYTES`].
     reservation: Reservation,
-    /// The id of the last forwarded event.
+    /// The id of the last event that the caller has: the last forwarded one or, before it,
+    /// the one after which the caller resumes the stream.
     last_event: Option<u64>,
     /// The number of forwarded events.
     events: u64,
@@ -179,7 +180,7 @@
             standby: None,
             splitter: Splitter::default(),
             reservation: Reservation::new(&job.state, Use::Responses),
-            last_event: None,
+            last_event: job.last_event,
             events: 0,
             observation: Observation::default(),
             placed_at: clock::now(),
--- a/crates/gateway/src/stream/recover.rs
+++ b/crates/gateway/src/stream/recover.rs
@@ -323,27 +323,29 @@
     ) -> Option<(Arc<Endpoint>, Option<Source>)> {
         if let Some(stopped) = stopped
             && let Some(target) = stopped.take_target()
-            && let Some((address, handle)) = stopped.name()
+            && let Some(source) = stopped.source()
             && self.job.shard.pool().holds_copy(&target.id, clock::now())
         {
             // The last copy replaces that of the migration.
             if let Some(migration) = self.migration.take() {
                 migration.finish(&self.job);
             }
-            return Some((target, Some(self.source(address, handle))));
+            return Some((target, Some(source)));
         }
         if let Some(found) = self
             .migration
             .take()
             .and_then(|migration| migration.finish(&self.job))
         {
-            let source = self.source(found.source, found.handle);
-            return Some((found.target, Some(source)));
+            return Some((found.target, Some(found.source)));
         }
         let decision = self.job.shard.pool().fail_over(&self.run, clock::now());
         match decision {
             Decision::Resume(endpoint) => {
-                let source = self.source(endpoint.address, Arc::clone(&self.job.request_id));
+                let source = Source {
+                    address: endpoint.address,
+                    name: Arc::clone(&self.job.request_id),
+                };
                 Some((endpoint, Some(source)))
             }
             Decision::Rerun => Some((self.choose_rerun().await?, None)),
@@ -360,13 +362,13 @@
     /// Lets the engine that stopped the run continue it, if it still takes requests.
     fn return_to(&self, mut stopped: Stopped) -> Option<(Arc<Endpoint>, Option<Source>)> {
         let engine = Arc::clone(stopped.engine());
-        let (address, handle) = stopped.name()?;
+        let source = stopped.source()?;
         if !self.job.shard.pool().holds_copy(&engine.id, clock::now()) {
             self.record_move_failed(Reason::CopyLeaving.into());
             return None;
         }
         stopped.forget();
-        Some((engine, Some(self.source(address, handle))))
+        Some((engine, Some(source)))
     }
 }
 
--- a/crates/gateway/src/stream/stop.rs
+++ b/crates/gateway/src/stream/stop.rs
@@ -8,7 +8,7 @@
 //!
 //! The copy made by this order is also the best one to resume from, as it lacks no token.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use cactusroad_core::{
     Time,
@@ -120,9 +120,11 @@
     }
 
     /// Returns the copy; it can be used once.
-    pub(super) fn name(&self) -> Option<(SocketAddr, Arc<str>)> {
-        let handle = self.handle.clone()?;
-        Some((self.engine.address, handle))
+    pub(super) fn source(&self) -> Option<Source> {
+        Some(Source {
+            address: self.engine.address,
+            name: self.handle.clone()?,
+        })
     }
 
     /// Keeps the copy from being freed, because a run has gone on from it.
@@ -285,15 +287,6 @@
             Err(cause) => classify(&cause.into()),
         })
     }
-
-    /// Returns a copy to resume from, as the endpoint request names it.
-    pub(super) fn source(&self, address: SocketAddr, name: Arc<str>) -> Source {
-        Source {
-            address,
-            name,
-            last_event: Some(self.last_event.unwrap_or(0)),
-        }
-    }
 }
 
 /// A run was not certainly stopped.
--- a/tests/gateway/failover.rs
+++ b/tests/gateway/failover.rs
@@ -7,12 +7,14 @@
 use std::time::{Duration, Instant};
 
 use cactusroad::platform::standin::{
+    caller,
     operator::{with_stream_resume, with_timeout},
     replica::Behaviour,
 };
+use serde_json::json;
 use tokio::time::sleep;
 
-use crate::site::{IN_FORCE, Site, config, full_stream};
+use crate::site::{IN_FORCE, Site, config, full_stream, stream_after};
 
 const EVENTS: u64 = 120;
 const INTERVAL: Duration = Duration::from_millis(20);
@@ -225,3 +227,55 @@
     assert_eq!(stream.read(usize::MAX).await, Some(true));
     assert_eq!(stream.text, full_stream("s1", EVENTS));
 }
+
+/// Lets callers resume their streams, of which engines keep copies.
+async fn start_resumable(engines: usize, behaviour: Behaviour) -> Site {
+    let site = start(engines, behaviour).await;
+    let mut config = with_timeout(with_stream_resume(config(3)), TIMEOUT_MS);
+    config["services"][0]["runtime"]["backups"] = json!(true);
+    config["services"][0]["runtime"]["migrations"] = json!(true);
+    site.store.put("config", "main", config);
+    sleep(IN_FORCE).await;
+    site
+}
+
+/// The last event that the caller has of a stream that it resumes.
+const RECEIVED: u64 = 3;
+
+/// Sends the rest of a stream, and asserts that it lacks nothing and repeats nothing.
+async fn assert_rest(site: &Site, id: &str, last_event: &str, received: u64) {
+    let headers = [(caller::LAST_EVENT, last_event)];
+    let answer = site.send_with("/drafts/1", id, &headers).await;
+    let answer = answer.expect("the gateway answers");
+    assert!(answer.is_complete, "{:#?}", site.copies.spans(id));
+    assert_eq!(answer.text(), stream_after(id, received, EVENTS));
+}
+
+/// Guards against a stream that a caller has resumed and that starts over from the copy of its
+/// run after its engine has failed without having sent an event.
+#[tokio::test]
+async fn resumed_answer_lost() {
+    let site = start_resumable(3, Behaviour::CutAfter(0)).await;
+    assert_rest(&site, "s1", "3", RECEIVED).await;
+    let spans = site.copies.spans("s1");
+    assert!(spans.iter().any(|span| span.is_resumed), "{spans:#?}");
+}
+
+/// As above for an id of an event that is not a plain integer: it counts for the copy as it
+/// counts for the engine.
+#[tokio::test]
+async fn resumed_answer_lost_decimal() {
+    let site = start_resumable(3, Behaviour::CutAfter(0)).await;
+    assert_rest(&site, "s1", "3.0", RECEIVED).await;
+}
+
+/// As above for an id that no stream has: the stream starts from its beginning, whichever
+/// engine sends it.
+#[tokio::test]
+async fn resumed_id_invalid() {
+    let site = start_resumable(3, Behaviour::CutAfter(0)).await;
+    assert_rest(&site, "s1", "three", 0).await;
+    let seen = site.engines.iter().flat_map(|engine| engine.seen());
+    let mut first = seen.filter(|seen| !seen.is_resumed());
+    assert!(first.all(|seen| !seen.headers.contains_key(caller::LAST_EVENT)));
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -66,7 +66,17 @@
     /// Sends a request with the usual headers. Returns `None` if the connection fails
     /// before the response.
     pub(crate) async fn send(&self, path: &str, id: &str) -> Option<Answer> {
-        exchange(self.callers, request(path, id, &[])).await
+        self.send_with(path, id, &[]).await
+    }
+
+    /// Sends a request with further headers.
+    pub(crate) async fn send_with(
+        &self,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<Answer> {
+        exchange(self.callers, request(path, id, headers)).await
     }
 }
 
@@ -643,7 +653,12 @@
 
 /// Returns the complete text of the stream of a run.
 pub(crate) fn full_stream(id: &str, events: u64) -> String {
-    (1..=events)
+    stream_after(id, 0, events)
+}
+
+/// Returns the text of the stream of a run after the event `last`.
+pub(crate) fn stream_after(id: &str, last: u64, events: u64) -> String {
+    (last + 1..=events)
         .map(|number| format!("id: {number}\ndata: {id} {number}\n\n"))
         .collect()
 }
