gateway: tell states of the store apart across a restore

Cause: a revision was taken for a point in the store's history. After a restore the revisions are given out again, so a watch from an earlier one misses changes without a 410, and a relay's feed keeps older content with higher revisions.

Change: positions are pairs of era and revision (core::history), carried by lists, watches, feeds and relays; the header Store-Era is read in platform::store alone and counts as zero if it is missing. A new era seen by any kind makes all kinds list at once.

Without a restore no call is added.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 //!   [`pool`] chooses endpoints, places copies of runs and recovers runs whose
 //!   engine is lost, [`crash`] finds parts of prompts that crash engines.
 //! * Fleet: [`census`] counts the processes that renew an object in the store,
+//!   [`history`] orders the store's states across its restores,
 //!   [`relay`] decides which gateways watch the store for the others,
 //!   [`member`] is the record of a process, [`spread`] distributes the records
 //!   and the configuration to all processes.
@@ -52,6 +53,7 @@
 pub mod duty;
 pub mod fairness;
 pub mod freshness;
+pub mod history;
 pub mod id;
 pub mod lease;
 pub mod ledger;
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -434,7 +434,7 @@
         RARE_LIMITS
     }
 
-    fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+    fn replace(&mut self, state: &State, objects: &[Object]) {
         for object in objects {
             Reports::apply_object(state, object);
         }
--- a/crates/gateway/src/duty/hold.rs
+++ b/crates/gateway/src/duty/hold.rs
@@ -8,6 +8,7 @@
         lease::{Call, Lease, Record},
         usage::{Decided, Decision},
     },
+    history::Position,
 };
 use cactusroad_platform::store::{Client, Error, Kind, Object};
 use tokio::time::sleep;
@@ -145,16 +146,17 @@
         }
         Call::Read { .. } => {
             let listing = client.list(Kind::Duties).await?;
-            let at = listing.at;
+            let at = listing.at.revision;
             Ok(find(listing.objects).map_or(Answer::Missing(Some(at)), Answer::Object))
         }
         Call::Watch { since } => {
-            let changes = client.watch(Kind::Duties, *since, Duration::ZERO).await;
+            let since = Position::new(client.era(), *since);
+            let changes = client.watch(Kind::Duties, since, Duration::ZERO).await;
             let changes = match changes {
-                Err(Error::Compacted) => return Ok(Answer::Missing(None)),
+                Err(Error::Compacted | Error::Restored { .. }) => return Ok(Answer::Missing(None)),
                 changes => changes?,
             };
-            let at = changes.at;
+            let at = changes.at.revision;
             let mut events = changes.events.into_iter().rev();
             let last = events.find(|event| &*event.object.meta.name == NAME);
             Ok(last.map_or(Answer::Unchanged(at), |last| {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -44,6 +44,18 @@
     DependencyLost { name: &'a str, cause: &'a str },
     /// A dependency can be reached again.
     DependencyRegained { name: &'a str, away_ms: u64 },
+    /// The store was restored from an older copy, and a kind of object was read from it again.
+    StoreRestored {
+        name: &'a str,
+        /// The position that was known before.
+        known_era: u64,
+        known_revision: u64,
+        /// The position of the list.
+        era: u64,
+        revision: u64,
+        /// The number of objects in the list.
+        objects: usize,
+    },
     /// A kind of object is read from another source: from a relay, or from the store if
     /// `relay` is empty.
     Source {
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use cactusroad_core::{freshness::Answer, relay::Limits};
+use cactusroad_core::{freshness::Answer, history::Position, relay::Limits};
 use cactusroad_platform::{
     dial::{self, Connection},
     store::{Changes, Event, Kind, Listing, Meta, Object},
@@ -23,13 +23,13 @@
     Peer(#[from] peer::Error),
     #[error("the relay's state is {age_ms} ms old; see the log of its VM for its store calls")]
     Old { age_ms: u128 },
-    #[error("the relay is at revision {at}, before {known}; it follows a slower source")]
-    Behind { at: u64, known: u64 },
+    #[error("the relay is at {at}, before {known}; it follows a slower source")]
+    Behind { at: Position, known: Position },
     #[error("an object's content is not JSON: {0}; check that both run the same release")]
     Format(#[from] serde_json::Error),
 }
 
-/// What changed since a revision.
+/// What changed since a position.
 #[derive(Debug)]
 pub(crate) enum Update {
     /// The whole list.
@@ -59,17 +59,17 @@
         self.address
     }
 
-    /// Waits for changes of a kind after the revision `since`, or reads the whole list.
+    /// Waits for changes of a kind after the position `since`, or reads the whole list.
     /// Fails if the relay does not answer in time, or if its answer is too old or is of a
-    /// revision before `known`.
+    /// position before `known`.
     pub(crate) async fn read(
         &mut self,
         kind: Kind,
-        since: Option<u64>,
-        known: u64,
+        since: Option<Position>,
+        known: Position,
         limits: &Limits,
     ) -> Result<(Update, Answer), Error> {
-        let since = since.unwrap_or(0);
+        let since = since.unwrap_or(Position::ZERO);
         let sent_at = clock::now();
         let exchange = self.exchange(path(kind, since, limits.wait), limits.timeout);
         let body = timeout(limits.wait + limits.timeout, exchange)
@@ -85,8 +85,9 @@
             let age_ms = answer.age().as_millis();
             return Err(Error::Old { age_ms });
         }
-        if wire.at < known {
-            return Err(Error::Behind { at: wire.at, known });
+        let at = Position::new(wire.era, wire.at);
+        if at < known {
+            return Err(Error::Behind { at, known });
         }
         Ok((decode(wire)?, answer))
     }
@@ -134,7 +135,7 @@
             deleted: change.is_removed,
         });
     }
-    let at = wire.at;
+    let at = Position::new(wire.era, wire.at);
     if !wire.is_whole {
         return Ok(Update::Changed(Changes { events, at }));
     }
--- a/crates/gateway/src/relay/feed.rs
+++ b/crates/gateway/src/relay/feed.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use cactusroad_core::{Time, freshness::Answer};
+use cactusroad_core::{Time, freshness::Answer, history::Position};
 use cactusroad_platform::{
     list,
     store::{Event, Kind, Object},
@@ -24,16 +24,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct Feed {
     state: Mutex<State>,
-    /// The revision up to which all changes are known; zero before the first list.
-    at: watch::Sender<u64>,
+    /// The position up to which all changes are known; zero before the first list.
+    at: watch::Sender<Position>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     /// Sorted by name.
     entries: Vec<Entry>,
-    /// The revision since which all removals are known.
-    complete_since: u64,
+    /// The position since which all removals are known.
+    complete_since: Position,
     /// The time as of which all changes are known.
     as_of: Time,
 }
@@ -41,7 +41,8 @@
 #[derive(Debug)]
 struct Entry {
     name: Arc<str>,
-    revision: u64,
+    /// The position of its last change.
+    at: Position,
     /// The content, or none if the object was removed.
     spec: Option<Bytes>,
 }
@@ -52,8 +53,13 @@
     }
 
     /// Records a whole list.
-    pub(crate) fn replace(&self, objects: &[Object], at: u64, answer: &Answer) {
+    pub(crate) fn replace(&self, objects: &[Object], at: Position, answer: &Answer) {
         let mut state = self.state();
+        if state.complete_since == Position::ZERO || !state.complete_since.is_of_era(at.era) {
+            // Followers at a position of an earlier era get the whole list.
+            state.entries.clear();
+            state.complete_since = at;
+        }
         let is_listed = |name: &Arc<str>| {
             objects
                 .binary_search_by(|object| object.meta.name.cmp(name))
@@ -65,21 +71,18 @@
             .filter(|entry| !is_listed(&entry.name));
         for entry in missing.filter(|entry| entry.spec.is_some()) {
             entry.spec = None;
-            entry.revision = at;
+            entry.at = at;
         }
         for object in objects {
-            state.put(object, object.meta.revision);
-        }
-        if state.complete_since == 0 {
-            state.complete_since = at;
+            state.put(object, Position::new(at.era, object.meta.revision));
         }
         self.confirm(state, at, answer);
     }
 
-    /// Records changes. All of them get the revision `at`: the revision of a removal is
+    /// Records changes. All of them get the position `at`: the revision of a removal is
     /// not known, and an object that was removed and created again must not look older
     /// than its removal.
-    pub(crate) fn apply(&self, kind: Kind, events: &[Event], at: u64, answer: &Answer) {
+    pub(crate) fn apply(&self, kind: Kind, events: &[Event], at: Position, answer: &Answer) {
         let mut state = self.state();
         for event in events {
             let name = &event.object.meta.name;
@@ -92,7 +95,7 @@
         self.confirm(state, at, answer);
     }
 
-    fn confirm(&self, mut state: MutexGuard<'_, State>, at: u64, answer: &Answer) {
+    fn confirm(&self, mut state: MutexGuard<'_, State>, at: Position, answer: &Answer) {
         state.forget_old_removals();
         state.as_of = state.as_of.max(answer.as_of());
         drop(state);
@@ -103,12 +106,12 @@
         });
     }
 
-    /// Waits at most `wait` for changes after the revision `since`. Returns `None` if
+    /// Waits at most `wait` for changes after the position `since`. Returns `None` if
     /// nothing was read yet.
-    pub(super) async fn wait(&self, since: u64, wait: Duration) -> Option<Changes> {
+    pub(super) async fn wait(&self, since: Position, wait: Duration) -> Option<Changes> {
         let asked_at = clock::now();
         let mut at = self.at.subscribe();
-        if *at.borrow_and_update() == 0 {
+        if *at.borrow_and_update() == Position::ZERO {
             return None;
         }
         let changed = async {
@@ -127,7 +130,7 @@
         Some(self.changes(since, asked_at))
     }
 
-    fn changes(&self, since: u64, asked_at: Time) -> Changes {
+    fn changes(&self, since: Position, asked_at: Time) -> Changes {
         let state = self.state();
         let at = *self.at.borrow();
         let is_whole = since < state.complete_since;
@@ -135,19 +138,20 @@
             if is_whole {
                 entry.spec.is_some()
             } else {
-                entry.revision > since
+                entry.at > since
             }
         };
         let change = |entry: &Entry| Change {
             name: entry.name.to_string(),
-            revision: entry.revision,
+            revision: entry.at.revision,
             is_removed: entry.spec.is_none(),
             spec: entry.spec.clone().unwrap_or_default(),
         };
         let now = clock::now();
         let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
         Changes {
-            at,
+            at: at.revision,
+            era: at.era,
             age_us: micros(now.since(state.as_of)),
             held_us: micros(now.since(asked_at)),
             is_whole,
@@ -161,24 +165,24 @@
         self.entries.binary_search_by(|entry| entry.name.cmp(name))
     }
 
-    fn put(&mut self, object: &Object, revision: u64) {
+    fn put(&mut self, object: &Object, at: Position) {
         let spec = object.spec.as_ref().map_or("null", |spec| spec.get());
         let entry = Entry {
             name: Arc::clone(&object.meta.name),
-            revision,
+            at,
             spec: Some(Bytes::copy_from_slice(spec.as_bytes())),
         };
         match self.index(&entry.name) {
-            Ok(index) if self.entries[index].revision <= revision => self.entries[index] = entry,
+            Ok(index) if self.entries[index].at <= at => self.entries[index] = entry,
             Ok(_) => {}
             Err(index) => self.entries.insert(index, entry),
         }
     }
 
-    fn remove(&mut self, name: &Arc<str>, revision: u64) {
+    fn remove(&mut self, name: &Arc<str>, at: Position) {
         if let Ok(index) = self.index(name) {
             self.entries[index].spec = None;
-            self.entries[index].revision = revision;
+            self.entries[index].at = at;
         }
     }
 
@@ -198,11 +202,11 @@
     }
 
     fn forget_old_removals(&mut self) {
-        let mut removed: Vec<u64> = self
+        let mut removed: Vec<Position> = self
             .entries
             .iter()
             .filter(|entry| entry.spec.is_none())
-            .map(|entry| entry.revision)
+            .map(|entry| entry.at)
             .collect();
         if removed.len() <= MAX_REMOVED {
             return;
@@ -210,7 +214,7 @@
         removed.sort_unstable();
         let oldest_kept = removed[removed.len() - MAX_REMOVED / 2];
         self.entries
-            .retain(|entry| entry.spec.is_some() || entry.revision >= oldest_kept);
+            .retain(|entry| entry.spec.is_some() || entry.at >= oldest_kept);
         self.complete_since = self.complete_since.max(oldest_kept);
     }
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -1,7 +1,7 @@
 //! Relays the changes of the store from one gateway to another.
 //!
 //! Each gateway keeps the last change of each object that it knows, in one [`Feed`] for
-//! each kind. A follower asks for the changes since a revision, and the request waits
+//! each kind. A follower asks for the changes since a position, and the request waits
 //! until there are some. Intermediate states of an object are not kept: a follower needs
 //! only the last one. [`cactusroad_core::relay`] decides who follows whom, and whether an
 //! answer is recent enough.
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactusroad_core::relay::Limits;
+use cactusroad_core::{history::Position, relay::Limits};
 use cactusroad_platform::store::Kind;
 use cactusroad_wire as wire;
 use http::StatusCode;
@@ -22,7 +22,8 @@
 
 use crate::state::State;
 
-/// The path below which changes are read: `/changes/KIND/REVISION/WAIT_MS`.
+/// The path below which changes are read: `/changes/KIND/REVISION/WAIT_MS/ERA`. Earlier
+/// releases send no era.
 const PATH: &str = "/changes/";
 
 /// The maximum wait of a follower's request.
@@ -62,8 +63,9 @@
     }
 }
 
-fn path(kind: Kind, since: u64, wait: Duration) -> String {
-    format!("{PATH}{kind}/{since}/{}", wait.as_millis())
+fn path(kind: Kind, since: Position, wait: Duration) -> String {
+    let Position { era, revision } = since;
+    format!("{PATH}{kind}/{revision}/{}/{era}", wait.as_millis())
 }
 
 /// Answers a follower, or returns `None` if the path is of another service.
@@ -74,9 +76,10 @@
         .into_iter()
         .find(|relayed| relayed.to_string() == kind);
     let mut number = || parts.next().and_then(|part| part.parse::<u64>().ok());
-    let (Some(kind), Some(since), Some(wait_ms)) = (kind, number(), number()) else {
+    let (Some(kind), Some(revision), Some(wait_ms)) = (kind, number(), number()) else {
         return Some((StatusCode::BAD_REQUEST, Bytes::new()));
     };
+    let since = Position::new(number().unwrap_or(0), revision);
     let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
     let changes = match state.feeds.get(kind) {
         // A gateway that stops would soon leave its followers without an answer.
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -357,7 +357,7 @@
         RARE_LIMITS
     }
 
-    fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+    fn replace(&mut self, state: &State, objects: &[Object]) {
         for object in objects {
             self.apply_object(state, object);
         }
@@ -426,7 +426,7 @@
         RARE_LIMITS
     }
 
-    fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+    fn replace(&mut self, state: &State, objects: &[Object]) {
         for object in objects {
             Counts::apply_object(state, object);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -109,6 +109,8 @@
     pub(crate) recoveries: watch::Sender<u64>,
     /// Counts the calls to the store that failed.
     pub(crate) watch_failures: watch::Sender<u64>,
+    /// The newest known era of the store's history.
+    pub(crate) era: watch::Sender<u64>,
     /// Set once when the process is asked to stop.
     pub(crate) stopping: watch::Sender<Option<Stop>>,
     /// The number of requests to which the response is not complete yet.
@@ -170,6 +172,7 @@
             freshness: watch::Sender::new(freshness),
             recoveries: watch::Sender::new(0),
             watch_failures: watch::Sender::new(0),
+            era: watch::Sender::new(0),
             stopping: watch::Sender::new(None),
             open_requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
@@ -211,6 +214,15 @@
         }
     }
 
+    /// Records the era of the store's history that an answer has stated.
+    pub(crate) fn record_era(&self, era: u64) {
+        self.era.send_if_modified(|known| {
+            let is_newer = era > *known;
+            *known = era.max(*known);
+            is_newer
+        });
+    }
+
     /// Returns whether a request may be accepted by its key. A process that was paused
     /// waits for at most `limit` for a new proof, unless the store is known to be
     /// unreachable.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,14 +1,20 @@
 //! Follows the platform's store: the configuration, the endpoints and the evacuated data
 //! centres.
 //!
-//! Each kind is listed once and then watched from the revision of the list. A failed
-//! call is retried from the same revision, so that no change is missed. If the store has
-//! compacted the history since that revision, the kind is listed again. All calls ask
+//! Each kind is listed once and then watched from the position of the list. A failed
+//! call is retried from the same position, so that no change is missed. If the store has
+//! compacted the history since that position, the kind is listed again. All calls ask
 //! for the latest data rather than allow stale reads, because the result decides which
 //! requests are allowed.
 //!
 //! In a large data centre, most gateways watch another gateway instead, by the same
-//! revisions. When its answer fails or is too old, the store is asked at once.
+//! positions. When its answer fails or is too old, the store is asked at once.
+//!
+//! A store that was restored from an older copy is in another era, and each kind is listed
+//! again as soon as any of them has seen that. What this list lacks may have been written
+//! after the copy was made, and operators and endpoints write it again within seconds. The
+//! list therefore removes nothing, and the kind is listed once more when they have had time
+//! to write.
 
 use std::{
     net::SocketAddr,
@@ -19,6 +25,7 @@
 use cactusroad_core::{
     Time,
     freshness::Answer,
+    history::Position,
     pool::{Change, Grace},
     relay::{Limits, Member, Source},
 };
@@ -26,7 +33,7 @@
     list,
     settings::Settings,
     site,
-    store::{self, Client, Error, Kind, Object},
+    store::{self, Client, Error, Kind, Listing, Object},
 };
 use tokio::{sync::watch, time::sleep};
 
@@ -88,6 +95,13 @@
 /// can be read again.
 const MAX_BACKOFF: Duration = Duration::from_millis(2_000);
 
+/// How long operators and endpoints may take to write again what a restore of the store has
+/// lost. Endpoints take about two seconds.
+const REWRITE_TIME: Duration = Duration::from_secs(4);
+
+/// The lists after that time are spread over this share of it.
+const REWRITE_JITTER_SHARE: f64 = 0.25;
+
 /// Applies the state of one kind of object in the store.
 pub(crate) trait Follower {
     const KIND: Kind;
@@ -96,6 +110,8 @@
     const OUTAGE_FAILURES: u32 = 1;
     /// Whether the whole list is read again after an outage of the store.
     const RELISTS_AFTER_OUTAGE: bool = false;
+    /// Whether [`Follower::replace`] itself keeps objects for a while that a list lacks.
+    const KEEPS_UNLISTED: bool = false;
 
     /// Whether gateways may learn of this kind from a relay, which passes on no status.
     const IS_RELAYED: bool = true;
@@ -118,8 +134,8 @@
     fn max_backoff(_settings: &Settings) -> Duration {
         MAX_BACKOFF
     }
-    /// Applies a whole list that was read at revision `at`.
-    fn replace(&mut self, state: &State, objects: &[Object], at: u64);
+    /// Applies a whole list.
+    fn replace(&mut self, state: &State, objects: &[Object]);
     /// Applies one change.
     fn apply(&mut self, state: &State, change: &store::Event);
     /// Called when the store stops answering.
@@ -152,10 +168,14 @@
     relay: Option<relay::Client>,
     /// The name of the relay that was asked last; empty for the store.
     source: Arc<str>,
-    /// The revision to continue from, or none before the first list.
-    at: Option<u64>,
-    /// The newest revision that was applied.
-    known: u64,
+    /// The position to continue from, or none if the kind is listed next.
+    at: Option<Position>,
+    /// The newest position that was applied.
+    known: Position,
+    /// When the kind is listed again after a restore of the store.
+    relist_at: Time,
+    /// The newest era that was known when the kind was listed last.
+    listed_era: u64,
     outage: Outage,
     /// Changes when the configuration can be read again after an outage.
     recoveries: watch::Receiver<u64>,
@@ -173,12 +193,18 @@
         relay: None,
         source: "".into(),
         at: None,
-        known: 0,
+        known: Position::ZERO,
+        relist_at: Time::MAX,
+        listed_era: 0,
         outage: Outage::default(),
     };
     loop {
         // A recovery during a call that fails later ends the pause after that call.
         task.recoveries.mark_unchanged();
+        if task.relist_at.is_past(clock::now()) {
+            task.relist_at = Time::MAX;
+            task.at = None;
+        }
         let source = task.state.relays().source(clock::now());
         let delay = match source {
             Source::Relay(relay) if F::IS_RELAYED => task.ask_relay(&relay).await,
@@ -225,6 +251,12 @@
                 self.at = None;
                 Duration::ZERO
             }
+            Err(Error::Restored { era, .. }) => {
+                count_call(&self.state, F::KIND, "restored");
+                self.state.record_era(era);
+                self.at = None;
+                Duration::ZERO
+            }
             Err(cause) => {
                 self.state.watch_failures.send_modify(|count| *count += 1);
                 count_call(&self.state, F::KIND, "failed");
@@ -241,7 +273,11 @@
     /// Lists or watches the store. Returns false if it was interrupted before an answer.
     async fn poll_store(&mut self) -> Result<bool, Error> {
         let sent_at = clock::now();
-        let Some(at) = self.at else {
+        let mut eras = self.state.era.subscribe();
+        let newest_era = *eras.borrow();
+        let is_known = newest_era <= self.listed_era;
+        let Some(at) = self.at.filter(|_| is_known) else {
+            self.listed_era = newest_era;
             let listing = self.store.list(F::KIND).await?;
             let answer = Answer::list(sent_at, clock::now());
             self.apply(Update::Whole(listing), &answer);
@@ -260,6 +296,8 @@
             changes = watch => changes?,
             // The sender lives as long as the state.
             _ = interruptions.changed(), if F::IS_INTERRUPTIBLE => return Ok(false),
+            // The sender lives as long as the state.
+            _ = eras.wait_for(|era| *era > newest_era) => return Ok(false),
         };
         let has_changes = !changes.events.is_empty();
         let answer = Answer::watch(sent_at, clock::now(), wait, has_changes);
@@ -275,7 +313,9 @@
             _ => relay::Client::new(member.address),
         };
         let relay = self.relay.insert(relay);
-        match relay.read(F::KIND, self.at, self.known, &limits).await {
+        // A relay that has not seen a restore yet could bring back what was replaced.
+        let known = self.known.max(Position::new(*self.state.era.borrow(), 0));
+        match relay.read(F::KIND, self.at, known, &limits).await {
             Ok((update, answer)) => {
                 self.record_source(&member.name, "");
                 count_relay_call(&self.state, F::KIND, "answered");
@@ -297,12 +337,10 @@
 
     /// Applies what the store or a relay answered, and passes it on to followers.
     fn apply(&mut self, update: Update, answer: &Answer) {
-        let feed = self.state.feeds.get(F::KIND);
         let at = match &update {
             Update::Whole(listing) => {
-                self.follower
-                    .replace(&self.state, &listing.objects, listing.at);
-                if let Some(feed) = feed {
+                self.apply_whole(listing);
+                if let Some(feed) = self.state.feeds.get(F::KIND) {
                     feed.replace(&listing.objects, listing.at, answer);
                 }
                 listing.at
@@ -311,18 +349,55 @@
                 for change in &changes.events {
                     self.follower.apply(&self.state, change);
                 }
-                if let Some(feed) = feed {
+                if let Some(feed) = self.state.feeds.get(F::KIND) {
                     feed.apply(F::KIND, &changes.events, changes.at, answer);
                 }
                 changes.at
             }
         };
         self.follower.on_answer(&self.state, answer);
+        self.state.record_era(at.era);
+        self.listed_era = self.listed_era.max(at.era);
         self.at = Some(at);
-        self.known = self.known.max(at);
+        self.known = if at.is_of_era(self.known.era) {
+            self.known.max(at)
+        } else {
+            at
+        };
         self.state.notify_if_synced();
     }
 
+    /// Applies a whole list. After a restore of the store, it may lack what is about to be
+    /// written again.
+    fn apply_whole(&mut self, listing: &Listing) {
+        let is_restored = self.known != Position::ZERO && !listing.at.is_of_era(self.known.era);
+        if is_restored {
+            record::write(&Event::StoreRestored {
+                name: F::KIND.into(),
+                known_era: self.known.era,
+                known_revision: self.known.revision,
+                era: listing.at.era,
+                revision: listing.at.revision,
+                objects: listing.objects.len(),
+            });
+        }
+        if is_restored && !F::KEEPS_UNLISTED {
+            let jitter = 1.0 + REWRITE_JITTER_SHARE * rand::random::<f64>();
+            self.relist_at = clock::now() + REWRITE_TIME.mul_f64(jitter);
+        }
+        if self.relist_at == Time::MAX {
+            self.follower.replace(&self.state, &listing.objects);
+            return;
+        }
+        for object in &listing.objects {
+            let change = store::Event {
+                object: object.clone(),
+                deleted: false,
+            };
+            self.follower.apply(&self.state, &change);
+        }
+    }
+
     /// Records that changes can be read. Returns whether the whole list is read next,
     /// because an outage has ended.
     fn end_outage(&mut self) -> bool {
@@ -487,7 +562,7 @@
         }
     }
 
-    fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+    fn replace(&mut self, state: &State, objects: &[Object]) {
         if let Some(object) = objects
             .iter()
             .find(|object| &*object.meta.name == CONFIG_NAME)
@@ -585,6 +660,7 @@
     // Engines that were announced during the outage may have stopped without ever having
     // been listed.
     const RELISTS_AFTER_OUTAGE: bool = true;
+    const KEEPS_UNLISTED: bool = true;
     const WAIT: Duration = ENDPOINT_WAIT;
 
     fn limits(settings: &Settings) -> Limits {
@@ -611,7 +687,7 @@
         shared.max(ENDPOINT_SPACING).min(most)
     }
 
-    fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+    fn replace(&mut self, state: &State, objects: &[Object]) {
         self.record_answer(state);
         for shard in state.shards().iter() {
             let ids: Vec<Arc<str>> = shard
@@ -687,7 +763,7 @@
         relayed_wait::<Evacuations>(state)
     }
 
-    fn replace(&mut self, state: &State, objects: &[Object], _at: u64) {
+    fn replace(&mut self, state: &State, objects: &[Object]) {
         self.names = objects
             .iter()
             .map(|object| Arc::clone(&object.meta.name))
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -35,4 +35,7 @@
     /// Sorted by name.
     #[prost(message, repeated, tag = "5")]
     pub changes: ::prost::alloc::vec::Vec<Change>,
+    /// The era of the store's history to which the revisions belong.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod log;
 mod plain;
 mod relay;
+mod restore;
 mod revocation;
 mod rollout;
 mod short;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -48,6 +48,9 @@
     pub(crate) metering: Option<SocketAddr>,
     /// The duties in their settings, if not that to report usage.
     pub(crate) duties: Option<Value>,
+    /// The time in their settings within which a configuration must be in force, in
+    /// milliseconds, if not the default.
+    pub(crate) apply_ms: Option<u64>,
     pub(crate) copies: Copies,
     /// The addresses of sidecars and of the gateway's peer port, if engines have
     /// sidecars.
@@ -296,6 +299,7 @@
             group: Vec::new(),
             metering: None,
             duties: None,
+            apply_ms: None,
             peers,
             sidecars: Vec::new(),
             copies: copies.clone(),
@@ -460,11 +464,14 @@
 
     fn launch_member(&self, number: usize, output: Stdio) -> Gateway {
         let peers = free_port();
-        let (metering, duties) = (self.metering, self.duties.clone());
+        let (metering, duties, apply_ms) = (self.metering, self.duties.clone(), self.apply_ms);
         launch_writing(&self.store, None, output, |mut settings| {
             settings["nodeName"] = format!("edge-south-{number}").into();
             settings["zone"] = "south".into();
             settings["listenAddrs"]["controlPlane"] = peers.to_string().into();
+            if let Some(apply_ms) = apply_ms {
+                settings["parameters"]["configApplyMs"] = apply_ms.into();
+            }
             match metering {
                 Some(address) => {
                     let mut settings = operator::with_metering(settings, address);
