gateway: log how a configuration was read and how long it may have waited

Cause: the log told when a version was in force, but not by which call it came, for how long nothing had been heard before, nor that a version was read and ignored.

Change: config_in_force and config_rejected state the call, the relay, the time of the call and the time since the answer before; config_in_force also the time to apply. config_ignored is new. dependency_lost of a kind states how long the failed call took. explain shows the new lines as state before a request.

Measured: config::config_origin_logged (new; did not compile before, as the fields did not exist), log_page_complete and the other tests of the log pass.

--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -115,6 +115,9 @@
             let is_state = matches!(
                 line.event(),
                 "config_in_force"
+                    | "config_ignored"
+                    | "config_rejected"
+                    | "store_restored"
                     | "data_centres_out"
                     | "load"
                     | "gateways"
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -202,6 +202,7 @@
                 record::write(&Event::DependencyLost {
                     name: &name,
                     cause: &cause.to_string(),
+                    call_ms: None,
                 });
             }
             (None, Some(since)) => {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -41,7 +41,13 @@
     /// The settings could not be reloaded; the previous ones stay in force.
     ReloadFailed { cause: &'a str },
     /// A dependency cannot be reached.
-    DependencyLost { name: &'a str, cause: &'a str },
+    DependencyLost {
+        name: &'a str,
+        cause: &'a str,
+        /// How long the call to the store took that failed, in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        call_ms: Option<u64>,
+    },
     /// A dependency can be reached again.
     DependencyRegained { name: &'a str, away_ms: u64 },
     /// The store was restored from an older copy, and a kind of object was read from it again.
@@ -69,9 +75,27 @@
         version: u64,
         routes: usize,
         revision: u64,
+        /// How it was read.
+        #[serde(flatten)]
+        origin: ConfigOrigin<'a>,
+        /// The time from the answer until it was in force, in microseconds.
+        apply_us: u64,
+    },
+    /// A configuration was read that is older than the one in force, and is ignored.
+    ConfigIgnored {
+        version: u64,
+        in_force: u64,
+        revision: u64,
+        #[serde(flatten)]
+        origin: ConfigOrigin<'a>,
     },
     /// A configuration was rejected; the previous one stays in force.
-    ConfigRejected { cause: &'a str, revision: u64 },
+    ConfigRejected {
+        cause: &'a str,
+        revision: u64,
+        #[serde(flatten)]
+        origin: ConfigOrigin<'a>,
+    },
     /// The store has confirmed the configuration after requests with keys were refused
     /// because that was too long ago.
     ConfigConfirmed { unconfirmed_ms: u64 },
@@ -323,6 +347,20 @@
     },
 }
 
+/// How a configuration was read.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct ConfigOrigin<'a> {
+    /// `list` or `watch`.
+    pub(crate) call: &'a str,
+    /// The gateway that answered; empty for the store.
+    pub(crate) relay: &'a str,
+    /// The time from the call until its answer, in milliseconds.
+    pub(crate) call_ms: u64,
+    /// The time since the previous answer about the configuration, in milliseconds; zero for
+    /// the first. A version may have waited for as long.
+    pub(crate) silent_ms: u64,
+}
+
 /// The state of an endpoint at the time when it was chosen.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub(crate) struct Snapshot {
--- a/crates/gateway/src/sidecar/engine.rs
+++ b/crates/gateway/src/sidecar/engine.rs
@@ -173,6 +173,7 @@
             Some(cause) => record::write(&Event::DependencyLost {
                 name: "engine",
                 cause: &cause.to_string(),
+                call_ms: None,
             }),
             None => record::write(&Event::DependencyRegained {
                 name: "engine",
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -39,7 +39,7 @@
 
 use crate::{
     clock, crash,
-    record::{self, Event},
+    record::{self, ConfigOrigin, Event},
     relay::{self, Update},
     rollout,
     state::State,
@@ -102,6 +102,19 @@
 /// The lists after that time are spread over this share of it.
 const REWRITE_JITTER_SHARE: f64 = 0.25;
 
+/// How an update was read.
+#[derive(Clone, Debug)]
+pub(crate) struct Origin {
+    /// `list` or `watch`.
+    call: &'static str,
+    /// The relay that answered; empty for the store.
+    relay: Arc<str>,
+    sent_at: Time,
+    answered_at: Time,
+    /// When the answer before it arrived; none for the first.
+    previous_at: Option<Time>,
+}
+
 /// Applies the state of one kind of object in the store.
 pub(crate) trait Follower {
     const KIND: Kind;
@@ -124,6 +137,8 @@
     fn wait(&self, _state: &State) -> Duration {
         Self::WAIT
     }
+    /// Called before an update is applied.
+    fn on_update(&mut self, _origin: &Origin) {}
     /// Records that the store has confirmed the state of this kind.
     fn on_answer(&mut self, _state: &State, _answer: &Answer) {}
     /// Returns the delay between a successful call to the store and the next one.
@@ -146,7 +161,7 @@
 
 /// Spawns the tasks that follow the store. They run until the runtime is dropped.
 pub(crate) fn start(state: &Arc<State>) {
-    tokio::spawn(follow(Arc::clone(state), Configuration));
+    tokio::spawn(follow(Arc::clone(state), Configuration::default()));
     tokio::spawn(follow(
         Arc::clone(state),
         Endpoints {
@@ -172,6 +187,8 @@
     at: Option<Position>,
     /// The newest position that was applied.
     known: Position,
+    /// When the last answer arrived.
+    answered_at: Option<Time>,
     /// When the kind is listed again after a restore of the store.
     relist_at: Time,
     /// The newest era that was known when the kind was listed last.
@@ -194,6 +211,7 @@
         source: "".into(),
         at: None,
         known: Position::ZERO,
+        answered_at: None,
         relist_at: Time::MAX,
         listed_era: 0,
         outage: Outage::default(),
@@ -236,6 +254,7 @@
             self.store_address = current;
             self.store = Client::new(current, CALL_TIMEOUT);
         }
+        let asked_at = clock::now();
         match self.poll_store().await {
             Ok(false) => Duration::ZERO,
             Ok(true) => {
@@ -260,7 +279,7 @@
             Err(cause) => {
                 self.state.watch_failures.send_modify(|count| *count += 1);
                 count_call(&self.state, F::KIND, "failed");
-                self.outage.record_failure(F::KIND, &cause);
+                self.outage.record_failure(F::KIND, &cause, asked_at);
                 if self.outage.failures == F::OUTAGE_FAILURES {
                     self.follower.on_outage(&self.state);
                 }
@@ -337,6 +356,16 @@
 
     /// Applies what the store or a relay answered, and passes it on to followers.
     fn apply(&mut self, update: Update, answer: &Answer) {
+        self.follower.on_update(&Origin {
+            call: match &update {
+                Update::Whole(_) => "list",
+                Update::Changed(_) => "watch",
+            },
+            relay: Arc::clone(&self.source),
+            sent_at: answer.sent_at,
+            answered_at: answer.answered_at,
+            previous_at: self.answered_at.replace(answer.answered_at),
+        });
         let at = match &update {
             Update::Whole(listing) => {
                 self.apply_whole(listing);
@@ -443,8 +472,8 @@
 }
 
 impl Outage {
-    /// Records a failed call.
-    fn record_failure(&mut self, kind: Kind, cause: &Error) {
+    /// Records that a call failed that began at `asked_at`.
+    fn record_failure(&mut self, kind: Kind, cause: &Error, asked_at: Time) {
         self.failures += 1;
         if self.since.is_none() {
             self.since = Some(clock::now());
@@ -452,6 +481,7 @@
             record::write(&Event::DependencyLost {
                 name: kind.into(),
                 cause: &cause,
+                call_ms: Some(clock::millis_since(asked_at)),
             });
         }
     }
@@ -489,33 +519,61 @@
 }
 
 /// Follows the configuration.
-struct Configuration;
+#[derive(Default)]
+struct Configuration {
+    /// How the update was read that is being applied.
+    origin: Option<Origin>,
+}
 
 impl Configuration {
-    fn apply_object(state: &State, object: &Object) {
-        match site::decode(object) {
-            Ok(site) => {
-                let in_force = state.site.load().as_ref().map_or(0, |site| site.version());
-                // A list that was read before a change may arrive after it.
-                if site.version() < in_force {
-                    return;
-                }
-                record::write(&Event::ConfigInForce {
-                    version: site.version(),
-                    routes: site.routes().len(),
-                    revision: object.meta.revision,
-                });
-                state.apply_config(site);
-            }
+    fn apply_object(&self, state: &State, object: &Object) {
+        let Some(read) = &self.origin else {
+            return;
+        };
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let origin = ConfigOrigin {
+            call: read.call,
+            relay: &read.relay,
+            call_ms: millis(read.answered_at.since(read.sent_at)),
+            silent_ms: read
+                .previous_at
+                .map_or(0, |previous| millis(read.answered_at.since(previous))),
+        };
+        let revision = object.meta.revision;
+        let site = match site::decode(object) {
+            Ok(site) => site,
             Err(cause) => {
                 let cause = cause.to_string();
-                let revision = object.meta.revision;
                 record::write(&Event::ConfigRejected {
                     cause: &cause,
                     revision,
+                    origin,
                 });
+                return;
             }
+        };
+        let in_force = state.site.load().as_ref().map_or(0, |site| site.version());
+        let (version, routes) = (site.version(), site.routes().len());
+        // A list that was read before a change may arrive after it, and a restored store may
+        // hold an older version until the operator has written again.
+        if version < in_force {
+            record::write(&Event::ConfigIgnored {
+                version,
+                in_force,
+                revision,
+                origin,
+            });
+            return;
         }
+        state.apply_config(site);
+        let took = clock::now().since(read.answered_at);
+        record::write(&Event::ConfigInForce {
+            version,
+            routes,
+            revision,
+            origin,
+            apply_us: u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+        });
     }
 }
 
@@ -542,6 +600,10 @@
         share.map_or(wait, |share| share.min(wait))
     }
 
+    fn on_update(&mut self, origin: &Origin) {
+        self.origin = Some(origin.clone());
+    }
+
     fn on_answer(&mut self, state: &State, answer: &Answer) {
         state.record_fresh(answer);
     }
@@ -567,13 +629,13 @@
             .iter()
             .find(|object| &*object.meta.name == CONFIG_NAME)
         {
-            Configuration::apply_object(state, object);
+            self.apply_object(state, object);
         }
     }
 
     fn apply(&mut self, state: &State, change: &store::Event) {
         if &*change.object.meta.name == CONFIG_NAME && !change.deleted {
-            Configuration::apply_object(state, &change.object);
+            self.apply_object(state, &change.object);
         }
     }
 }
--- a/tests/gateway/config.rs
+++ b/tests/gateway/config.rs
@@ -147,6 +147,38 @@
     assert_eq!(site.store.names("gateways"), ["edge-1"]);
 }
 
+/// Guards against a log that does not tell how a version was read and how long it may have
+/// waited.
+#[tokio::test]
+async fn config_origin_logged() {
+    let mut site = Site::start(0, 1).await;
+    let file = NamedTempFile::new().expect("a file can be made");
+    let output = file.reopen().expect("the file can be opened");
+    site.start_logged_gateway(output.into()).await;
+    sleep(Duration::from_millis(600)).await;
+    for version in [3, 2] {
+        let moved = with_orders_at(config(version), "/moved/");
+        site.store.put("config", "main", moved);
+        sleep(Duration::from_millis(600)).await;
+    }
+    let text = std::fs::read_to_string(file.path()).expect("the log can be read");
+    let lines = text.lines().map(serde_json::from_str::<Value>);
+    let lines: Vec<Value> = lines.filter_map(Result::ok).collect();
+    let of_version = |event: &str, version: u64| {
+        let mut found = lines.iter().filter(|line| line["event"] == event);
+        found.find(|line| line["version"] == version).cloned()
+    };
+    let taken = of_version("config_in_force", 3).expect("the version is in force");
+    let silent_ms = taken["silent_ms"].as_u64().expect("it is a number");
+    assert_eq!(
+        (&taken["call"], &taken["relay"]),
+        (&json!("watch"), &json!(""))
+    );
+    assert!((300..2_000).contains(&silent_ms), "{taken}");
+    let ignored = of_version("config_ignored", 2).expect("the older version is ignored");
+    assert_eq!(ignored["in_force"], 3);
+}
+
 /// Guards against the end of an outage that is noticed only when the first watch after it
 /// has waited in vain for a change. Until then, the other kinds are not read again.
 #[tokio::test]
