gateway: bound how long a watch that has gone silent hides changes

What callers saw: several gateways at the same moment refused requests on a route that had been added with 404 no_route, past the time to apply the version (the users' own runs; reproduced by soak::soak_versions).

Cause: a watch of the configuration waited 2.5 s, was given up 0.9 s later and made again after 0.1 s. A connection whose peer is there and passes nothing on, or a lost response, thus hid a version for 3.5 s, and a gateway is in touch again after contactMs, 3 s. The log shows it: dependency_lost with call_ms 3400 at all gateways, then five versions with silent_ms 3500.

The new soak runs gateways as processes on one busy core while the store, its answers and connections, relays and gateways are disturbed.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -59,6 +59,23 @@
 /// combines the changes of many endpoints into one answer.
 const SPACING_SHARE: f64 = 0.1;
 
+/// The share of a bound within which a watch that has gone silent is given up and made again.
+/// The rest is for the new connection on a VM that is short of processor time.
+const SILENCE_SHARE: f64 = 0.85;
+
+/// The shortest wait of a watch whatever the bound, so that the store is not asked all the time.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(300);
+
+/// Returns how long a watch may wait for changes that must take effect within `bound`, also if
+/// nothing arrives any more on its connection. The store may then have lost the answer, or the
+/// network the connection; a watch without an answer shows it only when `timeout` beyond the
+/// wait has passed, and is made again after `retry_delay`.
+pub fn watch_wait(bound: Duration, timeout: Duration, retry_delay: Duration) -> Duration {
+    let wait = bound.mul_f64(SILENCE_SHARE);
+    let wait = wait.saturating_sub(timeout + retry_delay);
+    wait.max(MIN_WATCH_WAIT)
+}
+
 /// A gateway that may be a relay.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -5,7 +5,7 @@
 use cactusroad_core::{
     Time,
     freshness::Answer,
-    relay::{Limits, Member, Plan, Source},
+    relay::{Limits, Member, Plan, Source, watch_wait},
 };
 use proptest::prelude::*;
 
@@ -110,3 +110,17 @@
         }
     }
 }
+
+/// Guards against a watch that hides changes for longer than the bound after its connection has
+/// gone silent.
+#[test]
+fn watch_wait_silent() {
+    let (timeout, retry_delay) = (Duration::from_millis(900), Duration::from_millis(100));
+    for bound_ms in [2_000, 3_000, 4_000, 5_000, 10_000] {
+        let bound = Duration::from_millis(bound_ms);
+        let wait = watch_wait(bound, timeout, retry_delay);
+        let found = wait + timeout + retry_delay;
+        assert!(found <= bound.mul_f64(0.9), "{bound:?}: {found:?}");
+        assert!(wait >= Duration::from_millis(300), "{bound:?}: {wait:?}");
+    }
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -27,7 +27,7 @@
     freshness::Answer,
     history::Position,
     pool::{Change, Grace},
-    relay::{Limits, Member, Source},
+    relay::{Limits, Member, Source, watch_wait},
 };
 use cactusroad_platform::{
     list,
@@ -49,17 +49,15 @@
 /// milliseconds, and less than half of the time within which a change must be in force.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// How long a watch of the configuration waits for a change. A store that drops its
-/// history may leave a watch unanswered, so this bounds how long a change is missed.
+/// The maximum wait of a watch of the configuration. A store that drops its history may leave
+/// a watch unanswered, so this bounds how long a change is missed.
 const CONFIG_WAIT: Duration = Duration::from_millis(2_500);
 
 /// The wait of a watch of the configuration as a share of the bound on revoked keys.
 /// Each answer renews the proof that the configuration is current.
 const CONFIG_WAIT_SHARE: f64 = 0.2;
 
-/// How long a watch of evacuated data centres waits for a change. It is less than the
-/// time within which an evacuated data centre must get no more work, because the store
-/// may leave a watch unanswered.
+/// The maximum wait of a watch of evacuated data centres.
 const EVACUATION_WAIT: Duration = Duration::from_secs(4);
 
 /// How long a watch of endpoints waits for a change; endpoints renew their entries more
@@ -84,6 +82,9 @@
 /// this and doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 
+/// The longest backoff after a first failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+
 /// The maximum backoff of the configuration, well below the time within which a change
 /// must be in force after the store has recovered.
 const MAX_CONFIG_BACKOFF: Duration = Duration::from_millis(800);
@@ -508,14 +509,16 @@
     }
 }
 
-/// Returns how long a watch of the store waits. A relay asks often enough that its
-/// answers to followers are recent.
-fn relayed_wait<F: Follower>(state: &State) -> Duration {
+/// Returns how long a watch of the store waits, if changes must take effect within `bound`
+/// also when the watch goes silent. A relay asks often enough that its answers to followers
+/// are recent.
+fn bounded_wait<F: Follower>(state: &State, bound: Duration) -> Duration {
+    let wait = watch_wait(bound, CALL_TIMEOUT, FIRST_BACKOFF).min(F::WAIT);
     if !state.relays().is_relay() {
-        return F::WAIT;
+        return wait;
     }
     let limits = F::limits(&state.settings.load());
-    limits.wait.min(F::WAIT)
+    limits.wait.min(wait)
 }
 
 /// Follows the configuration.
@@ -594,9 +597,12 @@
         if state.freshness().is_urgent(clock::now()) {
             return Duration::ZERO;
         }
-        let bound = state.settings.load().revocation;
-        let share = bound.map(|bound| bound.mul_f64(CONFIG_WAIT_SHARE));
-        let wait = relayed_wait::<Configuration>(state);
+        let settings = state.settings.load();
+        // A silent connection excuses a late version for this time only.
+        let wait = bounded_wait::<Configuration>(state, settings.contact);
+        let share = settings
+            .revocation
+            .map(|bound| bound.mul_f64(CONFIG_WAIT_SHARE));
         share.map_or(wait, |share| share.min(wait))
     }
 
@@ -733,7 +739,8 @@
         let spacing = Limits::new(state.settings.load().drain).spacing;
         if state.relays().is_relay() {
             // The state of a relay ages during the spacing as well.
-            relayed_wait::<Endpoints>(state).saturating_sub(spacing)
+            let wait = Endpoints::limits(&state.settings.load()).wait;
+            wait.min(ENDPOINT_WAIT).saturating_sub(spacing)
         } else {
             ENDPOINT_WAIT
         }
@@ -822,7 +829,7 @@
     }
 
     fn wait(&self, state: &State) -> Duration {
-        relayed_wait::<Evacuations>(state)
+        bounded_wait::<Evacuations>(state, state.settings.load().evacuation)
     }
 
     fn replace(&mut self, state: &State, objects: &[Object]) {
--- a/tests/gateway/config.rs
+++ b/tests/gateway/config.rs
@@ -10,7 +10,7 @@
 use http::StatusCode;
 use serde_json::{Value, json};
 use tempfile::NamedTempFile;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::site::{IN_FORCE, Site, config};
 
@@ -147,6 +147,50 @@
     assert_eq!(site.store.names("gateways"), ["edge-1"]);
 }
 
+/// The time after a disturbance of its connections after which a gateway is bound again by the
+/// time to apply a version.
+const CONTACT: Duration = Duration::from_millis(3_000);
+
+/// Puts version 2 in force, so that a watch has just begun, and then version 3 with a route at
+/// `/late/` after `disturb`. Returns the status of a request to that route when the gateway is
+/// bound again.
+async fn status_after(disturb: impl AsyncFnOnce(&Site)) -> StatusCode {
+    let site = Site::start(0, 1).await;
+    site.store
+        .put("config", "main", with_orders_at(config(2), "/second/"));
+    sleep(Duration::from_millis(100)).await;
+    disturb(&site).await;
+    let bound_from = Instant::now() + CONTACT;
+    site.store
+        .put("config", "main", with_orders_at(config(3), "/late/"));
+    sleep_until(bound_from).await;
+    let answer = site.send("/late/1", "o1").await;
+    answer.expect("the gateway answers").status
+}
+
+/// Guards against a version that is hidden for longer than a gateway takes to be in touch again,
+/// by a watch on a connection that has gone silent.
+#[tokio::test]
+async fn config_connection_silent() {
+    let status = status_after(async |site| site.store.silence_connections()).await;
+    assert_eq!(status, StatusCode::OK);
+}
+
+/// As above for a watch whose answer is lost.
+#[tokio::test]
+async fn config_answer_lost() {
+    let status = status_after(async |site| {
+        site.store.set_behaviour(Behaviour::Losing);
+        let second = with_orders_at(config(2), "/lost/");
+        site.store.put("config", "main", second);
+        // By then the answer is lost.
+        sleep(Duration::from_millis(50)).await;
+        site.store.set_behaviour(Behaviour::Normal);
+    })
+    .await;
+    assert_eq!(status, StatusCode::OK);
+}
+
 /// Guards against a log that does not tell how a version was read and how long it may have
 /// waited.
 #[tokio::test]
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -19,7 +19,10 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::{
+    process::{Pid, Signal, kill_process},
+    thread::{CpuSet, sched_setaffinity},
+};
 use serde_json::Value;
 use tempfile::NamedTempFile;
 use tokio::{
@@ -543,6 +546,12 @@
         self.group[number].wait_exit(limit).await
     }
 
+    /// Makes a gateway of the group run on these cores only.
+    pub(crate) fn pin_gateway(&self, number: usize, cores: &CpuSet) {
+        let pid = Pid::from_child(&self.group[number].process.child);
+        sched_setaffinity(Some(pid), cores).expect("the gateway runs");
+    }
+
     /// Kills a gateway of the group.
     pub(crate) fn kill_gateway(&self, number: usize) {
         self.signal_gateway(number, Signal::KILL);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 #[path = "../gateway/site.rs"]
 #[expect(dead_code, reason = "the gateway tests use the rest")]
 mod site;
+mod versions;
 
 use std::{
     sync::{Arc, Mutex},
@@ -80,6 +81,16 @@
     }
 }
 
+/// Guards against versions that gateways miss or take late.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn soak_versions() {
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        broken.extend(versions::run(seed, duration()).await);
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 /// The responses that callers received, by request id. The first letter of an id is that
 /// of its path: `d` for a stream, `o` for a non-idempotent and `l` for an idempotent request.
 #[derive(Debug, Default)]
