gateway: open a new connection to the store when a relay is given up

Cause: connections go silent, at the relay and at its followers. A follower gives the relay up as too old after 0.7 s and turns to the store on a connection that it has kept from before, which is silent as well. The watch there is given up after 2.45 s: 3.2 s in all, where a gateway is in touch after 3 s.

Change: the follower closes that connection when its relay fails. A new one costs no call.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -350,6 +350,8 @@
                 count_relay_call(&self.state, F::KIND, "failed");
                 self.record_source(&Arc::from(""), &format!("{}: {cause}", member.name));
                 self.state.relays().record_failure(clock::now());
+                // What has silenced the relay may have silenced this connection.
+                self.store.disconnect();
                 Duration::ZERO
             }
         }
--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use rustix::process::Signal;
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::site::{IN_FORCE, Site, config};
 
@@ -78,6 +78,24 @@
     }
 }
 
+/// Guards against a follower that turns from its relay to the store on a connection that has
+/// gone silent as well, and then waits there for a change.
+#[tokio::test]
+async fn relay_and_store_silent() {
+    let site = start().await;
+    site.store.silence_connections();
+    let in_touch_from = Instant::now() + Duration::from_secs(3);
+    let changed = with_orders_at(config(2), "/moved/");
+    site.store.put("config", "main", changed);
+    sleep_until(in_touch_from).await;
+    for number in 0..GATEWAYS {
+        let id = format!("o-{number}");
+        let answer = site.send_through(number, "/moved/1", &id).await;
+        let status = answer.expect("the gateway answers").status;
+        assert_eq!(status, StatusCode::OK, "gateway {number}");
+    }
+}
+
 #[tokio::test]
 async fn relay_endpoint_removed() {
     // An endpoint that has left the list gets no more work from any gateway.
