core: an entry with a lower number is older, whoever brings it

Cause: an entry that says available took back a leaving that the list had told, whatever its number. The number that shows its age was decoded and dropped.

Change: Endpoint::sequence. An entry of the same incarnation with a lower number says nothing: it takes back no leaving and brings back no endpoint that is gone, also not after it was removed. Two such entries in a row that count upwards are the endpoint's own, so that a high number of another writer does not shut it out. A new incarnation counts anew.

--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -105,6 +105,8 @@
     pub(super) leaving_since: Option<Time>,
     /// Whether only the list has said so. Its next entry can take that back.
     is_leaving_by_list: bool,
+    /// The number of the last entry that was older than a known one; zero if none was.
+    older_sequence: u64,
     /// When the endpoint leaves, if it announced a time.
     pub(super) leaves_at: Option<Time>,
     pub(super) running: u32,
@@ -146,6 +148,7 @@
             is_leaving_by_list: endpoint.draining,
             endpoint,
             expires_at: None,
+            older_sequence: 0,
             leaves_at: None,
             running: 0,
             prompt_tokens: 0,
@@ -172,9 +175,14 @@
             // A restart must still be recognized by the next entry that has a start time.
             Arc::make_mut(&mut endpoint).born_ms = self.endpoint.born_ms;
         }
-        let was_unlisted = self.expires_at.take().is_some();
         let has_restarted = is_other_incarnation(self.endpoint.born_ms, endpoint.born_ms);
-        if has_restarted || endpoint.address != self.endpoint.address {
+        let is_same = !has_restarted && endpoint.address == self.endpoint.address;
+        if is_same && self.is_older(&endpoint) {
+            return None;
+        }
+        self.older_sequence = 0;
+        let was_unlisted = self.expires_at.take().is_some();
+        if !is_same {
             let running = self.running;
             let held_tokens = self.held_tokens;
             *self = Member::new(endpoint);
@@ -198,6 +206,22 @@
         (was_unlisted || is_back).then_some(Change::Joined)
     }
 
+    /// Returns whether an entry of this incarnation is older than the last one: it is from a copy
+    /// of the store, or its write was carried out late. It says nothing new, and does not bring
+    /// the endpoint back.
+    ///
+    /// Two older entries in a row that count upwards are those of the endpoint itself: the
+    /// higher number was another writer's.
+    fn is_older(&mut self, endpoint: &Endpoint) -> bool {
+        let is_known = self.endpoint.born_ms > 0 && endpoint.sequence > 0;
+        if !is_known || endpoint.sequence >= self.endpoint.sequence {
+            return false;
+        }
+        let counts_up = (1..endpoint.sequence).contains(&self.older_sequence);
+        self.older_sequence = endpoint.sequence;
+        !counts_up
+    }
+
     /// Records that this incarnation has ended. It stays out of use until the list names
     /// a later one, or names it again.
     pub(super) fn end(&mut self, now: Time) -> Option<Change> {
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -95,6 +95,9 @@
     /// When the endpoint started, in milliseconds since the epoch by its own clock; zero
     /// if unknown.
     pub born_ms: u64,
+    /// The number of the entry, which grows with each renewal by one incarnation; zero if
+    /// unknown.
+    pub sequence: u64,
     /// Whether the endpoint is leaving.
     pub draining: bool,
     /// When the endpoint's cold start ends.
@@ -164,6 +167,8 @@
 struct Removed {
     id: Arc<str>,
     born_ms: u64,
+    /// The number of its last entry.
+    sequence: u64,
     /// Whether it had said itself that it is leaving.
     was_leaving: bool,
     /// Until when it wants no requests.
@@ -241,6 +246,13 @@
     fn apply_entry(&mut self, endpoint: Arc<Endpoint>, now: Time) -> Option<Change> {
         match self.index(&endpoint.id) {
             Err(index) => {
+                let last = self.last_removal(&endpoint);
+                let is_older = |removed: &Removed| {
+                    removed.born_ms > 0 && (1..removed.sequence).contains(&endpoint.sequence)
+                };
+                if last.is_some_and(is_older) {
+                    return None;
+                }
                 let mut member = Member::new(endpoint);
                 let last = self.last_removal(&member.endpoint);
                 let is_leaving = last.is_some_and(|removed| removed.was_leaving);
@@ -332,6 +344,7 @@
         let removed = expired.map(|member| Removed {
             id: Arc::clone(&member.endpoint.id),
             born_ms: member.endpoint.born_ms,
+            sequence: member.endpoint.sequence,
             was_leaving: member.has_said_leaving(),
             paused_until: member.paused_until,
             until: kept_until.max(member.paused_until),
--- a/crates/core/tests/cold.rs
+++ b/crates/core/tests/cold.rs
@@ -32,6 +32,7 @@
         version: "v1".into(),
         slots: 6,
         born_ms: 1 + cold_until.as_millis(),
+        sequence: 0,
         draining: false,
         cold_until,
     })
--- a/crates/core/tests/departure.rs
+++ b/crates/core/tests/departure.rs
@@ -59,6 +59,7 @@
         version: "v1".into(),
         slots: 6,
         born_ms,
+        sequence: 0,
         draining: false,
         cold_until: Time::ZERO,
     })
--- a/crates/core/tests/engines/mod.rs
+++ b/crates/core/tests/engines/mod.rs
@@ -24,6 +24,7 @@
         version: "v1".into(),
         slots: 24,
         born_ms: 1,
+        sequence: 0,
         draining: false,
         cold_until: Time::ZERO,
     }
--- a/crates/core/tests/listing.rs
+++ b/crates/core/tests/listing.rs
@@ -20,6 +20,7 @@
         version: "v1".into(),
         slots: 24,
         born_ms: 1,
+        sequence: 0,
         draining,
         cold_until: Time::ZERO,
     })
@@ -129,3 +130,74 @@
         }
     }
 }
+
+/// Returns an entry with the number of its renewal.
+fn numbered(sequence: u64, draining: bool) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        sequence,
+        ..Endpoint::clone(&entry(draining))
+    })
+}
+
+/// Guards against an endpoint that gets requests again although it is known to be leaving,
+/// because an older entry arrives after the one that said so: from a copy of the store, or by a
+/// heartbeat that was carried out late.
+#[test]
+fn draining_older_entry() {
+    let mut pool = Pool::new(Config::default());
+    pool.upsert(numbered(7, false), START);
+    pool.upsert(numbered(9, true), START);
+    assert_eq!(pool.upsert(numbered(8, false), START), None);
+    assert!(!is_chosen(&pool, START));
+    // It takes the leaving back itself.
+    assert_eq!(
+        pool.upsert(numbered(10, false), START),
+        Some(Change::Joined)
+    );
+    assert!(is_chosen(&pool, START));
+}
+
+/// As above for an endpoint that is gone: an entry of before does not bring it back.
+#[test]
+fn gone_older_entry() {
+    for is_removed in [false, true] {
+        let mut pool = Pool::new(Config::default());
+        pool.upsert(numbered(9, false), START);
+        pool.mark_unlisted("e-0", START);
+        let later = START + Duration::from_millis(1);
+        if is_removed {
+            pool.remove_expired(later);
+        }
+        assert_eq!(pool.upsert(numbered(8, false), later), None);
+        assert!(!is_chosen(&pool, later), "{is_removed}");
+        pool.upsert(numbered(10, false), later);
+        assert!(is_chosen(&pool, later), "{is_removed}");
+    }
+}
+
+/// An endpoint that was started again counts from the beginning.
+#[test]
+fn restarted_counts_anew() {
+    let mut pool = Pool::new(Config::default());
+    pool.upsert(numbered(9, true), START);
+    let again = Endpoint {
+        born_ms: 2,
+        ..Endpoint::clone(&numbered(1, false))
+    };
+    pool.upsert(Arc::new(again), START);
+    assert!(is_chosen(&pool, START));
+}
+
+/// Guards against a sound endpoint that gets no requests any more, because another writer once
+/// wrote an entry of its name with a high number.
+#[test]
+fn high_number_outlived() {
+    let mut pool = Pool::new(Config::default());
+    pool.upsert(numbered(9, false), START);
+    pool.upsert(numbered(1 << 40, true), START);
+    pool.upsert(numbered(10, false), START);
+    assert!(!is_chosen(&pool, START));
+    // Its next renewal shows that it goes on counting.
+    pool.upsert(numbered(11, false), START);
+    assert!(is_chosen(&pool, START));
+}
--- a/crates/core/tests/plain.rs
+++ b/crates/core/tests/plain.rs
@@ -33,6 +33,7 @@
             version: "v1".into(),
             slots: 6,
             born_ms: 1,
+            sequence: 0,
             draining: false,
             cold_until: Time::ZERO,
         };
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -53,6 +53,7 @@
 
 fn draining(number: u16) -> Arc<Endpoint> {
     Arc::new(Endpoint {
+        sequence: 0,
         draining: true,
         ..endpoint(number)
     })
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -253,6 +253,7 @@
             version: "".into(),
             slots: service.engine.as_ref().map_or(1, |engine| engine.slots),
             born_ms: engine.born_ms,
+            sequence: 0,
             draining: false,
             cold_until: now,
         };
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -201,3 +201,31 @@
         assert_eq!(status, StatusCode::OK, "gateway {number}");
     }
 }
+
+/// Guards against requests to an endpoint that was known to be draining, because the copy holds
+/// the entry of before.
+#[tokio::test]
+async fn restored_draining_older() {
+    let site = Site::start(0, 2).await;
+    let entry = |number: usize, sequence: u64, phase: &str| {
+        let mut entry = site.orders[number].entry("orders-1", "north", phase);
+        entry["sequence"] = json!(sequence);
+        entry
+    };
+    for number in 0..2 {
+        let name = format!("o-{number}");
+        site.store
+            .put("servers", &name, entry(number, 5, "available"));
+    }
+    sleep(IN_FORCE).await;
+    let copy = site.store.copy();
+    site.store.put("servers", "o-0", entry(0, 6, "draining"));
+    sleep(IN_FORCE).await;
+    restore(&site, copy, AWAY, || {}).await;
+    for number in 0..30 {
+        let id = format!("o{number}");
+        assert_eq!(status(&site, "/orders/1", &id).await, StatusCode::OK);
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert!(site.orders[0].seen().is_empty());
+}
