site: an empty list of workspaces accepts no key

Cause: a site without workspaces was taken for one without a list of them.

Evidence: config::config_workspaces_empty failed before (200 where 401 is due).

--- a/crates/core/src/site/build.rs
+++ b/crates/core/src/site/build.rs
@@ -47,6 +47,14 @@
         self
     }
 
+    /// Makes requests need a key of a workspace, also while there is no workspace. Otherwise all
+    /// requests are accepted.
+    #[must_use]
+    pub fn require_keys(mut self) -> Builder {
+        self.site.accepts_anonymous = false;
+        self
+    }
+
     /// Adds a workspace with its API keys. Requests to the site then need a key.
     #[must_use]
     pub fn workspace(mut self, workspace: Workspace, keys: &[Arc<str>]) -> Builder {
@@ -55,8 +63,7 @@
             .iter()
             .map(|key| (Arc::clone(key), Arc::clone(&workspace)));
         self.site.keys.extend(entries);
-        self.site.accepts_anonymous = false;
-        self
+        self.require_keys()
     }
 
     /// Sorts the collections, computes what follows from them and returns the
--- a/crates/core/src/site/mod.rs
+++ b/crates/core/src/site/mod.rs
@@ -217,7 +217,8 @@
         &self.routes
     }
 
-    /// Returns whether requests need no key, which holds if there are no workspaces.
+    /// Returns whether requests need no key, which holds if there is no list of workspaces. An
+    /// empty list lets no request in but those of anonymous routes.
     pub fn accepts_anonymous(&self) -> bool {
         self.accepts_anonymous
     }
--- a/crates/core/tests/site.rs
+++ b/crates/core/tests/site.rs
@@ -64,6 +64,7 @@
     }
     assert!(!site.accepts_anonymous());
     assert!(Builder::new(1).build().accepts_anonymous());
+    assert!(!Builder::new(1).require_keys().build().accepts_anonymous());
 }
 
 #[test]
--- a/tests/gateway/config.rs
+++ b/tests/gateway/config.rs
@@ -56,6 +56,38 @@
     assert_eq!(Site::runs(&site.orders, "o1"), 0);
 }
 
+/// Guards against a version that takes the last workspace away and lets everybody in. One that
+/// has no list of workspaces is open.
+#[tokio::test]
+async fn config_workspaces_empty() {
+    let site = Site::start(0, 1).await;
+    for (version, tenants, expected) in [
+        (2, Some(json!([])), StatusCode::UNAUTHORIZED),
+        (3, None, StatusCode::OK),
+        (4, Some(Value::Null), StatusCode::OK),
+    ] {
+        let mut changed = config(version);
+        match &tenants {
+            Some(tenants) => changed["tenants"] = tenants.clone(),
+            None => drop(
+                changed
+                    .as_object_mut()
+                    .map(|config| config.remove("tenants")),
+            ),
+        }
+        site.store.put("config", "main", changed);
+        sleep(IN_FORCE).await;
+        let with_key = site.send("/orders/1", &format!("k{version}")).await;
+        let without = site
+            .send_without_key("/orders/1", &format!("n{version}"))
+            .await;
+        for answer in [with_key, without] {
+            let status = answer.expect("the gateway answers").status;
+            assert_eq!(status, expected, "{tenants:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn config_across_outages() {
     for behaviour in [Behaviour::Refusing, Behaviour::Closing] {
