core: an order to stop a run that nobody answers proves nothing

Cause: two orders that were not answered counted as a stopped run. They show only that the kernel of the engine's VM accepts connections.

Change: such an order is repeated like one that is reset. While the run's connection is open, the run stays where it is; otherwise its stream ends after 1.5 s.

--- a/crates/core/src/pool/stop.rs
+++ b/crates/core/src/pool/stop.rs
@@ -5,7 +5,8 @@
 //! connections while it is at its limit of connections, or is busy with an earlier copy of the
 //! run; the order is then repeated. No process listening at the address shows that the engine
 //! is gone, but only if the connection of the run has broken as well: an engine that accepts no
-//! new connection for a moment still has its open ones.
+//! new connection for a moment still has its open ones. Orders that nobody answers show nothing:
+//! the kernel of a VM accepts connections while its processes stand still, and they may go on.
 //!
 //! If the order is not confirmed in time, the run stays where it is while its connection is
 //! open. Otherwise its stream ends: the caller loses the rest of one stream, and no run is made
@@ -114,8 +115,8 @@
         let unreachable_since = self.unreachable_since.take();
         match attempt {
             Attempt::Done => return Step::End(Verdict::Stopped),
-            // The attempt that was late is being carried out, or was before a restart.
-            Attempt::Busy | Attempt::Late if self.was_late => return Step::End(Verdict::Stopped),
+            // The attempt that was late is being carried out.
+            Attempt::Busy if self.was_late => return Step::End(Verdict::Stopped),
             Attempt::Refused if self.loss != Loss::Silent => return Step::End(Verdict::Crashed),
             Attempt::Unreachable => {
                 let since = unreachable_since.unwrap_or(now);
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -98,6 +98,17 @@
     );
 }
 
+/// Guards against an engine that stands still and then goes on with a run, which two unanswered
+/// orders took for a stopped one.
+#[test]
+fn record_late_only() {
+    for loss in [Loss::Silent, Loss::Broken, Loss::Garbled] {
+        let (verdict, after) = decide(loss, &[Attempt::Late], CONNECT_TIMEOUT);
+        assert_eq!(verdict, Verdict::Unconfirmed, "{loss}");
+        assert!(after >= stop::MAX_TIME, "{loss}: {after:?}");
+    }
+}
+
 fn attempt() -> impl Strategy<Value = Attempt> {
     prop_oneof![
         Just(Attempt::Refused),
@@ -110,7 +121,7 @@
 
 proptest! {
     /// Whatever the results are, an order ends, and a run whose engine answers nothing but
-    /// resets and refusals on its open connection does not go on elsewhere.
+    /// resets, nothing at all, or refusals on its open connection does not go on elsewhere.
     #[test]
     fn record_any(
         attempts in prop::collection::vec(attempt(), 1..80),
@@ -120,12 +131,16 @@
         let (verdict, after) = decide(loss, &attempts, CONNECT_TIMEOUT);
         let bound = stop::MAX_TIME + 2 * (CONNECT_TIMEOUT + stop::REPEAT_INTERVAL);
         prop_assert!(after <= bound, "{after:?}");
-        let is_alive = |attempt: &Attempt| {
-            matches!(attempt, Attempt::Reset | Attempt::Busy)
-                || is_silent && *attempt == Attempt::Refused
-        };
-        if attempts.iter().all(is_alive) {
-            prop_assert_eq!(verdict, Verdict::Unconfirmed);
+        // An engine that is busy after an order that it may have taken is carrying it out.
+        for other in [Attempt::Busy, Attempt::Late] {
+            let is_alive = |attempt: &Attempt| {
+                *attempt == Attempt::Reset
+                    || *attempt == other
+                    || is_silent && *attempt == Attempt::Refused
+            };
+            if attempts.iter().all(is_alive) {
+                prop_assert_eq!(verdict, Verdict::Unconfirmed);
+            }
         }
     }
 }
