gateway: a run that its engine does not know yet may still run

Cause: "no such run" was taken for "will not run". An engine knows a run from its first event on; before that it waits or is in prefill.

Evidence: failover::unheard_before_first_event failed before (2.5 s at two engines) and passes; the other 59 tests of failover, stream, crash, cold and stop names pass.

--- a/crates/core/src/pool/stop.rs
+++ b/crates/core/src/pool/stop.rs
@@ -8,6 +8,11 @@
 //! new connection for a moment still has its open ones. Orders that nobody answers show nothing:
 //! the kernel of a VM accepts connections while its processes stand still, and they may go on.
 //!
+//! An engine knows a run from its first event on. That it knows no such run therefore shows that
+//! the run has ended, if it had made an event; otherwise the run may still wait or be in prefill
+//! there, although its connection is gone. It does not if nothing waits or is in prefill, and the
+//! run is not known afterwards either.
+//!
 //! If the order is not confirmed in time, the run stays where it is while its connection is
 //! open. Otherwise its stream ends: the caller loses the rest of one stream, and no run is made
 //! twice.
@@ -22,7 +27,7 @@
 //! use cactusroad_core::{Time, pool::{Loss, stop}};
 //!
 //! let now = Time::from_millis(1_000);
-//! let mut order = stop::Order::new(Loss::Silent, now);
+//! let mut order = stop::Order::new(Loss::Silent, true, now);
 //! let repeat_at = now + stop::REPEAT_INTERVAL;
 //! assert_eq!(order.record(stop::Attempt::Reset, now), stop::Step::Repeat(repeat_at));
 //! assert_eq!(order.record(stop::Attempt::Done, repeat_at), stop::Step::End(stop::Verdict::Stopped));
@@ -47,8 +52,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Attempt {
-    /// The engine stopped the run, or does not run it.
+    /// The engine stopped the run.
     Done,
+    /// The engine knows no such run. It knows a run from its first event on.
+    Unknown,
     /// No process listens at the address of the engine.
     Refused,
     /// No connection could be opened in time.
@@ -97,24 +104,50 @@
     unreachable_since: Option<Time>,
     /// Whether an attempt was not answered in time.
     was_late: bool,
+    /// Whether the run has made an event at this engine.
+    has_begun: bool,
+    /// Whether an attempt has found no such run.
+    was_unknown: bool,
+    /// Whether nothing waited or was in prefill at the engine after that.
+    was_clear: bool,
 }
 
 impl Order {
-    /// Returns an order whose first attempt begins at `now`.
-    pub fn new(loss: Loss, now: Time) -> Order {
+    /// Returns an order whose first attempt begins at `now`. `has_begun` tells whether the run
+    /// has made an event at this engine.
+    pub fn new(loss: Loss, has_begun: bool, now: Time) -> Order {
         Order {
             loss,
+            has_begun,
+            was_unknown: false,
+            was_clear: false,
             until: now + MAX_TIME,
             unreachable_since: None,
             was_late: false,
         }
     }
 
+    /// Returns whether a report of the engine can show that the run does not wait there.
+    pub fn needs_report(&self) -> bool {
+        self.was_unknown && !self.was_clear
+    }
+
+    /// Records a report of the engine that was made after the last attempt: how many requests
+    /// wait there or are in prefill.
+    pub fn record_report(&mut self, pending: u32) {
+        self.was_clear |= self.was_unknown && pending == 0;
+    }
+
     /// Records the result of an attempt that ended at `now`.
     pub fn record(&mut self, attempt: Attempt, now: Time) -> Step {
         let unreachable_since = self.unreachable_since.take();
         match attempt {
             Attempt::Done => return Step::End(Verdict::Stopped),
+            // It has ended; or it did not wait at the engine, and has not begun since.
+            Attempt::Unknown if self.has_begun || self.was_clear => {
+                return Step::End(Verdict::Stopped);
+            }
+            Attempt::Unknown => self.was_unknown = true,
             // The attempt that was late is being carried out.
             Attempt::Busy if self.was_late => return Step::End(Verdict::Stopped),
             Attempt::Refused if self.loss != Loss::Silent => return Step::End(Verdict::Crashed),
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -16,7 +16,7 @@
 /// Records attempts that each take `duration`, repeated as the order says, and returns the
 /// verdict and when it came. The last attempt is repeated without end.
 fn decide(loss: Loss, attempts: &[Attempt], duration: Duration) -> (Verdict, Duration) {
-    let mut order = Order::new(loss, START);
+    let mut order = Order::new(loss, true, START);
     let mut now = START;
     for number in 0.. {
         let attempt = attempts[number.min(attempts.len() - 1)];
@@ -109,6 +109,51 @@
     }
 }
 
+/// Guards against a run that goes on elsewhere while it waits for its first event at an engine
+/// that does not know it yet.
+#[test]
+fn record_unknown_before_first_event() {
+    let mut order = Order::new(Loss::Broken, false, START);
+    // A report from before an order says nothing of what happened between the two.
+    order.record_report(0);
+    let at = |millis| START + Duration::from_millis(millis);
+    for (millis, pending) in [(2, 1), (30, 2), (60, 1)] {
+        assert_eq!(
+            order.record(Attempt::Unknown, at(millis)),
+            Step::Repeat(at(millis) + stop::REPEAT_INTERVAL)
+        );
+        order.record_report(pending);
+    }
+    assert!(order.needs_report());
+    order.record_report(0);
+    let end = Step::End(Verdict::Stopped);
+    assert_eq!(order.record(Attempt::Unknown, at(90)), end);
+    // It was stopped after all, once it had begun.
+    let mut order = Order::new(Loss::Broken, false, START);
+    assert!(matches!(
+        order.record(Attempt::Unknown, at(2)),
+        Step::Repeat(_)
+    ));
+    assert_eq!(order.record(Attempt::Done, at(30)), end);
+    let (verdict, _) = decide(Loss::Broken, &[Attempt::Unknown], ROUND_TRIP);
+    assert_eq!(verdict, Verdict::Stopped);
+}
+
+/// As above where a report never shows it: the run is not certainly stopped.
+#[test]
+fn record_unknown_at_busy_engine() {
+    let mut order = Order::new(Loss::Broken, false, START);
+    let mut now = START;
+    loop {
+        match order.record(Attempt::Unknown, now) {
+            Step::Repeat(at) => now = at,
+            Step::End(verdict) => break assert_eq!(verdict, Verdict::Unconfirmed),
+        }
+        order.record_report(1);
+    }
+    assert!(now.since(START) >= stop::MAX_TIME);
+}
+
 fn attempt() -> impl Strategy<Value = Attempt> {
     prop_oneof![
         Just(Attempt::Refused),
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -84,6 +84,11 @@
         self.events = 0;
     }
 
+    /// Returns whether the engine has made an event of the run.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.events > 0
+    }
+
     /// Counts an event of the engine. Records what it shows to be sound.
     pub(crate) fn record_event(&mut self, job: &Job) {
         self.events += 1;
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -49,6 +49,9 @@
 /// The timeout of a report that no request waits for.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How old an engine's report may be when it arrives, where there is no sidecar.
+const MAX_REPORT_LAG: Duration = Duration::from_millis(600);
+
 /// The interval at which engines that hold runs are polled while the store is
 /// unreachable. Engines stop within two seconds of their notice.
 const OUTAGE_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -128,6 +131,20 @@
     }
 }
 
+/// Returns how many requests wait or are in prefill at an engine, by a report that was made after
+/// `since`. Returns `None` if there is none.
+pub(crate) async fn pending(shard: &Shard, endpoint: &Endpoint, since: Time) -> Option<u32> {
+    let mut probe = shard
+        .take_idle_probe(&endpoint.id)
+        .filter(|probe| probe.address == endpoint.address)
+        .unwrap_or_else(|| Probe::new(endpoint.address, shard.sidecar_port));
+    let now = clock::now();
+    let report = probe.report(CHOICE_TIMEOUT).await.ok()?;
+    shard.put_idle_probe(&endpoint.id, probe);
+    let is_later = report.is_fresh || now.since(since) > MAX_REPORT_LAG;
+    is_later.then(|| report.waiting.saturating_add(report.computing))
+}
+
 /// Polls one engine and records the report in the pool.
 async fn poll(shard: &Arc<Shard>, endpoint: &Arc<Endpoint>, timeout: Duration) {
     let mut probe = shard
--- a/crates/gateway/src/stream/stop.rs
+++ b/crates/gateway/src/stream/stop.rs
@@ -24,6 +24,7 @@
 use crate::{
     clock,
     migration::free_copy,
+    observe,
     record::{self, Event},
 };
 
@@ -95,6 +96,9 @@
     }
 }
 
+/// The label of an answer that the engine does not have the run.
+const UNKNOWN: &str = "unknown";
+
 /// The label of an answer that the run was copied to the engine at which it goes on.
 const COPIED: &str = "copied";
 
@@ -172,7 +176,7 @@
     pub(super) async fn order_stop(&mut self, loss: Loss) -> Progress {
         let now = clock::now();
         let mut stopping = self.stopping.take().unwrap_or_else(|| Stopping {
-            order: stop::Order::new(loss, now),
+            order: stop::Order::new(loss, self.observation.has_begun(), now),
             began_at: now,
             attempts: 0,
             limit: STOP_TIMEOUT,
@@ -201,12 +205,22 @@
                 if answer.attempt == stop::Attempt::Late {
                     stopping.limit = REPEAT_TIMEOUT;
                 }
+                if stopping.order.needs_report() {
+                    let (shard, engine) = (&self.job.shard, &self.run.endpoint);
+                    let lost_at = stopping.began_at;
+                    if let Some(pending) = observe::pending(shard, engine, lost_at).await {
+                        stopping.order.record_report(pending);
+                    }
+                }
                 stopping.repeat_at = at;
                 self.stopping = Some(stopping);
                 Progress::Pending
             }
             stop::Step::End(verdict) => {
-                let label = answer.label.unwrap_or(verdict.into());
+                let label = match answer.attempt {
+                    stop::Attempt::Unknown if verdict == stop::Verdict::Stopped => UNKNOWN,
+                    _ => answer.label.unwrap_or(verdict.into()),
+                };
                 self.record_stop(label, &stopping);
                 match verdict {
                     stop::Verdict::Unconfirmed => return Progress::Unconfirmed,
@@ -272,7 +286,7 @@
             }) => Answer::done("kept", Some(handle)),
             // An engine that stopped the run tells where it keeps it.
             Ok(Copied::NoRoom { handle: None }) => Answer::failed(stop::Attempt::Reset),
-            Ok(Copied::Unknown) => Answer::done("unknown", None),
+            Ok(Copied::Unknown) => Answer::failed(stop::Attempt::Unknown),
             Ok(Copied::Busy) => Answer::failed(stop::Attempt::Busy),
             Err(cause) => Answer::failed(classify(&cause)),
         }
--- a/tests/gateway/failover.rs
+++ b/tests/gateway/failover.rs
@@ -22,6 +22,10 @@
 /// The timeout of the route, in milliseconds: longer than a stream with two silent engines.
 const TIMEOUT_MS: u64 = 12_000;
 
+/// The time to the first event of a run that its first engine has dropped: the delay of its
+/// reports, and some attempts to stop it.
+const MAX_RECOVERY: Duration = Duration::from_millis(900);
+
 /// How long an engine may still work on a run after another one has gone on with it.
 const ALLOWED: Duration = Duration::from_millis(400);
 
@@ -113,6 +117,32 @@
     assert_whole(&site, "s1").await;
 }
 
+/// Guards against a run that waits for its first event at an engine that does not know it yet, and
+/// goes on elsewhere because its answer was lost.
+#[tokio::test]
+async fn unheard_before_first_event() {
+    let site = start(3, Behaviour::Unheard).await;
+    assert_whole(&site, "s1").await;
+}
+
+/// Guards against a long pause where the engine has dropped such a run with its connection.
+#[tokio::test]
+async fn unheard_dropped() {
+    let site = Site::start_with(3, 0, EVENTS, INTERVAL).await;
+    for engine in &site.engines {
+        engine.set_behaviour(Behaviour::Unheard);
+    }
+    site.store
+        .put("config", "main", with_timeout(config(2), TIMEOUT_MS));
+    sleep(IN_FORCE).await;
+    let sent_at = Instant::now();
+    let mut stream = site.open("/drafts/1", "s1").await;
+    let took = sent_at.elapsed();
+    assert!(took < MAX_RECOVERY, "{took:?}");
+    assert_eq!(stream.read(usize::MAX).await, Some(true));
+    assert_eq!(stream.text, full_stream("s1", EVENTS));
+}
+
 /// Guards against a stream that breaks off although its engine is alive: the engine that
 /// holds the standby copy does not take the run, so it goes on where it was stopped.
 #[tokio::test]
