--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -104,7 +104,7 @@
 const REWRITE_JITTER_SHARE: f64 = 0.25;
 
 /// How an update was read.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Origin {
     /// `list` or `watch`.
     call: &'static str,
@@ -527,14 +527,12 @@
 #[derive(Default)]
 struct Configuration {
     /// How the update was read that is being applied.
-    origin: Option<Origin>,
+    origin: Origin,
 }
 
 impl Configuration {
     fn apply_object(&self, state: &State, object: &Object) {
-        let Some(read) = &self.origin else {
-            return;
-        };
+        let read = &self.origin;
         let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         let origin = ConfigOrigin {
             call: read.call,
@@ -609,7 +607,7 @@
     }
 
     fn on_update(&mut self, origin: &Origin) {
-        self.origin = Some(origin.clone());
+        self.origin = origin.clone();
     }
 
     fn on_answer(&mut self, state: &State, answer: &Answer) {
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -179,13 +179,7 @@
             .is_some_and(|fault| Instant::now() >= fault.until)
         {
             let fault = ongoing.take().expect("it was checked");
-            fault.end(&mut site, &mut operator).await;
-            disturbances.push(Disturbance {
-                gateway: fault.gateway,
-                name: fault.name,
-                from: fault.from,
-                until: Instant::now(),
-            });
+            disturbances.push(fault.end(&mut site, &mut operator).await);
             // Most probes are sent between faults, past the time to be in touch again.
             disturb_at =
                 Instant::now() + CONTACT + Duration::from_millis(random.random_range(0..2_500));
@@ -213,13 +207,7 @@
         sleep(PROBE_INTERVAL).await;
     }
     if let Some(fault) = ongoing {
-        fault.end(&mut site, &mut operator).await;
-        disturbances.push(Disturbance {
-            gateway: fault.gateway,
-            name: fault.name,
-            from: fault.from,
-            until: Instant::now(),
-        });
+        disturbances.push(fault.end(&mut site, &mut operator).await);
     }
     let probes = probing.join_all().await;
     let broken = judge(seed, &probes, &operator, &disturbances);
@@ -291,7 +279,8 @@
         fault
     }
 
-    async fn end(&self, site: &mut Site, operator: &mut Operator) {
+    /// Ends the disturbance.
+    async fn end(self, site: &mut Site, operator: &mut Operator) -> Disturbance {
         match self.name {
             "gateway_paused" => {
                 site.signal_gateway(self.gateway.unwrap_or(0), Signal::CONT);
@@ -303,12 +292,18 @@
             }
             "store_restored" => {
                 site.store.set_behaviour(Behaviour::Closing);
-                site.store.restore(self.copy.clone().expect("it was made"));
+                site.store.restore(self.copy.expect("it was made"));
                 site.store.set_behaviour(Behaviour::Normal);
                 operator.write(site, 1);
             }
             _ => site.store.set_behaviour(Behaviour::Normal),
         }
+        Disturbance {
+            gateway: self.gateway,
+            name: self.name,
+            from: self.from,
+            until: Instant::now(),
+        }
     }
 }
 
